Add the whole path, thin: caller, node, engine and back

Cause: an empty repository; every later piece needs the layers, names and checks to hang on. Change: one CMake library and test program per layer, settings, structured log, metrics, prefix chains, bundle reader, control thread with inbox and controllers, filter chain, engine exchange, serve command, an engine stand-in and an integration test with real processes. Conclusion: the path stands; placement is only least-loaded, streams do not resume yet.

--- /dev/null
+++ b/cmake/Dependencies.cmake
@@ -0,0 +1,17 @@
+# Libraries, all from Debian's packages; tools/setup.sh lists them.
+find_package(Threads REQUIRED)
+find_package(PkgConfig REQUIRED)
+find_package(GTest REQUIRED)
+find_package(benchmark REQUIRED)
+find_package(nlohmann_json REQUIRED)
+find_package(tl-expected REQUIRED)
+find_package(Boost REQUIRED)
+find_package(OpenSSL REQUIRED)
+
+pkg_check_modules(httplib REQUIRED IMPORTED_TARGET cpp-httplib)
+pkg_check_modules(zmq REQUIRED IMPORTED_TARGET libzmq)
+pkg_check_modules(protobuf REQUIRED IMPORTED_TARGET protobuf)
+pkg_check_modules(sodium REQUIRED IMPORTED_TARGET libsodium)
+pkg_check_modules(log4cplus REQUIRED IMPORTED_TARGET log4cplus)
+pkg_check_modules(xxhash REQUIRED IMPORTED_TARGET libxxhash)
+pkg_check_modules(tclap REQUIRED IMPORTED_TARGET tclap)
--- /dev/null
+++ b/include/vanilladyke/app/settings.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "vanilladyke/base/outcome.hpp"
+#include "vanilladyke/model/bundle_json.hpp"
+#include "vanilladyke/model/ids.hpp"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// The settings of one host: what a process must know before it has a bundle.
+namespace vanilladyke {
+
+/// @brief PEM files of one TLS listener; empty for plain text.
+struct TlsFiles
+{
+    std::string certificate;
+    std::string privateKey;
+};
+
+/// @brief Everything in the settings file of one host.
+struct HostSettings
+{
+    NodeId node;
+    DataCentreId dataCentre;
+    Endpoint callers; ///< where callers are served
+    TlsFiles callersTls;
+    Endpoint operators; ///< where operators are served
+    std::string logLevel = "info";
+    std::string bundleFile; ///< a bundle taken as accepted at start; for a first try without a log
+};
+
+/// @brief Reads settings and checks them; on failure every error is given.
+[[nodiscard]] Outcome<HostSettings, std::vector<FieldError>> parseSettings(std::string_view text);
+
+/// @brief Reads a whole file. @return one error if it can't be read
+[[nodiscard]] Outcome<std::string, FieldError> readFile(const std::string &path);
+
+} // namespace vanilladyke
--- /dev/null
+++ b/include/vanilladyke/base/log.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "vanilladyke/base/time.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+/// Structured log: one line of key=value pairs for each event, written through log4cplus.
+namespace vanilladyke {
+
+/// @brief How much an event matters to a reader of the log.
+enum class Severity { Debug, Info, Warning, Error };
+
+/// @brief Sends all log lines to standard error from now on. Call once at start.
+/// @param least events below this are left out
+/// @param node stands in each line as node=…; empty leaves it out
+void initializeLog(Severity least, std::string_view node);
+
+/// @brief One event under construction; the line is written when the object ends.
+///
+/// Values that hold spaces, quotes or '=' are quoted, so that a line can always be split again.
+class LogEvent
+{
+public:
+    explicit LogEvent(std::string_view event, Severity severity = Severity::Info);
+    LogEvent(const LogEvent &) = delete;
+    LogEvent &operator=(const LogEvent &) = delete;
+    ~LogEvent();
+
+    LogEvent &field(std::string_view key, std::string_view value);
+    LogEvent &field(std::string_view key, const char *value);
+    LogEvent &field(std::string_view key, const std::string &value);
+    LogEvent &field(std::string_view key, bool value);
+    LogEvent &field(std::string_view key, double value);
+    /// @brief A span, written in milliseconds with three places.
+    LogEvent &field(std::string_view key, Duration value);
+
+    template <std::integral Integer>
+    LogEvent &field(std::string_view key, Integer value)
+    {
+        return raw(key, std::to_string(value));
+    }
+
+private:
+    LogEvent &raw(std::string_view key, std::string_view value);
+
+    Severity m_severity;
+    bool m_enabled;
+    std::string m_line;
+};
+
+} // namespace vanilladyke
--- /dev/null
+++ b/include/vanilladyke/control/engine_poller.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "vanilladyke/control/fleet_store.hpp"
+#include "vanilladyke/control/inbox.hpp"
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace vanilladyke {
+
+/// @brief Asks every engine of the bundle for its state, and posts what it hears.
+///
+/// Each engine has a thread of its own, so that one that hangs holds up no other.
+class EnginePoller
+{
+public:
+    EnginePoller(const FleetStore &fleet, Inbox &inbox);
+    EnginePoller(const EnginePoller &) = delete;
+    EnginePoller &operator=(const EnginePoller &) = delete;
+    ~EnginePoller();
+
+private:
+    void supervise(const std::stop_token &stop);
+    void poll(const std::stop_token &stop, const EngineEntry &entry);
+    void pause(const std::stop_token &stop, TimePoint until);
+
+    const FleetStore &m_fleet;
+    Inbox &m_inbox;
+    std::mutex m_mutex;
+    std::condition_variable_any m_wake;
+    std::map<EngineId, std::jthread> m_pollers;
+    std::jthread m_supervisor;
+};
+
+} // namespace vanilladyke
--- /dev/null
+++ b/include/vanilladyke/control/events.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "vanilladyke/base/time.hpp"
+#include "vanilladyke/model/bundle.hpp"
+#include "vanilladyke/model/fleet.hpp"
+#include "vanilladyke/model/ids.hpp"
+
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// What the control thread hears. Other threads only post these; they never change shared state.
+namespace vanilladyke {
+
+/// @brief Nothing happened; controllers look at their deadlines.
+struct Tick
+{};
+
+/// @brief A bundle was accepted and is in force from now on.
+struct BundleAccepted
+{
+    std::shared_ptr<const Bundle> bundle;
+};
+
+/// @brief A model as an engine holds it.
+struct HeldModel
+{
+    ModelId model;
+    WeightsVersion weights;
+};
+
+/// @brief An engine told its state.
+struct EngineReported
+{
+    EngineId engine;
+    Incarnation incarnation{};
+    std::vector<HeldModel> held;
+    LoadReport load;
+};
+
+/// @brief An engine could not be reached at all.
+struct EngineUnreachable
+{
+    EngineId engine;
+    std::string reason;
+};
+
+/// @brief This node was told to stop.
+struct StopRequested
+{};
+
+using Event = std::variant<Tick, BundleAccepted, EngineReported, EngineUnreachable, StopRequested>;
+
+/// @brief Whether the event may be dropped when the inbox is full: a later one makes up for it.
+[[nodiscard]] bool isSoft(const Event &event);
+
+} // namespace vanilladyke
--- /dev/null
+++ b/include/vanilladyke/gateway/engine_exchange.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "vanilladyke/base/outcome.hpp"
+#include "vanilladyke/base/time.hpp"
+#include "vanilladyke/model/fleet.hpp"
+#include "vanilladyke/model/prefix_chain.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+/// One exchange with one engine: a request sent, its frames read back one by one.
+namespace vanilladyke {
+
+/// @brief What goes to an engine.
+struct EngineCall
+{
+    EngineView engine;
+    WeightsVersion weights; ///< that the answer must come from
+    RequestId request;
+    StreamId stream;
+    std::string attempt; ///< names this exchange; frames that name another are not ours
+    std::string path;    ///< /v1/chat/completions or /v1/completions
+    std::string body;
+    PrefixChain chain;
+    std::uint32_t resumeOffset = 0; ///< tokens that the caller already has
+};
+
+/// @brief One token, or the end, of an answer.
+struct StreamFrame
+{
+    std::uint32_t offset = 0; ///< tokens up to and with this one
+    std::string data;         ///< the event's JSON as the engine sent it
+    bool end = false;
+};
+
+/// @brief Why an exchange broke off.
+enum class ExchangeError {
+    ConnectFailed, ///< nothing was sent
+    Rejected,      ///< the engine refused the call
+    Reset,         ///< the connection ended before the end marker
+    Silent,        ///< nothing came until the deadline
+    Mismatch,      ///< another attempt, incarnation or weights version answered
+};
+
+/// @brief Why an exchange broke off, with the words for the log.
+struct ExchangeFailure
+{
+    ExchangeError error = ExchangeError::Reset;
+    std::string detail;
+};
+
+[[nodiscard]] std::string_view toString(ExchangeError error);
+
+/// @brief An exchange under way; ending the object closes the connection.
+class EngineExchange
+{
+public:
+    explicit EngineExchange(const EngineCall &call);
+    EngineExchange(const EngineExchange &) = delete;
+    EngineExchange &operator=(const EngineExchange &) = delete;
+    ~EngineExchange();
+
+    /// @brief Waits for the next frame. @return Silent once the deadline has passed
+    [[nodiscard]] Outcome<StreamFrame, ExchangeFailure> next(TimePoint deadline);
+
+private:
+    struct Shared;
+    std::shared_ptr<Shared> m_shared;
+};
+
+} // namespace vanilladyke
--- /dev/null
+++ b/include/vanilladyke/gateway/exchange_context.hpp
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "vanilladyke/base/outcome.hpp"
+#include "vanilladyke/base/time.hpp"
+#include "vanilladyke/model/fleet.hpp"
+#include "vanilladyke/model/prefix_chain.hpp"
+#include "vanilladyke/model/refusal.hpp"
+
+#include <concepts>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <tuple>
+
+/// A caller's request on its way through the filter chain.
+namespace vanilladyke {
+
+/// @brief All that is known of one request; each filter reads what it needs and adds its part.
+struct RequestContext
+{
+    // As it came in.
+    RequestId id;
+    std::string path;
+    std::string bearer; ///< never logged
+    std::string deadlineHeader;
+    std::string body;
+    TimePoint arrivedAt;
+    std::shared_ptr<const Fleet> fleet;
+
+    // Added by the filters.
+    CustomerId customer;
+    ModelId model;
+    WeightsVersion weights;
+    bool streamed = false;
+    std::string engineBody; ///< what the engine gets: always streamed
+    std::vector<std::string> messages;
+    std::uint32_t promptTokens = 0;
+    std::uint32_t answerTokens = 0;
+    PrefixChain chain;
+    TimePoint firstTokenDeadline;
+};
+
+/// @brief What a filter says: none to pass the request on, a refusal to end it.
+using FilterVerdict = std::optional<Refusal>;
+
+/// @brief One step of the chain.
+template <typename T>
+concept Filter = requires(T &filter, RequestContext &context)
+{
+    {
+        filter(context)
+        } -> std::same_as<FilterVerdict>;
+};
+
+/// @brief The filters in order; the first refusal ends the request.
+template <Filter... Filters>
+class FilterChain
+{
+public:
+    explicit FilterChain(Filters... filters)
+        : m_filters(std::move(filters)...)
+    {}
+
+    [[nodiscard]] FilterVerdict operator()(RequestContext &context)
+    {
+        FilterVerdict verdict;
+        std::apply(
+                [&](auto &...each) {
+                    static_cast<void>(((verdict = each(context), verdict.has_value()) || ...));
+                },
+                m_filters);
+        return verdict;
+    }
+
+private:
+    std::tuple<Filters...> m_filters;
+};
+
+} // namespace vanilladyke
--- /dev/null
+++ b/include/vanilladyke/model/fleet.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "vanilladyke/base/time.hpp"
+#include "vanilladyke/model/bundle.hpp"
+#include "vanilladyke/model/ids.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+/// The fleet as one node sees it: an immutable value that the control thread publishes and that
+/// traffic threads read.
+namespace vanilladyke {
+
+/// @brief Whether an engine may be given work.
+enum class EngineState {
+    Unknown, ///< not heard of yet in this life of the node
+    Ready,
+    Loading, ///< its weights or models are not the wanted ones yet
+    Leaving, ///< finishes what it has; no new work
+    Dead,
+};
+
+/// @brief What an engine last said of its load. It lags: see measuredAt.
+struct LoadReport
+{
+    TimePoint measuredAt;      ///< when the engine measured, by this node's clock
+    std::uint32_t running = 0; ///< requests in its batch
+    std::uint32_t waiting = 0; ///< requests not yet in the batch
+    std::uint64_t queuedPrefillTokens = 0;
+    double prefillTokensPerSecond = 10'000;
+    double decodeTokensPerSecond = 40; ///< for one stream
+};
+
+/// @brief One engine.
+struct EngineView
+{
+    EngineId id;
+    Endpoint endpoint;
+    DataCentreId dataCentre;
+    Incarnation incarnation{};
+    EngineState state = EngineState::Unknown;
+    std::vector<ModelId> models; ///< those that it holds in the wanted weights version
+    std::uint32_t slots = 0;
+    LoadReport load;
+};
+
+/// @brief All that traffic needs to know, as of one moment.
+struct Fleet
+{
+    std::shared_ptr<const Bundle> bundle; ///< null until one has been accepted
+    std::vector<EngineView> engines;      ///< in the bundle's order
+    std::uint32_t liveNodes = 1;          ///< nodes that share the engines, this one included
+    bool leaving = false;                 ///< this node is shutting down
+};
+
+/// @brief The customer with this id; null if the bundle has none.
+[[nodiscard]] const Customer *findCustomer(const Bundle &bundle, const CustomerId &id);
+[[nodiscard]] const Model *findModel(const Bundle &bundle, const ModelId &id);
+[[nodiscard]] const Service *findService(const Bundle &bundle, const ServiceId &id);
+[[nodiscard]] const EngineView *findEngine(const Fleet &fleet, const EngineId &id);
+
+/// @brief Whether the engine may be given new work for the model.
+[[nodiscard]] bool serves(const EngineView &engine, const ModelId &model);
+
+} // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/app/command_line.cpp
@@ -0,0 +1,77 @@
+#include "vanilladyke/app/command_line.hpp"
+
+#include "vanilladyke/app/serve.hpp"
+#include "vanilladyke/model/json_reader.hpp"
+
+#include <tclap/CmdLine.h>
+
+#include <iostream>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace vanilladyke {
+
+namespace {
+
+constexpr int WrongCall = 2;
+constexpr const char *Version = "0.1.0";
+constexpr const char *Usage = "usage: vanilladyke COMMAND [--help]\n"
+                              "  serve --settings FILE     run a node\n"
+                              "  settings check FILE       check host settings\n";
+
+std::optional<HostSettings> loadSettings(const std::string &path)
+{
+    const auto text = readFile(path);
+    if (!text) {
+        std::cerr << path << ": " << text.error().reason << '\n';
+        return std::nullopt;
+    }
+    auto settings = parseSettings(*text);
+    if (!settings) {
+        std::cerr << describe(path, settings.error());
+        return std::nullopt;
+    }
+    return std::move(*settings);
+}
+
+int runServe(std::vector<std::string> &arguments)
+{
+    TCLAP::CmdLine line("Runs a node.", ' ', Version);
+    TCLAP::ValueArg<std::string> file("s", "settings", "host settings", true, "", "FILE", line);
+    line.parse(arguments);
+    const std::optional<HostSettings> settings = loadSettings(file.getValue());
+    return settings ? serve(*settings) : EXIT_FAILURE;
+}
+
+int runSettings(std::vector<std::string> &arguments)
+{
+    TCLAP::CmdLine line("Checks host settings.", ' ', Version);
+    TCLAP::UnlabeledValueArg<std::string> verb("verb", "check", true, "", "check", line);
+    TCLAP::UnlabeledValueArg<std::string> file("file", "host settings", true, "", "FILE", line);
+    line.parse(arguments);
+    if (verb.getValue() != "check") {
+        std::cerr << "settings: unknown verb " << verb.getValue() << '\n';
+        return WrongCall;
+    }
+    return loadSettings(file.getValue()) ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+} // namespace
+
+int runCommandLine(int argc, const char *const *argv)
+{
+    const std::string command = argc > 1 ? argv[1] : "";
+    std::vector<std::string> arguments(argv + 1, argv + argc);
+    if (command == "serve") {
+        return runServe(arguments);
+    }
+    if (command == "settings") {
+        return runSettings(arguments);
+    }
+    const bool help = command == "--help" || command == "-h";
+    (help ? std::cout : std::cerr) << Usage;
+    return help ? EXIT_SUCCESS : WrongCall;
+}
+
+} // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/app/serve.cpp
@@ -0,0 +1,92 @@
+#include "vanilladyke/app/serve.hpp"
+
+#include "vanilladyke/base/log.hpp"
+#include "vanilladyke/base/metrics.hpp"
+#include "vanilladyke/control/bundle_controller.hpp"
+#include "vanilladyke/control/control_thread.hpp"
+#include "vanilladyke/control/engine_controller.hpp"
+#include "vanilladyke/control/engine_poller.hpp"
+#include "vanilladyke/gateway/caller_server.hpp"
+#include "vanilladyke/model/json_reader.hpp"
+
+#include <csignal>
+#include <thread>
+
+namespace vanilladyke {
+
+namespace {
+
+constexpr std::size_t InboxCapacity = 65'536;
+
+Severity severityOf(const std::string &level)
+{
+    if (level == "debug") {
+        return Severity::Debug;
+    }
+    if (level == "warning") {
+        return Severity::Warning;
+    }
+    return level == "error" ? Severity::Error : Severity::Info;
+}
+
+/// Blocks the stopping signals in this thread and all that it starts, so that one thread waits for
+/// them instead of a handler that may do almost nothing.
+sigset_t blockStopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    return signals;
+}
+
+void takeBundleFile(const std::string &path, Inbox &inbox)
+{
+    const auto text = readFile(path);
+    const auto bundle = parseBundle(text ? *text : "");
+    if (!bundle) {
+        LogEvent("bundle_refused", Severity::Error)
+                .field("file", path)
+                .field("errors", describe(path, bundle.error()));
+        return;
+    }
+    inbox.post(BundleAccepted{std::make_shared<const Bundle>(*bundle)});
+}
+
+} // namespace
+
+int serve(const HostSettings &settings)
+{
+    initializeLog(severityOf(settings.logLevel), settings.node.str());
+    const sigset_t signals = blockStopSignals();
+    std::signal(SIGPIPE, SIG_IGN);
+
+    Metrics metrics;
+    FleetStore fleet;
+    Inbox inbox(InboxCapacity);
+    BundleController bundles;
+    EngineController engines;
+    const ControlThread control(inbox, fleet, bundles, engines);
+    const EnginePoller poller(fleet, inbox);
+    if (!settings.bundleFile.empty()) {
+        takeBundleFile(settings.bundleFile, inbox);
+    }
+
+    CallerServer callers(fleet, metrics);
+    if (!callers.bind(settings.callers)) {
+        LogEvent("bind_failed", Severity::Error).field("callers", settings.callers.str());
+        return EXIT_FAILURE;
+    }
+    std::thread traffic([&] { callers.run(); });
+    LogEvent("serving").field("callers", settings.callers.str());
+    int signal = 0;
+    sigwait(&signals, &signal);
+    LogEvent("stopping").field("signal", signal);
+    callers.stop();
+    traffic.join();
+    LogEvent("stopped").field("exit", EXIT_SUCCESS);
+    return EXIT_SUCCESS;
+}
+
+} // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/app/settings.cpp
@@ -0,0 +1,65 @@
+#include "vanilladyke/app/settings.hpp"
+
+#include "vanilladyke/model/json_reader.hpp"
+
+#include <cerrno>
+#include <cstring>
+#include <fstream>
+#include <sstream>
+
+namespace vanilladyke {
+
+namespace {
+
+void checkLogLevel(JsonReader &reader, std::string *level)
+{
+    reader.text("log_level", level, false);
+    if (*level != "debug" && *level != "info" && *level != "warning" && *level != "error") {
+        reader.fail("log_level", "must be debug, info, warning or error");
+    }
+}
+
+void readTls(JsonReader &reader, TlsFiles *files)
+{
+    reader.allowOnly({"certificate", "private_key"});
+    reader.text("certificate", &files->certificate);
+    reader.text("private_key", &files->privateKey);
+}
+
+} // namespace
+
+Outcome<HostSettings, std::vector<FieldError>> parseSettings(std::string_view text)
+{
+    std::vector<FieldError> errors;
+    const nlohmann::json object = parseJsonObject(text, &errors);
+    if (!errors.empty()) {
+        return failure(std::move(errors));
+    }
+    HostSettings settings;
+    JsonReader reader(object, "", &errors);
+    reader.allowOnly({"node", "data_centre", "callers", "callers_tls", "operators", "log_level",
+                      "bundle_file"});
+    reader.id("node", &settings.node);
+    reader.id("data_centre", &settings.dataCentre);
+    reader.endpoint("callers", &settings.callers);
+    reader.object("callers_tls", [&](JsonReader &in) { readTls(in, &settings.callersTls); });
+    reader.endpoint("operators", &settings.operators);
+    checkLogLevel(reader, &settings.logLevel);
+    reader.text("bundle_file", &settings.bundleFile, false);
+    if (!errors.empty()) {
+        return failure(std::move(errors));
+    }
+    return settings;
+}
+
+Outcome<std::string, FieldError> readFile(const std::string &path)
+{
+    std::ifstream in(path, std::ios::binary);
+    std::ostringstream content;
+    if (!in || !(content << in.rdbuf())) {
+        return failure(FieldError{"", path, std::strerror(errno)});
+    }
+    return content.str();
+}
+
+} // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/control/engine_poller.cpp
@@ -0,0 +1,102 @@
+#include "vanilladyke/control/engine_poller.hpp"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace vanilladyke {
+
+namespace {
+
+/// Load reports older than this mislead placement more than asking costs: 10 small answers a
+/// second.
+constexpr Duration PollEvery = std::chrono::milliseconds(100);
+constexpr Duration AnswerWithin = std::chrono::milliseconds(700);
+
+EngineReported parseReport(const EngineId &engine, const std::string &body, TimePoint now)
+{
+    const nlohmann::json json = nlohmann::json::parse(body);
+    EngineReported report;
+    report.engine = engine;
+    report.incarnation = Incarnation{json.at("incarnation").get<std::uint64_t>()};
+    for (const auto &held : json.at("models")) {
+        report.held.push_back({ModelId(held.at("id")), WeightsVersion(held.at("weights"))});
+    }
+    report.load.measuredAt = now;
+    report.load.running = json.at("running");
+    report.load.waiting = json.at("waiting");
+    report.load.queuedPrefillTokens = json.at("queued_prefill_tokens");
+    report.load.prefillTokensPerSecond = json.at("prefill_tokens_per_second");
+    report.load.decodeTokensPerSecond = json.at("decode_tokens_per_second");
+    return report;
+}
+
+Event ask(httplib::Client &client, const EngineId &engine)
+{
+    const httplib::Result answer = client.Get("/v1/state");
+    if (!answer) {
+        return EngineUnreachable{engine, httplib::to_string(answer.error())};
+    }
+    if (answer->status != 200) {
+        return EngineUnreachable{engine, "status " + std::to_string(answer->status)};
+    }
+    try {
+        return parseReport(engine, answer->body, MonotonicClock::now());
+    } catch (const nlohmann::json::exception &error) {
+        return EngineUnreachable{engine, error.what()};
+    }
+}
+
+} // namespace
+
+EnginePoller::EnginePoller(const FleetStore &fleet, Inbox &inbox)
+    : m_fleet(fleet)
+    , m_inbox(inbox)
+{
+    m_supervisor = std::jthread([this](const std::stop_token &stop) { supervise(stop); });
+}
+
+EnginePoller::~EnginePoller()
+{
+    m_supervisor.request_stop();
+    for (auto &[engine, thread] : m_pollers) {
+        thread.request_stop();
+    }
+}
+
+void EnginePoller::supervise(const std::stop_token &stop)
+{
+    while (!stop.stop_requested()) {
+        const std::shared_ptr<const Fleet> fleet = m_fleet.current();
+        if (fleet->bundle) {
+            for (const EngineEntry &entry : fleet->bundle->engines) {
+                if (m_pollers.contains(entry.id)) {
+                    continue;
+                }
+                m_pollers.emplace(entry.id, [this, entry](const std::stop_token &stopOne) {
+                    poll(stopOne, entry);
+                });
+            }
+        }
+        pause(stop, MonotonicClock::now() + PollEvery);
+    }
+}
+
+void EnginePoller::poll(const std::stop_token &stop, const EngineEntry &entry)
+{
+    httplib::Client client(entry.endpoint.host, entry.endpoint.port);
+    client.set_keep_alive(true);
+    client.set_connection_timeout(AnswerWithin);
+    client.set_read_timeout(AnswerWithin);
+    while (!stop.stop_requested()) {
+        m_inbox.post(ask(client, entry.id));
+        pause(stop, MonotonicClock::now() + PollEvery);
+    }
+}
+
+void EnginePoller::pause(const std::stop_token &stop, TimePoint until)
+{
+    std::unique_lock lock(m_mutex);
+    m_wake.wait_until(lock, stop, until, [] { return false; });
+}
+
+} // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/control/events.cpp
@@ -0,0 +1,11 @@
+#include "vanilladyke/control/events.hpp"
+
+namespace vanilladyke {
+
+bool isSoft(const Event &event)
+{
+    return std::holds_alternative<Tick>(event) || std::holds_alternative<EngineReported>(event)
+           || std::holds_alternative<EngineUnreachable>(event);
+}
+
+} // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/main.cpp
@@ -0,0 +1,6 @@
+#include "vanilladyke/app/command_line.hpp"
+
+int main(int argc, char **argv)
+{
+    return vanilladyke::runCommandLine(argc, argv);
+}
--- /dev/null
+++ b/tests/integration/first_path.py
@@ -0,0 +1,45 @@
+"""One request from a caller through a node to an engine and back."""
+
+import json
+
+import harness
+
+
+class FirstPath(harness.ClusterTest):
+    def setUp(self):
+        super().setUp()
+        self.cluster.engine("copy-1")
+        self.node = self.cluster.node("n1")
+
+    def test_a_prompt_is_streamed_whole_and_in_order(self):
+        status, body, headers = harness.chat(self.node.port, "bus shelter", 20, True)
+        self.assertEqual(status, 200, body)
+        self.assertIn("X-Request-Id", headers)
+        text, ended = harness.streamed_text(body)
+        self.assertEqual(text, "".join(harness.expected_tokens("bus shelter", 20)))
+        self.assertTrue(ended)
+        self.assertIn("event=placement request=" + headers["X-Request-Id"], self.node.log_text())
+
+    def test_a_whole_answer_is_the_same_text(self):
+        status, body, _ = harness.chat(self.node.port, "bus shelter", 20, False)
+        self.assertEqual(status, 200, body)
+        text = json.loads(body)["choices"][0]["message"]["content"]
+        self.assertEqual(text, "".join(harness.expected_tokens("bus shelter", 20)))
+
+    def test_refusals_say_why_and_that_nothing_ran(self):
+        for key, model, expected in [("nobody", "copy", (401, "unknown_customer")),
+                                     ("brand-key", "none", (404, "unknown_model"))]:
+            body = json.dumps({"model": model, "messages": [{"role": "user", "content": "x"}]})
+            status, answer, _ = harness.http_call(self.node.port, "POST", "/v1/chat/completions", body,
+                                                  {"Authorization": "Bearer " + key})
+            error = json.loads(answer)["error"]
+            self.assertEqual((status, error["reason"]), expected)
+            self.assertEqual(error["ran"], "no")
+        self.assertNotIn("brand-key", self.node.log_text())
+
+    def test_a_planned_stop_exits_with_0(self):
+        self.assertEqual(self.node.stop(), 0)
+
+
+if __name__ == "__main__":
+    harness.main()
--- /dev/null
+++ b/tests/integration/harness.py
@@ -0,0 +1,162 @@
+"""Starts real processes on free loopback ports, waits for conditions, and ends what it started."""
+
+import argparse
+import contextlib
+import hashlib
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+import unittest
+import zlib
+
+WAIT_SECONDS = 30.0
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def key_digest(key):
+    return hashlib.blake2b(key.encode(), digest_size=32).hexdigest()
+
+
+def expected_tokens(prompt, count):
+    """What an engine stand-in answers to the prompt."""
+    prompt_sum = zlib.crc32(prompt.encode())
+    return ["%08x " % zlib.crc32(f"{prompt_sum}:{i}".encode()) for i in range(count)]
+
+
+def wait_until(condition, what):
+    end = time.monotonic() + WAIT_SECONDS
+    while time.monotonic() < end:
+        with contextlib.suppress(OSError):
+            if condition():
+                return
+        time.sleep(0.02)
+    raise AssertionError(f"never came about: {what}")
+
+
+def http_call(port, method, path, body=None, headers=None, timeout=WAIT_SECONDS):
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
+    try:
+        connection.request(method, path, body, headers or {})
+        response = connection.getresponse()
+        return response.status, response.read().decode(), dict(response.getheaders())
+    finally:
+        connection.close()
+
+
+class Process:
+    """One process of a test; its standard error goes to a file that a test can read."""
+
+    def __init__(self, folder, name, arguments):
+        self.log_path = os.path.join(folder, name + ".log")
+        self.log = open(self.log_path, "a", encoding="utf-8")
+        self.popen = subprocess.Popen(arguments, stdout=self.log, stderr=self.log)
+
+    def log_text(self):
+        with open(self.log_path, encoding="utf-8") as log:
+            return log.read()
+
+    def stop(self, how=signal.SIGTERM):
+        if self.popen.poll() is None:
+            self.popen.send_signal(how)
+        code = self.popen.wait(WAIT_SECONDS)
+        self.log.close()
+        return code
+
+
+class Cluster:
+    """Engines and nodes of one test."""
+
+    def __init__(self, build):
+        self.build = build
+        self.folder = tempfile.TemporaryDirectory()
+        self.processes = []
+        self.engines = {}
+        self.bundle = {
+            "version": 1,
+            "models": [{"id": "copy", "weights": "w1"}],
+            "customers": [{"id": "brand", "key_digests": [key_digest("brand-key")]}],
+            "engines": [],
+        }
+
+    def start(self, name, arguments):
+        process = Process(self.folder.name, name, arguments)
+        self.processes.append(process)
+        return process
+
+    def path(self, name):
+        return os.path.join(self.folder.name, name)
+
+    def write(self, name, value):
+        with open(self.path(name), "w", encoding="utf-8") as out:
+            json.dump(value, out)
+        return self.path(name)
+
+    def engine(self, name):
+        port = free_port()
+        self.engines[name] = port
+        self.bundle["engines"].append({"id": name, "endpoint": f"127.0.0.1:{port}",
+                                       "data_centre": "yaba-hall", "models": ["copy"]})
+        return self.start(name, [f"{self.build}/tests/standin_engine", "--port", str(port), "--id", name])
+
+    def node(self, name):
+        port, operators = free_port(), free_port()
+        settings = {"node": name, "data_centre": "yaba-hall", "callers": f"127.0.0.1:{port}",
+                    "operators": f"127.0.0.1:{operators}",
+                    "bundle_file": self.write("bundle.jsonc", self.bundle)}
+        process = self.start(name, [f"{self.build}/vanilladyke", "serve", "--settings",
+                                    self.write(name + ".jsonc", settings)])
+        process.port, process.operators = port, operators
+        wait_until(lambda: http_call(port, "GET", "/readyz")[0] == 200, name + " ready")
+        wait_until(lambda: process.log_text().count("event=engine_up") >= len(self.engines),
+                   name + " knows the engines")
+        return process
+
+    def close(self):
+        for process in reversed(self.processes):
+            if process.popen.poll() is None:
+                process.popen.kill()
+                process.popen.wait()
+        self.folder.cleanup()
+
+
+def chat(port, prompt, tokens, stream, key="brand-key", headers=None):
+    body = json.dumps({"model": "copy", "stream": stream, "max_tokens": tokens,
+                       "messages": [{"role": "user", "content": prompt}]})
+    return http_call(port, "POST", "/v1/chat/completions", body,
+                     {"Authorization": "Bearer " + key, "Content-Type": "application/json", **(headers or {})})
+
+
+def streamed_text(body):
+    """The text of a stream and whether its end marker came."""
+    events = [line[6:] for line in body.splitlines() if line.startswith("data: ")]
+    chunks = [json.loads(event) for event in events if event != "[DONE]"]
+    text = "".join(chunk["choices"][0]["delta"].get("content", "")
+                   for chunk in chunks if chunk.get("choices"))
+    return text, bool(events) and events[-1] == "[DONE]"
+
+
+def main():
+    """Runs the tests of the calling file; --build names the folder with the programs."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--build", default="build")
+    known, rest = parser.parse_known_args()
+    ClusterTest.build = os.path.abspath(known.build)
+    unittest.main(argv=["test"] + rest, verbosity=2)
+
+
+class ClusterTest(unittest.TestCase):
+    build = "build"
+
+    def setUp(self):
+        self.cluster = Cluster(self.build)
+        self.addCleanup(self.cluster.close)
--- /dev/null
+++ b/tools/test.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Sets up, builds, and runs all tests. Exits 0 only if every one passed.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+tools/setup.sh
+tools/build.sh
+ctest --test-dir "${BUILD_DIR:-build}" --output-on-failure --no-tests=error
