--- a/include/vanilladyke/gateway/engine_exchange.hpp
+++ b/include/vanilladyke/gateway/engine_exchange.hpp
@@ -4,6 +4,7 @@
 #include "vanilladyke/base/time.hpp"
 #include "vanilladyke/model/fleet.hpp"
 #include "vanilladyke/model/prefix_chain.hpp"
+#include "vanilladyke/policy/exchange_state.hpp"
 
 #include <cstdint>
 #include <memory>
@@ -37,8 +38,8 @@
 /// @brief Why an exchange broke off.
 enum class ExchangeError {
     ConnectFailed, ///< nothing was sent
-    Rejected,      ///< the engine refused the call
-    Reset,         ///< the connection ended before the end marker
+    Rejected,      ///< the engine refused the call and provably didn't run it
+    Reset,         ///< the connection ended before the end marker, or with a server error
     Silent,        ///< nothing came until the deadline
     Mismatch,      ///< another attempt, incarnation or weights version answered
 };
@@ -52,6 +53,9 @@
 
 [[nodiscard]] std::string_view toString(ExchangeError error);
 
+/// @brief What the failure says about whether the call may have run.
+[[nodiscard]] ExchangeEvent eventOf(ExchangeError error);
+
 /// @brief An exchange under way; ending the object closes the connection.
 class EngineExchange
 {
--- a/src/vanilladyke/gateway/caller_server.cpp
+++ b/src/vanilladyke/gateway/caller_server.cpp
@@ -115,10 +115,13 @@
                      response);
         return;
     }
+    ExchangeState state;
+    state.apply(ExchangeEvent::SendStarted);
     auto exchange = std::make_shared<EngineExchange>(callOf(context, placement));
     const auto first = exchange->next(context.firstTokenDeadline);
     if (!first) {
-        writeRefusal({RefusalReason::BackendFailed, first.error().detail, Ran::Unknown, {}},
+        state.apply(eventOf(first.error().error));
+        writeRefusal({RefusalReason::BackendFailed, first.error().detail, state.ran(), {}},
                      response);
         return;
     }
--- a/src/vanilladyke/gateway/engine_exchange.cpp
+++ b/src/vanilladyke/gateway/engine_exchange.cpp
@@ -65,6 +65,21 @@
     return "reset";
 }
 
+ExchangeEvent eventOf(ExchangeError error)
+{
+    switch (error) {
+    case ExchangeError::ConnectFailed:
+        return ExchangeEvent::ConnectFailed;
+    case ExchangeError::Rejected:
+        return ExchangeEvent::RefusalReceived;
+    case ExchangeError::Reset:
+    case ExchangeError::Silent:
+    case ExchangeError::Mismatch:
+        return ExchangeEvent::ConnectionLost;
+    }
+    return ExchangeEvent::ConnectionLost;
+}
+
 /// Shared with the reading thread, which may outlive the exchange for a moment.
 struct EngineExchange::Shared
 {
@@ -103,7 +118,8 @@
 bool EngineExchange::Shared::checkHead(const httplib::Response &response)
 {
     if (response.status != 200) {
-        push(failure(ExchangeFailure{ExchangeError::Rejected,
+        const bool refused = provesRefusal(response.status);
+        push(failure(ExchangeFailure{refused ? ExchangeError::Rejected : ExchangeError::Reset,
                                      "status " + std::to_string(response.status)}));
         return false;
     }
