Split the caller server into one-job modules

The HTTP edge, the completion handler, the conversation that carries the attempts of one request, placing with its log line, answer assembly and the writing of refusals stood in one file, which several changes need at once. Each is now a module of its own.

--- a/include/vanilladyke/gateway/exchange_context.hpp
+++ b/include/vanilladyke/gateway/exchange_context.hpp
@@ -41,6 +41,9 @@
     TimePoint firstTokenDeadline;
 };
 
+/// @brief Whether the request is a chat completion, not a plain one.
+[[nodiscard]] bool isChat(const RequestContext &context);
+
 /// @brief What a filter says: none to pass the request on, a refusal to end it.
 using FilterVerdict = std::optional<Refusal>;
 
--- a/src/vanilladyke/gateway/caller_server.cpp
+++ b/src/vanilladyke/gateway/caller_server.cpp
@@ -1,12 +1,8 @@
 #include "vanilladyke/gateway/caller_server.hpp"
 
-#include "vanilladyke/base/log.hpp"
-#include "vanilladyke/gateway/engine_exchange.hpp"
-#include "vanilladyke/gateway/filters.hpp"
-#include "vanilladyke/policy/placement.hpp"
+#include "vanilladyke/gateway/completion_handler.hpp"
 
 #include <httplib.h>
-#include <nlohmann/json.hpp>
 
 namespace vanilladyke {
 
@@ -31,45 +27,6 @@
     return context;
 }
 
-void writeRefusal(const Refusal &refusal, httplib::Response &response)
-{
-    response.status = httpStatus(refusal.reason);
-    const nlohmann::json body{{"error",
-                               {{"reason", toString(refusal.reason)},
-                                {"message", refusal.detail},
-                                {"ran", toString(refusal.ran)}}}};
-    response.set_content(body.dump(), "application/json");
-}
-
-void logPlacement(const RequestContext &context, const Placement &placement)
-{
-    LogEvent event("placement");
-    event.field("request", context.id.str())
-            .field("customer", context.customer.str())
-            .field("model", context.model.str())
-            .field("prompt_tokens", context.promptTokens)
-            .field("candidates", placement.candidates.size())
-            .field("reason", placement.reason);
-    if (placement.winner) {
-        event.field("engine", context.fleet->engines[placement.winner->engine].id.str())
-                .field("cost", placement.winner->cost);
-    }
-}
-
-EngineCall callOf(const RequestContext &context, const Placement &placement)
-{
-    EngineCall call;
-    call.engine = context.fleet->engines[placement.winner->engine];
-    call.weights = context.weights;
-    call.request = context.id;
-    call.stream = StreamId(newUuid());
-    call.attempt = newUuid();
-    call.path = context.path;
-    call.body = context.engineBody;
-    call.chain = context.chain;
-    return call;
-}
-
 } // namespace
 
 struct CallerServer::Private
@@ -77,109 +34,23 @@
     Private(const FleetStore &store, Metrics &nodeMetrics)
         : fleet(store)
         , metrics(nodeMetrics)
+        , completions(store, nodeMetrics)
     {}
 
     void complete(const httplib::Request &request, httplib::Response &response);
-    void stream(const std::shared_ptr<EngineExchange> &exchange, StreamFrame first,
-                Duration silence, httplib::Response &response) const;
-    void collect(EngineExchange &exchange, const StreamFrame &first, Duration silence,
-                 httplib::Response &response) const;
 
     const FleetStore &fleet;
     Metrics &metrics;
+    CompletionHandler completions;
     httplib::Server server;
-    FilterChain<IdentifyCustomer, ParseCompletion, SetDeadline, CutPrefixes> chain{{}, {}, {}, {}};
 };
 
 void CallerServer::Private::complete(const httplib::Request &request, httplib::Response &response)
 {
+    metrics.count("requests_total");
     RequestContext context = contextOf(request, fleet.current());
     response.set_header("X-Request-Id", context.id.str());
-    metrics.count("requests_total");
-    if (const FilterVerdict refusal = chain(context)) {
-        writeRefusal(*refusal, response);
-        return;
-    }
-    Random random(entropySeed());
-    const PlacementRequest wanted{context.customer,
-                                  context.model,
-                                  context.chain,
-                                  context.promptTokens,
-                                  context.answerTokens,
-                                  context.firstTokenDeadline,
-                                  {}};
-    const Placement placement = place(wanted, *context.fleet, MonotonicClock::now(), random);
-    logPlacement(context, placement);
-    if (!placement.winner) {
-        writeRefusal({RefusalReason::NoBackend, "no engine serves the model", Ran::No, {}},
-                     response);
-        return;
-    }
-    auto exchange = std::make_shared<EngineExchange>(callOf(context, placement));
-    const auto first = exchange->next(context.firstTokenDeadline);
-    if (!first) {
-        writeRefusal({RefusalReason::BackendFailed, first.error().detail, Ran::Unknown, {}},
-                     response);
-        return;
-    }
-    metrics.observe("first_token_seconds", MonotonicClock::now() - context.arrivedAt);
-    const Duration silence = context.fleet->bundle->limits.streamSilence;
-    if (context.streamed) {
-        stream(exchange, *first, silence, response);
-    } else {
-        collect(*exchange, *first, silence, response);
-    }
-}
-
-void CallerServer::Private::stream(const std::shared_ptr<EngineExchange> &exchange,
-                                   StreamFrame first, Duration silence,
-                                   httplib::Response &response) const
-{
-    auto frame = std::make_shared<StreamFrame>(std::move(first));
-    response.set_chunked_content_provider(
-            "text/event-stream", [exchange, frame, silence](std::size_t, httplib::DataSink &sink) {
-                const std::string data = frame->end ? "[DONE]" : frame->data;
-                const std::string event = "data: " + data + "\n\n";
-                if (!sink.write(event.data(), event.size())) {
-                    return false;
-                }
-                if (frame->end) {
-                    sink.done();
-                    return true;
-                }
-                auto next = exchange->next(MonotonicClock::now() + silence);
-                if (!next) {
-                    return false;
-                }
-                *frame = std::move(*next);
-                return true;
-            });
-}
-
-void CallerServer::Private::collect(EngineExchange &exchange, const StreamFrame &first,
-                                    Duration silence, httplib::Response &response) const
-{
-    std::string text;
-    StreamFrame frame = first;
-    while (!frame.end) {
-        const nlohmann::json json = nlohmann::json::parse(frame.data);
-        const auto &choice = json.at("choices").at(0);
-        text += choice.contains("delta") ? choice["delta"].value("content", "")
-                                         : choice.value("text", "");
-        auto next = exchange.next(MonotonicClock::now() + silence);
-        if (!next) {
-            writeRefusal({RefusalReason::BackendFailed, next.error().detail, Ran::Unknown, {}},
-                         response);
-            return;
-        }
-        frame = std::move(*next);
-    }
-    const nlohmann::json answer{{"object", "chat.completion"},
-                                {"choices",
-                                 {{{"index", 0},
-                                   {"message", {{"role", "assistant"}, {"content", text}}},
-                                   {"finish_reason", "stop"}}}}};
-    response.set_content(answer.dump(), "application/json");
+    completions(std::move(context), response);
 }
 
 CallerServer::CallerServer(const FleetStore &fleet, Metrics &metrics)
--- a/src/vanilladyke/gateway/filters.cpp
+++ b/src/vanilladyke/gateway/filters.cpp
@@ -21,7 +21,7 @@
 
 void readPrompt(const nlohmann::json &body, RequestContext &context)
 {
-    if (context.path != ChatPath) {
+    if (!isChat(context)) {
         context.messages.push_back(body.at("prompt").get<std::string>());
         return;
     }
@@ -33,6 +33,11 @@
 
 } // namespace
 
+bool isChat(const RequestContext &context)
+{
+    return context.path == ChatPath;
+}
+
 std::string keyDigest(const std::string &key)
 {
     std::array<unsigned char, crypto_generichash_BYTES> digest{};
--- /dev/null
+++ b/src/vanilladyke/gateway/refusal_response.cpp
@@ -0,0 +1,44 @@
+#include "vanilladyke/gateway/refusal_response.hpp"
+
+#include "vanilladyke/base/log.hpp"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace vanilladyke {
+
+std::string refusalBody(const Refusal &refusal, const RequestId &request)
+{
+    const nlohmann::json body{{"error",
+                               {{"reason", toString(refusal.reason)},
+                                {"message", refusal.detail},
+                                {"ran", toString(refusal.ran)},
+                                {"request_id", request.str()}}}};
+    // A message may quote what the caller sent, which need not be UTF-8.
+    return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::chrono::seconds retryAfter(const Refusal &refusal, TimePoint now)
+{
+    const Duration left = refusal.retryAt ? *refusal.retryAt - now : Duration::zero();
+    return std::max(std::chrono::ceil<std::chrono::seconds>(left), std::chrono::seconds(1));
+}
+
+void writeRefusal(const Refusal &refusal, const RequestId &request, TimePoint now,
+                  httplib::Response &response)
+{
+    response.status = httpStatus(refusal.reason);
+    if (refusal.retryAt) {
+        response.set_header("Retry-After", std::to_string(retryAfter(refusal, now).count()));
+    }
+    response.set_content(refusalBody(refusal, request), "application/json");
+    LogEvent("refused")
+            .field("request", request.str())
+            .field("reason", toString(refusal.reason))
+            .field("ran", toString(refusal.ran))
+            .field("detail", refusal.detail);
+}
+
+} // namespace vanilladyke
