--- a/include/vanilladyke/platform/log_client.hpp
+++ b/include/vanilladyke/platform/log_client.hpp
@@ -3,13 +3,12 @@
 #include "vanilladyke/base/outcome.hpp"
 #include "vanilladyke/base/time.hpp"
 #include "vanilladyke/model/ids.hpp"
+#include "vanilladyke/model/log_page.hpp"
 
 #include <concepts>
-#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
-#include <vector>
 
 /// The platform's append-only log.
 ///
@@ -24,25 +23,6 @@
 ///        `from` below F reads on from F.
 namespace vanilladyke {
 
-/// @brief A place in one stream of the log; 0 is the first record ever.
-using LogOffset = std::uint64_t;
-
-/// @brief One record as it stands in the log.
-struct LogRecord
-{
-    LogOffset offset = 0;
-    WallTime appendedAt; ///< by the log's clock
-    std::string data;
-};
-
-/// @brief A part of a stream.
-struct LogPage
-{
-    LogOffset firstOffset = 0; ///< the oldest record still kept
-    LogOffset nextOffset = 0;  ///< what the next append will get
-    std::vector<LogRecord> records;
-};
-
 /// @brief Why the log gave no answer.
 enum class LogError {
     NotSent,    ///< no byte left: the append has not happened
