Add the decisions under load as pure policy modules

Cause: the node served whatever came, in the order it came; nothing decided whom to refuse, who waits, or when a refused caller may come back.

Not wired into the node yet.

--- a/include/vanilladyke/base/time.hpp
+++ b/include/vanilladyke/base/time.hpp
@@ -16,6 +16,20 @@
 /// @brief A span between two points of either clock.
 using Duration = std::chrono::nanoseconds;
 
+/// @brief A span as a number of seconds, for arithmetic with rates.
+[[nodiscard]] constexpr double secondsOf(Duration span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+/// @brief A number of seconds as a span; one too long for a span is cut to about a century.
+[[nodiscard]] constexpr Duration spanOfSeconds(double seconds)
+{
+    constexpr double Longest = 3e9;
+    return std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double>(seconds < Longest ? seconds : Longest));
+}
+
 /// @brief Anything that tells the time: the real clock in serve, a fake one in tests.
 template <typename T>
 concept TimeSource = requires(const T &source)
--- /dev/null
+++ b/src/vanilladyke/policy/admission.cpp
@@ -0,0 +1,194 @@
+#include "vanilladyke/policy/admission.hpp"
+
+#include <algorithm>
+
+namespace vanilladyke {
+
+namespace {
+
+constexpr double MarginStep = 0.02;
+constexpr double MarginPercentile = 0.99;
+constexpr double LeastCorrection = 0.1;
+constexpr double MostCorrection = 10.0;
+
+Duration scaled(Duration span, double factor)
+{
+    return spanOfSeconds(secondsOf(span) * factor);
+}
+
+} // namespace
+
+AdmissionDecision Admission::decide(const AdmissionRequest &request, TimePoint now)
+{
+    AdmissionDecision decision;
+    const QueuedJob job = jobOf(request);
+    decision.slots = m_slots;
+    decision.waiting = m_queue.size();
+    decision.returned = m_returns.redeem(job.customer, secondsOf(job.cost), now);
+    const bool free = m_running.size() < m_slots && m_queue.empty();
+    const ExpectedWork expected =
+            decision.returned ? ExpectedWork{} : expectedReturns(job.customer);
+    decision.wait = free ? Duration(0) : waitBehind(m_queue.workAhead(job, expected), now);
+    decision.firstToken = now + decision.wait + scaled(request.firstToken, m_margin);
+    if (m_slots == 0) {
+        decision.reason = RefusalReason::NoBackend;
+    } else if (decision.firstToken > request.deadline) {
+        decision.reason = RefusalReason::TooLate;
+        decision.retryAt = returnOfLate(job, request, decision.firstToken, now);
+    } else if (free) {
+        occupy(job, now);
+        decision.verdict = AdmissionVerdict::Start;
+    } else if (m_queue.push(job)) {
+        decision.verdict = AdmissionVerdict::Wait;
+    } else {
+        decision.reason = RefusalReason::QueueFull;
+        const auto returns = static_cast<double>(m_returns.size() + 1);
+        const Duration oneSlot = waitBehind(Duration(0), now);
+        decision.retryAt = promiseReturn(job, now + scaled(oneSlot, returns));
+    }
+    return decision;
+}
+
+std::optional<TimePoint> Admission::returnOfLate(const QueuedJob &job,
+                                                 const AdmissionRequest &request,
+                                                 TimePoint firstToken, TimePoint now)
+{
+    if (now + scaled(request.firstToken, m_margin) > request.deadline) {
+        return std::nullopt; // too late even with nothing ahead of it
+    }
+    const Duration lateBy = firstToken - request.deadline;
+    // Slots are given back in lumps when jobs began together, and predictions waver by about as
+    // much; one job's time more keeps the caller from returning a moment too early.
+    return promiseReturn(job, now + lateBy + scaled(meanJob(), m_correction));
+}
+
+std::optional<QueuedJob> Admission::startNext(TimePoint now)
+{
+    if (m_running.size() >= m_slots) {
+        return std::nullopt;
+    }
+    std::optional<QueuedJob> job = m_queue.pop();
+    if (job) {
+        occupy(*job, now);
+    }
+    return job;
+}
+
+void Admission::release(QueueTicket ticket, TimePoint now)
+{
+    const Running running = m_running.at(ticket);
+    releaseUnused(ticket);
+    const double ratio = secondsOf(now - running.startedAt) / secondsOf(running.predicted);
+    m_correction +=
+            CorrectionRate * (std::clamp(ratio, LeastCorrection, MostCorrection) - m_correction);
+}
+
+void Admission::releaseUnused(QueueTicket ticket)
+{
+    const auto running = m_running.find(ticket);
+    m_ends.erase(m_ends.find(running->second.predictedEnd));
+    m_runningWork -= running->second.predicted;
+    m_running.erase(running);
+}
+
+void Admission::observeFirstToken(Duration predicted, Duration measured)
+{
+    const bool above = measured > scaled(predicted, m_margin);
+    m_margin += MarginStep * (above ? MarginPercentile : MarginPercentile - 1);
+    m_margin = std::clamp(m_margin, 1.0, MostMargin);
+}
+
+std::vector<GivenUp> Admission::setSlots(std::uint32_t slots, TimePoint now)
+{
+    const bool lost = slots < m_slots;
+    m_slots = slots;
+    std::vector<GivenUp> givenUp;
+    if (!lost) {
+        return givenUp;
+    }
+    for (const auto &[job, ahead] : m_queue.outlook()) {
+        if (m_slots > 0 && now + waitBehind(ahead, now) <= job.latestStart) {
+            continue;
+        }
+        m_queue.remove(job.ticket);
+        givenUp.push_back(giveUp(job, now));
+    }
+    return givenUp;
+}
+
+std::vector<GivenUp> Admission::expire(TimePoint now)
+{
+    std::vector<GivenUp> givenUp;
+    for (const QueuedJob &job : m_queue.expire(now)) {
+        givenUp.push_back(giveUp(job, now));
+    }
+    return givenUp;
+}
+
+GivenUp Admission::giveUp(const QueuedJob &job, TimePoint now)
+{
+    if (m_slots == 0) {
+        return {job, RefusalReason::NoBackend, std::nullopt};
+    }
+    const Duration ahead = m_queue.workAhead(job, expectedReturns(job.customer));
+    return {job, RefusalReason::TooLate, promiseReturn(job, now + waitBehind(ahead, now))};
+}
+
+ExpectedWork Admission::expectedReturns(const CustomerId &customer) const
+{
+    return {spanOfSeconds(m_returns.expected(customer)), spanOfSeconds(m_returns.expected())};
+}
+
+QueuedJob Admission::jobOf(const AdmissionRequest &request) const
+{
+    const Duration least = std::chrono::microseconds(1); // a free job would never use up a turn
+    return {request.ticket,
+            request.customer,
+            request.weight,
+            request.priority,
+            std::max(request.slotTime, least),
+            request.deadline - scaled(request.firstToken, m_margin)};
+}
+
+Duration Admission::waitBehind(Duration work, TimePoint now) const
+{
+    const Duration queued = scaled(work, m_correction / std::max(m_slots, 1U));
+    return untilNextSlot(now) + queued;
+}
+
+Duration Admission::untilNextSlot(TimePoint now) const
+{
+    if (m_running.empty()) {
+        return Duration(0);
+    }
+    // A job that runs past its predicted end says nothing of when it will end; then the mean span
+    // between two ends has to do.
+    const Duration mean = m_runningWork / static_cast<std::int64_t>(m_running.size());
+    const Duration between = scaled(mean, m_correction / static_cast<double>(m_running.size()));
+    const Duration soonest = *m_ends.begin() - now;
+    return soonest > Duration(0) ? soonest : between;
+}
+
+Duration Admission::meanJob() const
+{
+    if (m_running.empty()) {
+        return Duration(0);
+    }
+    return m_runningWork / static_cast<std::int64_t>(m_running.size());
+}
+
+TimePoint Admission::promiseReturn(const QueuedJob &job, TimePoint at)
+{
+    m_returns.promise(job.customer, secondsOf(job.cost), at);
+    return at;
+}
+
+void Admission::occupy(const QueuedJob &job, TimePoint now)
+{
+    const TimePoint end = now + scaled(job.cost, m_correction);
+    m_running[job.ticket] = {now, job.cost, end};
+    m_ends.insert(end);
+    m_runningWork += job.cost;
+}
+
+} // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/policy/retry_budget.cpp
@@ -0,0 +1,71 @@
+#include "vanilladyke/policy/retry_budget.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace vanilladyke {
+
+namespace {
+
+/// The rate of earning is averaged over this; it only serves to say when to come back.
+constexpr Duration RateWindow = std::chrono::seconds(5);
+/// Sums of many fractions miss a whole retry by a rounding error.
+constexpr double RoundingTolerance = 1e-9;
+
+} // namespace
+
+void RetryBudget::countFirstTry(double fraction, TimePoint now)
+{
+    const double fade = std::exp(-secondsOf(now - m_at) / secondsOf(RateWindow));
+    m_earnedPerSecond = m_earnedPerSecond * fade + fraction / secondsOf(RateWindow);
+    m_at = now;
+    m_saved = std::min(MostSaved, m_saved + fraction);
+}
+
+bool RetryBudget::available() const
+{
+    return m_saved + RoundingTolerance >= 1;
+}
+
+std::optional<TimePoint> RetryBudget::availableAt(TimePoint now) const
+{
+    if (available()) {
+        return now;
+    }
+    if (m_earnedPerSecond <= 0) {
+        return std::nullopt;
+    }
+    return now + spanOfSeconds((1 - m_saved) / m_earnedPerSecond);
+}
+
+void RetryBudgets::countFirstTry(const ModelId &model, const CustomerId &customer, double fraction,
+                                 TimePoint now)
+{
+    m_models[model].countFirstTry(fraction, now);
+    m_customers[customer].countFirstTry(fraction, now);
+}
+
+bool RetryBudgets::spend(const ModelId &model, const CustomerId &customer)
+{
+    RetryBudget &ofModel = m_models[model];
+    RetryBudget &ofCustomer = m_customers[customer];
+    if (!ofModel.available() || !ofCustomer.available()) {
+        return false;
+    }
+    ofModel.spend();
+    ofCustomer.spend();
+    return true;
+}
+
+std::optional<TimePoint> RetryBudgets::availableAt(const ModelId &model, const CustomerId &customer,
+                                                   TimePoint now)
+{
+    const auto ofModel = m_models[model].availableAt(now);
+    const auto ofCustomer = m_customers[customer].availableAt(now);
+    if (!ofModel || !ofCustomer) {
+        return std::nullopt;
+    }
+    return std::max(*ofModel, *ofCustomer);
+}
+
+} // namespace vanilladyke
