Grow the engine stand-in: batching, cache, events, orders, faults

Tests of placement, admission, claims and streams need an engine that queues, evicts, lags and fails on demand; the thin one only echoed tokens.

--- a/tests/integration/harness.py
+++ b/tests/integration/harness.py
@@ -53,6 +53,17 @@
         connection.close()
 
 
+def faults(port, **kinds):
+    """Sets faults of a stand-in, such as crash=True or cut_at=5."""
+    status, body, _ = http_call(port, "POST", "/control/faults", json.dumps(kinds))
+    assert status == 200, body
+
+
+def runs(port):
+    """What an engine stand-in ran."""
+    return json.loads(http_call(port, "GET", "/control/log")[1])["runs"]
+
+
 class Process:
     """One process of a test; its standard error goes to a file that a test can read."""
 
@@ -101,12 +112,13 @@
             json.dump(value, out)
         return self.path(name)
 
-    def engine(self, name):
+    def engine(self, name, *options):
         port = free_port()
         self.engines[name] = port
         self.bundle["engines"].append({"id": name, "endpoint": f"127.0.0.1:{port}",
                                        "data_centre": "yaba-hall", "models": ["copy"]})
-        return self.start(name, [f"{self.build}/tests/standin_engine", "--port", str(port), "--id", name])
+        return self.start(name, [f"{self.build}/tests/standin_engine", "--port", str(port), "--id", name,
+                                 *options])
 
     def node(self, name):
         port, operators = free_port(), free_port()
@@ -136,6 +148,16 @@
                      {"Authorization": "Bearer " + key, "Content-Type": "application/json", **(headers or {})})
 
 
+def open_stream(port, prompt, tokens, key="brand-key", headers=None):
+    """A streamed chat whose answer is left to be read; the caller closes the connection."""
+    body = json.dumps({"model": "copy", "stream": True, "max_tokens": tokens,
+                       "messages": [{"role": "user", "content": prompt}]})
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=WAIT_SECONDS)
+    connection.request("POST", "/v1/chat/completions", body,
+                       {"Authorization": "Bearer " + key, "Content-Type": "application/json", **(headers or {})})
+    return connection
+
+
 def streamed_text(body):
     """The text of a stream and whether its end marker came."""
     events = [line[6:] for line in body.splitlines() if line.startswith("data: ")]
