Admit, queue, retry and eject in the running node

Cause: the policy modules for load were not used by the node: every request went to an engine at once, a failed engine ended its requests, and refusals told no time.

Changed: filters Admit and Queue after the prefix cuts (a dispatcher thread hands out slots and gives up requests at once when they become late), slots counted by engine with this node's share, retries before the first token through the budgets and away from the engine that failed, ejection fed by the outcome of every exchange, retry_after_ms in refusals. One log line for every decision, with the predicted figures.

--- a/include/vanilladyke/gateway/exchange_context.hpp
+++ b/include/vanilladyke/gateway/exchange_context.hpp
@@ -5,6 +5,7 @@
 #include "vanilladyke/model/fleet.hpp"
 #include "vanilladyke/model/prefix_chain.hpp"
 #include "vanilladyke/model/refusal.hpp"
+#include "vanilladyke/policy/fair_queue.hpp"
 
 #include <concepts>
 #include <cstdint>
@@ -16,6 +17,8 @@
 /// A caller's request on its way through the filter chain.
 namespace vanilladyke {
 
+class SlotLease;
+
 /// @brief All that is known of one request; each filter reads what it needs and adds its part.
 struct RequestContext
 {
@@ -39,6 +42,9 @@
     std::uint32_t answerTokens = 0;
     PrefixChain chain;
     TimePoint firstTokenDeadline;
+    QueueTicket ticket{};            ///< names the request in its model's queue
+    Duration predictedFirstToken{};  ///< from the start of an exchange
+    std::shared_ptr<SlotLease> slot; ///< held until the answer has ended
 };
 
 /// @brief Whether the request is a chat completion, not a plain one.
--- /dev/null
+++ b/include/vanilladyke/gateway/traffic_control.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "vanilladyke/gateway/admission_control.hpp"
+#include "vanilladyke/gateway/engine_slots.hpp"
+#include "vanilladyke/policy/retry_budget.hpp"
+
+#include <mutex>
+
+namespace vanilladyke {
+
+/// @brief The node's retry budgets. Any thread.
+class SharedRetryBudgets
+{
+public:
+    void countFirstTry(const ModelId &model, const CustomerId &customer, double fraction)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_budgets.countFirstTry(model, customer, fraction, MonotonicClock::now());
+    }
+
+    [[nodiscard]] bool spend(const ModelId &model, const CustomerId &customer)
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_budgets.spend(model, customer);
+    }
+
+    [[nodiscard]] std::optional<TimePoint> availableAt(const ModelId &model,
+                                                       const CustomerId &customer)
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_budgets.availableAt(model, customer, MonotonicClock::now());
+    }
+
+private:
+    std::mutex m_mutex;
+    RetryBudgets m_budgets;
+};
+
+/// @brief What the requests of one node share when they compete for engines.
+struct TrafficControl
+{
+    TrafficControl(const FleetStore &fleet, Metrics &metrics)
+        : engines(entropySeed())
+        , admission(fleet, engines, metrics)
+    {}
+
+    EngineSlots engines;
+    SharedRetryBudgets retries;
+    AdmissionControl admission;
+};
+
+} // namespace vanilladyke
--- a/include/vanilladyke/policy/admission.hpp
+++ b/include/vanilladyke/policy/admission.hpp
@@ -96,6 +96,8 @@
     [[nodiscard]] std::vector<GivenUp> setSlots(std::uint32_t slots, TimePoint now);
     /// @brief Gives up every request whose last chance to start has passed.
     [[nodiscard]] std::vector<GivenUp> expire(TimePoint now);
+    /// @brief Takes out all that wait.
+    [[nodiscard]] std::vector<QueuedJob> clear();
     /// @brief When expire() will next have something to do.
     [[nodiscard]] std::optional<TimePoint> nextExpiry() const { return m_queue.firstLatestStart(); }
 
--- /dev/null
+++ b/src/vanilladyke/gateway/admission_control.cpp
@@ -0,0 +1,335 @@
+#include "vanilladyke/gateway/admission_control.hpp"
+
+#include "vanilladyke/base/log.hpp"
+#include "vanilladyke/gateway/placer.hpp"
+
+#include <algorithm>
+
+namespace vanilladyke {
+
+namespace {
+
+/// Every waiting request holds a traffic thread; half of them stay free for requests that run and
+/// for refusals, which must not wait themselves.
+constexpr std::size_t MostWaiting = 256;
+constexpr std::size_t LeastQueue = 16;
+/// Load reports come every 100 ms; looking more often would find nothing new.
+constexpr Duration LookAtFleetEvery = std::chrono::milliseconds(100);
+constexpr Duration LongestSleep = std::chrono::milliseconds(20);
+
+std::string_view toString(AdmissionVerdict verdict)
+{
+    switch (verdict) {
+    case AdmissionVerdict::Start:
+        return "admitted";
+    case AdmissionVerdict::Wait:
+        return "queued";
+    case AdmissionVerdict::Refuse:
+        break;
+    }
+    return "refused";
+}
+
+std::string detailOf(RefusalReason reason)
+{
+    switch (reason) {
+    case RefusalReason::TooLate:
+        return "the first token would come after the deadline";
+    case RefusalReason::QueueFull:
+        return "too many requests wait for the model";
+    case RefusalReason::RateLimited:
+        return "the customer's token rate is used up";
+    default:
+        return "no engine serves the model";
+    }
+}
+
+Refusal refusalOf(RefusalReason reason, std::optional<TimePoint> retryAt)
+{
+    return {reason, detailOf(reason), Ran::No, retryAt};
+}
+
+LogEvent &describe(LogEvent &event, const RequestContext &context)
+{
+    return event.field("request", context.id.str())
+            .field("customer", context.customer.str())
+            .field("model", context.model.str());
+}
+
+void logDecision(const RequestContext &context, const AdmissionDecision &decision, TimePoint now)
+{
+    LogEvent event("admission");
+    describe(event, context)
+            .field("verdict", toString(decision.verdict))
+            .field("predicted_wait", decision.wait)
+            .field("predicted_first_token", decision.firstToken - now)
+            .field("allowed", context.firstTokenDeadline - now)
+            .field("waiting", decision.waiting)
+            .field("slots", decision.slots)
+            .field("returned", decision.returned);
+    if (decision.verdict == AdmissionVerdict::Refuse) {
+        event.field("reason", toString(decision.reason));
+    }
+    if (decision.retryAt) {
+        event.field("retry_after", *decision.retryAt - now);
+    }
+}
+
+} // namespace
+
+SlotLease::SlotLease(AdmissionControl &control, ModelId model, QueueTicket ticket,
+                     Duration firstToken)
+    : m_control(control)
+    , m_model(std::move(model))
+    , m_ticket(ticket)
+    , m_predictedFirstToken(firstToken)
+    , m_startedAt(MonotonicClock::now())
+{}
+
+SlotLease::~SlotLease()
+{
+    m_control.giveBack(m_model, m_ticket, m_completed);
+}
+
+void SlotLease::firstTokenCame(TimePoint now)
+{
+    if (!m_firstTokenCame) {
+        m_firstTokenCame = true;
+        m_control.learnFirstToken(m_model, m_predictedFirstToken, now - m_startedAt);
+    }
+}
+
+AdmissionControl::AdmissionControl(const FleetStore &fleet, EngineSlots &engines, Metrics &metrics)
+    : m_fleet(fleet)
+    , m_engines(engines)
+    , m_metrics(metrics)
+    , m_random(entropySeed())
+{
+    m_dispatcher = std::jthread([this](const std::stop_token &stop) { dispatch(stop); });
+}
+
+AdmissionControl::~AdmissionControl()
+{
+    m_dispatcher.request_stop();
+    m_dispatcher.join();
+    refuseWaiting();
+}
+
+FilterVerdict AdmissionControl::admit(RequestContext &context)
+{
+    const Customer *customer = findCustomer(*context.fleet->bundle, context.customer);
+    if (customer == nullptr) {
+        return Refusal{RefusalReason::UnknownCustomer, "no such customer", Ran::No, {}};
+    }
+    if (FilterVerdict limited = checkRate(context, *customer)) {
+        return limited;
+    }
+    const TimePoint now = MonotonicClock::now();
+    const AdmissionDecision decision = decide(context, *customer);
+    logDecision(context, decision, now);
+    m_metrics.count("admissions_total{verdict=\"" + std::string(toString(decision.verdict))
+                    + "\"}");
+    if (decision.verdict == AdmissionVerdict::Refuse) {
+        return refusalOf(decision.reason, decision.retryAt);
+    }
+    return std::nullopt;
+}
+
+FilterVerdict AdmissionControl::checkRate(const RequestContext &context, const Customer &customer)
+{
+    const TimePoint now = MonotonicClock::now();
+    const double tokens = context.promptTokens + context.answerTokens;
+    Outcome<void, TimePoint> taken;
+    {
+        const std::lock_guard lock(m_mutex);
+        taken = m_limiter.take(customer, tokens, context.fleet->liveNodes, now);
+    }
+    if (taken) {
+        return std::nullopt;
+    }
+    LogEvent event("admission");
+    describe(event, context)
+            .field("verdict", "refused")
+            .field("reason", toString(RefusalReason::RateLimited))
+            .field("tokens", tokens)
+            .field("retry_after", taken.error() - now);
+    return refusalOf(RefusalReason::RateLimited, taken.error());
+}
+
+AdmissionControl::Forecast AdmissionControl::forecast(const RequestContext &context,
+                                                      const Fleet &fleet)
+{
+    const auto best = forecastPlacement(context, fleet, {}, m_random);
+    if (!best) {
+        return {};
+    }
+    const double decodeRate = fleet.engines[best->engine].load.decodeTokensPerSecond;
+    const Duration decode = spanOfSeconds(context.answerTokens / std::max(decodeRate, 1e-3));
+    const Duration firstToken = best->wait + best->prefill;
+    return {firstToken, firstToken + decode};
+}
+
+AdmissionDecision AdmissionControl::decide(RequestContext &context, const Customer &customer)
+{
+    const std::shared_ptr<const Fleet> fleet = m_fleet.current();
+    const std::lock_guard lock(m_mutex);
+    const TimePoint now = MonotonicClock::now();
+    Admission &admission = admissionFor(context.model);
+    if (admission.slots() == 0) {
+        m_engines.refresh(*fleet, now);
+        updateSlots(context.model, admission, *fleet, now);
+    }
+    const Forecast predicted = forecast(context, *fleet);
+    const QueueTicket ticket{++m_tickets};
+    AdmissionDecision decision =
+            admission.decide({ticket, customer.id, customer.weight, customer.priority,
+                              predicted.slotTime, predicted.firstToken, context.firstTokenDeadline},
+                             now);
+    if (decision.verdict == AdmissionVerdict::Refuse) {
+        if (decision.reason == RefusalReason::NoBackend) {
+            decision.retryAt = m_engines.firstReturn(context.model, *fleet, now);
+        }
+        return decision;
+    }
+    context.ticket = ticket;
+    context.predictedFirstToken = predicted.firstToken;
+    if (decision.verdict == AdmissionVerdict::Start) {
+        context.slot =
+                std::make_shared<SlotLease>(*this, context.model, ticket, predicted.firstToken);
+    } else {
+        m_waiters.try_emplace(ticket);
+        m_changed.notify_one(); // the dispatcher may have to wake earlier for its deadline
+    }
+    return decision;
+}
+
+FilterVerdict AdmissionControl::awaitSlot(RequestContext &context)
+{
+    if (context.slot) {
+        return std::nullopt;
+    }
+    std::future<FilterVerdict> verdict;
+    {
+        const std::lock_guard lock(m_mutex);
+        verdict = m_waiters.at(context.ticket).get_future();
+    }
+    FilterVerdict refusal = verdict.get();
+    const TimePoint now = MonotonicClock::now();
+    {
+        const std::lock_guard lock(m_mutex);
+        m_waiters.erase(context.ticket);
+    }
+    LogEvent event("queue");
+    describe(event, context)
+            .field("verdict", refusal ? "refused" : "admitted")
+            .field("waited", now - context.arrivedAt);
+    if (refusal) {
+        event.field("reason", toString(refusal->reason));
+        m_metrics.count("queue_refusals_total");
+        return refusal;
+    }
+    m_metrics.observe("queue_wait_seconds", now - context.arrivedAt);
+    context.slot = std::make_shared<SlotLease>(*this, context.model, context.ticket,
+                                               context.predictedFirstToken);
+    return std::nullopt;
+}
+
+void AdmissionControl::refuseWaiting()
+{
+    const std::lock_guard lock(m_mutex);
+    for (auto &[model, admission] : m_models) {
+        for (const QueuedJob &job : admission.clear()) {
+            settle(job.ticket, Refusal{RefusalReason::ShuttingDown, "the node is shutting down",
+                                       Ran::No, MonotonicClock::now()});
+        }
+    }
+}
+
+void AdmissionControl::dispatch(const std::stop_token &stop)
+{
+    TimePoint nextLook;
+    while (!stop.stop_requested()) {
+        std::unique_lock lock(m_mutex);
+        TimePoint now = MonotonicClock::now();
+        TimePoint wakeAt = now + LongestSleep;
+        for (const auto &[model, admission] : m_models) {
+            wakeAt = std::min(wakeAt, admission.nextExpiry().value_or(wakeAt));
+        }
+        m_changed.wait_until(lock, stop, wakeAt, [] { return false; });
+        now = MonotonicClock::now();
+        const bool look = now >= nextLook;
+        const std::shared_ptr<const Fleet> fleet = m_fleet.current();
+        if (look) {
+            nextLook = now + LookAtFleetEvery;
+            m_engines.refresh(*fleet, now);
+        }
+        for (auto &[model, admission] : m_models) {
+            if (look) {
+                updateSlots(model, admission, *fleet, now);
+            }
+            giveUp(admission.expire(now));
+            startWaiting(admission);
+        }
+    }
+}
+
+void AdmissionControl::updateSlots(const ModelId &model, Admission &admission, const Fleet &fleet,
+                                   TimePoint now)
+{
+    giveUp(admission.setSlots(m_engines.slotsFor(model, fleet, now), now));
+}
+
+void AdmissionControl::startWaiting(Admission &admission)
+{
+    while (const auto job = admission.startNext(MonotonicClock::now())) {
+        settle(job->ticket, std::nullopt);
+    }
+}
+
+void AdmissionControl::giveUp(const std::vector<GivenUp> &jobs)
+{
+    for (const GivenUp &job : jobs) {
+        settle(job.job.ticket, refusalOf(job.reason, job.retryAt));
+    }
+}
+
+void AdmissionControl::settle(QueueTicket ticket, FilterVerdict verdict)
+{
+    const auto waiter = m_waiters.find(ticket);
+    if (waiter != m_waiters.end()) {
+        waiter->second.set_value(std::move(verdict));
+    }
+}
+
+void AdmissionControl::giveBack(const ModelId &model, QueueTicket ticket, bool completed)
+{
+    const std::lock_guard lock(m_mutex);
+    Admission &admission = admissionFor(model);
+    if (completed) {
+        admission.release(ticket, MonotonicClock::now());
+    } else {
+        admission.releaseUnused(ticket);
+    }
+    startWaiting(admission);
+}
+
+void AdmissionControl::learnFirstToken(const ModelId &model, Duration predicted, Duration measured)
+{
+    const std::lock_guard lock(m_mutex);
+    admissionFor(model).observeFirstToken(predicted, measured);
+}
+
+Admission &AdmissionControl::admissionFor(const ModelId &model)
+{
+    const auto found = m_models.find(model);
+    if (found != m_models.end()) {
+        return found->second;
+    }
+    const std::shared_ptr<const Fleet> fleet = m_fleet.current();
+    const std::size_t models = fleet->bundle ? fleet->bundle->models.size() : 1;
+    const std::size_t capacity =
+            std::max(LeastQueue, MostWaiting / std::max<std::size_t>(models, 1));
+    return m_models.try_emplace(model, capacity).first->second;
+}
+
+} // namespace vanilladyke
--- a/src/vanilladyke/gateway/completion_handler.cpp
+++ b/src/vanilladyke/gateway/completion_handler.cpp
@@ -26,7 +26,7 @@
 
 std::string errorEvent(const Refusal &refusal, const RequestId &request)
 {
-    return "event: error\ndata: " + refusalBody(refusal, request) + "\n\n";
+    return "event: error\ndata: " + refusalBody(refusal, request, MonotonicClock::now()) + "\n\n";
 }
 
 /// Hands one step on to the caller. @return false once the caller has left
@@ -66,7 +66,8 @@
 CompletionHandler::CompletionHandler(const FleetStore &fleet, Metrics &metrics)
     : m_fleet(fleet)
     , m_metrics(metrics)
-    , m_chain({}, {}, {}, {})
+    , m_control(fleet, metrics)
+    , m_chain({}, {}, {}, {}, {&m_control.admission}, {&m_control.admission})
 {}
 
 void CompletionHandler::operator()(RequestContext context, httplib::Response &response)
@@ -75,7 +76,7 @@
         writeRefusal(*refusal, context.id, MonotonicClock::now(), response);
         return;
     }
-    auto conversation = std::make_shared<Conversation>(std::move(context), m_fleet);
+    auto conversation = std::make_shared<Conversation>(std::move(context), m_fleet, m_control);
     std::variant<StreamFrame, Refusal> first = nextFrame(*conversation);
     const RequestContext &request = conversation->context();
     if (const auto *refusal = std::get_if<Refusal>(&first)) {
--- a/src/vanilladyke/gateway/completion_handler.hpp
+++ b/src/vanilladyke/gateway/completion_handler.hpp
@@ -28,7 +28,8 @@
 
     const FleetStore &m_fleet;
     Metrics &m_metrics;
-    FilterChain<IdentifyCustomer, ParseCompletion, SetDeadline, CutPrefixes> m_chain;
+    TrafficControl m_control;
+    FilterChain<IdentifyCustomer, ParseCompletion, SetDeadline, CutPrefixes, Admit, Queue> m_chain;
 };
 
 } // namespace vanilladyke
--- a/src/vanilladyke/gateway/conversation.hpp
+++ b/src/vanilladyke/gateway/conversation.hpp
@@ -3,6 +3,8 @@
 #include "vanilladyke/control/fleet_store.hpp"
 #include "vanilladyke/gateway/engine_exchange.hpp"
 #include "vanilladyke/gateway/exchange_context.hpp"
+#include "vanilladyke/gateway/placer.hpp"
+#include "vanilladyke/gateway/traffic_control.hpp"
 
 #include <memory>
 #include <variant>
@@ -21,7 +23,7 @@
 class Conversation
 {
 public:
-    Conversation(RequestContext context, const FleetStore &fleet);
+    Conversation(RequestContext context, const FleetStore &fleet, TrafficControl &control);
 
     /// @brief Waits for the next frame of the answer. @param until StillWaiting from then on
     [[nodiscard]] StreamStep next(TimePoint until);
@@ -29,9 +31,17 @@
 
 private:
     [[nodiscard]] std::optional<Refusal> startAttempt();
+    void noteFirstToken();
+    [[nodiscard]] StreamStep afterFailure(const ExchangeFailure &failure);
 
     RequestContext m_context;
     const FleetStore &m_fleet;
+    TrafficControl &m_control;
+    std::vector<EngineId> m_failed; ///< engines that did not bring the first token
+    std::optional<PlacedAttempt> m_attempt;
+    std::unique_ptr<EngineUse> m_use;
+    TimePoint m_attemptedAt;
+    bool m_answered = false; ///< the caller has, or will have, the first token
     std::unique_ptr<EngineExchange> m_exchange;
     ExchangeState m_state; ///< over all attempts; every refusal takes its ran from here
     TimePoint m_silentAt;  ///< the exchange counts as dead from then on
--- /dev/null
+++ b/src/vanilladyke/gateway/engine_slots.cpp
@@ -0,0 +1,140 @@
+#include "vanilladyke/gateway/engine_slots.hpp"
+
+#include "vanilladyke/base/log.hpp"
+
+#include <algorithm>
+
+namespace vanilladyke {
+
+std::uint32_t EngineSlots::Use::total() const
+{
+    std::uint32_t sum = 0;
+    for (const auto &[model, count] : underWay) {
+        sum += count;
+    }
+    return sum;
+}
+
+EngineSlots::Use &EngineSlots::useOf(const EngineId &engine)
+{
+    const auto found = m_uses.find(engine);
+    if (found != m_uses.end()) {
+        return found->second;
+    }
+    return m_uses.emplace(engine, Use{SlotShare(uniform(m_random)), {}, {}}).first->second;
+}
+
+void EngineSlots::refresh(const Fleet &fleet, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    for (const EngineView &engine : fleet.engines) {
+        Use &use = useOf(engine.id);
+        if (engine.load.measuredAt == use.reportedAt) {
+            continue;
+        }
+        use.reportedAt = engine.load.measuredAt;
+        // What this node sent since the engine measured is not in the report.
+        const double own = use.total();
+        const double busy = std::max<double>(engine.load.running + engine.load.waiting, own);
+        use.share.update({static_cast<double>(engine.slots), busy, own, fleet.liveNodes});
+    }
+    m_ejection.fit(fleet, now);
+}
+
+std::uint32_t EngineSlots::usable(const EngineView &engine, TimePoint now) const
+{
+    const auto use = m_uses.find(engine.id);
+    if (use == m_uses.end() || m_ejection.ejected(engine.id, now)) {
+        return 0;
+    }
+    // An engine on its way back gets one request at least, or it could never prove itself.
+    const double allowance = m_ejection.allowance(engine.id, now);
+    const std::uint32_t share = use->second.share.usable();
+    return allowance < 1 ? std::max(1U, static_cast<std::uint32_t>(share * allowance)) : share;
+}
+
+bool EngineSlots::full(const EngineView &engine, TimePoint now) const
+{
+    const auto use = m_uses.find(engine.id);
+    return use == m_uses.end() || use->second.total() >= usable(engine, now);
+}
+
+std::uint32_t EngineSlots::slotsFor(const ModelId &model, const Fleet &fleet, TimePoint now) const
+{
+    const std::lock_guard lock(m_mutex);
+    std::uint32_t sum = 0;
+    for (const EngineView &engine : fleet.engines) {
+        const auto use = m_uses.find(engine.id);
+        if (use == m_uses.end() || !serves(engine, model)) {
+            continue;
+        }
+        const auto own = use->second.underWay.find(model);
+        const std::uint32_t ofModel = own == use->second.underWay.end() ? 0 : own->second;
+        const std::uint32_t ofOthers = use->second.total() - ofModel;
+        const std::uint32_t share = usable(engine, now);
+        sum += share > ofOthers ? share - ofOthers : 0;
+    }
+    return sum;
+}
+
+std::vector<EngineId> EngineSlots::closedFor(const ModelId &model, const Fleet &fleet,
+                                             TimePoint now) const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<EngineId> ejected;
+    std::vector<EngineId> closed;
+    bool anyOpen = false;
+    for (const EngineView &engine : fleet.engines) {
+        if (!serves(engine, model)) {
+            continue;
+        }
+        if (m_ejection.ejected(engine.id, now)) {
+            ejected.push_back(engine.id);
+        }
+        if (full(engine, now)) {
+            closed.push_back(engine.id);
+        } else {
+            anyOpen = true;
+        }
+    }
+    return anyOpen ? closed : ejected;
+}
+
+void EngineSlots::begin(const EngineId &engine, const ModelId &model)
+{
+    const std::lock_guard lock(m_mutex);
+    ++useOf(engine).underWay[model];
+}
+
+void EngineSlots::end(const EngineId &engine, const ModelId &model)
+{
+    const std::lock_guard lock(m_mutex);
+    --m_uses.at(engine).underWay.at(model);
+}
+
+void EngineSlots::observe(const ExchangeObservation &seen, const Fleet &fleet, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_ejection.observe(seen, fleet, now)) {
+        LogEvent("engine_ejected", Severity::Warning)
+                .field("engine", seen.engine.str())
+                .field("cause", seen.failed ? "failures" : "slow")
+                .field("for", *m_ejection.endsAt(seen.engine, now) - now);
+    }
+}
+
+std::optional<TimePoint> EngineSlots::firstReturn(const ModelId &model, const Fleet &fleet,
+                                                  TimePoint now) const
+{
+    const std::lock_guard lock(m_mutex);
+    std::optional<TimePoint> first;
+    for (const EngineView &engine : fleet.engines) {
+        const auto end = m_ejection.endsAt(engine.id, now);
+        if (serves(engine, model) && end && (!first || *end < *first)) {
+            first = end;
+        }
+    }
+    return first;
+}
+
+} // namespace vanilladyke
--- a/src/vanilladyke/gateway/placer.cpp
+++ b/src/vanilladyke/gateway/placer.cpp
@@ -1,7 +1,6 @@
 #include "vanilladyke/gateway/placer.hpp"
 
 #include "vanilladyke/base/log.hpp"
-#include "vanilladyke/policy/placement.hpp"
 
 namespace vanilladyke {
 
@@ -22,24 +21,36 @@
     }
 }
 
+PlacementRequest requestOf(const RequestContext &context, const std::vector<EngineId> &excluded)
+{
+    return {context.customer,
+            context.model,
+            context.chain,
+            context.promptTokens,
+            context.answerTokens,
+            context.firstTokenDeadline,
+            excluded};
+}
+
 } // namespace
 
-std::optional<EngineView> placeAttempt(const RequestContext &context, const Fleet &fleet,
-                                       const std::vector<EngineId> &excluded, Random &random)
+std::optional<Candidate> forecastPlacement(const RequestContext &context, const Fleet &fleet,
+                                           const std::vector<EngineId> &excluded, Random &random)
+{
+    return place(requestOf(context, excluded), fleet, MonotonicClock::now(), random).winner;
+}
+
+std::optional<PlacedAttempt> placeAttempt(const RequestContext &context, const Fleet &fleet,
+                                          const std::vector<EngineId> &excluded, Random &random)
 {
-    const PlacementRequest wanted{context.customer,
-                                  context.model,
-                                  context.chain,
-                                  context.promptTokens,
-                                  context.answerTokens,
-                                  context.firstTokenDeadline,
-                                  excluded};
-    const Placement placement = place(wanted, fleet, MonotonicClock::now(), random);
+    const Placement placement =
+            place(requestOf(context, excluded), fleet, MonotonicClock::now(), random);
     logPlacement(context, fleet, placement);
     if (!placement.winner) {
         return std::nullopt;
     }
-    return fleet.engines[placement.winner->engine];
+    const Candidate &winner = *placement.winner;
+    return PlacedAttempt{fleet.engines[winner.engine], winner.wait + winner.prefill};
 }
 
 } // namespace vanilladyke
--- a/src/vanilladyke/gateway/refusal_response.cpp
+++ b/src/vanilladyke/gateway/refusal_response.cpp
@@ -9,13 +9,17 @@
 
 namespace vanilladyke {
 
-std::string refusalBody(const Refusal &refusal, const RequestId &request)
+std::string refusalBody(const Refusal &refusal, const RequestId &request, TimePoint now)
 {
-    const nlohmann::json body{{"error",
-                               {{"reason", toString(refusal.reason)},
-                                {"message", refusal.detail},
-                                {"ran", toString(refusal.ran)},
-                                {"request_id", request.str()}}}};
+    nlohmann::json error{{"reason", toString(refusal.reason)},
+                         {"message", refusal.detail},
+                         {"ran", toString(refusal.ran)},
+                         {"request_id", request.str()}};
+    if (refusal.retryAt) {
+        const Duration left = std::max(*refusal.retryAt - now, Duration::zero());
+        error["retry_after_ms"] = std::chrono::ceil<std::chrono::milliseconds>(left).count();
+    }
+    const nlohmann::json body{{"error", error}};
     // A message may quote what the caller sent, which need not be UTF-8.
     return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
@@ -33,7 +37,7 @@
     if (refusal.retryAt) {
         response.set_header("Retry-After", std::to_string(retryAfter(refusal, now).count()));
     }
-    response.set_content(refusalBody(refusal, request), "application/json");
+    response.set_content(refusalBody(refusal, request, now), "application/json");
     LogEvent("refused")
             .field("request", request.str())
             .field("reason", toString(refusal.reason))
--- a/src/vanilladyke/gateway/refusal_response.hpp
+++ b/src/vanilladyke/gateway/refusal_response.hpp
@@ -13,8 +13,10 @@
 /// Refusals as callers read them.
 namespace vanilladyke {
 
-/// @brief The JSON of a refusal: reason, message, whether it ran, and the request's id.
-[[nodiscard]] std::string refusalBody(const Refusal &refusal, const RequestId &request);
+/// @brief The JSON of a refusal: reason, message, whether it ran, the request's id and, if a time
+/// to come back is known, retry_after_ms.
+[[nodiscard]] std::string refusalBody(const Refusal &refusal, const RequestId &request,
+                                      TimePoint now);
 
 /// @brief Whole seconds until the refusal's retryAt, rounded up; at least 1.
 [[nodiscard]] std::chrono::seconds retryAfter(const Refusal &refusal, TimePoint now);
--- a/src/vanilladyke/policy/admission.cpp
+++ b/src/vanilladyke/policy/admission.cpp
@@ -125,6 +125,11 @@
     return givenUp;
 }
 
+std::vector<QueuedJob> Admission::clear()
+{
+    return m_queue.expire(TimePoint::max());
+}
+
 GivenUp Admission::giveUp(const QueuedJob &job, TimePoint now)
 {
     if (m_slots == 0) {
