Add peers: membership by random probes, CURVE links, news of leaving engines

Cause: nodes knew nothing of each other, so that shares, orders and checkpoints had no live count to go by, and a leaving engine was known only to the node that heard of it. Change: a pure membership module after the SWIM protocol, a rumour buffer, peer messages as protobuf (generated code committed), a ZeroMQ transport with CURVE whose silent links are replaced, and a membership controller on the control thread that writes members and live count into the fleet.

--- a/include/vanilladyke/app/settings.hpp
+++ b/include/vanilladyke/app/settings.hpp
@@ -4,6 +4,7 @@
 #include "vanilladyke/model/bundle_json.hpp"
 #include "vanilladyke/model/ids.hpp"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -18,6 +19,16 @@
     std::string privateKey;
 };
 
+/// @brief How this node and its peers reach each other.
+struct PeerSettings
+{
+    Endpoint listen;
+    std::vector<Endpoint> seeds; ///< a few peers; the others are learned from them
+    std::string publicKey;       ///< the fleet's, the same on all hosts
+    std::string secretKeyFile;   ///< a file that holds the fleet's secret key
+    std::string formerPublicKey; ///< accepted besides while keys are changed
+};
+
 /// @brief Everything in the settings file of one host.
 struct HostSettings
 {
@@ -25,7 +36,8 @@
     DataCentreId dataCentre;
     Endpoint callers; ///< where callers are served
     TlsFiles callersTls;
-    Endpoint operators; ///< where operators are served
+    Endpoint operators;                ///< where operators are served
+    std::optional<PeerSettings> peers; ///< none for a node on its own
     std::string logLevel = "info";
     std::string bundleFile; ///< a bundle taken as accepted at start; for a first try without a log
 };
--- a/include/vanilladyke/control/engine_controller.hpp
+++ b/include/vanilladyke/control/engine_controller.hpp
@@ -19,6 +19,7 @@
         EngineReported last;
         TimePoint heardAt;
         bool reachable = false;
+        bool leaving = false; ///< until its next incarnation
     };
 
     [[nodiscard]] EngineView viewOf(const EngineEntry &entry, const Bundle &bundle,
--- a/include/vanilladyke/control/events.hpp
+++ b/include/vanilladyke/control/events.hpp
@@ -4,6 +4,7 @@
 #include "vanilladyke/model/bundle.hpp"
 #include "vanilladyke/model/fleet.hpp"
 #include "vanilladyke/model/ids.hpp"
+#include "vanilladyke/policy/peer_message.hpp"
 
 #include <memory>
 #include <string>
@@ -50,7 +51,21 @@
 struct StopRequested
 {};
 
-using Event = std::variant<Tick, BundleAccepted, EngineReported, EngineUnreachable, StopRequested>;
+/// @brief An engine is about to stop, by the host list's or a peer's word; no new work for it.
+struct EngineLeaving
+{
+    EngineId engine;
+};
+
+/// @brief A peer sent a message.
+struct PeerHeard
+{
+    PeerMessage message;
+    ReplyRoute route;
+};
+
+using Event = std::variant<Tick, BundleAccepted, EngineReported, EngineUnreachable, EngineLeaving,
+                           StopRequested, PeerHeard>;
 
 /// @brief Whether the event may be dropped when the inbox is full: a later one makes up for it.
 [[nodiscard]] bool isSoft(const Event &event);
--- /dev/null
+++ b/include/vanilladyke/control/membership_controller.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "vanilladyke/control/events.hpp"
+#include "vanilladyke/control/inbox.hpp"
+#include "vanilladyke/policy/membership.hpp"
+
+#include <functional>
+
+namespace vanilladyke {
+
+/// @brief Runs Membership on the control thread: feeds it peers' messages and the time, sends what
+/// it wants sent, and writes the nodes into the fleet.
+class MembershipController
+{
+public:
+    /// @brief Hands a message to the transport.
+    using Sender = std::function<void(Outgoing)>;
+
+    /// @param inbox gets an EngineLeaving for each engine that peers say is leaving
+    MembershipController(Membership membership, Sender sender, Inbox &inbox, Random random);
+
+    void handle(const Event &event, TimePoint now);
+    void contribute(Fleet &fleet, TimePoint now);
+
+private:
+    void send(std::vector<Outgoing> outgoing);
+    void passOnLeaving();
+    void logChanges();
+
+    Membership m_membership;
+    Sender m_sender;
+    Inbox &m_inbox;
+    Random m_random;
+    TimePoint m_nextTick = TimePoint::min();
+    bool m_leaving = false;
+};
+
+} // namespace vanilladyke
--- a/src/vanilladyke/app/serve.cpp
+++ b/src/vanilladyke/app/serve.cpp
@@ -1,11 +1,13 @@
 #include "vanilladyke/app/serve.hpp"
 
+#include "vanilladyke/app/peer_setup.hpp"
 #include "vanilladyke/base/log.hpp"
 #include "vanilladyke/base/metrics.hpp"
 #include "vanilladyke/control/bundle_controller.hpp"
 #include "vanilladyke/control/control_thread.hpp"
 #include "vanilladyke/control/engine_controller.hpp"
 #include "vanilladyke/control/engine_poller.hpp"
+#include "vanilladyke/control/membership_controller.hpp"
 #include "vanilladyke/gateway/caller_server.hpp"
 #include "vanilladyke/model/json_reader.hpp"
 
@@ -62,12 +64,35 @@
     const sigset_t signals = blockStopSignals();
     std::signal(SIGPIPE, SIG_IGN);
 
+    const Outcome<PeerKeys, FieldError> peerKeys =
+            settings.peers ? loadPeerKeys(*settings.peers) : newPeerKeys();
+    if (!peerKeys) {
+        LogEvent("settings_refused", Severity::Error)
+                .field("field", peerKeys.error().field)
+                .field("reason", peerKeys.error().reason);
+        return EXIT_FAILURE;
+    }
     Metrics metrics;
     FleetStore fleet;
     Inbox inbox(InboxCapacity);
     BundleController bundles;
+    PeerTransport transport(*peerKeys, [&inbox](PeerMessage message, ReplyRoute route) {
+        inbox.post(PeerHeard{std::move(message), std::move(route)});
+    });
+    MembershipController members(
+            makeMembership(settings, std::chrono::system_clock::now()),
+            [&transport](Outgoing outgoing) { transport.send(std::move(outgoing)); }, inbox,
+            Random(entropySeed()));
     EngineController engines;
-    const ControlThread control(inbox, fleet, bundles, engines);
+    if (settings.peers) {
+        if (const auto refused = transport.start(settings.peers->listen)) {
+            LogEvent("bind_failed", Severity::Error)
+                    .field("peers", settings.peers->listen.str())
+                    .field("reason", *refused);
+            return EXIT_FAILURE;
+        }
+    }
+    const ControlThread control(inbox, fleet, bundles, members, engines);
     const EnginePoller poller(fleet, inbox);
     if (!settings.bundleFile.empty()) {
         takeBundleFile(settings.bundleFile, inbox);
--- a/src/vanilladyke/app/settings.cpp
+++ b/src/vanilladyke/app/settings.cpp
@@ -1,6 +1,7 @@
 #include "vanilladyke/app/settings.hpp"
 
 #include "vanilladyke/model/json_reader.hpp"
+#include "vanilladyke/peers/peer_transport.hpp"
 
 #include <cerrno>
 #include <cstring>
@@ -26,6 +27,26 @@
     reader.text("private_key", &files->privateKey);
 }
 
+void readPeerKey(JsonReader &reader, const std::string &key, std::string *out, bool required)
+{
+    reader.text(key, out, required);
+    if (!out->empty() && !isPeerKey(*out)) {
+        reader.fail(key, "must be a key of 40 characters as `keys new` writes it");
+    }
+}
+
+PeerSettings readPeers(JsonReader &reader)
+{
+    reader.allowOnly({"listen", "seeds", "public_key", "secret_key_file", "former_public_key"});
+    PeerSettings peers;
+    reader.endpoint("listen", &peers.listen);
+    reader.endpoints("seeds", &peers.seeds);
+    readPeerKey(reader, "public_key", &peers.publicKey, true);
+    reader.text("secret_key_file", &peers.secretKeyFile);
+    readPeerKey(reader, "former_public_key", &peers.formerPublicKey, false);
+    return peers;
+}
+
 } // namespace
 
 Outcome<HostSettings, std::vector<FieldError>> parseSettings(std::string_view text)
@@ -37,13 +58,14 @@
     }
     HostSettings settings;
     JsonReader reader(object, "", &errors);
-    reader.allowOnly({"node", "data_centre", "callers", "callers_tls", "operators", "log_level",
-                      "bundle_file"});
+    reader.allowOnly({"node", "data_centre", "callers", "callers_tls", "operators", "peers",
+                      "log_level", "bundle_file"});
     reader.id("node", &settings.node);
     reader.id("data_centre", &settings.dataCentre);
     reader.endpoint("callers", &settings.callers);
     reader.object("callers_tls", [&](JsonReader &in) { readTls(in, &settings.callersTls); });
     reader.endpoint("operators", &settings.operators);
+    reader.object("peers", [&](JsonReader &in) { settings.peers = readPeers(in); });
     checkLogLevel(reader, &settings.logLevel);
     reader.text("bundle_file", &settings.bundleFile, false);
     if (!errors.empty()) {
--- a/src/vanilladyke/control/engine_controller.cpp
+++ b/src/vanilladyke/control/engine_controller.cpp
@@ -41,6 +41,9 @@
                     .field("reason", lost->reason);
         }
         known.reachable = false;
+    } else if (const auto *leaving = std::get_if<EngineLeaving>(&event)) {
+        m_known[leaving->engine].leaving = true;
+        LogEvent("engine_leaving").field("engine", leaving->engine.str());
     }
 }
 
@@ -77,7 +80,7 @@
     }
     if (!known.reachable || now - known.heardAt > SilenceOfTheDead) {
         view.state = EngineState::Dead;
-    } else if (entry.role == EngineRole::Draining) {
+    } else if (entry.role == EngineRole::Draining || known.leaving) {
         view.state = EngineState::Leaving;
     } else {
         view.state = view.models.empty() ? EngineState::Loading : EngineState::Ready;
--- a/tests/integration/harness.py
+++ b/tests/integration/harness.py
@@ -16,6 +16,10 @@
 
 WAIT_SECONDS = 30.0
 
+# A fleet's key pair for peer links, made for these tests and used nowhere else.
+PEER_PUBLIC_KEY = 'v/e[w[t-k]wA7rgIYcoejd?e=UCv)eNV.KwPIQ20'
+PEER_SECRET_KEY = 'sH5PtY068MU7s}ce^UNo?gL:6v5tCc:OoX5.HzBu'
+
 
 def free_port():
     with socket.socket() as probe:
@@ -81,6 +85,7 @@
         self.folder = tempfile.TemporaryDirectory()
         self.processes = []
         self.engines = {}
+        self.seed = None
         self.bundle = {
             "version": 1,
             "models": [{"id": "copy", "weights": "w1"}],
@@ -108,11 +113,21 @@
                                        "data_centre": "yaba-hall", "models": ["copy"]})
         return self.start(name, [f"{self.build}/tests/standin_engine", "--port", str(port), "--id", name])
 
+    def peer_settings(self):
+        """Settings of a further node, which knows the first one as its seed."""
+        secret = self.path("peers.key")
+        with open(secret, "w", encoding="utf-8") as out:
+            out.write(PEER_SECRET_KEY)
+        listen = f"127.0.0.1:{free_port()}"
+        self.seed = self.seed or listen
+        return {"listen": listen, "seeds": [self.seed], "public_key": PEER_PUBLIC_KEY, "secret_key_file": secret}
+
     def node(self, name):
         port, operators = free_port(), free_port()
         settings = {"node": name, "data_centre": "yaba-hall", "callers": f"127.0.0.1:{port}",
                     "operators": f"127.0.0.1:{operators}",
                     "bundle_file": self.write("bundle.jsonc", self.bundle)}
+        settings["peers"] = self.peer_settings()
         process = self.start(name, [f"{self.build}/vanilladyke", "serve", "--settings",
                                     self.write(name + ".jsonc", settings)])
         process.port, process.operators = port, operators
@@ -126,6 +141,7 @@
             if process.popen.poll() is None:
                 process.popen.kill()
                 process.popen.wait()
+            process.log.close()
         self.folder.cleanup()
 
 
--- /dev/null
+++ b/tools/generate.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Writes the committed protobuf code anew from proto/*.proto.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+protoc --proto_path=proto --cpp_out=src/vanilladyke/peers proto/peers.proto
