Let a test's endpoint be moved out

Cause: the linter refused a const local that is returned (performance-no-automatic-move). Change: the local is no longer const. Conclusion: lint is clean again; behaviour is the same.

--- a/src/vanilladyke/peers/peer_transport_test.cpp
+++ b/src/vanilladyke/peers/peer_transport_test.cpp
@@ -55,7 +55,7 @@
 Endpoint startAnywhere(PeerTransport &transport)
 {
     for (std::uint16_t port = 23'000; port < 24'000; ++port) {
-        const Endpoint endpoint{"127.0.0.1", port};
+        Endpoint endpoint{"127.0.0.1", port};
         if (!transport.start(endpoint)) {
             return endpoint;
         }
