Add claims: a fold over the log and one node's ledger, both pure

Cause: a call that may not be repeated has to run at most once, although nodes die, pause and restart and the log loses answers.

Change: the first claim of a key in log order alone may send; only its owner can free the key again, by a release, which promises that nothing was sent. The ledger groups what waits in one append, settles a lost append answer by a read that began after it, checks the deadline when the claim is decided, and releases claims that turn up after their caller was refused. Keys older than the window, or older than a gap in what was read, are refused. A caller that declares a repeat hears unknown where an earlier try might still be sent elsewhere; an expired key hears unknown, since what it did is forgotten.

--- /dev/null
+++ b/src/vanilladyke/policy/append_pacer.cpp
@@ -0,0 +1,30 @@
+#include "vanilladyke/policy/append_pacer.hpp"
+
+#include <algorithm>
+
+namespace vanilladyke {
+
+void AppendPacer::share(std::uint32_t liveNodes)
+{
+    m_perSecond = AppendsPerSecond / std::max<std::uint32_t>(liveNodes, 1);
+}
+
+bool AppendPacer::take(TimePoint now)
+{
+    const std::chrono::duration<double> since = now - m_filledAt;
+    m_tokens = std::min(AppendBurst, m_tokens + std::max(0.0, since.count()) * m_perSecond);
+    m_filledAt = now;
+    if (now < m_notBefore || m_tokens < 1) {
+        return false;
+    }
+    m_tokens -= 1;
+    return true;
+}
+
+void AppendPacer::failed(TimePoint now)
+{
+    m_pause = std::clamp(2 * m_pause, FirstAppendPause, LongestAppendPause);
+    m_notBefore = now + m_pause;
+}
+
+} // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/policy/claim_ledger.cpp
@@ -0,0 +1,372 @@
+#include "vanilladyke/policy/claim_ledger.hpp"
+
+#include <algorithm>
+
+namespace vanilladyke {
+
+namespace {
+
+/// What a record takes in an append, about.
+std::size_t sizeOf(const ClaimRecord &record)
+{
+    constexpr std::size_t Fixed = 160;
+    const auto *outcome = std::get_if<ClaimOutcome>(&record);
+    return Fixed + (outcome == nullptr ? 0 : outcome->body.size());
+}
+
+bool isSettled(const ClaimRecord &record)
+{
+    return !std::holds_alternative<Claim>(record);
+}
+
+ClaimVerdict verdictOf(const ClaimOutcome &outcome)
+{
+    switch (outcome.kind) {
+    case OutcomeKind::Answered:
+        return outcome;
+    case OutcomeKind::AnswerTooLarge:
+        return Refusal{RefusalReason::OutcomeUnknown,
+                       "the call ran and was answered, but the answer is not kept any more",
+                       Ran::Unknown,
+                       {}};
+    case OutcomeKind::Unknown:
+        break;
+    }
+    return Refusal{RefusalReason::OutcomeUnknown,
+                   "the call was sent and its outcome is not known",
+                   Ran::Unknown,
+                   {}};
+}
+
+Refusal refusalByAge(KeyAge age)
+{
+    if (age == KeyAge::Ahead) {
+        return {RefusalReason::KeyExpired,
+                "the key is dated ahead of this host's clock",
+                Ran::No,
+                {}};
+    }
+    // What the key did in its time is forgotten, so that "not run" could be false.
+    return {RefusalReason::KeyExpired,
+            "the key is older than the claim window; this request sent nothing",
+            Ran::Unknown,
+            {}};
+}
+
+} // namespace
+
+Ran ranOfUnsent(const ClaimRequest &request)
+{
+    return request.repeat ? Ran::Unknown : Ran::No;
+}
+
+ClaimLedger::ClaimLedger(ProcessId process, NodeId node)
+    : m_process(std::move(process))
+    , m_node(std::move(node))
+{}
+
+void ClaimLedger::configure(Duration window, std::uint32_t liveNodes)
+{
+    m_window = window;
+    m_pacer.share(liveNodes);
+}
+
+void ClaimLedger::ask(const ClaimRequest &request, Moment at)
+{
+    const TimePoint claimBy = std::min(request.deadline, at.now + ClaimPatience);
+    Waiting waiting{request, {}, at.now, claimBy, false};
+    const KeyAge age = judgeAge(request.key.key, at.wall, m_window);
+    if (age != KeyAge::Valid || !m_fold.covers(request.key.key)) {
+        m_decisions.push_back({request.ticket, refusalByAge(age)});
+        return;
+    }
+    if (m_fold.find(request.key) == nullptr) {
+        enqueueClaim(waiting);
+    }
+    const auto placed = m_waiting.insert_or_assign(request.ticket, std::move(waiting)).first;
+    if (auto verdict = verdictOn(placed->second, at)) {
+        m_decisions.push_back({request.ticket, std::move(*verdict)});
+        m_waiting.erase(placed);
+    }
+}
+
+void ClaimLedger::abandon(ClaimTicket ticket)
+{
+    // A claim that is on its way becomes the owner later on; releaseIfUnused then gives it up.
+    m_waiting.erase(ticket);
+}
+
+void ClaimLedger::settle(const ClaimRecord &record)
+{
+    if (m_sending.erase(nonceOf(record)) == 0) {
+        return;
+    }
+    if (const auto *outcome = std::get_if<ClaimOutcome>(&record)) {
+        m_unseenOutcomes.insert_or_assign(outcome->nonce, *outcome);
+    }
+    m_queue.push_back(record);
+}
+
+void ClaimLedger::enqueueClaim(Waiting &waiting)
+{
+    waiting.nonce = {m_process, ++m_sequence};
+    waiting.seen = false;
+    m_queue.emplace_back(
+            Claim{waiting.request.key, waiting.nonce, m_node, waiting.request.request});
+}
+
+std::optional<ClaimBatch> ClaimLedger::nextBatch(Moment at)
+{
+    if (m_batchState != BatchState::None || !ready()) {
+        return std::nullopt;
+    }
+    // Claims of calls that have been refused meanwhile need not be appended any more.
+    std::set<ClaimNonce> wanted;
+    for (const auto &[ticket, waiting] : m_waiting) {
+        wanted.insert(waiting.nonce);
+    }
+    std::erase_if(m_queue, [&](const ClaimRecord &record) {
+        return !isSettled(record) && !wanted.contains(nonceOf(record));
+    });
+    if (m_queue.empty() || !m_pacer.take(at.now)) {
+        return std::nullopt;
+    }
+    std::size_t bytes = 0;
+    while (!m_queue.empty() && m_batch.size() < MostRecordsPerAppend
+           && bytes < MostBytesPerAppend) {
+        bytes += sizeOf(m_queue.front());
+        m_batch.push_back(std::move(m_queue.front()));
+        m_queue.pop_front();
+    }
+    m_unseen = m_batch;
+    m_batchState = BatchState::UnderWay;
+    return m_batch;
+}
+
+void ClaimLedger::appended(AppendResult result, std::uint64_t offset, Moment at)
+{
+    if (m_batchState != BatchState::UnderWay) {
+        return;
+    }
+    switch (result) {
+    case AppendResult::Done:
+        m_pacer.succeeded();
+        m_appendedAt = at.now;
+        m_batchState = BatchState::None;
+        if (offset == m_fold.next()) {
+            // All before it is known, so the claims are decided without another read. The whole
+            // batch counts, also what has been seen at an earlier offset: all other readers take
+            // it twice, and must come to the same owner.
+            apply({offset, at.wall, m_batch});
+        }
+        m_unseen.clear();
+        m_batch.clear();
+        break;
+    case AppendResult::NotDone:
+        m_pacer.failed(at.now);
+        m_batchState = BatchState::None;
+        requeueUnseen();
+        break;
+    case AppendResult::InDoubt:
+        // The batch may stand in the log, or get there yet. Only a read that begins from now on
+        // can tell; until then nothing of it is appended again.
+        m_pacer.failed(at.now);
+        m_batchState = BatchState::InDoubt;
+        m_doubtSince = at.now;
+        break;
+    }
+    decide(at);
+}
+
+void ClaimLedger::requeueUnseen()
+{
+    m_queue.insert(m_queue.begin(), m_unseen.begin(), m_unseen.end());
+    m_unseen.clear();
+    m_batch.clear();
+}
+
+void ClaimLedger::read(const ClaimPage &page, Moment at)
+{
+    const bool startsLater = m_fold.next() < page.firstOffset;
+    // A read that began before an append of this node may answer as of before it.
+    const bool wentBack = page.nextOffset < m_fold.next() && page.askedAt > m_appendedAt;
+    if (wentBack || (startsLater && page.records.empty())) {
+        // Records are gone that this node has never seen, and nothing tells how old they were.
+        m_fold.skipTo(page.firstOffset, at.wall + ClockSkew);
+    } else if (startsLater) {
+        m_fold.skipTo(page.records.front().offset, coveredFrom(page.records.front().appendedAt));
+    }
+    for (const ClaimLogRecord &record : page.records) {
+        if (record.offset >= m_fold.next()) {
+            apply(record);
+        }
+    }
+    if (m_fold.next() >= page.nextOffset) {
+        m_readThrough = page.askedAt;
+        if (m_batchState == BatchState::InDoubt && page.askedAt > m_doubtSince) {
+            m_batchState = BatchState::None;
+            requeueUnseen();
+        }
+    }
+    decide(at);
+}
+
+void ClaimLedger::apply(const ClaimLogRecord &record)
+{
+    m_fold.apply(record.offset, record.batch);
+    for (const ClaimRecord &each : record.batch) {
+        if (nonceOf(each).process == m_process) {
+            sawOwn(each);
+            releaseIfUnused(keyOf(each));
+        }
+    }
+}
+
+void ClaimLedger::sawOwn(const ClaimRecord &record)
+{
+    std::erase(m_unseen, record);
+    if (std::holds_alternative<ClaimOutcome>(record)) {
+        m_unseenOutcomes.erase(nonceOf(record));
+        return;
+    }
+    for (auto &[ticket, waiting] : m_waiting) {
+        waiting.seen = waiting.seen || waiting.nonce == nonceOf(record);
+    }
+}
+
+/// A claim whose call was refused while its append was in doubt can become the owner later on. Its
+/// caller was told that nothing ran, so it is never sent; unless it were released, every repeat
+/// would wait for an outcome that never comes.
+void ClaimLedger::releaseIfUnused(const ClaimKey &key)
+{
+    const ClaimEntry *entry = m_fold.find(key);
+    if (entry == nullptr || entry->stage != ClaimStage::Claimed
+        || entry->owner.process != m_process) {
+        return;
+    }
+    const ClaimNonce owner = entry->owner;
+    const bool waited = std::any_of(m_waiting.begin(), m_waiting.end(),
+                                    [&](const auto &each) { return each.second.nonce == owner; });
+    if (waited || m_sending.contains(owner) || m_unseenOutcomes.contains(owner)) {
+        return;
+    }
+    const ClaimRecord release = ClaimRelease{key, owner};
+    const auto holds = [&](const auto &records) {
+        return std::find(records.begin(), records.end(), release) != records.end();
+    };
+    if (!holds(m_queue) && !holds(m_unseen)) {
+        m_queue.push_back(release);
+    }
+}
+
+void ClaimLedger::tick(Moment at)
+{
+    decide(at);
+    m_fold.forgetBefore(forgettableBefore(at.wall, m_window));
+}
+
+void ClaimLedger::decide(Moment at)
+{
+    std::vector<ClaimKey> givenUp;
+    for (auto each = m_waiting.begin(); each != m_waiting.end();) {
+        Step verdict = verdictOn(each->second, at);
+        if (!verdict) {
+            ++each;
+            continue;
+        }
+        givenUp.push_back(each->second.request.key);
+        m_decisions.push_back({each->first, std::move(*verdict)});
+        each = m_waiting.erase(each);
+    }
+    for (const ClaimKey &key : givenUp) {
+        releaseIfUnused(key);
+    }
+}
+
+ClaimLedger::Step ClaimLedger::verdictOn(Waiting &waiting, Moment at)
+{
+    const ClaimEntry *entry = m_fold.find(waiting.request.key);
+    if (entry == nullptr) {
+        return onFreeKey(waiting, at, false);
+    }
+    if (entry->request != waiting.request.request) {
+        return Refusal{RefusalReason::KeyReused,
+                       "the key was used before, for a call with another body",
+                       Ran::No,
+                       {}};
+    }
+    if (entry->stage == ClaimStage::Settled) {
+        return verdictOf(*entry->outcome);
+    }
+    if (entry->stage == ClaimStage::Released) {
+        return onFreeKey(waiting, at, entry->released.size() >= MostReleases);
+    }
+    return entry->owner == waiting.nonce ? onOwnClaim(waiting, at) : onOthersClaim(waiting, at);
+}
+
+ClaimLedger::Step ClaimLedger::onOwnClaim(const Waiting &waiting, Moment at)
+{
+    if (at.now >= waiting.request.deadline) {
+        return Refusal{RefusalReason::TooLate,
+                       "the deadline passed before sending",
+                       ranOfUnsent(waiting.request),
+                       {}};
+    }
+    if (!m_fold.covers(waiting.request.key.key)) {
+        return refusalByAge(KeyAge::Expired);
+    }
+    m_sending.insert(waiting.nonce);
+    return MaySend{waiting.nonce};
+}
+
+ClaimLedger::Step ClaimLedger::onOthersClaim(const Waiting &waiting, Moment at) const
+{
+    const auto local = m_unseenOutcomes.find(m_fold.find(waiting.request.key)->owner);
+    if (local != m_unseenOutcomes.end()) {
+        return verdictOf(local->second);
+    }
+    if (at.now < waiting.request.deadline) {
+        return std::nullopt;
+    }
+    return Refusal{RefusalReason::OutcomeUnknown,
+                   "another call with the key was sent, or may be, and has not been answered",
+                   Ran::Unknown,
+                   {}};
+}
+
+ClaimLedger::Step ClaimLedger::onFreeKey(Waiting &waiting, Moment at, bool spent)
+{
+    if (spent) {
+        return Refusal{RefusalReason::KeyExpired,
+                       "the key was given up too often; nothing ran under it",
+                       Ran::No,
+                       {}};
+    }
+    if (at.now >= waiting.claimBy) {
+        return Refusal{RefusalReason::LogUnavailable,
+                       "the claim did not get into the log in time; this request sent nothing",
+                       ranOfUnsent(waiting.request), at.now + ClaimPatience};
+    }
+    if (waiting.seen || waiting.nonce.sequence == 0) {
+        enqueueClaim(waiting);
+    }
+    return std::nullopt;
+}
+
+std::vector<ClaimDecision> ClaimLedger::takeDecisions()
+{
+    return std::exchange(m_decisions, {});
+}
+
+bool ClaimLedger::idle() const
+{
+    const bool settledWaits = std::any_of(m_queue.begin(), m_queue.end(), isSettled);
+    return m_sending.empty() && m_batchState == BatchState::None && !settledWaits;
+}
+
+bool ClaimLedger::wantsRead() const
+{
+    return !ready() || m_batchState == BatchState::InDoubt || !m_waiting.empty();
+}
+
+} // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/policy/claim_ledger_test.cpp
@@ -0,0 +1,507 @@
+#include "vanilladyke/policy/claim_ledger.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+namespace vanilladyke {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr Duration Window = minutes(10);
+const WallTime WallStart = WallTime(std::chrono::hours(500'000));
+
+/// The log, and appends whose answer was lost and that arrive later.
+struct FakeLog
+{
+    std::vector<ClaimLogRecord> records;
+    std::vector<ClaimBatch> late;
+
+    std::uint64_t append(const ClaimBatch &batch, WallTime wall)
+    {
+        records.push_back({records.size(), wall, batch});
+        return records.size() - 1;
+    }
+};
+
+struct Asked
+{
+    ClaimRequest request;
+    std::optional<ClaimVerdict> verdict;
+};
+
+/// One life of a node: what a real one does, one step at a time.
+struct Node
+{
+    explicit Node(const std::string &process)
+        : ledger(ProcessId(process), NodeId(process))
+    {
+        ledger.configure(Window, 3);
+    }
+
+    ClaimLedger ledger;
+    std::vector<std::pair<ClaimKey, ClaimNonce>> permits;
+    std::optional<ClaimBatch> underWay;
+};
+
+/// Nodes, callers and a log, driven by random steps.
+class World
+{
+public:
+    explicit World(std::uint64_t seed)
+        : m_random(seed)
+    {
+        for (int i = 0; i < 3; ++i) {
+            m_nodes.push_back(newNode());
+        }
+        for (int i = 0; i < 4; ++i) {
+            m_keys.push_back(
+                    {CustomerId("brand"), ServiceId("booking"), newUuidV7(WallStart, m_random)});
+        }
+    }
+
+    void step()
+    {
+        m_elapsed += milliseconds(uniformBelow(m_random, 200));
+        const std::unique_ptr<Node> &chosen = m_nodes.at(uniformBelow(m_random, m_nodes.size()));
+        Node &node = *chosen;
+        switch (uniformBelow(m_random, 8)) {
+        case 0:
+            ask(node);
+            break;
+        case 1:
+        case 2:
+            append(node);
+            break;
+        case 3:
+        case 4:
+            read(node, uniformBelow(m_random, 2) == 0);
+            break;
+        case 5:
+            send(node);
+            break;
+        case 6:
+            deliverLate();
+            break;
+        default:
+            restartSometimes();
+            break;
+        }
+        chosen->ledger.tick(at()); // may be a new life of it by now
+        collect();
+    }
+
+    /// Ends all faults and lets everything come to rest.
+    void settle()
+    {
+        while (!m_log.late.empty()) {
+            deliverLate();
+        }
+        for (int round = 0; round < 400; ++round) {
+            m_elapsed += milliseconds(50);
+            for (auto &node : m_nodes) {
+                finishAppend(*node, 0);
+                append(*node, 0);
+                read(*node, true);
+                send(*node);
+                node->ledger.tick(at());
+            }
+            collect();
+        }
+    }
+
+    [[nodiscard]] bool foldsAgree() const
+    {
+        return std::all_of(m_keys.begin(), m_keys.end(), [&](const ClaimKey &key) {
+            const ClaimEntry *first = m_nodes.front()->ledger.fold().find(key);
+            return std::all_of(m_nodes.begin(), m_nodes.end(), [&](const auto &node) {
+                const ClaimEntry *entry = node->ledger.fold().find(key);
+                return (entry == nullptr) == (first == nullptr)
+                       && (entry == nullptr || *entry == *first);
+            });
+        });
+    }
+
+    [[nodiscard]] bool noneTwice() const
+    {
+        return std::all_of(m_sent.begin(), m_sent.end(),
+                           [](const auto &each) { return each.second <= 1; });
+    }
+
+    /// A repeat that heard "not run" was told so of all tries, past and to come.
+    [[nodiscard]] bool refusalsTrue() const
+    {
+        return std::all_of(m_asked.begin(), m_asked.end(), [&](const auto &each) {
+            const auto &[request, verdict] = each.second;
+            const auto *refusal = verdict ? std::get_if<Refusal>(&*verdict) : nullptr;
+            const bool saysNo = refusal != nullptr && refusal->ran == Ran::No;
+            return !saysNo || !request.repeat || m_sent.count({request.key, request.request}) == 0;
+        });
+    }
+
+    /// Every call that was asked of a node that still lives has its verdict.
+    [[nodiscard]] bool allTold() const
+    {
+        return std::all_of(m_asked.begin(), m_asked.end(), [&](const auto &each) {
+            return each.second.verdict || m_lost.contains(each.first);
+        });
+    }
+
+private:
+    [[nodiscard]] Moment at() const
+    {
+        return {TimePoint(seconds(1000)) + m_elapsed, WallStart + m_elapsed};
+    }
+
+    std::unique_ptr<Node> newNode()
+    {
+        return std::make_unique<Node>("p" + std::to_string(++m_lives));
+    }
+
+    void ask(Node &node)
+    {
+        ClaimRequest request;
+        request.ticket = ClaimTicket{++m_tickets};
+        request.key = m_keys.at(uniformBelow(m_random, m_keys.size()));
+        request.request = RequestDigest(uniformBelow(m_random, 8) == 0 ? "other" : "same");
+        request.deadline = at().now + milliseconds(500 + uniformBelow(m_random, 4000));
+        request.repeat = uniformBelow(m_random, 2) == 0;
+        m_asked[request.ticket] = {request, std::nullopt};
+        m_askedOf[request.ticket] = &node;
+        node.ledger.ask(request, at());
+    }
+
+    void append(Node &node, std::optional<std::uint64_t> fate = std::nullopt)
+    {
+        if (!node.underWay) {
+            node.underWay = node.ledger.nextBatch(at());
+            return;
+        }
+        finishAppend(node, fate ? *fate : uniformBelow(m_random, 6));
+    }
+
+    void finishAppend(Node &node, std::uint64_t fate)
+    {
+        if (!node.underWay) {
+            return;
+        }
+        const ClaimBatch batch = std::move(*node.underWay);
+        node.underWay.reset();
+        if (fate == 1) {
+            node.ledger.appended(AppendResult::NotDone, 0, at());
+        } else if (fate == 2) { // written, the answer lost
+            m_log.append(batch, at().wall);
+            node.ledger.appended(AppendResult::InDoubt, 0, at());
+        } else if (fate == 3) { // neither yet; perhaps later
+            m_log.late.push_back(batch);
+            node.ledger.appended(AppendResult::InDoubt, 0, at());
+        } else if (fate == 4) { // written twice
+            const std::uint64_t offset = m_log.append(batch, at().wall);
+            m_log.append(batch, at().wall);
+            node.ledger.appended(AppendResult::Done, offset, at());
+        } else {
+            node.ledger.appended(AppendResult::Done, m_log.append(batch, at().wall), at());
+        }
+    }
+
+    void read(Node &node, bool whole)
+    {
+        ClaimPage page{at().now, 0, m_log.records.size(), {}};
+        for (const ClaimLogRecord &record : m_log.records) {
+            if (record.offset >= node.ledger.nextOffset()) {
+                page.records.push_back(record);
+                if (!whole) {
+                    break;
+                }
+            }
+        }
+        m_elapsed += milliseconds(1);
+        node.ledger.read(page, at());
+    }
+
+    void send(Node &node)
+    {
+        if (node.permits.empty()) {
+            return;
+        }
+        const auto [key, nonce] = node.permits.back();
+        node.permits.pop_back();
+        if (uniformBelow(m_random, 4) == 0) {
+            node.ledger.settle(ClaimRelease{key, nonce});
+            return;
+        }
+        ++m_sent[{key, node.ledger.fold().find(key)->request}];
+        const bool answered = uniformBelow(m_random, 3) != 0;
+        node.ledger.settle(ClaimOutcome{key, nonce,
+                                        answered ? OutcomeKind::Answered : OutcomeKind::Unknown,
+                                        200, "text/plain", "booked"});
+    }
+
+    void deliverLate()
+    {
+        if (!m_log.late.empty()) {
+            m_log.append(m_log.late.back(), at().wall);
+            m_log.late.pop_back();
+        }
+    }
+
+    void restartSometimes()
+    {
+        if (uniformBelow(m_random, 4) != 0) {
+            return;
+        }
+        auto &node = m_nodes.at(uniformBelow(m_random, m_nodes.size()));
+        if (!node->permits.empty() && uniformBelow(m_random, 2) == 0) {
+            // Killed right after the call left.
+            const auto &key = node->permits.back().first;
+            ++m_sent[{key, node->ledger.fold().find(key)->request}];
+        }
+        if (node->underWay && uniformBelow(m_random, 2) == 0) {
+            m_log.late.push_back(*node->underWay);
+        }
+        for (const auto &[ticket, whom] : m_askedOf) {
+            if (whom == node.get()) {
+                m_lost.insert(ticket);
+            }
+        }
+        node = newNode();
+    }
+
+    void collect()
+    {
+        for (auto &node : m_nodes) {
+            for (ClaimDecision &decision : node->ledger.takeDecisions()) {
+                Asked &asked = m_asked.at(decision.ticket);
+                if (const auto *permit = std::get_if<MaySend>(&decision.verdict)) {
+                    node->permits.emplace_back(asked.request.key, permit->nonce);
+                }
+                asked.verdict = std::move(decision.verdict);
+            }
+        }
+    }
+
+    Random m_random;
+    Duration m_elapsed{};
+    FakeLog m_log;
+    std::vector<std::unique_ptr<Node>> m_nodes;
+    std::vector<ClaimKey> m_keys;
+    std::map<ClaimTicket, Asked> m_asked;
+    std::map<ClaimTicket, const Node *> m_askedOf;
+    std::set<ClaimTicket> m_lost; ///< asked of a node that was killed since
+    std::map<std::pair<ClaimKey, RequestDigest>, int> m_sent;
+    std::uint64_t m_lives = 0;
+    std::uint64_t m_tickets = 0;
+};
+
+/// Runs a world and names what went wrong in it.
+std::vector<std::string> faultsOf(std::uint64_t seed)
+{
+    World world(seed);
+    for (int i = 0; i < 400; ++i) {
+        world.step();
+    }
+    world.settle();
+    std::vector<std::string> faults;
+    const auto check = [&](bool holds, const char *fault) {
+        if (!holds) {
+            faults.emplace_back(fault);
+        }
+    };
+    check(world.noneTwice(), "a call was sent twice");
+    check(world.refusalsTrue(), "a refusal was false");
+    check(world.foldsAgree(), "the readers disagree");
+    check(world.allTold(), "a caller was told nothing");
+    return faults;
+}
+
+// Nodes are killed, paused and restarted, appends get lost, arrive late or twice, and callers
+// repeat their bookings anywhere. A user would pay twice, or be told that nothing ran when it did.
+RC_GTEST_PROP(ClaimLedger, AtMostOneSenderAndTrueRefusalsOverAnyInterleaving, (std::uint64_t seed))
+{
+    RC_ASSERT(faultsOf(seed) == std::vector<std::string>());
+}
+
+// An append was written twice, and the node saw the first of the two before its own append was
+// answered. It left what it had seen out of the second, so that its picture of the key's owner
+// differed from all other nodes', and with it who might send.
+TEST(ClaimLedger, SeedsThatShowedAFaultOnce)
+{
+    for (const std::uint64_t seed : {15601420UL, 4302193093078UL, 188864944128732UL}) {
+        EXPECT_EQ(faultsOf(seed), std::vector<std::string>()) << seed;
+    }
+}
+
+class OneNode : public testing::Test
+{
+protected:
+    OneNode()
+    {
+        m_ledger.configure(Window, 1);
+        m_ledger.read({m_at.now, 0, 0, {}}, m_at);
+    }
+
+    ClaimRequest request(std::uint64_t ticket, bool repeat = false) const
+    {
+        return {ClaimTicket{ticket}, m_key, RequestDigest("d"), m_at.now + seconds(10), repeat};
+    }
+
+    void pass(Duration span)
+    {
+        m_at.now += span;
+        m_at.wall += span;
+    }
+
+    ClaimVerdict only()
+    {
+        const auto decisions = m_ledger.takeDecisions();
+        EXPECT_EQ(decisions.size(), 1U);
+        return decisions.at(0).verdict;
+    }
+
+    Moment m_at{TimePoint(seconds(1000)), WallStart};
+    Random m_random{7};
+    ClaimKey m_key{CustomerId("brand"), ServiceId("booking"), newUuidV7(WallStart, m_random)};
+    ClaimLedger m_ledger{ProcessId("p"), NodeId("n")};
+};
+
+TEST_F(OneNode, CallsThatWaitShareOneAppend)
+{
+    for (std::uint64_t i = 1; i <= 5; ++i) {
+        ClaimRequest each = request(i);
+        each.key.key = newUuidV7(WallStart, m_random);
+        m_ledger.ask(each, m_at);
+    }
+    const auto batch = m_ledger.nextBatch(m_at);
+    ASSERT_TRUE(batch.has_value());
+    EXPECT_EQ(batch->size(), 5U);
+    m_ledger.appended(AppendResult::Done, 0, m_at);
+    EXPECT_EQ(m_ledger.takeDecisions().size(), 5U);
+}
+
+// The log takes the claim but its answer gets lost. Appending again at once could double records,
+// giving up could leave the key blocked; reading the log tells.
+TEST_F(OneNode, ALostAnswerIsSettledByReadingTheLog)
+{
+    m_ledger.ask(request(1), m_at);
+    const ClaimBatch batch = m_ledger.nextBatch(m_at).value();
+    m_ledger.appended(AppendResult::InDoubt, 0, m_at);
+    pass(seconds(1));
+    EXPECT_FALSE(m_ledger.nextBatch(m_at).has_value());
+    m_ledger.read({m_at.now, 0, 1, {{0, m_at.wall, batch}}}, m_at);
+    EXPECT_TRUE(std::holds_alternative<MaySend>(only()));
+    EXPECT_FALSE(m_ledger.nextBatch(m_at).has_value());
+}
+
+// The log is down. The caller has to learn soon that its booking did not run, and when the claim
+// turns up in the log all the same, it must never be sent.
+TEST_F(OneNode, AClaimGivenUpIsNeverSentAndFreesTheKeyOnceItTurnsUp)
+{
+    m_ledger.ask(request(1), m_at);
+    const ClaimBatch batch = m_ledger.nextBatch(m_at).value();
+    m_ledger.appended(AppendResult::InDoubt, 0, m_at);
+    pass(ClaimPatience);
+    m_ledger.tick(m_at);
+    const auto refusal = std::get<Refusal>(only());
+    EXPECT_EQ(refusal.reason, RefusalReason::LogUnavailable);
+    EXPECT_EQ(refusal.ran, Ran::No);
+    m_ledger.read({m_at.now, 0, 1, {{0, m_at.wall, batch}}}, m_at);
+    EXPECT_TRUE(m_ledger.takeDecisions().empty());
+    const auto release = m_ledger.nextBatch(m_at);
+    ASSERT_TRUE(release.has_value());
+    EXPECT_TRUE(std::holds_alternative<ClaimRelease>(release->front()));
+}
+
+// The caller's first try reached another node, whose connection to the caller broke. This node
+// can't see the log; "not run" would make the caller book once more under a new key.
+TEST_F(OneNode, ARepeatHearsUnknownWhileTheLogIsDown)
+{
+    m_ledger.ask(request(1, true), m_at);
+    pass(ClaimPatience);
+    m_ledger.tick(m_at);
+    EXPECT_EQ(std::get<Refusal>(only()).ran, Ran::Unknown);
+}
+
+TEST_F(OneNode, ARepeatGetsTheAnswerBeforeItsRecordIsInTheLog)
+{
+    m_ledger.ask(request(1), m_at);
+    static_cast<void>(m_ledger.nextBatch(m_at));
+    m_ledger.appended(AppendResult::Done, 0, m_at);
+    const auto permit = std::get<MaySend>(only());
+    m_ledger.ask(request(2), m_at);
+    EXPECT_TRUE(m_ledger.takeDecisions().empty());
+    m_ledger.settle(ClaimOutcome{m_key, permit.nonce, OutcomeKind::Answered, 201, "", "booked"});
+    m_ledger.tick(m_at);
+    EXPECT_EQ(std::get<ClaimOutcome>(only()).body, "booked");
+    EXPECT_FALSE(m_ledger.idle());
+}
+
+TEST_F(OneNode, AClaimSeenAfterItsDeadlineIsNotSent)
+{
+    m_ledger.ask(request(1), m_at);
+    static_cast<void>(m_ledger.nextBatch(m_at));
+    pass(seconds(20)); // the process was paused
+    m_ledger.appended(AppendResult::Done, 0, m_at);
+    EXPECT_EQ(std::get<Refusal>(only()).reason, RefusalReason::TooLate);
+}
+
+TEST_F(OneNode, TheSameKeyWithAnotherBodyIsRefused)
+{
+    m_ledger.ask(request(1), m_at);
+    static_cast<void>(m_ledger.nextBatch(m_at));
+    m_ledger.appended(AppendResult::Done, 0, m_at);
+    static_cast<void>(only());
+    ClaimRequest other = request(2, true);
+    other.request = RequestDigest("other");
+    m_ledger.ask(other, m_at);
+    const auto refusal = std::get<Refusal>(only());
+    EXPECT_EQ(refusal.reason, RefusalReason::KeyReused);
+    EXPECT_EQ(refusal.ran, Ran::No);
+}
+
+// A caller comes back with a key of an hour ago. What it did is forgotten, so neither sending it
+// nor saying "not run" would be safe.
+TEST_F(OneNode, AnExpiredKeyIsNeitherSentNorCalledNotRun)
+{
+    pass(Window + seconds(1));
+    m_ledger.ask(request(1), m_at);
+    const auto refusal = std::get<Refusal>(only());
+    EXPECT_EQ(refusal.reason, RefusalReason::KeyExpired);
+    EXPECT_EQ(refusal.ran, Ran::Unknown);
+}
+
+// A read that was waiting at the log when this node appended answers as of before the append. Taken
+// for a log that lost records, it would make the node refuse every key of the window.
+TEST_F(OneNode, AnAnswerFromBeforeTheOwnAppendChangesNothing)
+{
+    const TimePoint before = m_at.now;
+    pass(milliseconds(5));
+    m_ledger.ask(request(1), m_at);
+    static_cast<void>(m_ledger.nextBatch(m_at));
+    m_ledger.appended(AppendResult::Done, 0, m_at);
+    m_ledger.read({before, 0, 0, {}}, m_at);
+    EXPECT_EQ(m_ledger.nextOffset(), 1U);
+    EXPECT_TRUE(m_ledger.fold().covers(m_key.key));
+}
+
+TEST(AppendPacer, ALoneAppendNeverWaitsAndABurstIsHeldToTheShare)
+{
+    AppendPacer pacer;
+    pacer.share(3);
+    TimePoint now(seconds(1000));
+    int taken = 0;
+    for (int i = 0; i < 10'000; ++i) {
+        taken += pacer.take(now) ? 1 : 0;
+        now += milliseconds(1);
+    }
+    EXPECT_NEAR(taken, 10 * AppendsPerSecond / 3, AppendBurst + 1);
+    EXPECT_TRUE(pacer.take(now + seconds(1)));
+    pacer.failed(now + seconds(1));
+    EXPECT_FALSE(pacer.take(now + seconds(1)));
+}
+
+} // namespace
+} // namespace vanilladyke
