--- a/tests/integration/harness.py
+++ b/tests/integration/harness.py
@@ -16,6 +16,10 @@
 
 WAIT_SECONDS = 30.0
 
+# A fleet's key pair for peer links, made for these tests and used nowhere else.
+PEER_PUBLIC_KEY = 'v/e[w[t-k]wA7rgIYcoejd?e=UCv)eNV.KwPIQ20'
+PEER_SECRET_KEY = 'sH5PtY068MU7s}ce^UNo?gL:6v5tCc:OoX5.HzBu'
+
 
 def free_port():
     with socket.socket() as probe:
@@ -53,6 +57,17 @@
         connection.close()
 
 
+def faults(port, **kinds):
+    """Sets faults of a stand-in, such as crash=True or cut_at=5."""
+    status, body, _ = http_call(port, "POST", "/control/faults", json.dumps(kinds))
+    assert status == 200, body
+
+
+def runs(port):
+    """What an engine stand-in ran."""
+    return json.loads(http_call(port, "GET", "/control/log")[1])["runs"]
+
+
 class Process:
     """One process of a test; its standard error goes to a file that a test can read."""
 
@@ -81,6 +96,7 @@
         self.folder = tempfile.TemporaryDirectory()
         self.processes = []
         self.engines = {}
+        self.seed = None
         self.bundle = {
             "version": 1,
             "models": [{"id": "copy", "weights": "w1"}],
@@ -101,12 +117,22 @@
             json.dump(value, out)
         return self.path(name)
 
-    def engine(self, name):
+    def engine(self, name, *options):
         port = free_port()
         self.engines[name] = port
         self.bundle["engines"].append({"id": name, "endpoint": f"127.0.0.1:{port}",
                                        "data_centre": "yaba-hall", "models": ["copy"]})
-        return self.start(name, [f"{self.build}/tests/standin_engine", "--port", str(port), "--id", name])
+        return self.start(name, [f"{self.build}/tests/standin_engine", "--port", str(port), "--id", name,
+                                 *options])
+
+    def peer_settings(self):
+        """Settings of a further node, which knows the first one as its seed."""
+        secret = self.path("peers.key")
+        with open(secret, "w", encoding="utf-8") as out:
+            out.write(PEER_SECRET_KEY)
+        listen = f"127.0.0.1:{free_port()}"
+        self.seed = self.seed or listen
+        return {"listen": listen, "seeds": [self.seed], "public_key": PEER_PUBLIC_KEY, "secret_key_file": secret}
 
     def platform(self):
         """The platform's stand-in: .port for its protocols; faults() and hosts() change it."""
@@ -130,6 +156,7 @@
         settings = {"node": name, "data_centre": "yaba-hall", "callers": f"127.0.0.1:{port}",
                     "operators": f"127.0.0.1:{operators}",
                     "bundle_file": self.write("bundle.jsonc", self.bundle)}
+        settings["peers"] = self.peer_settings()
         process = self.start(name, [f"{self.build}/vanilladyke", "serve", "--settings",
                                     self.write(name + ".jsonc", settings)])
         process.port, process.operators = port, operators
@@ -143,6 +170,7 @@
             if process.popen.poll() is None:
                 process.popen.kill()
                 process.popen.wait()
+            process.log.close()
         self.folder.cleanup()
 
 
@@ -153,6 +181,16 @@
                      {"Authorization": "Bearer " + key, "Content-Type": "application/json", **(headers or {})})
 
 
+def open_stream(port, prompt, tokens, key="brand-key", headers=None):
+    """A streamed chat whose answer is left to be read; the caller closes the connection."""
+    body = json.dumps({"model": "copy", "stream": True, "max_tokens": tokens,
+                       "messages": [{"role": "user", "content": prompt}]})
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=WAIT_SECONDS)
+    connection.request("POST", "/v1/chat/completions", body,
+                       {"Authorization": "Bearer " + key, "Content-Type": "application/json", **(headers or {})})
+    return connection
+
+
 def streamed_text(body):
     """The text of a stream and whether its end marker came."""
     events = [line[6:] for line in body.splitlines() if line.startswith("data: ")]
