--- a/include/vanilladyke/control/engine_controller.hpp
+++ b/include/vanilladyke/control/engine_controller.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "vanilladyke/control/events.hpp"
+#include "vanilladyke/model/fleet_index.hpp"
 
 #include <map>
 
@@ -11,7 +12,7 @@
 {
 public:
     void handle(const Event &event, TimePoint now);
-    void contribute(Fleet &fleet, TimePoint now) const;
+    void contribute(Fleet &fleet, TimePoint now);
 
 private:
     struct Known
@@ -25,6 +26,7 @@
                                     TimePoint now) const;
 
     std::map<EngineId, Known> m_known;
+    std::shared_ptr<const FleetIndex> m_index; ///< kept while the serving engines stay the same
 };
 
 } // namespace vanilladyke
--- a/include/vanilladyke/model/fleet.hpp
+++ b/include/vanilladyke/model/fleet.hpp
@@ -32,10 +32,18 @@
     double decodeTokensPerSecond = 40; ///< for one stream
 };
 
+/// @brief A short stand-in for an engine's id: the same on every node and in every build.
+enum class EngineKey : std::uint64_t {};
+
+[[nodiscard]] EngineKey engineKeyOf(const EngineId &id);
+
+class FleetIndex;
+
 /// @brief One engine.
 struct EngineView
 {
     EngineId id;
+    EngineKey key{};
     Endpoint endpoint;
     DataCentreId dataCentre;
     Incarnation incarnation{};
@@ -48,10 +56,11 @@
 /// @brief All that traffic needs to know, as of one moment.
 struct Fleet
 {
-    std::shared_ptr<const Bundle> bundle; ///< null until one has been accepted
-    std::vector<EngineView> engines;      ///< in the bundle's order
-    std::uint32_t liveNodes = 1;          ///< nodes that share the engines, this one included
-    bool leaving = false;                 ///< this node is shutting down
+    std::shared_ptr<const Bundle> bundle;    ///< null until one has been accepted
+    std::vector<EngineView> engines;         ///< in the bundle's order
+    std::uint32_t liveNodes = 1;             ///< nodes that share the engines, this one included
+    bool leaving = false;                    ///< this node is shutting down
+    std::shared_ptr<const FleetIndex> index; ///< of the engines above; null while there are none
 };
 
 /// @brief The customer with this id; null if the bundle has none.
--- a/include/vanilladyke/model/prefix_chain.hpp
+++ b/include/vanilladyke/model/prefix_chain.hpp
@@ -34,6 +34,7 @@
 {
     ChainHash hash;
     std::uint32_t tokens = 0; ///< tokens from the start, estimated
+    bool endsMessage = false; ///< the cut is at the end of a message
     auto operator<=>(const PrefixCut &) const = default;
 };
 
--- a/include/vanilladyke/policy/placement.hpp
+++ b/include/vanilladyke/policy/placement.hpp
@@ -4,13 +4,27 @@
 #include "vanilladyke/base/time.hpp"
 #include "vanilladyke/model/fleet.hpp"
 #include "vanilladyke/model/prefix_chain.hpp"
+#include "vanilladyke/policy/cache_view.hpp"
+#include "vanilladyke/policy/in_flight.hpp"
+#include "vanilladyke/policy/survival.hpp"
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
 /// Placement: which engine gets a request.
+///
+/// Load pattern: long shared prompts, skewed and shifting, over engines that differ in load. Sent
+/// to the least loaded engine, each engine computes every prefix; sent by prefix alone, a hot one
+/// queues. So each of a few candidates gets a predicted cost in weighted seconds:
+///
+///     tail weight × wait + prefill of the tokens expected missing (or their import)
+///         + recompute weight × prefill of the tokens that another candidate has
+///
+/// Candidates are the holders of the longest known prefixes, the first of the rendezvous order
+/// and a few at random: their number doesn't grow with the fleet.
 namespace vanilladyke {
 
 /// @brief What has to be placed.
@@ -25,14 +39,37 @@
     std::vector<EngineId> excluded; ///< engines that already failed this request
 };
 
+/// @brief What the kept-cache store could give an engine.
+struct KeptPrefix
+{
+    std::uint32_t tokens = 0; ///< longest prefix of the request that is in the store
+    Duration latency{};       ///< until an import starts to flow
+    double tokensPerSecond = 0;
+};
+
+/// @brief What a node knows beside the fleet when it decides.
+struct PlacementKnowledge
+{
+    std::span<const PrefixHolder> holders; ///< longest prefix first
+    const Survival &survival;
+    const InFlight &inFlight;
+    std::uint32_t homes = 1; ///< engines that the shared prefix should live on
+    KeptPrefix kept;
+};
+
 /// @brief One engine that was weighed.
 struct Candidate
 {
     std::size_t engine = 0; ///< index into Fleet::engines
+    Evidence evidence = Evidence::None;
+    std::uint32_t believedTokens = 0; ///< that the evidence speaks for
+    Duration age{};                   ///< of the evidence
     std::uint32_t expectedCachedTokens = 0;
-    Duration wait{}; ///< until its prefill may start
-    Duration prefill{};
-    double cost = 0; ///< weighed seconds; the least wins
+    std::uint32_t importedTokens = 0; ///< to take from the kept-cache store; 0 for none
+    Duration wait{};                  ///< until its prefill may start
+    Duration prefill{};               ///< of the missing tokens, the import included
+    double recomputedTokens = 0;      ///< that another candidate has
+    double cost = 0;                  ///< weighed seconds; the least wins
 };
 
 /// @brief The decision with its reasons, so that it can be logged and explained.
@@ -40,11 +77,16 @@
 {
     std::optional<Candidate> winner; ///< none if no engine serves the model
     std::vector<Candidate> candidates;
-    std::string reason; ///< one word, such as least_cost
+    std::string reason; ///< no_engine, least_cost, near_tie or stays
 };
 
 /// @brief Chooses the engine of least predicted cost.
-[[nodiscard]] Placement place(const PlacementRequest &request, const Fleet &fleet, TimePoint now,
-                              Random &random);
+[[nodiscard]] Placement place(const PlacementRequest &request, const Fleet &fleet,
+                              const PlacementKnowledge &knowledge, TimePoint now, Random &random);
+
+/// @brief Time until the engine could start a new prefill.
+[[nodiscard]] Duration predictedWait(const EngineView &engine, const InFlight &inFlight,
+                                     std::uint32_t liveNodes, std::uint32_t answerTokens,
+                                     TimePoint now);
 
 } // namespace vanilladyke
--- a/src/vanilladyke/control/engine_controller.cpp
+++ b/src/vanilladyke/control/engine_controller.cpp
@@ -44,7 +44,7 @@
     }
 }
 
-void EngineController::contribute(Fleet &fleet, TimePoint now) const
+void EngineController::contribute(Fleet &fleet, TimePoint now)
 {
     if (!fleet.bundle) {
         return;
@@ -53,6 +53,8 @@
     for (const EngineEntry &entry : fleet.bundle->engines) {
         fleet.engines.push_back(viewOf(entry, *fleet.bundle, now));
     }
+    m_index = indexEngines(fleet.engines, m_index);
+    fleet.index = m_index;
 }
 
 EngineView EngineController::viewOf(const EngineEntry &entry, const Bundle &bundle,
@@ -60,6 +62,7 @@
 {
     EngineView view;
     view.id = entry.id;
+    view.key = engineKeyOf(entry.id);
     view.endpoint = entry.endpoint;
     view.dataCentre = entry.dataCentre;
     view.slots = entry.slots;
--- a/src/vanilladyke/gateway/placer.cpp
+++ b/src/vanilladyke/gateway/placer.cpp
@@ -34,7 +34,10 @@
                                   context.answerTokens,
                                   context.firstTokenDeadline,
                                   excluded};
-    const Placement placement = place(wanted, fleet, MonotonicClock::now(), random);
+    const Survival survival;
+    const InFlight inFlight;
+    const Placement placement =
+            place(wanted, fleet, {{}, survival, inFlight, 1, {}}, MonotonicClock::now(), random);
     logPlacement(context, fleet, placement);
     if (!placement.winner) {
         return std::nullopt;
--- a/src/vanilladyke/model/fleet.cpp
+++ b/src/vanilladyke/model/fleet.cpp
@@ -1,5 +1,7 @@
 #include "vanilladyke/model/fleet.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace vanilladyke {
@@ -16,6 +18,11 @@
 
 } // namespace
 
+EngineKey engineKeyOf(const EngineId &id)
+{
+    return EngineKey{XXH3_64bits(id.str().data(), id.str().size())};
+}
+
 const Customer *findCustomer(const Bundle &bundle, const CustomerId &id)
 {
     return findById(bundle.customers, id);
--- a/src/vanilladyke/model/prefix_chain.cpp
+++ b/src/vanilladyke/model/prefix_chain.cpp
@@ -33,7 +33,7 @@
 {
     const XXH128_hash_t digest = XXH3_128bits_digest(state);
     const std::uint64_t tokens = (bytes + BytesPerToken - 1) / BytesPerToken;
-    return {{digest.high64, digest.low64}, static_cast<std::uint32_t>(tokens)};
+    return {{digest.high64, digest.low64}, static_cast<std::uint32_t>(tokens), false};
 }
 
 } // namespace
@@ -73,6 +73,9 @@
             bytes += run.size();
             chain.push_back(cutHere(state.get(), bytes));
         }
+        if (!message.empty()) {
+            chain.back().endsMessage = true;
+        }
     }
     return chain;
 }
--- /dev/null
+++ b/src/vanilladyke/policy/cache_view.cpp
@@ -0,0 +1,155 @@
+#include "vanilladyke/policy/cache_view.hpp"
+
+#include <algorithm>
+#include <bit>
+#include <ranges>
+#include <span>
+
+namespace vanilladyke {
+
+CacheView::CacheView(std::size_t bytes)
+{
+    const std::size_t sets = std::max<std::size_t>(bytes / (EntryBytes * Ways), 1);
+    const std::size_t floor = std::bit_floor(sets);
+    m_entries.resize(floor * Ways);
+    m_mask = floor - 1;
+}
+
+void CacheView::setIncarnation(EngineKey engine, Incarnation incarnation, TimePoint now)
+{
+    const auto [found, added] =
+            m_index.try_emplace(engine, static_cast<std::uint32_t>(m_engines.size()));
+    if (added) {
+        m_engines.push_back({engine, incarnation, 1, now, true});
+        return;
+    }
+    KnownEngine &known = m_engines[found->second];
+    if (known.present && known.incarnation == incarnation) {
+        return;
+    }
+    ++known.life;
+    known.incarnation = incarnation;
+    known.trustedSince = now;
+    known.present = true;
+}
+
+void CacheView::forget(EngineKey engine)
+{
+    const auto found = m_index.find(engine);
+    if (found != m_index.end()) {
+        KnownEngine &known = m_engines[found->second];
+        ++known.life;
+        known.present = false;
+    }
+}
+
+void CacheView::distrust(EngineKey engine, TimePoint now)
+{
+    const auto found = m_index.find(engine);
+    if (found != m_index.end()) {
+        m_engines[found->second].trustedSince = now;
+    }
+}
+
+void CacheView::stored(EngineKey engine, Incarnation incarnation, const ChainHash &hash,
+                       TimePoint now)
+{
+    const KnownEngine *known = find(engine);
+    if (known == nullptr || known->incarnation != incarnation) {
+        return;
+    }
+    const auto slot = static_cast<std::uint32_t>(known - m_engines.data());
+    Entry *entry = place(hash, slot);
+    *entry = {hash, slot, known->life, now};
+}
+
+void CacheView::evicted(EngineKey engine, Incarnation incarnation, const ChainHash &hash)
+{
+    const KnownEngine *known = find(engine);
+    if (known == nullptr || known->incarnation != incarnation) {
+        return;
+    }
+    const auto slot = static_cast<std::uint32_t>(known - m_engines.data());
+    for (Entry &entry : std::span(setOf(hash), Ways)) {
+        if (entry.hash == hash && entry.engine == slot) {
+            entry.life = 0;
+        }
+    }
+}
+
+void CacheView::addHolders(const PrefixCut &cut, TimePoint now,
+                           std::vector<PrefixHolder> &holders) const
+{
+    for (const Entry &entry : std::span(setOf(cut.hash), Ways)) {
+        if (entry.hash != cut.hash || !counts(entry)) {
+            continue;
+        }
+        const KnownEngine &engine = m_engines[entry.engine];
+        const bool known =
+                std::any_of(holders.begin(), holders.end(), [&](const PrefixHolder &holder) {
+                    return holder.engine == engine.key;
+                });
+        if (!known && holders.size() < MostHolders) {
+            holders.push_back({engine.key, engine.incarnation, cut.tokens, now - entry.learnedAt,
+                               entry.learnedAt >= engine.trustedSince});
+        }
+    }
+}
+
+std::vector<PrefixHolder> CacheView::holders(const PrefixChain &chain, TimePoint now) const
+{
+    std::vector<PrefixHolder> holders;
+    holders.reserve(MostHolders);
+    for (const PrefixCut &cut : std::views::reverse(chain)) {
+        addHolders(cut, now, holders);
+        if (holders.size() == MostHolders) {
+            break;
+        }
+    }
+    return holders;
+}
+
+CacheView::Entry *CacheView::setOf(const ChainHash &hash)
+{
+    return &m_entries[(hash.low & m_mask) * Ways];
+}
+
+const CacheView::Entry *CacheView::setOf(const ChainHash &hash) const
+{
+    return &m_entries[(hash.low & m_mask) * Ways];
+}
+
+bool CacheView::counts(const Entry &entry) const
+{
+    return entry.life != 0 && m_engines[entry.engine].present
+           && m_engines[entry.engine].life == entry.life;
+}
+
+const CacheView::KnownEngine *CacheView::find(EngineKey engine) const
+{
+    const auto found = m_index.find(engine);
+    const bool present = found != m_index.end() && m_engines[found->second].present;
+    return present ? &m_engines[found->second] : nullptr;
+}
+
+/// The engine's own entry of this prefix, else one that counts no more, else the oldest.
+CacheView::Entry *CacheView::place(const ChainHash &hash, std::uint32_t engine)
+{
+    Entry *best = nullptr;
+    bool bestCounts = true;
+    for (Entry &entry : std::span(setOf(hash), Ways)) {
+        if (entry.hash == hash && entry.engine == engine) {
+            return &entry;
+        }
+        const bool live = counts(entry);
+        const bool better = best == nullptr || (bestCounts && !live)
+                            || (bestCounts == live && entry.learnedAt < best->learnedAt);
+        if (better) {
+            best = &entry;
+            bestCounts = live;
+        }
+    }
+    return best;
+}
+
+} // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/policy/cache_view_test.cpp
@@ -0,0 +1,141 @@
+#include "vanilladyke/policy/cache_view.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+
+namespace vanilladyke {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr EngineKey One{1};
+constexpr EngineKey Two{2};
+constexpr Incarnation First{1};
+constexpr Incarnation Second{2};
+
+TimePoint at(int second)
+{
+    return TimePoint(seconds(second));
+}
+
+ChainHash hashOf(std::uint64_t number)
+{
+    return {number, number * 7919};
+}
+
+PrefixChain chainOf(std::uint64_t from, std::uint64_t cuts)
+{
+    PrefixChain chain;
+    for (std::uint64_t i = 0; i < cuts; ++i) {
+        chain.push_back({hashOf(from + i), static_cast<std::uint32_t>((i + 1) * 512), false});
+    }
+    return chain;
+}
+
+TEST(CacheView, GivesTheLongestKnownPrefixOfEachHolderLongestFirst)
+{
+    CacheView view(1U << 16U);
+    view.setIncarnation(One, First, at(0));
+    view.setIncarnation(Two, First, at(0));
+    const PrefixChain chain = chainOf(100, 4);
+    view.stored(One, First, chain[0].hash, at(1));
+    view.stored(One, First, chain[1].hash, at(1));
+    view.stored(Two, First, chain[3].hash, at(2));
+    const auto holders = view.holders(chain, at(5));
+    ASSERT_EQ(holders.size(), 2U);
+    EXPECT_EQ(holders[0].engine, Two);
+    EXPECT_EQ(holders[0].tokens, 2048U);
+    EXPECT_EQ(holders[0].age, seconds(3));
+    EXPECT_EQ(holders[1].engine, One);
+    EXPECT_EQ(holders[1].tokens, 1024U);
+}
+
+// An engine crashes and comes back empty under a new incarnation. Were its old entries kept, its
+// callers would wait for whole prompts to be computed by an engine chosen for its warm cache.
+TEST(CacheView, ANewIncarnationHoldsNothingOfTheOldOne)
+{
+    CacheView view(1U << 16U);
+    view.setIncarnation(One, First, at(0));
+    view.stored(One, First, hashOf(1), at(1));
+    view.setIncarnation(One, Second, at(2));
+    EXPECT_TRUE(view.holders(chainOf(1, 1), at(2)).empty());
+    view.stored(One, First, hashOf(1), at(3));
+    EXPECT_TRUE(view.holders(chainOf(1, 1), at(3)).empty());
+}
+
+// The stream of an engine's cache events loses some, perhaps an eviction. What was known before is
+// used with less faith until it is seen again; a caller notices no more than a slower first token.
+TEST(CacheView, EntriesFromBeforeAGapAreDoubted)
+{
+    CacheView view(1U << 16U);
+    view.setIncarnation(One, First, at(0));
+    view.stored(One, First, hashOf(1), at(1));
+    view.distrust(One, at(2));
+    EXPECT_FALSE(view.holders(chainOf(1, 1), at(3)).at(0).trusted);
+    view.stored(One, First, hashOf(1), at(4));
+    EXPECT_TRUE(view.holders(chainOf(1, 1), at(5)).at(0).trusted);
+}
+
+TEST(CacheView, AFullSetGivesUpTheOldestEntry)
+{
+    CacheView view(1); // one set of 16
+    view.setIncarnation(One, First, at(0));
+    for (int i = 1; i <= 17; ++i) {
+        view.stored(One, First, hashOf(i), at(i));
+    }
+    EXPECT_TRUE(view.holders(chainOf(1, 1), at(20)).empty());
+    EXPECT_EQ(view.holders(chainOf(2, 1), at(20)).size(), 1U);
+    EXPECT_EQ(view.holders(chainOf(17, 1), at(20)).size(), 1U);
+}
+
+// Engines crash, come back and are lost in any order while events of every life still arrive. A
+// holder must always be the engine's present life and something that this life stored and has not
+// evicted, or a caller waits for work that nobody has.
+RC_GTEST_PROP(CacheView, NeverCountsADeadIncarnation,
+              (const std::vector<std::tuple<std::uint8_t, std::uint8_t, std::uint8_t>> &steps))
+{
+    CacheView view(1U << 14U);
+    std::map<EngineKey, std::uint64_t> life;
+    std::map<std::pair<EngineKey, std::uint64_t>, bool> held;
+    int now = 0;
+    for (const auto &[what, which, hash] : steps) {
+        const EngineKey engine{which % 3U + 1U};
+        ++now;
+        switch (what % 5U) {
+        case 0:
+            life[engine] = now;
+            view.setIncarnation(engine, Incarnation{life[engine]}, at(now));
+            std::erase_if(held, [&](const auto &item) { return item.first.first == engine; });
+            break;
+        case 1:
+            life.erase(engine);
+            view.forget(engine);
+            std::erase_if(held, [&](const auto &item) { return item.first.first == engine; });
+            break;
+        case 2:
+            view.evicted(engine, Incarnation{life.contains(engine) ? life[engine] : 0},
+                         hashOf(hash % 8U));
+            held.erase({engine, hash % 8U});
+            break;
+        case 3:
+            view.stored(engine, Incarnation{9'999'999}, hashOf(hash % 8U), at(now));
+            break;
+        default:
+            if (life.contains(engine)) {
+                view.stored(engine, Incarnation{life[engine]}, hashOf(hash % 8U), at(now));
+                held[{engine, hash % 8U}] = true;
+            }
+        }
+        for (std::uint64_t each = 0; each < 8; ++each) {
+            for (const PrefixHolder &holder : view.holders(chainOf(each, 1), at(now))) {
+                RC_ASSERT(held.contains({holder.engine, each}));
+                RC_ASSERT(holder.incarnation == Incarnation{life.at(holder.engine)});
+            }
+        }
+    }
+}
+
+} // namespace
+} // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/policy/hot_prefixes.cpp
@@ -0,0 +1,60 @@
+#include "vanilladyke/policy/hot_prefixes.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+namespace vanilladyke {
+
+namespace {
+
+/// Rates are averages over about this long: a shift shows within seconds, one burst does not.
+constexpr double MemorySeconds = 5;
+/// A home should be full to this part at most, so that its queue stays short.
+constexpr double WantedUse = 0.6;
+/// A home is given up only when the others would stay below this part: between the two marks the
+/// number stays as it is, or each change would throw away a warm cache.
+constexpr double UseAfterLeaving = 0.4;
+constexpr double MostHomes = 4096;
+
+double faded(double work, Duration since)
+{
+    return work * std::exp(-std::chrono::duration<double>(since).count() / MemorySeconds);
+}
+
+} // namespace
+
+std::uint32_t HotPrefixes::note(const ChainHash &prefix, double engineSeconds, std::uint32_t nodes,
+                                TimePoint now)
+{
+    if (m_tracked.size() >= MostTracked && !m_tracked.contains(prefix)) {
+        makeRoom(now);
+    }
+    Tracked &tracked = m_tracked.try_emplace(prefix, Tracked{0, 1, now}).first->second;
+    tracked.work = faded(tracked.work, now - tracked.changedAt) + engineSeconds;
+    tracked.changedAt = now;
+    const double enginesFull = tracked.work / MemorySeconds * nodes;
+    const double wanted = std::clamp(std::ceil(enginesFull / WantedUse), 1.0, MostHomes);
+    const double least = std::clamp(std::ceil(enginesFull / UseAfterLeaving), 1.0, MostHomes);
+    const auto grown = std::max(tracked.homes, static_cast<std::uint32_t>(wanted));
+    tracked.homes = std::min(grown, static_cast<std::uint32_t>(std::max(least, wanted)));
+    return tracked.homes;
+}
+
+/// Drops the colder half in one pass, so that the cost per request stays small.
+void HotPrefixes::makeRoom(TimePoint now)
+{
+    std::vector<double> work;
+    work.reserve(m_tracked.size());
+    for (const auto &[hash, tracked] : m_tracked) {
+        work.push_back(faded(tracked.work, now - tracked.changedAt));
+    }
+    const auto middle = work.begin() + static_cast<std::ptrdiff_t>(work.size() / 2);
+    std::nth_element(work.begin(), middle, work.end());
+    const double median = *middle;
+    std::erase_if(m_tracked, [&](const auto &item) {
+        return faded(item.second.work, now - item.second.changedAt) <= median;
+    });
+}
+
+} // namespace vanilladyke
--- a/src/vanilladyke/policy/placement.cpp
+++ b/src/vanilladyke/policy/placement.cpp
@@ -1,51 +1,253 @@
 #include "vanilladyke/policy/placement.hpp"
 
+#include "vanilladyke/policy/rendezvous.hpp"
+
 #include <algorithm>
 
 namespace vanilladyke {
 
 namespace {
 
-Duration secondsOf(double seconds)
+/// Holders of the longest prefixes that are weighed.
+constexpr std::size_t HolderCandidates = 6;
+/// Engines of the rendezvous order that are weighed beyond the homes: where a full home spills.
+constexpr std::uint32_t SpillCandidates = 2;
+constexpr std::uint32_t MostHomeCandidates = 8;
+/// Two at random find an idle engine nearly as well as all, and keep the number bounded.
+constexpr std::size_t RandomCandidates = 2;
+/// Costs this close are the same as far as lagged reports can tell.
+constexpr double NearTieFraction = 0.05;
+constexpr double NearTieSeconds = 0.002;
+/// What another engine must save before a request leaves the one that has most of its prefix.
+constexpr double StayFraction = 0.10;
+constexpr double StaySeconds = 0.005;
+
+double seconds(Duration span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+Duration spanOf(double length)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(length));
+}
+
+/// Gathers candidates, each engine once.
+class Candidates
+{
+public:
+    Candidates(const PlacementRequest &request, const Fleet &fleet,
+               const PlacementKnowledge &knowledge)
+        : m_request(request)
+        , m_fleet(fleet)
+        , m_survival(knowledge.survival)
+    {}
+
+    /// Adds the engine or, if it is there, the evidence that promises more.
+    void add(std::size_t engine, Evidence evidence, std::uint32_t tokens, Duration age)
+    {
+        if (!serves(m_fleet.engines[engine], m_request.model) || excluded(engine)) {
+            return;
+        }
+        const double fraction = m_survival.fraction(evidence, age);
+        const auto expected = static_cast<std::uint32_t>(fraction * tokens);
+        const auto found = std::find_if(m_list.begin(), m_list.end(), [&](const Candidate &each) {
+            return each.engine == engine;
+        });
+        Candidate *candidate = found == m_list.end() ? &m_list.emplace_back() : &*found;
+        candidate->engine = engine;
+        if (expected > candidate->expectedCachedTokens || candidate->evidence == Evidence::None) {
+            candidate->evidence = evidence;
+            candidate->believedTokens = tokens;
+            candidate->age = age;
+            candidate->expectedCachedTokens = expected;
+        }
+    }
+
+    [[nodiscard]] std::vector<Candidate> take() { return std::move(m_list); }
+
+private:
+    [[nodiscard]] bool excluded(std::size_t engine) const
+    {
+        const auto &all = m_request.excluded;
+        return std::find(all.begin(), all.end(), m_fleet.engines[engine].id) != all.end();
+    }
+
+    const PlacementRequest &m_request;
+    const Fleet &m_fleet;
+    const Survival &m_survival;
+    std::vector<Candidate> m_list;
+};
+
+/// An entry of another incarnation must not count, even if the view has not heard of the new one.
+void addHolders(const Fleet &fleet, const PlacementKnowledge &knowledge, Candidates &candidates)
+{
+    std::size_t added = 0;
+    for (const PrefixHolder &holder : knowledge.holders) {
+        const auto position = fleet.index->position(holder.engine);
+        if (!position || fleet.engines[*position].incarnation != holder.incarnation) {
+            continue;
+        }
+        candidates.add(*position, holder.trusted ? Evidence::Known : Evidence::Doubted,
+                       holder.tokens, holder.age);
+        if (++added == HolderCandidates) {
+            return;
+        }
+    }
+}
+
+/// The homes of the shared prefix, and among them the one of its deepest level: so the prefixes
+/// below a hot one divide its homes among themselves.
+void addHomes(const PlacementRequest &request, const Fleet &fleet, const ModelEngines &engines,
+              std::uint32_t homeCount, Candidates &candidates)
 {
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    const auto levels = sharedLevels(request.chain);
+    if (!levels) {
+        return;
+    }
+    const std::uint32_t homes = std::min(homeCount, MostHomeCandidates);
+    const std::vector<std::uint32_t> order =
+            rendezvousOrder(engines, levels->shared.hash, homes + SpillCandidates);
+    const std::size_t count = std::min<std::size_t>(homes, order.size());
+    const auto scoreOf = [&](std::uint32_t engine) {
+        const auto key = static_cast<std::uint64_t>(fleet.engines[engine].key);
+        return mixBits(levels->deepest.hash.low ^ key);
+    };
+    const auto own = std::max_element(
+            order.begin(), order.begin() + static_cast<std::ptrdiff_t>(count),
+            [&](std::uint32_t a, std::uint32_t b) { return scoreOf(a) < scoreOf(b); });
+    for (std::size_t i = 0; i < order.size(); ++i) {
+        if (order.begin() + static_cast<std::ptrdiff_t>(i) == own) {
+            candidates.add(order[i], Evidence::Home, levels->deepest.tokens, {});
+        } else if (i < count) {
+            candidates.add(order[i], Evidence::SharedHome, levels->shared.tokens, {});
+        } else {
+            candidates.add(order[i], Evidence::None, 0, {});
+        }
+    }
 }
 
-Candidate weigh(const PlacementRequest &request, const EngineView &engine, std::size_t index)
+void addRandom(const ModelEngines &engines, Random &random, Candidates &candidates)
 {
-    Candidate candidate;
-    candidate.engine = index;
-    candidate.wait = secondsOf(static_cast<double>(engine.load.queuedPrefillTokens)
-                               / engine.load.prefillTokensPerSecond);
-    candidate.prefill = secondsOf(request.promptTokens / engine.load.prefillTokensPerSecond);
-    candidate.cost = std::chrono::duration<double>(candidate.wait + candidate.prefill).count();
-    return candidate;
+    for (std::size_t i = 0; i < RandomCandidates; ++i) {
+        const std::uint64_t pick = uniformBelow(random, engines.members.size());
+        candidates.add(engines.members[pick].engine, Evidence::None, 0, {});
+    }
+}
+
+/// The prefill, or the import of what the store has where that is sooner.
+void predictPrefill(Candidate &candidate, const PlacementRequest &request, const KeptPrefix &kept,
+                    double tokensPerSecond)
+{
+    const double missing =
+            request.promptTokens - std::min(candidate.expectedCachedTokens, request.promptTokens);
+    double length = missing / tokensPerSecond;
+    if (kept.tokens > candidate.expectedCachedTokens && kept.tokensPerSecond > 0) {
+        const double imported = kept.tokens - candidate.expectedCachedTokens;
+        const double importLength = seconds(kept.latency) + imported / kept.tokensPerSecond
+                                    + (missing - imported) / tokensPerSecond;
+        if (importLength < length) {
+            candidate.importedTokens = static_cast<std::uint32_t>(imported);
+            length = importLength;
+        }
+    }
+    candidate.prefill = spanOf(length);
+}
+
+void weigh(std::vector<Candidate> &candidates, const PlacementRequest &request, const Fleet &fleet,
+           const PlacementKnowledge &knowledge, TimePoint now)
+{
+    std::uint32_t most = 0;
+    for (const Candidate &candidate : candidates) {
+        most = std::max(most, candidate.expectedCachedTokens);
+    }
+    const Objective objective = fleet.bundle ? fleet.bundle->objective : Objective{};
+    for (Candidate &candidate : candidates) {
+        const EngineView &engine = fleet.engines[candidate.engine];
+        const double rate = engine.load.prefillTokensPerSecond;
+        candidate.wait = predictedWait(engine, knowledge.inFlight, fleet.liveNodes,
+                                       request.answerTokens, now);
+        predictPrefill(candidate, request, knowledge.kept, rate);
+        const std::uint32_t here = candidate.expectedCachedTokens + candidate.importedTokens;
+        candidate.recomputedTokens = most > here ? most - here : 0;
+        candidate.cost = objective.tailWeight * seconds(candidate.wait) + seconds(candidate.prefill)
+                         + objective.recomputeWeight * candidate.recomputedTokens / rate;
+    }
+}
+
+bool cheaper(const Candidate &a, const Candidate &b)
+{
+    return a.cost < b.cost;
+}
+
+bool near(const Candidate &candidate, const Candidate &best)
+{
+    return candidate.cost <= best.cost * (1 + NearTieFraction) + NearTieSeconds
+           && candidate.expectedCachedTokens >= best.expectedCachedTokens;
+}
+
+void choose(Placement &placement, Random &random)
+{
+    const auto &all = placement.candidates;
+    const Candidate best = *std::min_element(all.begin(), all.end(), cheaper);
+    const Candidate warmest =
+            *std::max_element(all.begin(), all.end(), [](const Candidate &a, const Candidate &b) {
+                return a.expectedCachedTokens < b.expectedCachedTokens;
+            });
+    if (warmest.expectedCachedTokens > best.expectedCachedTokens
+        && warmest.cost <= best.cost * (1 + StayFraction) + StaySeconds) {
+        placement.winner = warmest;
+        placement.reason = "stays";
+        return;
+    }
+    std::vector<const Candidate *> ties;
+    for (const Candidate &candidate : all) {
+        if (near(candidate, best)) {
+            ties.push_back(&candidate);
+        }
+    }
+    placement.winner = *ties[uniformBelow(random, ties.size())];
+    placement.reason = ties.size() > 1 ? "near_tie" : "least_cost";
 }
 
 } // namespace
 
-Placement place(const PlacementRequest &request, const Fleet &fleet, TimePoint /*now*/,
-                Random &random)
+Duration predictedWait(const EngineView &engine, const InFlight &inFlight, std::uint32_t /*nodes*/,
+                       std::uint32_t answerTokens, TimePoint now)
+{
+    const LoadReport &load = engine.load;
+    const UnreportedWork own = inFlight.since(engine.key, load.measuredAt);
+    const double drained = seconds(now - load.measuredAt) * load.prefillTokensPerSecond;
+    const double queued = std::max(0.0, static_cast<double>(load.queuedPrefillTokens) - drained)
+                          + static_cast<double>(own.prefillTokens);
+    const double prefillWait = queued / load.prefillTokensPerSecond;
+    const std::uint32_t taken = load.running + load.waiting + own.requests;
+    if (engine.slots == 0 || taken < engine.slots) {
+        return spanOf(prefillWait);
+    }
+    const double serviceTime = answerTokens / load.decodeTokensPerSecond;
+    const double slotWait = (taken - engine.slots + 1) * serviceTime / engine.slots;
+    return spanOf(std::max(prefillWait, slotWait));
+}
+
+Placement place(const PlacementRequest &request, const Fleet &fleet,
+                const PlacementKnowledge &knowledge, TimePoint now, Random &random)
 {
     Placement placement;
-    for (std::size_t i = 0; i < fleet.engines.size(); ++i) {
-        const EngineView &engine = fleet.engines[i];
-        const auto &excluded = request.excluded;
-        const bool failed =
-                std::find(excluded.begin(), excluded.end(), engine.id) != excluded.end();
-        if (serves(engine, request.model) && !failed) {
-            placement.candidates.push_back(weigh(request, engine, i));
-        }
+    const ModelEngines *engines = fleet.index ? fleet.index->serving(request.model) : nullptr;
+    if (engines != nullptr) {
+        Candidates candidates(request, fleet, knowledge);
+        addHolders(fleet, knowledge, candidates);
+        addHomes(request, fleet, *engines, knowledge.homes, candidates);
+        addRandom(*engines, random, candidates);
+        placement.candidates = candidates.take();
     }
     if (placement.candidates.empty()) {
         placement.reason = "no_engine";
         return placement;
     }
-    std::shuffle(placement.candidates.begin(), placement.candidates.end(), random);
-    placement.winner = *std::min_element(
-            placement.candidates.begin(), placement.candidates.end(),
-            [](const Candidate &a, const Candidate &b) { return a.cost < b.cost; });
-    placement.reason = "least_cost";
+    weigh(placement.candidates, request, fleet, knowledge, now);
+    choose(placement, random);
     return placement;
 }
 
--- /dev/null
+++ b/src/vanilladyke/policy/placement_policy.cpp
@@ -0,0 +1,64 @@
+#include "vanilladyke/policy/placement_policy.hpp"
+
+#include "vanilladyke/policy/rendezvous.hpp"
+
+#include <algorithm>
+
+namespace vanilladyke {
+
+namespace {
+
+/// The part of an engine that one request takes: its new tokens, or its slot if that is more.
+double engineSeconds(const PlacementRequest &request, std::uint32_t sharedTokens,
+                     const EngineView &engine)
+{
+    const double fresh = request.promptTokens - std::min(sharedTokens, request.promptTokens);
+    const double decode = request.answerTokens / engine.load.decodeTokensPerSecond;
+    const double slots = std::max<std::uint32_t>(engine.slots, 1);
+    return std::max(fresh / engine.load.prefillTokensPerSecond, decode / slots);
+}
+
+} // namespace
+
+Placement PlacementPolicy::decide(const PlacementRequest &request, const Fleet &fleet,
+                                  std::span<const PrefixHolder> holders, const KeptPrefix &kept,
+                                  TimePoint now, Random &random)
+{
+    std::uint32_t homes = 1;
+    const auto levels = sharedLevels(request.chain);
+    const ModelEngines *engines = fleet.index ? fleet.index->serving(request.model) : nullptr;
+    if (levels && engines != nullptr) {
+        const EngineView &any = fleet.engines[engines->members.front().engine];
+        homes = m_hot.note(levels->shared.hash, engineSeconds(request, levels->deepest.tokens, any),
+                           fleet.liveNodes, now);
+    }
+    return place(request, fleet, {holders, m_survival, m_inFlight, homes, kept}, now, random);
+}
+
+PlacedRequest PlacementPolicy::sent(const PlacementRequest &request, const Fleet &fleet,
+                                    const Placement &placement, TimePoint now)
+{
+    const Candidate &chosen = *placement.winner;
+    const EngineView &engine = fleet.engines[chosen.engine];
+    const std::uint32_t had = chosen.expectedCachedTokens + chosen.importedTokens;
+    const std::uint32_t missing = request.promptTokens - std::min(had, request.promptTokens);
+    return {m_inFlight.start(engine.key, missing, now), chosen, engine.key, engine.incarnation};
+}
+
+void PlacementPolicy::firstToken(const PlacedRequest &placed)
+{
+    m_inFlight.firstToken(placed.ticket);
+}
+
+void PlacementPolicy::finished(const PlacedRequest &placed)
+{
+    m_inFlight.finish(placed.ticket);
+}
+
+void PlacementPolicy::learn(const PlacedRequest &placed, std::uint32_t cachedTokens)
+{
+    const Candidate &chosen = placed.chosen;
+    m_survival.learn(chosen.evidence, chosen.age, chosen.believedTokens, cachedTokens);
+}
+
+} // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/policy/survival.cpp
@@ -0,0 +1,80 @@
+#include "vanilladyke/policy/survival.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace vanilladyke {
+
+namespace {
+
+/// The first age class ends here; each further one is twice as wide.
+constexpr Duration FirstClass = std::chrono::milliseconds(125);
+constexpr double HalfLifeSeconds = 20;
+/// Answers that the prior counts for: few, so that it gives way within a second of traffic.
+constexpr double PriorWeight = 4;
+/// Kept of a cell with each new answer: about the last 100 answers count.
+constexpr double Fading = 0.99;
+
+double prior(Evidence evidence, Duration age)
+{
+    switch (evidence) {
+    case Evidence::None:
+        return 0;
+    case Evidence::Known:
+        return std::exp2(-std::chrono::duration<double>(age).count() / HalfLifeSeconds);
+    case Evidence::Doubted:
+        return std::exp2(-std::chrono::duration<double>(age).count() / HalfLifeSeconds) / 2;
+    case Evidence::Home:
+    case Evidence::SharedHome:
+        return 0.5;
+    }
+    return 0;
+}
+
+} // namespace
+
+std::size_t Survival::classOf(Duration age)
+{
+    std::size_t index = 0;
+    for (Duration end = FirstClass; age >= end && index + 1 < AgeClasses; end *= 2) {
+        ++index;
+    }
+    return index;
+}
+
+double Survival::fraction(Evidence evidence, Duration age) const
+{
+    const Cell &cell = m_cells[static_cast<std::size_t>(evidence)][classOf(age)];
+    const double sum = cell.fractions + PriorWeight * prior(evidence, age);
+    return sum / (cell.weight + PriorWeight);
+}
+
+void Survival::learn(Evidence evidence, Duration age, std::uint32_t believed, std::uint32_t cached)
+{
+    if (evidence == Evidence::None || believed == 0) {
+        return;
+    }
+    Cell &cell = m_cells[static_cast<std::size_t>(evidence)][classOf(age)];
+    const double fraction = std::min(1.0, static_cast<double>(cached) / believed);
+    cell.fractions = cell.fractions * Fading + fraction;
+    cell.weight = cell.weight * Fading + 1;
+}
+
+const char *toString(Evidence evidence)
+{
+    switch (evidence) {
+    case Evidence::None:
+        return "none";
+    case Evidence::Known:
+        return "known";
+    case Evidence::Doubted:
+        return "doubted";
+    case Evidence::Home:
+        return "home";
+    case Evidence::SharedHome:
+        return "shared_home";
+    }
+    return "none";
+}
+
+} // namespace vanilladyke
