--- a/src/vanilladyke/gateway/conversation.cpp
+++ b/src/vanilladyke/gateway/conversation.cpp
@@ -35,8 +35,9 @@
     const std::shared_ptr<const Fleet> fleet = m_fleet.current();
     const std::optional<EngineView> engine = placeAttempt(m_context, *fleet, {}, random);
     if (!engine) {
-        return Refusal{RefusalReason::NoBackend, "no engine serves the model", Ran::No, {}};
+        return Refusal{RefusalReason::NoBackend, "no engine serves the model", m_state.ran(), {}};
     }
+    m_state.apply(ExchangeEvent::SendStarted);
     m_exchange = std::make_unique<EngineExchange>(callOf(m_context, *engine));
     m_silentAt = m_context.firstTokenDeadline;
     return std::nullopt;
@@ -51,13 +52,15 @@
     }
     auto frame = m_exchange->next(std::min(until, m_silentAt));
     if (frame) {
+        m_state.apply(ExchangeEvent::AnswerReceived);
         m_silentAt = MonotonicClock::now() + m_context.fleet->bundle->limits.streamSilence;
         return std::move(*frame);
     }
     if (frame.error().error == ExchangeError::Silent && MonotonicClock::now() < m_silentAt) {
         return StillWaiting{};
     }
-    return Refusal{RefusalReason::BackendFailed, frame.error().detail, Ran::Unknown, {}};
+    m_state.apply(eventOf(frame.error().error));
+    return Refusal{RefusalReason::BackendFailed, frame.error().detail, m_state.ran(), {}};
 }
 
 } // namespace vanilladyke
--- a/src/vanilladyke/gateway/conversation.hpp
+++ b/src/vanilladyke/gateway/conversation.hpp
@@ -33,7 +33,8 @@
     RequestContext m_context;
     const FleetStore &m_fleet;
     std::unique_ptr<EngineExchange> m_exchange;
-    TimePoint m_silentAt; ///< the exchange counts as dead from then on
+    ExchangeState m_state; ///< over all attempts; every refusal takes its ran from here
+    TimePoint m_silentAt;  ///< the exchange counts as dead from then on
 };
 
 } // namespace vanilladyke
