--- a/src/vanilladyke/policy/cache_view.cpp
+++ b/src/vanilladyke/policy/cache_view.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <bit>
-#include <ranges>
 #include <span>
 
 namespace vanilladyke {
@@ -100,8 +99,8 @@
 {
     std::vector<PrefixHolder> holders;
     holders.reserve(MostHolders);
-    for (const PrefixCut &cut : std::views::reverse(chain)) {
-        addHolders(cut, now, holders);
+    for (std::size_t i = chain.size(); i-- > 0;) {
+        addHolders(chain[i], now, holders);
         if (holders.size() == MostHolders) {
             break;
         }
--- a/src/vanilladyke/policy/in_flight.cpp
+++ b/src/vanilladyke/policy/in_flight.cpp
@@ -1,7 +1,6 @@
 #include "vanilladyke/policy/in_flight.hpp"
 
 #include <algorithm>
-#include <ranges>
 
 namespace vanilladyke {
 
@@ -44,11 +43,9 @@
     if (found == m_work.end()) {
         return sum;
     }
-    for (const Work &work : std::views::reverse(found->second)) {
-        if (work.startedAt <= measuredAt) {
-            break;
-        }
-        sum.prefillTokens += work.prefillTokens;
+    const std::vector<Work> &all = found->second;
+    for (std::size_t i = all.size(); i-- > 0 && all[i].startedAt > measuredAt;) {
+        sum.prefillTokens += all[i].prefillTokens;
         ++sum.requests;
     }
     return sum;
