--- a/src/vanilladyke/gateway/placer.cpp
+++ b/src/vanilladyke/gateway/placer.cpp
@@ -1,7 +1,6 @@
 #include "vanilladyke/gateway/placer.hpp"
 
 #include "vanilladyke/base/log.hpp"
-#include "vanilladyke/policy/placement.hpp"
 
 namespace vanilladyke {
 
@@ -22,27 +21,45 @@
     }
 }
 
-} // namespace
+PlacementRequest requestOf(const RequestContext &context, const std::vector<EngineId> &excluded)
+{
+    return {context.customer,
+            context.model,
+            context.chain,
+            context.promptTokens,
+            context.answerTokens,
+            context.firstTokenDeadline,
+            excluded};
+}
 
-std::optional<EngineView> placeAttempt(const RequestContext &context, const Fleet &fleet,
-                                       const std::vector<EngineId> &excluded, Random &random)
+/// Homes and reported load only, until the node keeps a view of its own.
+Placement decide(const RequestContext &context, const Fleet &fleet,
+                 const std::vector<EngineId> &excluded, Random &random)
 {
-    const PlacementRequest wanted{context.customer,
-                                  context.model,
-                                  context.chain,
-                                  context.promptTokens,
-                                  context.answerTokens,
-                                  context.firstTokenDeadline,
-                                  excluded};
     const Survival survival;
     const InFlight inFlight;
-    const Placement placement =
-            place(wanted, fleet, {{}, survival, inFlight, 1, {}}, MonotonicClock::now(), random);
+    return place(requestOf(context, excluded), fleet, {{}, survival, inFlight, 1, {}},
+                 MonotonicClock::now(), random);
+}
+
+} // namespace
+
+std::optional<Candidate> forecastPlacement(const RequestContext &context, const Fleet &fleet,
+                                           const std::vector<EngineId> &excluded, Random &random)
+{
+    return decide(context, fleet, excluded, random).winner;
+}
+
+std::optional<PlacedAttempt> placeAttempt(const RequestContext &context, const Fleet &fleet,
+                                          const std::vector<EngineId> &excluded, Random &random)
+{
+    const Placement placement = decide(context, fleet, excluded, random);
     logPlacement(context, fleet, placement);
     if (!placement.winner) {
         return std::nullopt;
     }
-    return fleet.engines[placement.winner->engine];
+    const Candidate &winner = *placement.winner;
+    return PlacedAttempt{fleet.engines[winner.engine], winner.wait + winner.prefill};
 }
 
 } // namespace vanilladyke
