Publish bundles through the log; operators' interface and commands

Nodes took their bundle from a file, so that no two could be sure to hold the same. Now each reads the log's stream of bundles and folds it; operators publish through any node and are told accepted, lost race, refused with reasons, unknown or log down. A lost answer to an append is settled by the record's nonce when the log is read. One node in rendezvous order repeats the accepted bundle as a checkpoint before the log drops it. Operators have an address and keys of their own.

The commands keys and bundle make keys, check (cross-references too), sign, publish and print status and history. The tests' harness publishes through a node instead of the file, which is gone from the settings.

--- a/include/vanilladyke/app/settings.hpp
+++ b/include/vanilladyke/app/settings.hpp
@@ -3,6 +3,8 @@
 #include "vanilladyke/base/outcome.hpp"
 #include "vanilladyke/model/bundle_json.hpp"
 #include "vanilladyke/model/ids.hpp"
+#include "vanilladyke/operators/operator_server.hpp"
+#include "vanilladyke/policy/bundle_fold.hpp"
 
 #include <optional>
 #include <string>
@@ -29,6 +31,14 @@
     std::string formerPublicKey; ///< accepted besides while keys are changed
 };
 
+/// @brief Where the platform's services are.
+struct PlatformSettings
+{
+    Endpoint log;
+    std::optional<Endpoint> hosts;                 ///< the host list; none to go without
+    Duration logRetention = std::chrono::hours(1); ///< how long the log keeps a record
+};
+
 /// @brief Everything in the settings file of one host.
 struct HostSettings
 {
@@ -38,8 +48,10 @@
     TlsFiles callersTls;
     Endpoint operators;                ///< where operators are served
     std::optional<PeerSettings> peers; ///< none for a node on its own
+    std::optional<PlatformSettings> platform;
+    TrustedSigners trusted;                ///< whose signatures of bundles count
+    std::vector<OperatorKey> operatorKeys; ///< who may use the operators' interface
     std::string logLevel = "info";
-    std::string bundleFile; ///< a bundle taken as accepted at start; for a first try without a log
 };
 
 /// @brief Reads settings and checks them; on failure every error is given.
--- a/include/vanilladyke/control/bundle_controller.hpp
+++ b/include/vanilladyke/control/bundle_controller.hpp
@@ -1,18 +1,52 @@
 #pragma once
 
+#include "vanilladyke/control/bundle_board.hpp"
 #include "vanilladyke/control/events.hpp"
+#include "vanilladyke/control/fleet_store.hpp"
+#include "vanilladyke/policy/bundle_fold.hpp"
+
+#include <functional>
 
 namespace vanilladyke {
 
-/// @brief Holds the bundle in force; a lower version never replaces a higher one.
+/// @brief What the bundle controller needs to know of its host.
+struct BundleControl
+{
+    NodeId node;
+    TrustedSigners trusted;
+    Duration logRetention = std::chrono::hours(1); ///< how long the log keeps a record
+    /// @brief Appends a checkpoint to the log; returns at once.
+    std::function<void(std::string record)> appendCheckpoint;
+};
+
+/// @brief Holds the bundle in force: what the fold over the log accepts, or a newer accepted one
+/// that a peer had. A lower version never replaces a higher one.
 class BundleController
 {
 public:
+    BundleController(BundleControl control, BundleBoard &board, const FleetStore &fleet);
+
     void handle(const Event &event, TimePoint now);
     void contribute(Fleet &fleet, TimePoint now) const;
 
 private:
+    void takePage(const LogPage &page);
+    void takeFromPeer(const AcceptedBundle &heard);
+    void enforce(const AcceptedBundle &accepted, std::string_view source);
+    void checkpoint(TimePoint now);
+    [[nodiscard]] Duration checkpointDelay() const;
+    void show();
+
+    BundleControl m_control;
+    BundleBoard &m_board;
+    const FleetStore &m_fleet;
+    BundleFold m_fold;
     std::shared_ptr<const Bundle> m_bundle;
+    std::shared_ptr<const AcceptedBundle> m_accepted; ///< null for a bundle from a file
+    bool m_logReachable = false;
+    std::string m_logTrouble = "the log has not been read yet";
+    std::optional<TimePoint> m_checkpointAt;
+    TimePoint m_nextCheckpointLook = TimePoint::min();
 };
 
 } // namespace vanilladyke
--- a/include/vanilladyke/control/events.hpp
+++ b/include/vanilladyke/control/events.hpp
@@ -4,6 +4,7 @@
 #include "vanilladyke/model/bundle.hpp"
 #include "vanilladyke/model/fleet.hpp"
 #include "vanilladyke/model/ids.hpp"
+#include "vanilladyke/policy/bundle_fold.hpp"
 #include "vanilladyke/policy/peer_message.hpp"
 
 #include <memory>
@@ -18,10 +19,22 @@
 struct Tick
 {};
 
-/// @brief A bundle was accepted and is in force from now on.
-struct BundleAccepted
+/// @brief A page of the log's stream of bundles was read.
+struct BundleLogRead
 {
-    std::shared_ptr<const Bundle> bundle;
+    std::shared_ptr<const LogPage> page;
+};
+
+/// @brief The log's stream of bundles can't be read.
+struct BundleLogDown
+{
+    std::string reason;
+};
+
+/// @brief A peer sent the bundle that is accepted by its knowledge; its signatures are not checked.
+struct BundleHeard
+{
+    std::shared_ptr<const AcceptedBundle> accepted;
 };
 
 /// @brief A model as an engine holds it.
@@ -64,8 +77,8 @@
     ReplyRoute route;
 };
 
-using Event = std::variant<Tick, BundleAccepted, EngineReported, EngineUnreachable, EngineLeaving,
-                           StopRequested, PeerHeard>;
+using Event = std::variant<Tick, BundleLogRead, BundleLogDown, BundleHeard, EngineReported,
+                           EngineUnreachable, EngineLeaving, StopRequested, PeerHeard>;
 
 /// @brief Whether the event may be dropped when the inbox is full: a later one makes up for it.
 [[nodiscard]] bool isSoft(const Event &event);
--- a/include/vanilladyke/model/fleet.hpp
+++ b/include/vanilladyke/model/fleet.hpp
@@ -3,6 +3,7 @@
 #include "vanilladyke/base/time.hpp"
 #include "vanilladyke/model/bundle.hpp"
 #include "vanilladyke/model/ids.hpp"
+#include "vanilladyke/model/log_page.hpp"
 #include "vanilladyke/model/member.hpp"
 
 #include <cstdint>
@@ -58,6 +59,7 @@
 struct Fleet
 {
     std::shared_ptr<const Bundle> bundle;    ///< null until one has been accepted
+    LogOffset bundleOffset = 0;              ///< where the log has it; the fencing number of orders
     std::vector<EngineView> engines;         ///< in the bundle's order
     std::uint32_t liveNodes = 1;             ///< nodes that share the engines, this one included
     std::vector<Member> members;             ///< all nodes known, this one first, the dead included
--- a/src/vanilladyke/app/command_line.cpp
+++ b/src/vanilladyke/app/command_line.cpp
@@ -1,10 +1,12 @@
 #include "vanilladyke/app/command_line.hpp"
 
+#include "vanilladyke/app/bundle_commands.hpp"
 #include "vanilladyke/app/serve.hpp"
 #include "vanilladyke/model/json_reader.hpp"
 
 #include <tclap/CmdLine.h>
 
+#include <algorithm>
 #include <iostream>
 #include <optional>
 #include <string>
@@ -16,9 +18,13 @@
 
 constexpr int WrongCall = 2;
 constexpr const char *Version = "0.1.0";
-constexpr const char *Usage = "usage: vanilladyke COMMAND [--help]\n"
-                              "  serve --settings FILE     run a node\n"
-                              "  settings check FILE       check host settings\n";
+constexpr const char *Usage =
+        "usage: vanilladyke COMMAND [--help]\n"
+        "  serve --settings FILE     run a node\n"
+        "  settings check FILE       check host settings\n"
+        "  keys new|show             secret keys of operators, nodes and customers\n"
+        "  bundle check|sign|publish|status|history\n"
+        "                            the life of a configuration bundle\n";
 
 std::optional<HostSettings> loadSettings(const std::string &path)
 {
@@ -66,6 +72,14 @@
     if (command == "serve") {
         return runServe(arguments);
     }
+    const std::string verb = argc > 2 ? argv[2] : "";
+    const std::vector<std::string> rest(argv + std::min(argc, 3), argv + argc);
+    if (command == "keys") {
+        return runKeys(verb, rest);
+    }
+    if (command == "bundle") {
+        return runBundle(verb, rest);
+    }
     if (command == "settings") {
         return runSettings(arguments);
     }
--- /dev/null
+++ b/src/vanilladyke/app/key_commands.cpp
@@ -0,0 +1,93 @@
+#include "vanilladyke/app/bundle_commands.hpp"
+#include "vanilladyke/app/command.hpp"
+#include "vanilladyke/app/settings.hpp"
+#include "vanilladyke/model/signing.hpp"
+#include "vanilladyke/peers/peer_transport.hpp"
+
+#include <iostream>
+
+namespace vanilladyke {
+
+namespace {
+
+std::string trimmed(const std::string &text)
+{
+    const std::size_t end = text.find_last_not_of(" \n\r\t");
+    return end == std::string::npos ? "" : text.substr(0, end + 1);
+}
+
+/// A signing key, a peer key, or an operator's bearer key, whichever the text is.
+std::string publicPart(const std::string &secret)
+{
+    if (const auto signing = parseSigningKey(secret)) {
+        return verifyKeyOf(*signing).hex();
+    }
+    if (isPeerKey(secret)) {
+        return publicPeerKey(secret);
+    }
+    return digestOf(secret);
+}
+
+int newKey(const std::vector<std::string> &arguments)
+{
+    TCLAP::CmdLine line("Makes a new secret key, writes it to a file that only its owner can read, "
+                        "and prints what settings or bundles are to hold of it.",
+                        ' ', ProgramVersion);
+    std::vector<std::string> kinds{"signing", "peers", "bearer"};
+    TCLAP::ValuesConstraint<std::string> constraint(kinds);
+    TCLAP::ValueArg<std::string> kind("k", "kind",
+                                      "signing: signs bundles; peers: links between nodes; "
+                                      "bearer: names an operator or a customer",
+                                      false, "signing", &constraint, line);
+    TCLAP::UnlabeledValueArg<std::string> file("file", "where the key is written", true, "", "FILE",
+                                               line);
+    if (const auto over = parseArguments(line, "keys new", arguments)) {
+        return *over;
+    }
+    const SigningKey random = newSigningKey();
+    std::string secret = random.hex();
+    if (kind.getValue() == "peers") {
+        secret = newPeerKeys().secretKey;
+    } else if (kind.getValue() == "bearer") {
+        secret = digestOf(secret);
+    }
+    if (!writeFile(file.getValue(), secret + "\n", true)) {
+        return CommandFailed;
+    }
+    std::cout << publicPart(secret) << '\n';
+    return CommandDone;
+}
+
+int showKey(const std::vector<std::string> &arguments)
+{
+    TCLAP::CmdLine line("Prints what settings or bundles are to hold of a secret key.", ' ',
+                        ProgramVersion);
+    TCLAP::UnlabeledValueArg<std::string> file("file", "the key", true, "", "FILE", line);
+    if (const auto over = parseArguments(line, "keys show", arguments)) {
+        return *over;
+    }
+    const auto text = readFile(file.getValue());
+    if (!text) {
+        std::cerr << file.getValue() << ": " << text.error().reason << '\n';
+        return CommandFailed;
+    }
+    std::cout << publicPart(trimmed(*text)) << '\n';
+    return CommandDone;
+}
+
+} // namespace
+
+int runKeys(const std::string &verb, const std::vector<std::string> &arguments)
+{
+    if (verb == "new") {
+        return newKey(arguments);
+    }
+    if (verb == "show") {
+        return showKey(arguments);
+    }
+    const bool help = verb == "--help" || verb == "-h";
+    (help ? std::cout : std::cerr) << "usage: vanilladyke keys new|show [--help]\n";
+    return help ? CommandDone : CommandMisused;
+}
+
+} // namespace vanilladyke
--- a/src/vanilladyke/app/serve.cpp
+++ b/src/vanilladyke/app/serve.cpp
@@ -4,12 +4,14 @@
 #include "vanilladyke/base/log.hpp"
 #include "vanilladyke/base/metrics.hpp"
 #include "vanilladyke/control/bundle_controller.hpp"
+#include "vanilladyke/control/bundle_log.hpp"
 #include "vanilladyke/control/control_thread.hpp"
 #include "vanilladyke/control/engine_controller.hpp"
 #include "vanilladyke/control/engine_poller.hpp"
 #include "vanilladyke/control/membership_controller.hpp"
 #include "vanilladyke/gateway/caller_server.hpp"
 #include "vanilladyke/model/json_reader.hpp"
+#include "vanilladyke/operators/operator_server.hpp"
 
 #include <csignal>
 #include <thread>
@@ -43,17 +45,61 @@
     return signals;
 }
 
-void takeBundleFile(const std::string &path, Inbox &inbox)
+/// The two threads that talk to the log's stream of bundles; none on a node without a log.
+class BundleLog
 {
-    const auto text = readFile(path);
-    const auto bundle = parseBundle(text ? *text : "");
-    if (!bundle) {
-        LogEvent("bundle_refused", Severity::Error)
-                .field("file", path)
-                .field("errors", describe(path, bundle.error()));
-        return;
+public:
+    BundleLog(const std::optional<PlatformSettings> &platform, Inbox &inbox)
+        : m_platform(platform)
+        , m_inbox(inbox)
+    {
+        if (platform) {
+            m_appender.emplace(platform->log);
+        }
+    }
+
+    void startReading()
+    {
+        if (m_platform) {
+            m_tail.emplace(m_platform->log, m_inbox);
+        }
+    }
+
+    void append(std::string record)
+    {
+        if (m_appender) {
+            m_appender->append(std::move(record));
+        }
+    }
+
+private:
+    const std::optional<PlatformSettings> &m_platform;
+    Inbox &m_inbox;
+    std::optional<CheckpointAppender> m_appender;
+    std::optional<BundleLogTail> m_tail;
+};
+
+BundleControl bundleControl(const HostSettings &settings, BundleLog &log)
+{
+    BundleControl control;
+    control.node = settings.node;
+    control.trusted = settings.trusted;
+    if (settings.platform) {
+        control.logRetention = settings.platform->logRetention;
+    }
+    control.appendCheckpoint = [&log](std::string record) { log.append(std::move(record)); };
+    return control;
+}
+
+OperatorContext operatorContext(const HostSettings &settings, const FleetStore &fleet,
+                                const BundleBoard &board, const Metrics &metrics)
+{
+    PublishSettings publishing;
+    publishing.trusted = settings.trusted;
+    if (settings.platform) {
+        publishing.log = settings.platform->log;
     }
-    inbox.post(BundleAccepted{std::make_shared<const Bundle>(*bundle)});
+    return {settings.node, settings.operatorKeys, std::move(publishing), fleet, board, metrics, {}};
 }
 
 } // namespace
@@ -75,7 +121,9 @@
     Metrics metrics;
     FleetStore fleet;
     Inbox inbox(InboxCapacity);
-    BundleController bundles;
+    BundleBoard board;
+    BundleLog bundleLog(settings.platform, inbox);
+    BundleController bundles(bundleControl(settings, bundleLog), board, fleet);
     PeerTransport transport(*peerKeys, [&inbox](PeerMessage message, ReplyRoute route) {
         inbox.post(PeerHeard{std::move(message), std::move(route)});
     });
@@ -94,9 +142,12 @@
     }
     const ControlThread control(inbox, fleet, bundles, members, engines);
     const EnginePoller poller(fleet, inbox);
-    if (!settings.bundleFile.empty()) {
-        takeBundleFile(settings.bundleFile, inbox);
+    OperatorServer operators(operatorContext(settings, fleet, board, metrics));
+    if (!operators.bind(settings.operators)) {
+        LogEvent("bind_failed", Severity::Error).field("operators", settings.operators.str());
+        return EXIT_FAILURE;
     }
+    bundleLog.startReading();
 
     CallerServer callers(fleet, metrics);
     if (!callers.bind(settings.callers)) {
@@ -104,12 +155,15 @@
         return EXIT_FAILURE;
     }
     std::thread traffic([&] { callers.run(); });
+    std::thread operatorTraffic([&] { operators.run(); });
     LogEvent("serving").field("callers", settings.callers.str());
     int signal = 0;
     sigwait(&signals, &signal);
     LogEvent("stopping").field("signal", signal);
     callers.stop();
     traffic.join();
+    operators.stop();
+    operatorTraffic.join();
     LogEvent("stopped").field("exit", EXIT_SUCCESS);
     return EXIT_SUCCESS;
 }
--- a/src/vanilladyke/app/settings.cpp
+++ b/src/vanilladyke/app/settings.cpp
@@ -47,6 +47,47 @@
     return peers;
 }
 
+PlatformSettings readPlatform(JsonReader &reader)
+{
+    reader.allowOnly({"log", "hosts", "log_retention_ms"});
+    PlatformSettings platform;
+    reader.endpoint("log", &platform.log);
+    if (reader.has("hosts")) {
+        reader.endpoint("hosts", &platform.hosts.emplace());
+    }
+    reader.milliseconds("log_retention_ms", &platform.logRetention, std::chrono::seconds(1),
+                        std::chrono::hours(24 * 365));
+    return platform;
+}
+
+void readSigners(JsonReader &reader, TrustedSigners *trusted)
+{
+    std::vector<std::string> keys;
+    reader.texts("trusted_signers", &keys);
+    for (const std::string &text : keys) {
+        if (const auto key = parseVerifyKey(text)) {
+            trusted->keys.insert(*key);
+        } else {
+            reader.fail("trusted_signers", "holds " + text + ", which is no key from `keys new`");
+        }
+    }
+    std::uint64_t needed = trusted->needed;
+    reader.integer("signatures_needed", &needed, 1, 100);
+    trusted->needed = needed;
+    if (reader.has("platform") && trusted->keys.size() < needed) {
+        reader.fail("trusted_signers", "must name as many signers as signatures are needed");
+    }
+}
+
+OperatorKey readOperator(JsonReader &reader)
+{
+    reader.allowOnly({"id", "digest"});
+    OperatorKey key;
+    reader.text("id", &key.id);
+    reader.text("digest", &key.digest);
+    return key;
+}
+
 } // namespace
 
 Outcome<HostSettings, std::vector<FieldError>> parseSettings(std::string_view text)
@@ -59,7 +100,8 @@
     HostSettings settings;
     JsonReader reader(object, "", &errors);
     reader.allowOnly({"node", "data_centre", "callers", "callers_tls", "operators", "peers",
-                      "log_level", "bundle_file"});
+                      "log_level", "platform", "trusted_signers", "signatures_needed",
+                      "operator_keys"});
     reader.id("node", &settings.node);
     reader.id("data_centre", &settings.dataCentre);
     reader.endpoint("callers", &settings.callers);
@@ -67,7 +109,10 @@
     reader.endpoint("operators", &settings.operators);
     reader.object("peers", [&](JsonReader &in) { settings.peers = readPeers(in); });
     checkLogLevel(reader, &settings.logLevel);
-    reader.text("bundle_file", &settings.bundleFile, false);
+    reader.object("platform", [&](JsonReader &in) { settings.platform = readPlatform(in); });
+    readSigners(reader, &settings.trusted);
+    reader.objects("operator_keys",
+                   [&](JsonReader &in) { settings.operatorKeys.push_back(readOperator(in)); });
     if (!errors.empty()) {
         return failure(std::move(errors));
     }
--- a/src/vanilladyke/control/bundle_controller.cpp
+++ b/src/vanilladyke/control/bundle_controller.cpp
@@ -1,25 +1,167 @@
 #include "vanilladyke/control/bundle_controller.hpp"
 
 #include "vanilladyke/base/log.hpp"
+#include "vanilladyke/model/json_reader.hpp"
+
+#include <algorithm>
 
 namespace vanilladyke {
 
-void BundleController::handle(const Event &event, TimePoint /*now*/)
+namespace {
+
+/// Each further node waits this much longer before it writes the checkpoint that the first one
+/// should have written: time enough to append it and for all to read it.
+constexpr Duration CheckpointRankDelay = std::chrono::seconds(2);
+constexpr Duration CheckpointLookEvery = std::chrono::milliseconds(500);
+
+} // namespace
+
+BundleController::BundleController(BundleControl control, BundleBoard &board,
+                                   const FleetStore &fleet)
+    : m_control(std::move(control))
+    , m_board(board)
+    , m_fleet(fleet)
+    , m_fold(m_control.trusted)
 {
-    const auto *accepted = std::get_if<BundleAccepted>(&event);
-    if (accepted == nullptr) {
-        return;
+    show();
+}
+
+void BundleController::handle(const Event &event, TimePoint now)
+{
+    if (const auto *read = std::get_if<BundleLogRead>(&event)) {
+        takePage(*read->page);
+    } else if (const auto *down = std::get_if<BundleLogDown>(&event)) {
+        m_logReachable = false;
+        m_logTrouble = down->reason;
+        show();
+    } else if (const auto *heard = std::get_if<BundleHeard>(&event)) {
+        takeFromPeer(*heard->accepted);
     }
-    if (m_bundle && accepted->bundle->version <= m_bundle->version) {
-        return;
+    if (now >= m_nextCheckpointLook) {
+        m_nextCheckpointLook = now + CheckpointLookEvery;
+        checkpoint(now);
     }
-    m_bundle = accepted->bundle;
-    LogEvent("bundle_in_force").field("version", m_bundle->version);
 }
 
 void BundleController::contribute(Fleet &fleet, TimePoint /*now*/) const
 {
     fleet.bundle = m_bundle;
+    fleet.bundleOffset = m_accepted ? m_accepted->entry.offset : 0;
+}
+
+void BundleController::takePage(const LogPage &page)
+{
+    const bool cameBack = !m_logReachable;
+    m_logReachable = true;
+    m_logTrouble.clear();
+    const std::vector<FoldNote> notes = m_fold.apply(page);
+    for (const FoldNote &note : notes) {
+        LogEvent("bundle_record",
+                 note.verdict == FoldVerdict::Refused ? Severity::Warning : Severity::Info)
+                .field("offset", note.offset)
+                .field("verdict", toString(note.verdict))
+                .field("version", note.version)
+                .field("accepted_version", note.acceptedVersion)
+                .field("reason", note.reason);
+    }
+    const auto &accepted = m_fold.accepted();
+    if (accepted && m_fold.caughtUp()) {
+        enforce(*accepted, "log");
+    }
+    if (cameBack || !notes.empty()) {
+        show();
+    }
+    for (const FoldNote &note : notes) {
+        m_board.addNote(note);
+    }
+}
+
+/// A peer's word counts no more than the signatures: a peer that lies can't bring in a bundle that
+/// was never signed, nor an older one.
+void BundleController::takeFromPeer(const AcceptedBundle &heard)
+{
+    if (validSigners(heard.bundle, m_control.trusted).size() < m_control.trusted.needed) {
+        LogEvent("bundle_refused", Severity::Warning)
+                .field("source", "peer")
+                .field("version", heard.entry.version)
+                .field("reason", "too few trusted signatures hold");
+        return;
+    }
+    enforce(heard, "peer");
+    show();
+}
+
+void BundleController::enforce(const AcceptedBundle &accepted, std::string_view source)
+{
+    const auto header = parseBundleHeader(accepted.bundle.text);
+    const bool newer = header && (!m_bundle || header->version > m_bundle->version);
+    if (!newer) {
+        return;
+    }
+    auto bundle = parseBundle(accepted.bundle.text);
+    if (!bundle) {
+        LogEvent("bundle_unreadable", Severity::Error)
+                .field("version", header->version)
+                .field("errors", describe("bundle", bundle.error()));
+        return;
+    }
+    m_bundle = std::make_shared<const Bundle>(std::move(*bundle));
+    m_accepted = std::make_shared<const AcceptedBundle>(accepted);
+    LogEvent("bundle_in_force")
+            .field("version", m_bundle->version)
+            .field("digest", accepted.entry.digest)
+            .field("offset", accepted.entry.offset)
+            .field("source", source);
+}
+
+void BundleController::checkpoint(TimePoint now)
+{
+    auto due = m_fold.checkpointDue(std::chrono::system_clock::now(), m_control.logRetention);
+    if (!due || !m_logReachable) {
+        m_checkpointAt.reset();
+        return;
+    }
+    if (!m_checkpointAt) {
+        m_checkpointAt = now + checkpointDelay();
+    }
+    if (now < *m_checkpointAt) {
+        return;
+    }
+    m_checkpointAt = now + CheckpointRankDelay;
+    due->nonce = newUuid();
+    LogEvent("checkpoint")
+            .field("version", m_fold.accepted()->entry.version)
+            .field("as_of", due->checkpoint->asOf);
+    m_control.appendCheckpoint(writeBundleRecord(*due));
+}
+
+/// By rendezvous over the live nodes: the order differs from bundle to bundle, and all nodes agree
+/// on it without a word.
+Duration BundleController::checkpointDelay() const
+{
+    const std::shared_ptr<const Fleet> fleet = m_fleet.current();
+    const std::string &digest = m_fold.accepted()->entry.digest;
+    const std::string own = digestOf(digest + m_control.node.str());
+    const auto before =
+            std::count_if(fleet->members.begin(), fleet->members.end(), [&](const Member &member) {
+                return member.liveness == Liveness::Alive && member.node != m_control.node
+                       && digestOf(digest + member.node.str()) < own;
+            });
+    return CheckpointRankDelay * before;
+}
+
+void BundleController::show()
+{
+    BundleStatus status;
+    status.accepted = m_accepted;
+    status.history = m_fold.history();
+    status.logReachable = m_logReachable;
+    status.logUnbroken = m_fold.unbroken();
+    status.logTrouble = m_logTrouble;
+    if (m_logReachable && !m_fold.unbroken()) {
+        status.logTrouble = "records were dropped before they were read; waiting for a checkpoint";
+    }
+    m_board.show(std::move(status));
 }
 
 } // namespace vanilladyke
--- a/src/vanilladyke/control/inbox_test.cpp
+++ b/src/vanilladyke/control/inbox_test.cpp
@@ -10,16 +10,16 @@
 TEST(Inbox, DropsTheOldestSoftEventAndNeverABundle)
 {
     Inbox inbox(2);
-    inbox.post(BundleAccepted{});
+    inbox.post(BundleLogRead{});
     inbox.post(EngineReported{EngineId("a"), {}, {}, {}});
     inbox.post(EngineReported{EngineId("b"), {}, {}, {}});
-    inbox.post(BundleAccepted{});
-    inbox.post(BundleAccepted{});
+    inbox.post(BundleLogRead{});
+    inbox.post(BundleLogRead{});
     EXPECT_EQ(inbox.dropped(), 2U);
     for (int i = 0; i < 3; ++i) {
         const auto event = inbox.take(MonotonicClock::now());
         ASSERT_TRUE(event.has_value());
-        EXPECT_TRUE(std::holds_alternative<BundleAccepted>(*event));
+        EXPECT_TRUE(std::holds_alternative<BundleLogRead>(*event));
     }
     EXPECT_FALSE(inbox.take(MonotonicClock::now()).has_value());
 }
--- a/tests/integration/harness.py
+++ b/tests/integration/harness.py
@@ -2,6 +2,7 @@
 
 import argparse
 import contextlib
+import copy
 import hashlib
 import http.client
 import json
@@ -15,6 +16,12 @@
 import zlib
 
 WAIT_SECONDS = 30.0
+OPERATOR_KEY = "operator-key"
+OPERATOR = {"Authorization": "Bearer " + OPERATOR_KEY}
+# A key pair for tests only: the secret half holds the public one at its end.
+SIGNING_KEY = ("10392db94f37c9c0ab2c3ee084a1d7b2babc8dcb509dec336fdb7d200e315759"
+               "2276e4103d0ad19e2172327aa865006e3a03c2dfe22b64a8781acb6145b4b751")
+SIGNER = "2276e4103d0ad19e2172327aa865006e3a03c2dfe22b64a8781acb6145b4b751"
 
 # A fleet's key pair for peer links, made for these tests and used nowhere else.
 PEER_PUBLIC_KEY = 'v/e[w[t-k]wA7rgIYcoejd?e=UCv)eNV.KwPIQ20'
@@ -97,6 +104,8 @@
         self.processes = []
         self.engines = {}
         self.seed = None
+        self.platform_process = None
+        self.published = None
         self.bundle = {
             "version": 1,
             "models": [{"id": "copy", "weights": "w1"}],
@@ -134,6 +143,10 @@
         self.seed = self.seed or listen
         return {"listen": listen, "seeds": [self.seed], "public_key": PEER_PUBLIC_KEY, "secret_key_file": secret}
 
+    def platform_settings(self):
+        platform = self.platform_process or self.platform()
+        return {"log": f"127.0.0.1:{platform.port}", "hosts": f"127.0.0.1:{platform.port}"}
+
     def platform(self):
         """The platform's stand-in: .port for its protocols; faults() and hosts() change it."""
         port, control = free_port(), free_port()
@@ -147,19 +160,53 @@
 
         process.faults = lambda **faults: order("/control/faults", faults)
         process.hosts = lambda hosts: order("/control/hosts", {"hosts": hosts})
+        self.platform_process = process
         process.state = lambda: json.loads(http_call(control, "GET", "/control/state")[1])
         wait_until(lambda: http_call(port, "GET", "/v1/hosts")[0] == 200, "platform up")
         return process
 
+    def sign(self, bundle):
+        """The bundle with one signature, as operators hand it in."""
+        key = self.path("operator.sign")
+        if not os.path.exists(key):
+            with open(key, "w", encoding="utf-8") as out:
+                out.write(SIGNING_KEY)
+        signed = self.path("bundle.signed")
+        subprocess.run([f"{self.build}/vanilladyke", "bundle", "sign", self.write("bundle.jsonc", bundle),
+                        "--key", key, "--out", signed], check=True, stdout=subprocess.DEVNULL)
+        with open(signed, encoding="utf-8") as text:
+            return text.read()
+
+    def publish(self, node, signed):
+        """What the node says became of the signed bundle."""
+        status, body, _ = http_call(node.operators, "POST", "/operator/v1/bundles", signed, OPERATOR)
+        return status, json.loads(body)
+
+    def publish_bundle(self, node):
+        """Publishes self.bundle as the next version."""
+        answer = json.loads(http_call(node.operators, "GET", "/operator/v1/status", headers=OPERATOR)[1])
+        if answer["version"]:
+            self.bundle["version"] = answer["version"] + 1
+            self.bundle["parent"] = answer["digest"]
+        status, result = self.publish(node, self.sign(self.bundle))
+        assert status == 200, result
+
     def node(self, name):
         port, operators = free_port(), free_port()
         settings = {"node": name, "data_centre": "yaba-hall", "callers": f"127.0.0.1:{port}",
-                    "operators": f"127.0.0.1:{operators}",
-                    "bundle_file": self.write("bundle.jsonc", self.bundle)}
+                    "operators": f"127.0.0.1:{operators}", "platform": self.platform_settings(),
+                    "trusted_signers": [SIGNER], "signatures_needed": 1,
+                    "operator_keys": [{"id": "ana", "digest": key_digest(OPERATOR_KEY)}]}
         settings["peers"] = self.peer_settings()
         process = self.start(name, [f"{self.build}/vanilladyke", "serve", "--settings",
                                     self.write(name + ".jsonc", settings)])
         process.port, process.operators = port, operators
+        if self.published != self.bundle:
+            wait_until(lambda: http_call(operators, "GET", "/healthz")[0] == 200, name + " up")
+            wait_until(lambda: json.loads(http_call(operators, "GET", "/operator/v1/status",
+                                                    headers=OPERATOR)[1])["log_reachable"], name + " reads the log")
+            self.publish_bundle(process)
+            self.published = copy.deepcopy(self.bundle)
         wait_until(lambda: http_call(port, "GET", "/readyz")[0] == 200, name + " ready")
         wait_until(lambda: process.log_text().count("event=engine_up") >= len(self.engines),
                    name + " knows the engines")
