Carry a stream over attempts, engines and nodes

A cut connection, a silent one, a crash or a crossed answer broke the caller's stream, and a read error could pass for a failed connect. A guard now passes on only the next offset of the attempt under way; a broken attempt is resumed on a new connection, or continued on another engine from the prompt and what the caller has; an end counts only with the engine's own count of frames. Event ids are signed for customer and prompt, so that any node takes Last-Event-ID. What nobody reads is cancelled at the engine, and an answer that can't be finished ends with an error event. SIGTERM first tells the balancer, serves until its lag has passed and finishes every stream; a second one hurries.

Ending an exchange no longer waits for a connection that is being made.

--- a/include/vanilladyke/app/settings.hpp
+++ b/include/vanilladyke/app/settings.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "vanilladyke/base/outcome.hpp"
+#include "vanilladyke/base/time.hpp"
 #include "vanilladyke/model/bundle_json.hpp"
 #include "vanilladyke/model/ids.hpp"
 
@@ -27,6 +28,8 @@
     TlsFiles callersTls;
     Endpoint operators; ///< where operators are served
     std::string logLevel = "info";
+    std::string streamKey; ///< signs event ids: 64 hexadecimal digits, the same on all nodes
+    Duration balancerLag = std::chrono::seconds(5); ///< until the balancer minds /readyz
     std::string bundleFile; ///< a bundle taken as accepted at start; for a first try without a log
 };
 
--- a/include/vanilladyke/gateway/engine_exchange.hpp
+++ b/include/vanilladyke/gateway/engine_exchange.hpp
@@ -24,13 +24,18 @@
     std::string path;    ///< /v1/chat/completions or /v1/completions
     std::string body;
     PrefixChain chain;
-    std::uint32_t resumeOffset = 0; ///< tokens that the caller already has
+    Priority priority = Priority::Normal;
+    std::uint32_t resumeOffset = 0; ///< frames of the answer that need not be sent
+    std::uint32_t answerOffset = 0; ///< tokens of the answer that the prompt ends with
+    Duration silence =
+            std::chrono::seconds(2); ///< the bundle's limit, for the reader's own time-out
 };
 
-/// @brief One token, or the end, of an answer.
+/// @brief One event of an answer, or its end.
 struct StreamFrame
 {
-    std::uint32_t offset = 0; ///< tokens up to and with this one
+    std::string attempt;      ///< that the frame belongs to, by its own word
+    std::uint32_t offset = 0; ///< frames up to and with this one; at the end, of the whole answer
     std::string data;         ///< the event's JSON as the engine sent it
     bool end = false;
 };
@@ -56,17 +61,21 @@
 /// @brief What the failure says about whether the call may have run.
 [[nodiscard]] ExchangeEvent eventOf(ExchangeError error);
 
-/// @brief An exchange under way; ending the object closes the connection.
+class ReaderThreads;
+
+/// @brief An exchange under way; ending the object closes the connection without waiting.
 class EngineExchange
 {
 public:
-    explicit EngineExchange(const EngineCall &call);
+    EngineExchange(const EngineCall &call, ReaderThreads &threads);
     EngineExchange(const EngineExchange &) = delete;
     EngineExchange &operator=(const EngineExchange &) = delete;
     ~EngineExchange();
 
     /// @brief Waits for the next frame. @return Silent once the deadline has passed
     [[nodiscard]] Outcome<StreamFrame, ExchangeFailure> next(TimePoint deadline);
+    /// @brief When the engine last sent anything, a comment included; at first, when it was asked.
+    [[nodiscard]] TimePoint heardAt() const;
 
 private:
     struct Shared;
--- a/include/vanilladyke/gateway/exchange_context.hpp
+++ b/include/vanilladyke/gateway/exchange_context.hpp
@@ -16,6 +16,18 @@
 /// A caller's request on its way through the filter chain.
 namespace vanilladyke {
 
+/// @brief A place in the answer of one request: which engine makes it, and how far the caller is.
+struct StreamPosition
+{
+    EngineId engine;
+    Incarnation incarnation{};
+    StreamId stream;
+    std::uint32_t start = 0;  ///< frames before the stream began, made by an earlier engine
+    std::uint32_t offset = 0; ///< frames that the caller has
+
+    bool operator==(const StreamPosition &) const = default;
+};
+
 /// @brief All that is known of one request; each filter reads what it needs and adds its part.
 struct RequestContext
 {
@@ -24,6 +36,7 @@
     std::string path;
     std::string bearer; ///< never logged
     std::string deadlineHeader;
+    std::string lastEventId; ///< of a caller that comes back for the rest of a stream
     std::string body;
     TimePoint arrivedAt;
     std::shared_ptr<const Fleet> fleet;
@@ -32,13 +45,16 @@
     CustomerId customer;
     ModelId model;
     WeightsVersion weights;
+    Priority priority = Priority::Normal;
     bool streamed = false;
-    std::string engineBody; ///< what the engine gets: always streamed
+    bool wantsUsage = false; ///< the caller asked for the usage frame of a stream
+    std::string engineBody;  ///< what the engine gets: always streamed
     std::vector<std::string> messages;
     std::uint32_t promptTokens = 0;
     std::uint32_t answerTokens = 0;
     PrefixChain chain;
     TimePoint firstTokenDeadline;
+    std::optional<StreamPosition> resumeAt; ///< where lastEventId says
 };
 
 /// @brief Whether the request is a chat completion, not a plain one.
--- a/src/vanilladyke/app/settings.cpp
+++ b/src/vanilladyke/app/settings.cpp
@@ -19,6 +19,17 @@
     }
 }
 
+constexpr std::size_t StreamKeyDigits = 64;
+
+void checkStreamKey(JsonReader &reader, std::string *key)
+{
+    reader.text("stream_key", key, false);
+    const bool digits = key->find_first_not_of("0123456789abcdef") == std::string::npos;
+    if (!key->empty() && (key->size() != StreamKeyDigits || !digits)) {
+        reader.fail("stream_key", "must be 64 lower-case hexadecimal digits");
+    }
+}
+
 void readTls(JsonReader &reader, TlsFiles *files)
 {
     reader.allowOnly({"certificate", "private_key"});
@@ -38,13 +49,16 @@
     HostSettings settings;
     JsonReader reader(object, "", &errors);
     reader.allowOnly({"node", "data_centre", "callers", "callers_tls", "operators", "log_level",
-                      "bundle_file"});
+                      "bundle_file", "stream_key", "balancer_lag_ms"});
     reader.id("node", &settings.node);
     reader.id("data_centre", &settings.dataCentre);
     reader.endpoint("callers", &settings.callers);
     reader.object("callers_tls", [&](JsonReader &in) { readTls(in, &settings.callersTls); });
     reader.endpoint("operators", &settings.operators);
     checkLogLevel(reader, &settings.logLevel);
+    checkStreamKey(reader, &settings.streamKey);
+    reader.milliseconds("balancer_lag_ms", &settings.balancerLag, std::chrono::milliseconds(0),
+                        std::chrono::minutes(10));
     reader.text("bundle_file", &settings.bundleFile, false);
     if (!errors.empty()) {
         return failure(std::move(errors));
--- /dev/null
+++ b/src/vanilladyke/gateway/answer_so_far.cpp
@@ -0,0 +1,77 @@
+#include "vanilladyke/gateway/answer_so_far.hpp"
+
+#include "vanilladyke/gateway/answer_assembly.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace vanilladyke {
+
+namespace {
+
+std::string textOf(const std::string &frame)
+{
+    const nlohmann::json chunk = nlohmann::json::parse(frame, nullptr, false);
+    return chunk.is_discarded() ? std::string() : chunkText(chunk);
+}
+
+void lessen(nlohmann::json &body, const char *field, std::uint32_t tokens)
+{
+    const auto limit = body.find(field);
+    if (limit != body.end()) {
+        const auto before = limit->get<std::uint32_t>();
+        *limit = before - std::min(before, tokens);
+    }
+}
+
+} // namespace
+
+void AnswerSoFar::add(std::uint32_t offset, const std::string &data)
+{
+    if (offset == m_start + m_frames.size() + 1) {
+        m_frames.push_back(data);
+    }
+}
+
+bool AnswerSoFar::covers(std::uint32_t offset) const
+{
+    return m_start == 0 && offset <= m_frames.size();
+}
+
+std::uint32_t AnswerSoFar::tokens() const
+{
+    std::size_t count = m_frames.size();
+    while (count > 0 && textOf(m_frames[count - 1]).empty()) {
+        --count;
+    }
+    return static_cast<std::uint32_t>(count);
+}
+
+std::string AnswerSoFar::text() const
+{
+    std::string all;
+    for (const std::string &frame : m_frames) {
+        all += textOf(frame);
+    }
+    return all;
+}
+
+std::string AnswerSoFar::continuedBody(const RequestContext &context) const
+{
+    const std::uint32_t have = tokens();
+    if (have == 0) {
+        return context.engineBody;
+    }
+    nlohmann::json body = nlohmann::json::parse(context.engineBody);
+    if (isChat(context)) {
+        body["messages"].push_back({{"role", "assistant"}, {"content", text()}});
+        body["add_generation_prompt"] = false;
+        body["continue_final_message"] = true;
+    } else {
+        body["prompt"] = body["prompt"].get<std::string>() + text();
+    }
+    lessen(body, "max_tokens", have);
+    lessen(body, "max_completion_tokens", have);
+    return body.dump();
+}
+
+} // namespace vanilladyke
--- a/src/vanilladyke/gateway/caller_server.cpp
+++ b/src/vanilladyke/gateway/caller_server.cpp
@@ -1,15 +1,23 @@
 #include "vanilladyke/gateway/caller_server.hpp"
 
+#include "vanilladyke/base/log.hpp"
 #include "vanilladyke/gateway/completion_handler.hpp"
+#include "vanilladyke/gateway/in_flight.hpp"
+#include "vanilladyke/gateway/refusal_response.hpp"
 
 #include <httplib.h>
 
+#include <atomic>
+
 namespace vanilladyke {
 
 namespace {
 
 constexpr std::size_t TrafficThreads = 512;
 constexpr std::string_view BearerScheme = "Bearer ";
+constexpr const char *RequestIdHeader = "X-Request-Id";
+
+enum class ServerStage { Serving, Leaving, Refusing };
 
 RequestContext contextOf(const httplib::Request &request, std::shared_ptr<const Fleet> fleet)
 {
@@ -21,62 +29,181 @@
         context.bearer = authorization.substr(BearerScheme.size());
     }
     context.deadlineHeader = request.get_header_value("X-Request-Deadline");
-    context.body = request.body;
+    context.lastEventId = request.get_header_value("Last-Event-ID");
     context.arrivedAt = MonotonicClock::now();
     context.fleet = std::move(fleet);
     return context;
 }
 
+/// The limit on a body; without a bundle nothing is taken, as nothing can be served.
+std::uint64_t bodyLimit(const Fleet &fleet)
+{
+    return fleet.bundle ? fleet.bundle->limits.bodyBytes : 0;
+}
+
+/// Reads the body up to the limit. What lies beyond is read and thrown away, so that the caller
+/// gets to read the refusal instead of a reset. @return false if the body was larger or broke off
+bool readBody(const httplib::ContentReader &reader, std::uint64_t limit, std::string *body)
+{
+    bool fits = true;
+    const bool whole = reader([&](const char *data, std::size_t size) {
+        fits = fits && body->size() + size <= limit;
+        if (fits) {
+            body->append(data, size);
+        }
+        return true;
+    });
+    return whole && fits;
+}
+
+EventKey eventKeyOf(const CallerServerOptions &options)
+{
+    const auto key = parseEventKey(options.streamKey);
+    if (!key) {
+        LogEvent("stream_key_missing", Severity::Warning)
+                .field("effect", "no other node takes this node's event ids");
+    }
+    return key ? *key : randomEventKey();
+}
+
 } // namespace
 
 struct CallerServer::Private
 {
-    Private(const FleetStore &store, Metrics &nodeMetrics)
+    Private(const FleetStore &store, Metrics &nodeMetrics, const CallerServerOptions &options)
         : fleet(store)
         , metrics(nodeMetrics)
-        , completions(store, nodeMetrics)
+        , completions(store, nodeMetrics, eventKeyOf(options))
     {}
 
-    void complete(const httplib::Request &request, httplib::Response &response);
+    void route();
+    void complete(const httplib::Request &request, httplib::Response &response,
+                  const httplib::ContentReader &reader);
+    [[nodiscard]] RequestContext begin(const httplib::Request &request,
+                                       httplib::Response &response);
+    [[nodiscard]] std::optional<Refusal> admit(RequestContext &context,
+                                               const httplib::ContentReader &reader) const;
+    void tellReadiness(httplib::Response &response) const;
+    static void explainError(const httplib::Request &request, httplib::Response &response);
 
     const FleetStore &fleet;
     Metrics &metrics;
+    InFlight inFlight;
+    std::atomic<ServerStage> stage{ServerStage::Serving};
     CompletionHandler completions;
     httplib::Server server;
 };
 
-void CallerServer::Private::complete(const httplib::Request &request, httplib::Response &response)
+/// Counts the request in; the server's logger, which runs after the last byte, counts it out.
+RequestContext CallerServer::Private::begin(const httplib::Request &request,
+                                            httplib::Response &response)
 {
     metrics.count("requests_total");
+    inFlight.arrived();
     RequestContext context = contextOf(request, fleet.current());
-    response.set_header("X-Request-Id", context.id.str());
+    response.set_header(RequestIdHeader, context.id.str());
+    if (stage != ServerStage::Serving) {
+        // A caller that kept the connection would send its next request into the closing of it.
+        response.set_header("Connection", "close");
+    }
+    return context;
+}
+
+std::optional<Refusal> CallerServer::Private::admit(RequestContext &context,
+                                                    const httplib::ContentReader &reader) const
+{
+    const std::uint64_t limit = bodyLimit(*context.fleet);
+    const bool read = readBody(reader, limit, &context.body);
+    if (stage == ServerStage::Refusing) {
+        return Refusal{RefusalReason::ShuttingDown, "this node is stopping", Ran::No,
+                       MonotonicClock::now()};
+    }
+    if (!read && context.fleet->bundle) {
+        return Refusal{RefusalReason::TooLarge,
+                       "the body is larger than " + std::to_string(limit) + " bytes or not whole",
+                       Ran::No, std::nullopt};
+    }
+    return std::nullopt;
+}
+
+void CallerServer::Private::complete(const httplib::Request &request, httplib::Response &response,
+                                     const httplib::ContentReader &reader)
+{
+    RequestContext context = begin(request, response);
+    if (const auto refusal = admit(context, reader)) {
+        writeRefusal(*refusal, context.id, MonotonicClock::now(), response);
+        return;
+    }
     completions(std::move(context), response);
 }
 
-CallerServer::CallerServer(const FleetStore &fleet, Metrics &metrics)
-    : m_private(std::make_unique<Private>(fleet, metrics))
+void CallerServer::Private::tellReadiness(httplib::Response &response) const
+{
+    const bool hasBundle = fleet.current()->bundle != nullptr;
+    const bool leaving = stage != ServerStage::Serving;
+    response.status = hasBundle && !leaving ? 200 : 503;
+    response.set_content(leaving     ? "leaving\n"
+                         : hasBundle ? "ready\n"
+                                     : "no bundle has been accepted yet\n",
+                         "text/plain");
+}
+
+/// The library's own errors come without a body: bad requests, unknown paths, broken invariants.
+void CallerServer::Private::explainError(const httplib::Request &request,
+                                         httplib::Response &response)
+{
+    if (!response.body.empty()) {
+        return;
+    }
+    const bool ours = response.status >= 500;
+    const int status = response.status;
+    const RequestId id = response.has_header(RequestIdHeader)
+                                 ? RequestId(response.get_header_value(RequestIdHeader))
+                                 : RequestId(newUuid());
+    writeRefusal(
+            {ours ? RefusalReason::BackendFailed : RefusalReason::BadRequest,
+             ours ? "internal error" : "no such path, method or form of request: " + request.path,
+             ours ? Ran::Unknown : Ran::No, std::nullopt},
+            id, MonotonicClock::now(), response);
+    response.status = status;
+}
+
+void CallerServer::Private::route()
 {
-    httplib::Server &server = m_private->server;
-    server.new_task_queue = [] { return new httplib::ThreadPool(TrafficThreads); };
-    server.set_tcp_nodelay(true);
-    const auto handler = [this](const httplib::Request &request, httplib::Response &response) {
-        m_private->complete(request, response);
+    using httplib::ContentReader;
+    using httplib::Request;
+    using httplib::Response;
+    const auto complete = [this](const Request &request, Response &response,
+                                 const ContentReader &reader) {
+        this->complete(request, response, reader);
     };
-    server.Post("/v1/chat/completions", handler);
-    server.Post("/v1/completions", handler);
-    server.Get("/healthz", [](const httplib::Request &, httplib::Response &response) {
+    server.Post("/v1/chat/completions", complete);
+    server.Post("/v1/completions", complete);
+    server.Get("/healthz", [](const Request &, Response &response) {
         response.set_content("ok\n", "text/plain");
     });
-    server.Get("/readyz", [this](const httplib::Request &, httplib::Response &response) {
-        const bool ready = m_private->fleet.current()->bundle != nullptr;
-        response.status = ready ? 200 : 503;
-        response.set_content(ready ? "ready\n" : "no bundle has been accepted yet\n", "text/plain");
+    server.Get("/readyz", [this](const Request &, Response &response) { tellReadiness(response); });
+    server.Get("/metrics", [this](const Request &, Response &response) {
+        response.set_content(metrics.text(), "text/plain; version=0.0.4");
     });
-    server.Get("/metrics", [this](const httplib::Request &, httplib::Response &response) {
-        response.set_content(m_private->metrics.text(), "text/plain; version=0.0.4");
+    server.set_error_handler(
+            [](const Request &request, Response &response) { explainError(request, response); });
+    server.set_logger([this](const Request &, const Response &response) {
+        if (response.has_header(RequestIdHeader)) {
+            inFlight.answered();
+        }
     });
 }
 
+CallerServer::CallerServer(const FleetStore &fleet, Metrics &metrics,
+                           const CallerServerOptions &options)
+    : m_private(std::make_unique<Private>(fleet, metrics, options))
+{
+    m_private->server.new_task_queue = [] { return new httplib::ThreadPool(TrafficThreads); };
+    m_private->server.set_tcp_nodelay(true);
+    m_private->route();
+}
+
 CallerServer::~CallerServer() = default;
 
 bool CallerServer::bind(const Endpoint &endpoint)
@@ -89,6 +216,26 @@
     m_private->server.listen_after_bind();
 }
 
+void CallerServer::leave()
+{
+    m_private->stage = ServerStage::Leaving;
+}
+
+void CallerServer::refuseNew()
+{
+    m_private->stage = ServerStage::Refusing;
+}
+
+bool CallerServer::waitUntilIdle(TimePoint deadline)
+{
+    return m_private->inFlight.waitForNone(deadline);
+}
+
+void CallerServer::hurry()
+{
+    m_private->completions.hurry();
+}
+
 void CallerServer::stop()
 {
     m_private->server.stop();
--- a/src/vanilladyke/gateway/completion_handler.cpp
+++ b/src/vanilladyke/gateway/completion_handler.cpp
@@ -4,6 +4,7 @@
 #include "vanilladyke/gateway/refusal_response.hpp"
 
 #include <httplib.h>
+#include <nlohmann/json.hpp>
 
 namespace vanilladyke {
 
@@ -14,37 +15,76 @@
 constexpr Duration HeartbeatEvery = std::chrono::milliseconds(500);
 constexpr std::string_view Heartbeat = ": waiting\n\n";
 
-bool write(httplib::DataSink &sink, std::string_view bytes)
+std::string errorEvent(const Refusal &refusal, const RequestId &request)
 {
-    return sink.write(bytes.data(), bytes.size());
+    return "event: error\ndata: " + refusalBody(refusal, request) + "\n\n";
 }
 
-std::string eventOf(const StreamFrame &frame)
+/// Whether the frame only tells the usage. Looked for in the text first: reading every frame as
+/// JSON would cost more than all else that is done to it.
+bool isUsageOnly(const StreamFrame &frame)
 {
-    return "data: " + (frame.end ? std::string("[DONE]") : frame.data) + "\n\n";
+    if (frame.data.find("\"usage\"") == std::string::npos) {
+        return false;
+    }
+    const nlohmann::json chunk = nlohmann::json::parse(frame.data, nullptr, false);
+    const auto choices = chunk.find("choices");
+    return chunk.is_object() && choices != chunk.end() && choices->empty();
 }
 
-std::string errorEvent(const Refusal &refusal, const RequestId &request)
+/// A stream on its way to its caller.
+struct CallerStream
 {
-    return "event: error\ndata: " + refusalBody(refusal, request) + "\n\n";
+    std::shared_ptr<Conversation> conversation;
+    const EventSigner &signer;
+    StreamStep step;
+
+    [[nodiscard]] bool over() const;
+    [[nodiscard]] std::string bytes() const;
+    [[nodiscard]] std::string frameBytes(const StreamFrame &frame) const;
+};
+
+bool CallerStream::over() const
+{
+    const auto *frame = std::get_if<StreamFrame>(&step);
+    return std::holds_alternative<Refusal>(step) || (frame != nullptr && frame->end);
 }
 
-/// Hands one step on to the caller. @return false once the caller has left
-bool forward(const StreamStep &step, const RequestId &request, httplib::DataSink &sink)
+std::string CallerStream::frameBytes(const StreamFrame &frame) const
+{
+    const RequestContext &request = conversation->context();
+    if (frame.end) {
+        return "data: [DONE]\n\n";
+    }
+    if (!request.wantsUsage && isUsageOnly(frame)) {
+        return {};
+    }
+    return "id: " + signer.sign(conversation->position(), request) + "\ndata: " + frame.data
+           + "\n\n";
+}
+
+std::string CallerStream::bytes() const
 {
     if (const auto *frame = std::get_if<StreamFrame>(&step)) {
-        const bool written = write(sink, eventOf(*frame));
-        if (written && frame->end) {
-            sink.done();
-        }
-        return written;
+        return frameBytes(*frame);
     }
     if (const auto *refusal = std::get_if<Refusal>(&step)) {
-        const bool written = write(sink, errorEvent(*refusal, request));
+        return errorEvent(*refusal, conversation->context().id);
+    }
+    return std::string(Heartbeat);
+}
+
+/// Hands the present step on to the caller. @return false once the caller has left
+bool forward(const CallerStream &stream, httplib::DataSink &sink)
+{
+    const std::string bytes = stream.bytes();
+    if (!bytes.empty() && !sink.write(bytes.data(), bytes.size())) {
+        return false;
+    }
+    if (stream.over()) {
         sink.done();
-        return written;
     }
-    return write(sink, Heartbeat);
+    return true;
 }
 
 /// Waits for what comes first: a frame or the end of the conversation.
@@ -63,19 +103,40 @@
 
 } // namespace
 
-CompletionHandler::CompletionHandler(const FleetStore &fleet, Metrics &metrics)
-    : m_fleet(fleet)
-    , m_metrics(metrics)
+CompletionHandler::CompletionHandler(const FleetStore &fleet, Metrics &metrics,
+                                     const EventKey &eventKey)
+    : m_metrics(metrics)
+    , m_signer(eventKey)
+    , m_environment{fleet, m_threads, m_canceller, m_hurried}
     , m_chain({}, {}, {}, {})
 {}
 
+/// Reads the Last-Event-ID of a caller that comes back for the rest of a stream.
+std::optional<Refusal> CompletionHandler::findResumePosition(RequestContext &context) const
+{
+    if (context.lastEventId.empty()) {
+        return std::nullopt;
+    }
+    context.resumeAt = m_signer.open(context.lastEventId, context);
+    if (!context.resumeAt || !context.streamed) {
+        return Refusal{RefusalReason::BadRequest,
+                       "Last-Event-ID names no position in a stream of this request", Ran::No,
+                       std::nullopt};
+    }
+    return std::nullopt;
+}
+
 void CompletionHandler::operator()(RequestContext context, httplib::Response &response)
 {
     if (const FilterVerdict refusal = m_chain(context)) {
         writeRefusal(*refusal, context.id, MonotonicClock::now(), response);
         return;
     }
-    auto conversation = std::make_shared<Conversation>(std::move(context), m_fleet);
+    if (const auto refusal = findResumePosition(context)) {
+        writeRefusal(*refusal, context.id, MonotonicClock::now(), response);
+        return;
+    }
+    auto conversation = std::make_shared<Conversation>(std::move(context), m_environment);
     std::variant<StreamFrame, Refusal> first = nextFrame(*conversation);
     const RequestContext &request = conversation->context();
     if (const auto *refusal = std::get_if<Refusal>(&first)) {
@@ -93,17 +154,16 @@
 void CompletionHandler::stream(const std::shared_ptr<Conversation> &conversation, StreamFrame first,
                                httplib::Response &response) const
 {
-    auto step = std::make_shared<StreamStep>(std::move(first));
-    response.set_chunked_content_provider(
-            "text/event-stream", [conversation, step](std::size_t, httplib::DataSink &sink) {
-                const bool present = forward(*step, conversation->context().id, sink);
-                const auto *frame = std::get_if<StreamFrame>(step.get());
-                const bool over = std::holds_alternative<Refusal>(*step) || (frame && frame->end);
-                if (present && !over) {
-                    *step = conversation->next(MonotonicClock::now() + HeartbeatEvery);
-                }
-                return present;
-            });
+    auto stream =
+            std::make_shared<CallerStream>(CallerStream{conversation, m_signer, std::move(first)});
+    response.set_chunked_content_provider("text/event-stream", [stream](std::size_t,
+                                                                        httplib::DataSink &sink) {
+        const bool present = forward(*stream, sink);
+        if (present && !stream->over()) {
+            stream->step = stream->conversation->next(MonotonicClock::now() + HeartbeatEvery);
+        }
+        return present;
+    });
 }
 
 void CompletionHandler::collect(Conversation &conversation, StreamFrame frame,
--- a/src/vanilladyke/gateway/completion_handler.hpp
+++ b/src/vanilladyke/gateway/completion_handler.hpp
@@ -3,8 +3,12 @@
 #include "vanilladyke/base/metrics.hpp"
 #include "vanilladyke/control/fleet_store.hpp"
 #include "vanilladyke/gateway/conversation.hpp"
+#include "vanilladyke/gateway/event_id.hpp"
 #include "vanilladyke/gateway/filters.hpp"
+#include "vanilladyke/gateway/reader_threads.hpp"
+#include "vanilladyke/gateway/stream_canceller.hpp"
 
+#include <atomic>
 #include <memory>
 
 namespace httplib {
@@ -17,17 +21,25 @@
 class CompletionHandler
 {
 public:
-    CompletionHandler(const FleetStore &fleet, Metrics &metrics);
+    CompletionHandler(const FleetStore &fleet, Metrics &metrics, const EventKey &eventKey);
 
     void operator()(RequestContext context, httplib::Response &response);
+    /// @brief From now on every conversation ends with a truthful error.
+    void hurry() { m_hurried = true; }
 
 private:
     void stream(const std::shared_ptr<Conversation> &conversation, StreamFrame first,
                 httplib::Response &response) const;
     void collect(Conversation &conversation, StreamFrame frame, httplib::Response &response) const;
 
-    const FleetStore &m_fleet;
+    [[nodiscard]] std::optional<Refusal> findResumePosition(RequestContext &context) const;
+
     Metrics &m_metrics;
+    EventSigner m_signer;
+    ReaderThreads m_threads;
+    StreamCanceller m_canceller;
+    std::atomic<bool> m_hurried{false};
+    ConversationEnvironment m_environment;
     FilterChain<IdentifyCustomer, ParseCompletion, SetDeadline, CutPrefixes> m_chain;
 };
 
--- a/src/vanilladyke/gateway/engine_exchange.cpp
+++ b/src/vanilladyke/gateway/engine_exchange.cpp
@@ -1,32 +1,64 @@
 #include "vanilladyke/gateway/engine_exchange.hpp"
 
+#include "vanilladyke/gateway/reader_threads.hpp"
 #include "vanilladyke/gateway/sse_parser.hpp"
 
 #include <httplib.h>
 
+#include <algorithm>
+#include <atomic>
 #include <charconv>
 #include <condition_variable>
 #include <deque>
 #include <mutex>
-#include <thread>
 
 namespace vanilladyke {
 
 namespace {
 
 constexpr Duration ConnectWithin = std::chrono::milliseconds(500);
-/// The reader ends by itself after this, should nobody end it first.
-constexpr Duration LongestSilence = std::chrono::seconds(60);
+/// The reader's own time-out in silences: whoever waits for frames gives up after one, so that it
+/// only ends readers that nobody could stop.
+constexpr int ReaderSilences = 3;
+/// Frames that wait for a slow caller; then the engine's connection is read no further.
+constexpr std::size_t MostWaitingFrames = 256;
+/// A frame is one token; whatever goes on so long without an end is no event stream.
+constexpr std::size_t MostEventBytes = 1U << 20U;
+/// HTTP libraries, ours included, refuse header lines above 8 KiB.
+constexpr std::size_t MostHeaderBytes = 7000;
 constexpr std::string_view EndMarker = "[DONE]";
 
-std::string chainHeader(const PrefixChain &chain)
+/// The chain of a long prompt takes several header lines.
+std::vector<std::string> chainLines(const PrefixChain &chain)
 {
-    std::string text;
+    std::vector<std::string> lines;
     for (const PrefixCut &cut : chain) {
-        text += text.empty() ? "" : ",";
-        text += cut.hash.hex() + ":" + std::to_string(cut.tokens);
+        if (lines.empty() || lines.back().size() > MostHeaderBytes) {
+            lines.emplace_back();
+        }
+        std::string &line = lines.back();
+        line += line.empty() ? "" : ",";
+        line += cut.hash.hex() + ":" + std::to_string(cut.tokens);
+    }
+    return lines;
+}
+
+/// Reads "ATTEMPT:OFFSET". An id that is not so leaves the frame without attempt, hence foreign.
+StreamFrame frameOf(SseEvent &&event)
+{
+    StreamFrame frame;
+    frame.end = event.data == EndMarker;
+    frame.data = std::move(event.data);
+    const std::size_t colon = event.id.rfind(':');
+    if (colon == std::string::npos) {
+        return frame;
+    }
+    const char *end = event.id.data() + event.id.size();
+    const auto parsed = std::from_chars(event.id.data() + colon + 1, end, frame.offset);
+    if (parsed.ec == std::errc() && parsed.ptr == end) {
+        frame.attempt = event.id.substr(0, colon);
     }
-    return text;
+    return frame;
 }
 
 httplib::Request requestOf(const EngineCall &call)
@@ -34,15 +66,18 @@
     httplib::Request request;
     request.method = "POST";
     request.path = call.path;
-    request.body = call.body;
     request.headers = {
             {"Content-Type", "application/json"},
             {"X-Request-Id", call.request.str()},
             {"X-Stream-Id", call.stream.str()},
             {"X-Attempt-Id", call.attempt},
             {"X-Resume-Offset", std::to_string(call.resumeOffset)},
-            {"X-Prefix-Chain", chainHeader(call.chain)},
+            {"X-Answer-Offset", std::to_string(call.answerOffset)},
+            {"X-Priority", std::to_string(static_cast<int>(call.priority))},
     };
+    for (const std::string &line : chainLines(call.chain)) {
+        request.headers.emplace("X-Prefix-Chain", line);
+    }
     return request;
 }
 
@@ -89,38 +124,59 @@
     {}
 
     void read();
+    bool beginSending();
     bool checkHead(const httplib::Response &response);
     bool take(std::string_view bytes);
-    void push(Outcome<StreamFrame, ExchangeFailure> item);
+    bool push(Outcome<StreamFrame, ExchangeFailure> item);
+    void fail(ExchangeError error, std::string detail);
+    void abandon();
 
     EngineCall call;
     httplib::Client client;
     SseParser parser;
+    std::atomic<TimePoint> heardAt{MonotonicClock::now()};
     std::mutex mutex;
-    std::condition_variable filled;
+    std::condition_variable changed;
     std::deque<Outcome<StreamFrame, ExchangeFailure>> items;
-    bool ended = false;
+    bool connected = false; ///< bytes of the call may have left
+    bool ended = false;     ///< nothing more is to be pushed
+    bool abandoned = false; ///< nobody reads any more
 };
 
-void EngineExchange::Shared::push(Outcome<StreamFrame, ExchangeFailure> item)
+/// @return false once the exchange is over or nobody reads it
+bool EngineExchange::Shared::push(Outcome<StreamFrame, ExchangeFailure> item)
 {
-    {
-        const std::lock_guard lock(mutex);
-        if (ended) {
-            return;
-        }
-        ended = !item.has_value() || item->end;
-        items.push_back(std::move(item));
+    std::unique_lock lock(mutex);
+    changed.wait(lock, [this] { return abandoned || items.size() < MostWaitingFrames; });
+    if (ended || abandoned) {
+        return false;
     }
-    filled.notify_one();
+    ended = !item.has_value() || item->end;
+    items.push_back(std::move(item));
+    changed.notify_all();
+    return true;
+}
+
+void EngineExchange::Shared::fail(ExchangeError error, std::string detail)
+{
+    static_cast<void>(push(failure(ExchangeFailure{error, std::move(detail)})));
+}
+
+/// Runs when the connection stands and the body is about to go out. @return false to stop there
+bool EngineExchange::Shared::beginSending()
+{
+    const std::lock_guard lock(mutex);
+    connected = true;
+    return !abandoned;
 }
 
 bool EngineExchange::Shared::checkHead(const httplib::Response &response)
 {
+    heardAt = MonotonicClock::now();
     if (response.status != 200) {
         const bool refused = provesRefusal(response.status);
-        push(failure(ExchangeFailure{refused ? ExchangeError::Rejected : ExchangeError::Reset,
-                                     "status " + std::to_string(response.status)}));
+        fail(refused ? ExchangeError::Rejected : ExchangeError::Reset,
+             "status " + std::to_string(response.status));
         return false;
     }
     const auto expected = static_cast<std::uint64_t>(call.engine.incarnation);
@@ -128,68 +184,92 @@
                          && response.get_header_value("X-Weights-Version") == call.weights.str()
                          && response.get_header_value("X-Incarnation") == std::to_string(expected);
     if (!matches) {
-        push(failure(ExchangeFailure{ExchangeError::Mismatch, "attempt, weights or incarnation"}));
+        fail(ExchangeError::Mismatch, "another attempt, weights version or incarnation answered");
     }
     return matches;
 }
 
 bool EngineExchange::Shared::take(std::string_view bytes)
 {
+    heardAt = MonotonicClock::now();
     parser.feed(bytes);
     while (std::optional<SseEvent> event = parser.next()) {
-        if (event->data == EndMarker) {
-            push(StreamFrame{0, {}, true});
-            return true;
+        if (!push(frameOf(std::move(*event)))) {
+            return false;
         }
-        std::uint32_t offset = 0;
-        std::from_chars(event->id.data(), event->id.data() + event->id.size(), offset);
-        push(StreamFrame{offset, std::move(event->data), false});
     }
-    return true;
+    return parser.pending() <= MostEventBytes;
 }
 
 void EngineExchange::Shared::read()
 {
     httplib::Request request = requestOf(call);
+    request.content_length_ = call.body.size();
+    request.content_provider_ = [this](std::size_t offset, std::size_t length,
+                                       httplib::DataSink &sink) {
+        return beginSending() && sink.write(call.body.data() + offset, length);
+    };
     request.response_handler = [this](const httplib::Response &head) { return checkHead(head); };
     request.content_receiver = [this](const char *data, std::size_t size, std::uint64_t,
                                       std::uint64_t) {
         return take({data, size});
     };
     client.set_connection_timeout(ConnectWithin);
-    client.set_read_timeout(LongestSilence);
+    client.set_tcp_nodelay(true);
+    client.set_read_timeout(call.silence * ReaderSilences);
+    client.set_write_timeout(call.silence);
     const httplib::Result result = client.send(request);
     const bool unconnected = !result && result.error() == httplib::Error::Connection;
-    push(failure(ExchangeFailure{unconnected ? ExchangeError::ConnectFailed : ExchangeError::Reset,
-                                 result ? "no end marker" : httplib::to_string(result.error())}));
+    // The library may name a connection error for a connection that broke later; then bytes left.
+    const bool nothingSent = unconnected && !connected;
+    fail(nothingSent ? ExchangeError::ConnectFailed : ExchangeError::Reset,
+         result ? "no end marker" : httplib::to_string(result.error()));
+}
+
+/// The library's stop() waits for a connection that is being made, up to the connection's time-out;
+/// so it is only called once that stands. Before, beginSending() ends the reader.
+void EngineExchange::Shared::abandon()
+{
+    bool stopNow = false;
+    {
+        const std::lock_guard lock(mutex);
+        abandoned = true;
+        stopNow = connected;
+        changed.notify_all();
+    }
+    if (stopNow) {
+        client.stop();
+    }
 }
 
-EngineExchange::EngineExchange(const EngineCall &call)
+EngineExchange::EngineExchange(const EngineCall &call, ReaderThreads &threads)
     : m_shared(std::make_shared<Shared>(call))
 {
-    std::thread([shared = m_shared] { shared->read(); }).detach();
+    threads.start([shared = m_shared] { shared->read(); });
 }
 
 EngineExchange::~EngineExchange()
 {
-    {
-        const std::lock_guard lock(m_shared->mutex);
-        m_shared->ended = true;
-    }
-    m_shared->client.stop();
+    m_shared->abandon();
 }
 
 Outcome<StreamFrame, ExchangeFailure> EngineExchange::next(TimePoint deadline)
 {
     std::unique_lock lock(m_shared->mutex);
-    const bool filled = m_shared->filled.wait_until(lock, deadline,
-                                                    [this] { return !m_shared->items.empty(); });
+    const bool filled = m_shared->changed.wait_until(lock, deadline,
+                                                     [this] { return !m_shared->items.empty(); });
     if (!filled) {
         return failure(ExchangeFailure{ExchangeError::Silent, "nothing came in time"});
     }
     Outcome<StreamFrame, ExchangeFailure> item = std::move(m_shared->items.front());
     m_shared->items.pop_front();
+    m_shared->changed.notify_all();
     return item;
 }
 
+TimePoint EngineExchange::heardAt() const
+{
+    return m_shared->heardAt;
+}
+
 } // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/gateway/event_id_test.cpp
@@ -0,0 +1,60 @@
+#include "vanilladyke/gateway/event_id.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace vanilladyke {
+namespace {
+
+StreamPosition somePosition()
+{
+    return {EngineId("copy.1"), Incarnation{17}, StreamId("5f0c-1"), 3, 41};
+}
+
+RequestContext someRequest(const std::string &customer)
+{
+    RequestContext context;
+    context.customer = CustomerId(customer);
+    context.chain = {{{1, 2}, 10}};
+    return context;
+}
+
+TEST(EventId, IsReadBackByEveryNodeWithTheKey)
+{
+    const EventKey key = randomEventKey();
+    const std::string id = EventSigner(key).sign(somePosition(), someRequest("brand"));
+    EXPECT_EQ(EventSigner(key).open(id, someRequest("brand")), somePosition());
+    EXPECT_FALSE(EventSigner(randomEventKey()).open(id, someRequest("brand")).has_value());
+}
+
+// A caller gets hold of the event id of another customer's stream, or comes back with another
+// prompt. It would read an answer that is not its own.
+TEST(EventId, IsNoUseToAnotherCustomerOrPrompt)
+{
+    const EventSigner signer(randomEventKey());
+    const std::string id = signer.sign(somePosition(), someRequest("brand"));
+    EXPECT_FALSE(signer.open(id, someRequest("trader")).has_value());
+    RequestContext other = someRequest("brand");
+    other.chain.back().hash.low = 3;
+    EXPECT_FALSE(signer.open(id, other).has_value());
+}
+
+// A caller alters one character of an id, to read on from another offset or stream.
+RC_GTEST_PROP(EventId, RefusesAnyAlteredText, (std::uint8_t place, char put))
+{
+    const EventSigner signer(EventKey{});
+    std::string id = signer.sign(somePosition(), someRequest("brand"));
+    char &character = id[place % id.size()];
+    RC_PRE(character != put);
+    character = put;
+    RC_ASSERT(!signer.open(id, someRequest("brand")).has_value());
+}
+
+RC_GTEST_PROP(EventId, RefusesRandomText, (const std::string &text))
+{
+    RC_ASSERT(!EventSigner(EventKey{}).open(text, someRequest("brand")).has_value());
+    RC_ASSERT(!parseEventKey(text).has_value());
+}
+
+} // namespace
+} // namespace vanilladyke
--- a/src/vanilladyke/gateway/filters.cpp
+++ b/src/vanilladyke/gateway/filters.cpp
@@ -19,6 +19,12 @@
     return {RefusalReason::BadRequest, std::move(detail), Ran::No, std::nullopt};
 }
 
+bool callerWantsUsage(const nlohmann::json &body)
+{
+    const auto options = body.find("stream_options");
+    return options != body.end() && options->value("include_usage", false);
+}
+
 void readPrompt(const nlohmann::json &body, RequestContext &context)
 {
     if (!isChat(context)) {
@@ -58,6 +64,7 @@
         const auto &digests = customer.keyDigests;
         if (std::find(digests.begin(), digests.end(), digest) != digests.end()) {
             context.customer = customer.id;
+            context.priority = customer.priority;
             return std::nullopt;
         }
     }
@@ -70,9 +77,11 @@
         nlohmann::json body = nlohmann::json::parse(context.body);
         context.model = ModelId(body.at("model").get<std::string>());
         context.streamed = body.value("stream", false);
+        context.wantsUsage = !context.streamed || callerWantsUsage(body);
         context.answerTokens = body.value("max_tokens", DefaultAnswerTokens);
         readPrompt(body, context);
         body["stream"] = true;
+        body["stream_options"]["include_usage"] = true;
         context.engineBody = body.dump();
     } catch (const nlohmann::json::exception &error) {
         return badRequest(error.what());
--- /dev/null
+++ b/src/vanilladyke/gateway/in_flight.cpp
@@ -0,0 +1,24 @@
+#include "vanilladyke/gateway/in_flight.hpp"
+
+namespace vanilladyke {
+
+void InFlight::arrived()
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_count;
+}
+
+void InFlight::answered()
+{
+    const std::lock_guard lock(m_mutex);
+    --m_count;
+    m_changed.notify_all();
+}
+
+bool InFlight::waitForNone(TimePoint deadline)
+{
+    std::unique_lock lock(m_mutex);
+    return m_changed.wait_until(lock, deadline, [this] { return m_count == 0; });
+}
+
+} // namespace vanilladyke
--- a/tests/integration/harness.py
+++ b/tests/integration/harness.py
@@ -140,7 +140,7 @@
     def node(self, name):
         port, operators = free_port(), free_port()
         settings = {"node": name, "data_centre": "yaba-hall", "callers": f"127.0.0.1:{port}",
-                    "operators": f"127.0.0.1:{operators}",
+                    "operators": f"127.0.0.1:{operators}", "balancer_lag_ms": 300, "stream_key": "5e" * 32,
                     "bundle_file": self.write("bundle.jsonc", self.bundle)}
         process = self.start(name, [f"{self.build}/vanilladyke", "serve", "--settings",
                                     self.write(name + ".jsonc", settings)])
@@ -155,6 +155,7 @@
             if process.popen.poll() is None:
                 process.popen.kill()
                 process.popen.wait()
+            process.log.close()
         self.folder.cleanup()
 
 
--- a/tests/standins/engine.cpp
+++ b/tests/standins/engine.cpp
@@ -195,7 +195,9 @@
         if (!stream.changed.wait_for(lock, SignOfLife, ready)) {
             out = ": waiting\n\n";
         }
-        if (stream.state == Stream::State::Lost || stream.state == Stream::State::Cancelled) {
+        const bool cancelled = stream.state == Stream::State::Cancelled;
+        if (stream.state == Stream::State::Lost
+            || (cancelled && stream.produced <= reader.offset)) {
             return false;
         }
         const bool finished = stream.state == Stream::State::Finished;
@@ -212,7 +214,10 @@
             out += eventOf(reader, ++reader.offset);
         }
         done = finished;
-        out += done ? "data: [DONE]\n\n" : "";
+        if (done) {
+            out += "id: " + reader.attempt + ":" + std::to_string(reader.offset)
+                   + "\ndata: [DONE]\n\n";
+        }
     }
     waitWhileFrozen();
     const bool written = sink.write(out.data(), out.size());
