--- a/include/vanilladyke/gateway/exchange_context.hpp
+++ b/include/vanilladyke/gateway/exchange_context.hpp
@@ -5,6 +5,7 @@
 #include "vanilladyke/model/fleet.hpp"
 #include "vanilladyke/model/prefix_chain.hpp"
 #include "vanilladyke/model/refusal.hpp"
+#include "vanilladyke/policy/fair_queue.hpp"
 
 #include <concepts>
 #include <cstdint>
@@ -16,6 +17,8 @@
 /// A caller's request on its way through the filter chain.
 namespace vanilladyke {
 
+class SlotLease;
+
 /// @brief A place in the answer of one request: which engine makes it, and how far the caller is.
 struct StreamPosition
 {
@@ -55,6 +58,9 @@
     PrefixChain chain;
     TimePoint firstTokenDeadline;
     std::optional<StreamPosition> resumeAt; ///< where lastEventId says
+    QueueTicket ticket{};                   ///< names the request in its model's queue
+    Duration predictedFirstToken{};         ///< from the start of an exchange
+    std::shared_ptr<SlotLease> slot;        ///< held until the answer has ended
 };
 
 /// @brief Whether the request is a chat completion, not a plain one.
--- a/src/vanilladyke/gateway/completion_handler.cpp
+++ b/src/vanilladyke/gateway/completion_handler.cpp
@@ -17,7 +17,7 @@
 
 std::string errorEvent(const Refusal &refusal, const RequestId &request)
 {
-    return "event: error\ndata: " + refusalBody(refusal, request) + "\n\n";
+    return "event: error\ndata: " + refusalBody(refusal, request, MonotonicClock::now()) + "\n\n";
 }
 
 /// Whether the frame only tells the usage. Looked for in the text first: reading every frame as
@@ -107,10 +107,17 @@
                                      const EventKey &eventKey)
     : m_metrics(metrics)
     , m_signer(eventKey)
-    , m_environment{fleet, m_threads, m_canceller, m_hurried}
-    , m_chain({}, {}, {}, {})
+    , m_control(fleet, metrics)
+    , m_environment{fleet, m_control, m_threads, m_canceller, m_hurried}
+    , m_chain({}, {}, {}, {}, {&m_control.admission}, {&m_control.admission})
 {}
 
+void CompletionHandler::hurry()
+{
+    m_hurried = true;
+    m_control.admission.refuseWaiting();
+}
+
 /// Reads the Last-Event-ID of a caller that comes back for the rest of a stream.
 std::optional<Refusal> CompletionHandler::findResumePosition(RequestContext &context) const
 {
--- a/src/vanilladyke/gateway/completion_handler.hpp
+++ b/src/vanilladyke/gateway/completion_handler.hpp
@@ -7,6 +7,7 @@
 #include "vanilladyke/gateway/filters.hpp"
 #include "vanilladyke/gateway/reader_threads.hpp"
 #include "vanilladyke/gateway/stream_canceller.hpp"
+#include "vanilladyke/gateway/traffic_control.hpp"
 
 #include <atomic>
 #include <memory>
@@ -25,7 +26,7 @@
 
     void operator()(RequestContext context, httplib::Response &response);
     /// @brief From now on every conversation ends with a truthful error.
-    void hurry() { m_hurried = true; }
+    void hurry();
 
 private:
     void stream(const std::shared_ptr<Conversation> &conversation, StreamFrame first,
@@ -39,8 +40,9 @@
     ReaderThreads m_threads;
     StreamCanceller m_canceller;
     std::atomic<bool> m_hurried{false};
+    TrafficControl m_control;
     ConversationEnvironment m_environment;
-    FilterChain<IdentifyCustomer, ParseCompletion, SetDeadline, CutPrefixes> m_chain;
+    FilterChain<IdentifyCustomer, ParseCompletion, SetDeadline, CutPrefixes, Admit, Queue> m_chain;
 };
 
 } // namespace vanilladyke
--- a/src/vanilladyke/gateway/conversation.cpp
+++ b/src/vanilladyke/gateway/conversation.cpp
@@ -1,7 +1,6 @@
 #include "vanilladyke/gateway/conversation.hpp"
 
 #include "vanilladyke/base/log.hpp"
-#include "vanilladyke/gateway/placer.hpp"
 #include "vanilladyke/gateway/stream_canceller.hpp"
 
 #include <algorithm>
@@ -39,10 +38,15 @@
     , m_environment(environment)
     , m_giveUpAt(m_context.firstTokenDeadline)
 {
-    if (!m_context.resumeAt) {
-        return;
+    m_environment.control.retries.countFirstTry(m_context.model, m_context.customer,
+                                                m_context.fleet->bundle->limits.retryFraction);
+    if (m_context.resumeAt) {
+        resumeAt(*m_context.resumeAt);
     }
-    const StreamPosition &at = *m_context.resumeAt;
+}
+
+void Conversation::resumeAt(const StreamPosition &at)
+{
     m_guard = StreamGuard(at.offset);
     m_answer = AnswerSoFar(at.start);
     m_call.stream = at.stream;
@@ -53,6 +57,7 @@
     if (const EngineView *engine = findEngine(*m_environment.fleet.current(), at.engine)) {
         m_call.engine.endpoint = engine->endpoint;
     }
+    m_use = std::make_unique<EngineUse>(m_environment.control.engines, at.engine, m_context.model);
     m_giveUpAt = m_context.arrivedAt + RescueWithin;
     // Another node sent this call before; whatever comes, it may have run.
     m_state.apply(ExchangeEvent::SendStarted);
@@ -79,6 +84,7 @@
         m_environment.canceller.cancel(m_call.engine.endpoint, m_call.stream);
     }
     m_exchange.reset();
+    m_use.reset();
     m_call.engine.id = EngineId();
 }
 
@@ -115,15 +121,21 @@
 std::optional<Refusal> Conversation::chooseEngine(TimePoint now)
 {
     const std::shared_ptr<const Fleet> fleet = m_environment.fleet.current();
-    const auto engine = placeAttempt(m_context, *fleet, m_excluded, m_random);
-    if (!engine) {
+    EngineSlots &slots = m_environment.control.engines;
+    std::vector<EngineId> closed = slots.closedFor(m_context.model, *fleet, now);
+    closed.insert(closed.end(), m_excluded.begin(), m_excluded.end());
+    const std::optional<PlacedAttempt> placed = placeAttempt(m_context, *fleet, closed, m_random);
+    if (!placed) {
         if (waitForEngine(now)) {
             return std::nullopt;
         }
         m_over = true;
-        return Refusal{RefusalReason::NoBackend, "no engine serves the model", m_state.ran(), {}};
+        return Refusal{RefusalReason::NoBackend, "no engine serves the model", m_state.ran(),
+                       slots.firstReturn(m_context.model, *fleet, now)};
     }
-    m_call.engine = *engine;
+    m_call.engine = placed->engine;
+    m_use = std::make_unique<EngineUse>(slots, m_call.engine.id, m_context.model);
+    m_predictedFirstToken = placed->firstToken;
     m_call.stream = StreamId(newUuid());
     m_call.answerOffset = m_answer.tokens();
     m_call.body = m_answer.continuedBody(m_context);
@@ -145,6 +157,7 @@
     m_call.resumeOffset = known ? m_guard.offset() : m_call.answerOffset;
     m_guard.begin(m_call.attempt);
     m_progress = false;
+    m_attemptedAt = now;
     m_notBefore = now;
     m_state.apply(ExchangeEvent::SendStarted);
     m_exchange = std::make_unique<EngineExchange>(m_call, m_environment.threads);
@@ -186,12 +199,48 @@
     if (verdict == FrameVerdict::Duplicate) {
         return std::nullopt;
     }
+    noteFrame(frame);
+    return frame;
+}
+
+/// Takes in a frame that goes to the caller.
+void Conversation::noteFrame(const StreamFrame &frame)
+{
+    const TimePoint now = MonotonicClock::now();
+    if (!m_progress) {
+        observe(false, now - m_attemptedAt);
+    }
+    if (m_context.slot) {
+        m_context.slot->firstTokenCame(now);
+    }
+    if (m_context.slot && frame.end) {
+        m_context.slot->completed();
+    }
     m_over = frame.end;
     m_progress = true;
     m_fruitless = 0;
     m_fruitlessHere = 0;
     m_excluded.clear();
-    return frame;
+}
+
+void Conversation::observe(bool failed, Duration took) const
+{
+    m_environment.control.engines.observe({m_call.engine.id, failed, m_predictedFirstToken, took},
+                                          *m_environment.fleet.current(), MonotonicClock::now());
+}
+
+/// A stream that begins anew elsewhere before its first frame is a retry and has a budget. One that
+/// is continued is not: its caller already holds a part of the answer.
+std::optional<Refusal> Conversation::spendRetry(const ExchangeFailure &why)
+{
+    SharedRetryBudgets &retries = m_environment.control.retries;
+    if (m_guard.offset() > 0 || retries.spend(m_context.model, m_context.customer)) {
+        return std::nullopt;
+    }
+    Refusal refusal = giveUp(why.detail);
+    refusal.reason = RefusalReason::RetryBudgetSpent;
+    refusal.retryAt = retries.availableAt(m_context.model, m_context.customer);
+    return refusal;
 }
 
 void Conversation::logAttemptEnd(const ExchangeFailure &why, RecoveryStep step) const
@@ -211,6 +260,7 @@
 {
     const TimePoint now = MonotonicClock::now();
     m_state.apply(eventOf(why.error));
+    observe(true, {});
     if (m_progress) {
         m_giveUpAt = now + RescueWithin;
     } else {
@@ -229,6 +279,9 @@
         return giveUp(why.detail);
     }
     if (step == RecoveryStep::Elsewhere) {
+        if (auto refusal = spendRetry(why)) {
+            return refusal;
+        }
         m_excluded.push_back(m_call.engine.id);
         leaveEngine();
     }
--- a/src/vanilladyke/gateway/conversation.hpp
+++ b/src/vanilladyke/gateway/conversation.hpp
@@ -5,6 +5,8 @@
 #include "vanilladyke/gateway/answer_so_far.hpp"
 #include "vanilladyke/gateway/engine_exchange.hpp"
 #include "vanilladyke/gateway/exchange_context.hpp"
+#include "vanilladyke/gateway/placer.hpp"
+#include "vanilladyke/gateway/traffic_control.hpp"
 #include "vanilladyke/policy/stream_guard.hpp"
 #include "vanilladyke/policy/stream_recovery.hpp"
 
@@ -24,6 +26,7 @@
 struct ConversationEnvironment
 {
     const FleetStore &fleet;
+    TrafficControl &control;
     ReaderThreads &threads;
     StreamCanceller &canceller;
     const std::atomic<bool> &hurried; ///< the node stops without waiting for answers
@@ -53,12 +56,16 @@
 
 private:
     [[nodiscard]] std::optional<Refusal> prepareAttempt(TimePoint now);
+    void resumeAt(const StreamPosition &position);
     [[nodiscard]] std::optional<Refusal> chooseEngine(TimePoint now);
     void startAttempt(TimePoint now);
     [[nodiscard]] std::optional<StreamStep> beginAttempt(TimePoint until);
     [[nodiscard]] std::optional<StreamStep> readAttempt(TimePoint until);
     [[nodiscard]] Outcome<std::optional<StreamFrame>, ExchangeFailure> accept(StreamFrame frame);
     [[nodiscard]] std::optional<Refusal> breakOff(const ExchangeFailure &why);
+    [[nodiscard]] std::optional<Refusal> spendRetry(const ExchangeFailure &why);
+    void noteFrame(const StreamFrame &frame);
+    void observe(bool failed, Duration took) const;
     void logAttemptEnd(const ExchangeFailure &why, RecoveryStep step) const;
     [[nodiscard]] TimePoint silentAt() const;
     [[nodiscard]] bool engineLives() const;
@@ -74,6 +81,9 @@
     AnswerSoFar m_answer;
     EngineCall m_call; ///< the stream under way; its engine's id is empty when there is none
     std::unique_ptr<EngineExchange> m_exchange; ///< the attempt under way
+    std::unique_ptr<EngineUse> m_use;           ///< counts the stream under way
+    Duration m_predictedFirstToken{};
+    TimePoint m_attemptedAt;
     std::vector<EngineId> m_excluded;
     std::uint32_t m_fruitlessHere = 0;
     std::uint32_t m_fruitless = 0;
