--- a/src/vanilladyke/gateway/caller_server.cpp
+++ b/src/vanilladyke/gateway/caller_server.cpp
@@ -2,7 +2,7 @@
 
 #include "vanilladyke/base/log.hpp"
 #include "vanilladyke/gateway/completion_handler.hpp"
-#include "vanilladyke/gateway/in_flight.hpp"
+#include "vanilladyke/gateway/open_requests.hpp"
 #include "vanilladyke/gateway/refusal_response.hpp"
 
 #include <httplib.h>
@@ -88,7 +88,7 @@
 
     const FleetStore &fleet;
     Metrics &metrics;
-    InFlight inFlight;
+    OpenRequests openRequests;
     std::atomic<ServerStage> stage{ServerStage::Serving};
     CompletionHandler completions;
     httplib::Server server;
@@ -99,7 +99,7 @@
                                             httplib::Response &response)
 {
     metrics.count("requests_total");
-    inFlight.arrived();
+    openRequests.arrived();
     RequestContext context = contextOf(request, fleet.current());
     response.set_header(RequestIdHeader, context.id.str());
     if (stage != ServerStage::Serving) {
@@ -190,7 +190,7 @@
             [](const Request &request, Response &response) { explainError(request, response); });
     server.set_logger([this](const Request &, const Response &response) {
         if (response.has_header(RequestIdHeader)) {
-            inFlight.answered();
+            openRequests.answered();
         }
     });
 }
@@ -228,7 +228,7 @@
 
 bool CallerServer::waitUntilIdle(TimePoint deadline)
 {
-    return m_private->inFlight.waitForNone(deadline);
+    return m_private->openRequests.waitForNone(deadline);
 }
 
 void CallerServer::hurry()
--- a/src/vanilladyke/gateway/in_flight.hpp
+++ b/src/vanilladyke/gateway/open_requests.hpp
@@ -9,7 +9,7 @@
 namespace vanilladyke {
 
 /// @brief Counts the requests between their arrival and the last byte of their response.
-class InFlight
+class OpenRequests
 {
 public:
     void arrived();
