--- a/include/vanilladyke/app/settings.hpp
+++ b/include/vanilladyke/app/settings.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "vanilladyke/base/outcome.hpp"
+#include "vanilladyke/base/time.hpp"
 #include "vanilladyke/model/bundle_json.hpp"
 #include "vanilladyke/model/ids.hpp"
 #include "vanilladyke/operators/operator_server.hpp"
@@ -52,6 +53,8 @@
     TrustedSigners trusted;                ///< whose signatures of bundles count
     std::vector<OperatorKey> operatorKeys; ///< who may use the operators' interface
     std::string logLevel = "info";
+    std::string streamKey; ///< signs event ids: 64 hexadecimal digits, the same on all nodes
+    Duration balancerLag = std::chrono::seconds(5); ///< until the balancer minds /readyz
 };
 
 /// @brief Reads settings and checks them; on failure every error is given.
--- a/include/vanilladyke/control/events.hpp
+++ b/include/vanilladyke/control/events.hpp
@@ -5,6 +5,7 @@
 #include "vanilladyke/model/fleet.hpp"
 #include "vanilladyke/model/ids.hpp"
 #include "vanilladyke/policy/bundle_fold.hpp"
+#include "vanilladyke/policy/orders.hpp"
 #include "vanilladyke/policy/peer_message.hpp"
 
 #include <memory>
@@ -37,13 +38,6 @@
     std::shared_ptr<const AcceptedBundle> accepted;
 };
 
-/// @brief A model as an engine holds it.
-struct HeldModel
-{
-    ModelId model;
-    WeightsVersion weights;
-};
-
 /// @brief An engine told its state.
 struct EngineReported
 {
@@ -51,6 +45,7 @@
     Incarnation incarnation{};
     std::vector<HeldModel> held;
     LoadReport load;
+    std::vector<HeldModel> loading = {}; ///< what it is about to hold
 };
 
 /// @brief An engine could not be reached at all.
--- a/src/vanilladyke/app/serve.cpp
+++ b/src/vanilladyke/app/serve.cpp
@@ -1,19 +1,22 @@
 #include "vanilladyke/app/serve.hpp"
 
+#include "vanilladyke/app/bundle_setup.hpp"
 #include "vanilladyke/app/peer_setup.hpp"
+#include "vanilladyke/app/shutdown.hpp"
 #include "vanilladyke/base/log.hpp"
 #include "vanilladyke/base/metrics.hpp"
 #include "vanilladyke/control/bundle_controller.hpp"
-#include "vanilladyke/control/bundle_log.hpp"
 #include "vanilladyke/control/control_thread.hpp"
 #include "vanilladyke/control/engine_controller.hpp"
 #include "vanilladyke/control/engine_poller.hpp"
+#include "vanilladyke/control/host_list_poller.hpp"
 #include "vanilladyke/control/membership_controller.hpp"
+#include "vanilladyke/control/order_controller.hpp"
 #include "vanilladyke/gateway/caller_server.hpp"
 #include "vanilladyke/model/json_reader.hpp"
-#include "vanilladyke/operators/operator_server.hpp"
 
 #include <csignal>
+#include <optional>
 #include <thread>
 
 namespace vanilladyke {
@@ -33,75 +36,6 @@
     return level == "error" ? Severity::Error : Severity::Info;
 }
 
-/// Blocks the stopping signals in this thread and all that it starts, so that one thread waits for
-/// them instead of a handler that may do almost nothing.
-sigset_t blockStopSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    return signals;
-}
-
-/// The two threads that talk to the log's stream of bundles; none on a node without a log.
-class BundleLog
-{
-public:
-    BundleLog(const std::optional<PlatformSettings> &platform, Inbox &inbox)
-        : m_platform(platform)
-        , m_inbox(inbox)
-    {
-        if (platform) {
-            m_appender.emplace(platform->log);
-        }
-    }
-
-    void startReading()
-    {
-        if (m_platform) {
-            m_tail.emplace(m_platform->log, m_inbox);
-        }
-    }
-
-    void append(std::string record)
-    {
-        if (m_appender) {
-            m_appender->append(std::move(record));
-        }
-    }
-
-private:
-    const std::optional<PlatformSettings> &m_platform;
-    Inbox &m_inbox;
-    std::optional<CheckpointAppender> m_appender;
-    std::optional<BundleLogTail> m_tail;
-};
-
-BundleControl bundleControl(const HostSettings &settings, BundleLog &log)
-{
-    BundleControl control;
-    control.node = settings.node;
-    control.trusted = settings.trusted;
-    if (settings.platform) {
-        control.logRetention = settings.platform->logRetention;
-    }
-    control.appendCheckpoint = [&log](std::string record) { log.append(std::move(record)); };
-    return control;
-}
-
-OperatorContext operatorContext(const HostSettings &settings, const FleetStore &fleet,
-                                const BundleBoard &board, const Metrics &metrics)
-{
-    PublishSettings publishing;
-    publishing.trusted = settings.trusted;
-    if (settings.platform) {
-        publishing.log = settings.platform->log;
-    }
-    return {settings.node, settings.operatorKeys, std::move(publishing), fleet, board, metrics, {}};
-}
-
 } // namespace
 
 int serve(const HostSettings &settings)
@@ -132,6 +66,8 @@
             [&transport](Outgoing outgoing) { transport.send(std::move(outgoing)); }, inbox,
             Random(entropySeed()));
     EngineController engines;
+    OrderSender orderSender;
+    OrderController orders(settings.node, engines, orderSender);
     if (settings.peers) {
         if (const auto refused = transport.start(settings.peers->listen)) {
             LogEvent("bind_failed", Severity::Error)
@@ -140,7 +76,7 @@
             return EXIT_FAILURE;
         }
     }
-    const ControlThread control(inbox, fleet, bundles, members, engines);
+    const ControlThread control(inbox, fleet, bundles, members, engines, orders);
     const EnginePoller poller(fleet, inbox);
     OperatorServer operators(operatorContext(settings, fleet, board, metrics));
     if (!operators.bind(settings.operators)) {
@@ -148,8 +84,12 @@
         return EXIT_FAILURE;
     }
     bundleLog.startReading();
+    std::optional<HostListPoller> hostList;
+    if (settings.platform && settings.platform->hosts) {
+        hostList.emplace(*settings.platform->hosts, fleet, inbox);
+    }
 
-    CallerServer callers(fleet, metrics);
+    CallerServer callers(fleet, metrics, {settings.streamKey});
     if (!callers.bind(settings.callers)) {
         LogEvent("bind_failed", Severity::Error).field("callers", settings.callers.str());
         return EXIT_FAILURE;
@@ -157,10 +97,9 @@
     std::thread traffic([&] { callers.run(); });
     std::thread operatorTraffic([&] { operators.run(); });
     LogEvent("serving").field("callers", settings.callers.str());
-    int signal = 0;
-    sigwait(&signals, &signal);
-    LogEvent("stopping").field("signal", signal);
-    callers.stop();
+    waitForSignal(signals);
+    inbox.post(StopRequested{});
+    shutDown(callers, signals, settings.balancerLag);
     traffic.join();
     operators.stop();
     operatorTraffic.join();
--- a/src/vanilladyke/control/engine_controller.cpp
+++ b/src/vanilladyke/control/engine_controller.cpp
@@ -12,27 +12,34 @@
 /// this is many in a row, and a crash is noticed before most first-token deadlines.
 constexpr Duration SilenceOfTheDead = std::chrono::milliseconds(1500);
 
-bool holdsWanted(const EngineReported &report, const Bundle &bundle, const ModelId &id)
+bool holdsInService(const EngineHolding &holding, const WeightsInService &weights,
+                    const ModelId &id)
 {
-    const Model *model = findModel(bundle, id);
-    return model != nullptr
-           && std::any_of(report.held.begin(), report.held.end(), [&](const HeldModel &held) {
-                  return held.model == id && held.weights == model->weights;
+    const auto version = weights.find(id);
+    return version != weights.end()
+           && std::any_of(holding.held.begin(), holding.held.end(), [&](const HeldModel &held) {
+                  return held.model == id && held.weights == version->second;
               });
 }
 
+void logSwitches(const WeightsInService &before, const WeightsInService &after)
+{
+    for (const auto &[model, weights] : after) {
+        const auto known = before.find(model);
+        if (known == before.end() || known->second != weights) {
+            LogEvent("weights_in_service")
+                    .field("model", model.str())
+                    .field("weights", weights.str());
+        }
+    }
+}
+
 } // namespace
 
 void EngineController::handle(const Event &event, TimePoint now)
 {
     if (const auto *report = std::get_if<EngineReported>(&event)) {
-        Known &known = m_known[report->engine];
-        if (!known.reachable || known.last.incarnation != report->incarnation) {
-            LogEvent("engine_up")
-                    .field("engine", report->engine.str())
-                    .field("incarnation", static_cast<std::uint64_t>(report->incarnation));
-        }
-        known = {*report, now, true};
+        takeReport(*report, now);
     } else if (const auto *lost = std::get_if<EngineUnreachable>(&event)) {
         Known &known = m_known[lost->engine];
         if (known.reachable) {
@@ -42,26 +49,90 @@
         }
         known.reachable = false;
     } else if (const auto *leaving = std::get_if<EngineLeaving>(&event)) {
-        m_known[leaving->engine].leaving = true;
-        LogEvent("engine_leaving").field("engine", leaving->engine.str());
+        Known &known = m_known[leaving->engine];
+        if (!known.leaving) {
+            LogEvent("engine_leaving").field("engine", leaving->engine.str());
+        }
+        known.leaving = true;
     }
 }
 
+void EngineController::takeReport(const EngineReported &report, TimePoint now)
+{
+    Known &known = m_known[report.engine];
+    const bool reborn = known.last.incarnation != report.incarnation;
+    if (!known.reachable || reborn) {
+        LogEvent("engine_up")
+                .field("engine", report.engine.str())
+                .field("incarnation", static_cast<std::uint64_t>(report.incarnation));
+    }
+    // News that an engine is leaving may come before its first report, and holds for this life.
+    const bool firstHeard = known.heardAt == TimePoint();
+    known.leaving = known.leaving && (firstHeard || !reborn);
+    known.last = report;
+    known.heardAt = now;
+    known.reachable = true;
+}
+
 void EngineController::contribute(Fleet &fleet, TimePoint now)
 {
     if (!fleet.bundle) {
         return;
     }
-    fleet.engines.reserve(fleet.bundle->engines.size());
-    for (const EngineEntry &entry : fleet.bundle->engines) {
-        fleet.engines.push_back(viewOf(entry, *fleet.bundle, now));
+    const Bundle &bundle = *fleet.bundle;
+    m_holdings.clear();
+    for (const EngineEntry &entry : bundle.engines) {
+        m_holdings.push_back(holdingOf(entry, now));
+    }
+    WeightsInService weights = nextInService(bundle, m_holdings, m_weights);
+    if (weights != m_weights) {
+        logSwitches(m_weights, weights);
+        m_weights = std::move(weights);
+        m_serving.reset();
+    }
+    m_changing = enginesToChange(bundle, fleet.bundleOffset, m_holdings, m_weights);
+    fleet.engines.reserve(bundle.engines.size());
+    for (std::size_t i = 0; i < bundle.engines.size(); ++i) {
+        fleet.engines.push_back(viewOf(bundle.engines[i], m_holdings[i]));
     }
     m_index = indexEngines(fleet.engines, m_index);
     fleet.index = m_index;
+    fleet.bundle = inService(fleet.bundle);
 }
 
-EngineView EngineController::viewOf(const EngineEntry &entry, const Bundle &bundle,
-                                    TimePoint now) const
+/// Traffic is placed, hashed and checked against the weights that engines serve now.
+std::shared_ptr<const Bundle>
+EngineController::inService(const std::shared_ptr<const Bundle> &bundle)
+{
+    if (m_serving && m_wanted == bundle) {
+        return m_serving;
+    }
+    auto serving = std::make_shared<Bundle>(*bundle);
+    for (Model &model : serving->models) {
+        model.weights = m_weights.at(model.id);
+    }
+    m_wanted = bundle;
+    m_serving = std::move(serving);
+    return m_serving;
+}
+
+EngineHolding EngineController::holdingOf(const EngineEntry &entry, TimePoint now) const
+{
+    EngineHolding holding;
+    const auto found = m_known.find(entry.id);
+    if (found == m_known.end()) {
+        return holding;
+    }
+    const Known &known = found->second;
+    holding.reachable = known.reachable && now - known.heardAt <= SilenceOfTheDead;
+    holding.leaving = known.leaving || entry.role == EngineRole::Draining;
+    holding.held = known.last.held;
+    holding.loading = known.last.loading;
+    holding.busy = known.last.load.running + known.last.load.waiting;
+    return holding;
+}
+
+EngineView EngineController::viewOf(const EngineEntry &entry, const EngineHolding &holding) const
 {
     EngineView view;
     view.id = entry.id;
@@ -73,20 +144,21 @@
     if (found == m_known.end()) {
         return view;
     }
-    const Known &known = found->second;
-    view.incarnation = known.last.incarnation;
-    view.load = known.last.load;
+    view.incarnation = found->second.last.incarnation;
+    view.load = found->second.last.load;
     for (const ModelId &model : entry.models) {
-        if (holdsWanted(known.last, bundle, model)) {
+        if (holdsInService(holding, m_weights, model)) {
             view.models.push_back(model);
         }
     }
-    if (!known.reachable || now - known.heardAt > SilenceOfTheDead) {
+    const bool changes =
+            std::find(m_changing.begin(), m_changing.end(), entry.id) != m_changing.end();
+    if (!holding.reachable) {
         view.state = EngineState::Dead;
-    } else if (entry.role == EngineRole::Draining || known.leaving) {
+    } else if (holding.leaving) {
         view.state = EngineState::Leaving;
     } else {
-        view.state = view.models.empty() ? EngineState::Loading : EngineState::Ready;
+        view.state = changes || view.models.empty() ? EngineState::Loading : EngineState::Ready;
     }
     return view;
 }
--- a/tests/integration/harness.py
+++ b/tests/integration/harness.py
@@ -191,18 +191,28 @@
         status, result = self.publish(node, self.sign(self.bundle))
         assert status == 200, result
 
-    def node(self, name):
+    def restart(self, node):
+        """A new process with the settings of one that has ended; not waited for."""
+        process = self.start(node.name + "-again", [f"{self.build}/vanilladyke", "serve", "--settings",
+                                                    self.path(node.name + ".jsonc")])
+        process.port, process.operators, process.name = node.port, node.operators, node.name
+        return process
+
+    def node(self, name, publish=True):
         port, operators = free_port(), free_port()
         settings = {"node": name, "data_centre": "yaba-hall", "callers": f"127.0.0.1:{port}",
-                    "operators": f"127.0.0.1:{operators}", "platform": self.platform_settings(),
+                    "operators": f"127.0.0.1:{operators}", "balancer_lag_ms": 300, "stream_key": "5e" * 32,
+                    "platform": self.platform_settings(),
                     "trusted_signers": [SIGNER], "signatures_needed": 1,
                     "operator_keys": [{"id": "ana", "digest": key_digest(OPERATOR_KEY)}]}
         settings["peers"] = self.peer_settings()
         process = self.start(name, [f"{self.build}/vanilladyke", "serve", "--settings",
                                     self.write(name + ".jsonc", settings)])
-        process.port, process.operators = port, operators
+        process.port, process.operators, process.name = port, operators, name
+        wait_until(lambda: http_call(operators, "GET", "/healthz")[0] == 200, name + " up")
+        if not publish:
+            return process
         if self.published != self.bundle:
-            wait_until(lambda: http_call(operators, "GET", "/healthz")[0] == 200, name + " up")
             wait_until(lambda: json.loads(http_call(operators, "GET", "/operator/v1/status",
                                                     headers=OPERATOR)[1])["log_reachable"], name + " reads the log")
             self.publish_bundle(process)
