--- /dev/null
+++ b/src/vanilladyke/control/snapshot_controller.cpp
@@ -0,0 +1,167 @@
+#include "vanilladyke/control/snapshot_controller.hpp"
+
+#include "vanilladyke/base/log.hpp"
+
+#include <algorithm>
+
+namespace vanilladyke {
+
+namespace {
+
+/// A piece is at most some 100 KB; over a link between regions that takes well under this.
+constexpr Duration AnswerWithin = std::chrono::milliseconds(800);
+/// How long a starting node looks for a ready peer before it takes itself for the first one.
+constexpr Duration LookForPeers = std::chrono::seconds(3);
+/// How long the log has to bring a bundle that a peer has already, before the peer is asked for it.
+constexpr Duration BundleCheckEvery = std::chrono::milliseconds(1000);
+
+bool canGive(const Member &member)
+{
+    return member.phase == Phase::Ready && member.liveness == Liveness::Alive;
+}
+
+} // namespace
+
+SnapshotController::SnapshotController(Stores stores, MembershipController::Sender sender)
+    : m_stores(std::move(stores))
+    , m_sender(std::move(sender))
+{}
+
+void SnapshotController::handle(const Event &event, TimePoint now)
+{
+    if (m_startedAt == TimePoint::min()) {
+        m_startedAt = now;
+    }
+    if (const auto *heard = std::get_if<PeerHeard>(&event)) {
+        if (const auto *request = std::get_if<SnapshotRequest>(&heard->message.body)) {
+            answer(*request, heard->route);
+        } else if (const auto *piece = std::get_if<SnapshotPiece>(&heard->message.body)) {
+            take(*piece, heard->message.from, now);
+        }
+    }
+    advance(now);
+}
+
+void SnapshotController::contribute(const Fleet &fleet, TimePoint /*now*/)
+{
+    m_members = fleet.members;
+}
+
+SnapshotStore &SnapshotController::storeOf(SnapshotSection section)
+{
+    return m_stores.at(static_cast<std::size_t>(section));
+}
+
+void SnapshotController::answer(const SnapshotRequest &request, const ReplyRoute &route)
+{
+    const SnapshotStore &store = storeOf(request.section);
+    if (!store.write) {
+        return;
+    }
+    SnapshotPiece piece = store.write(request.cursor);
+    piece.section = request.section;
+    piece.cursor = request.cursor;
+    send(route, std::move(piece));
+}
+
+void SnapshotController::take(const SnapshotPiece &piece, const Member &from, TimePoint now)
+{
+    // A late answer of a peer that was given up would mix two peers' cursors and leave holes.
+    const bool awaited = m_fetch && m_fetch->section == piece.section
+                         && m_fetch->cursor == piece.cursor && m_fetch->from.node == from.node;
+    if (!awaited) {
+        return;
+    }
+    storeOf(piece.section).read(piece);
+    if (piece.nextCursor > piece.cursor) {
+        m_fetch->cursor = piece.nextCursor;
+        ask(now);
+        return;
+    }
+    LogEvent("snapshot_taken")
+            .field("section", static_cast<int>(piece.section))
+            .field("peer", from.node.str());
+    if (static_cast<std::size_t>(piece.section) == m_next) {
+        ++m_next;
+    }
+    m_fetch.reset();
+}
+
+void SnapshotController::begin(SnapshotSection section, const Member &from, TimePoint now)
+{
+    m_fetch = Fetch{section, 0, from, now};
+    ask(now);
+}
+
+void SnapshotController::ask(TimePoint now)
+{
+    m_fetch->deadline = now + AnswerWithin;
+    send(m_fetch->from.peers, SnapshotRequest{m_fetch->section, m_fetch->cursor});
+}
+
+void SnapshotController::advance(TimePoint now)
+{
+    if (m_fetch && m_fetch->deadline > now) {
+        return;
+    }
+    if (m_fetch) {
+        LogEvent("snapshot_unanswered", Severity::Warning)
+                .field("section", static_cast<int>(m_fetch->section))
+                .field("peer", m_fetch->from.node.str());
+        m_failed.push_back(m_fetch->from.node);
+        m_fetch.reset();
+    }
+    while (m_next < SectionCount && !m_stores.at(m_next).read) {
+        ++m_next;
+    }
+    if (m_next < SectionCount) {
+        if (const Member *peer = nearestReady()) {
+            begin(static_cast<SnapshotSection>(m_next), *peer, now);
+        } else if (now - m_startedAt > LookForPeers) {
+            m_next = SectionCount;
+        }
+        return;
+    }
+    if (now >= m_nextBundleCheck) {
+        m_nextBundleCheck = now + BundleCheckEvery;
+        if (const Member *peer = peerWithNewerBundle()) {
+            begin(SnapshotSection::Bundle, *peer, now);
+        }
+    }
+}
+
+const Member *SnapshotController::nearestReady() const
+{
+    const Member *best = nullptr;
+    for (std::size_t i = 1; i < m_members.size(); ++i) {
+        const Member &member = m_members[i];
+        const bool failed =
+                std::find(m_failed.begin(), m_failed.end(), member.node) != m_failed.end();
+        if (failed || !canGive(member)) {
+            continue;
+        }
+        const bool near = member.dataCentre == m_members.front().dataCentre;
+        if (best == nullptr || (near && best->dataCentre != m_members.front().dataCentre)) {
+            best = &member;
+        }
+    }
+    return best;
+}
+
+const Member *SnapshotController::peerWithNewerBundle() const
+{
+    const auto found = std::find_if(m_members.begin(), m_members.end(), [&](const Member &member) {
+        return canGive(member) && member.bundleVersion > m_members.front().bundleVersion;
+    });
+    return found == m_members.end() ? nullptr : &*found;
+}
+
+void SnapshotController::send(Destination to, decltype(PeerMessage::body) body)
+{
+    if (m_members.empty()) {
+        return;
+    }
+    m_sender({std::move(to), {m_members.front(), {}, {}, std::move(body)}});
+}
+
+} // namespace vanilladyke
