--- a/include/vanilladyke/policy/membership.hpp
+++ b/include/vanilladyke/policy/membership.hpp
@@ -46,8 +46,10 @@
     [[nodiscard]] std::vector<Outgoing> receive(const PeerMessage &message, const ReplyRoute &route,
                                                 TimePoint now);
 
-    /// @brief Tells the others of this node's phase and bundle.
+    /// @brief Spreads this node's phase.
     void setPhase(Phase phase);
+    /// @brief Tells those it talks to of the bundle in force here. It is no rumour: with a new
+    /// bundle every few seconds, rumours of all nodes' versions would be most of the traffic.
     void setBundleVersion(std::uint64_t version);
     /// @brief Adds an address from the host list.
     void addSeed(const Endpoint &seed);
--- a/src/vanilladyke/policy/membership.cpp
+++ b/src/vanilladyke/policy/membership.cpp
@@ -59,6 +59,10 @@
 {
     const bool joins = !m_known.contains(message.from.node);
     absorb(message.from, now);
+    const auto sender = m_known.find(message.from.node);
+    if (sender != m_known.end() && sender->second.member.incarnation == message.from.incarnation) {
+        sender->second.member.bundleVersion = message.from.bundleVersion;
+    }
     for (const Member &member : message.news) {
         absorb(member, now);
     }
@@ -97,11 +101,7 @@
 
 void Membership::setBundleVersion(std::uint64_t version)
 {
-    if (m_self.bundleVersion != version) {
-        m_self.bundleVersion = version;
-        ++m_self.revision;
-        m_news.add(m_self.node, m_self);
-    }
+    m_self.bundleVersion = version;
 }
 
 void Membership::addSeed(const Endpoint &seed)
