--- a/src/vanilladyke/gateway/completion_handler.hpp
+++ b/src/vanilladyke/gateway/completion_handler.hpp
@@ -3,8 +3,13 @@
 #include "vanilladyke/base/metrics.hpp"
 #include "vanilladyke/control/fleet_store.hpp"
 #include "vanilladyke/gateway/conversation.hpp"
+#include "vanilladyke/gateway/event_id.hpp"
 #include "vanilladyke/gateway/filters.hpp"
+#include "vanilladyke/gateway/reader_threads.hpp"
+#include "vanilladyke/gateway/stream_canceller.hpp"
+#include "vanilladyke/gateway/traffic_control.hpp"
 
+#include <atomic>
 #include <memory>
 
 namespace httplib {
@@ -17,18 +22,27 @@
 class CompletionHandler
 {
 public:
-    CompletionHandler(const FleetStore &fleet, Metrics &metrics);
+    CompletionHandler(const FleetStore &fleet, Metrics &metrics, const EventKey &eventKey);
 
     void operator()(RequestContext context, httplib::Response &response);
+    /// @brief From now on every conversation ends with a truthful error.
+    void hurry();
 
 private:
     void stream(const std::shared_ptr<Conversation> &conversation, StreamFrame first,
                 httplib::Response &response) const;
     void collect(Conversation &conversation, StreamFrame frame, httplib::Response &response) const;
 
-    const FleetStore &m_fleet;
+    [[nodiscard]] std::optional<Refusal> findResumePosition(RequestContext &context) const;
+
     Metrics &m_metrics;
-    FilterChain<IdentifyCustomer, ParseCompletion, SetDeadline, CutPrefixes> m_chain;
+    EventSigner m_signer;
+    ReaderThreads m_threads;
+    StreamCanceller m_canceller;
+    std::atomic<bool> m_hurried{false};
+    TrafficControl m_control;
+    ConversationEnvironment m_environment;
+    FilterChain<IdentifyCustomer, ParseCompletion, SetDeadline, CutPrefixes, Admit, Queue> m_chain;
 };
 
 } // namespace vanilladyke
