--- a/src/vanilladyke/capacity/measure_peers.cpp
+++ b/src/vanilladyke/capacity/measure_peers.cpp
@@ -193,6 +193,7 @@
 {
     const std::vector<double> sizes{9, 34, 100, 200};
     std::vector<NodeCost> costs;
+    costs.reserve(sizes.size());
     for (const double size : sizes) {
         costs.push_back(MembershipFleet(static_cast<std::size_t>(size)).cost());
     }
@@ -210,6 +211,7 @@
 {
     const std::vector<double> sizes{8, 16, 32, 64};
     std::vector<LinkCost> costs;
+    costs.reserve(sizes.size());
     for (const double size : sizes) {
         costs.push_back(linkCost(static_cast<std::size_t>(size)));
     }
--- a/src/vanilladyke/control/snapshot_controller_test.cpp
+++ b/src/vanilladyke/control/snapshot_controller_test.cpp
@@ -56,19 +56,19 @@
     };
 };
 
-const Member Self = readyNode("n1", "yaba-hall", 1);
-const Member Far = readyNode("n2", "ikeja-hall", 2);
-const Member Near = readyNode("n3", "yaba-hall", 3);
+const Member selfNode = readyNode("n1", "yaba-hall", 1);
+const Member farNode = readyNode("n2", "ikeja-hall", 2);
+const Member nearNode = readyNode("n3", "yaba-hall", 3);
 
 TEST(SnapshotController, AsksTheNearestReadyPeerPieceByPiece)
 {
-    StartingNode node({Self, Far, Near});
+    StartingNode node({selfNode, farNode, nearNode});
     ASSERT_EQ(node.sent.size(), 1U);
-    EXPECT_EQ(node.lastAsked(), Near.peers);
-    node.hear(Near, {SnapshotSection::Bundle, 0, 5, {"first"}});
+    EXPECT_EQ(node.lastAsked(), nearNode.peers);
+    node.hear(nearNode, {SnapshotSection::Bundle, 0, 5, {"first"}});
     ASSERT_EQ(node.sent.size(), 2U);
     EXPECT_EQ(std::get<SnapshotRequest>(node.sent.back().message.body).cursor, 5U);
-    node.hear(Near, {SnapshotSection::Bundle, 5, 0, {"second"}});
+    node.hear(nearNode, {SnapshotSection::Bundle, 5, 0, {"second"}});
     node.wait(milliseconds(1));
     EXPECT_EQ(node.taken, (std::vector<std::string>{"first", "second"}));
     EXPECT_TRUE(node.controller.warm());
@@ -78,12 +78,12 @@
 // asked. Waiting for it would leave the node cold; mixing both peers' pieces would leave holes.
 TEST(SnapshotController, TurnsToAnotherPeerAndIgnoresTheLateAnswer)
 {
-    StartingNode node({Self, Far, Near});
+    StartingNode node({selfNode, farNode, nearNode});
     node.wait(milliseconds(900));
-    EXPECT_EQ(node.lastAsked(), Far.peers);
-    node.hear(Near, {SnapshotSection::Bundle, 0, 0, {"late"}});
+    EXPECT_EQ(node.lastAsked(), farNode.peers);
+    node.hear(nearNode, {SnapshotSection::Bundle, 0, 0, {"late"}});
     EXPECT_TRUE(node.taken.empty());
-    node.hear(Far, {SnapshotSection::Bundle, 0, 0, {"good"}});
+    node.hear(farNode, {SnapshotSection::Bundle, 0, 0, {"good"}});
     EXPECT_EQ(node.taken, std::vector<std::string>{"good"});
 }
 
@@ -91,7 +91,7 @@
 // peer for good would never get ready.
 TEST(SnapshotController, TheFirstNodeOfAFleetGoesOnAlone)
 {
-    StartingNode node({Self});
+    StartingNode node({selfNode});
     node.wait(std::chrono::seconds(4));
     EXPECT_TRUE(node.controller.warm());
     EXPECT_TRUE(node.sent.empty());
@@ -101,11 +101,11 @@
 // under the old one for as long as the log is away.
 TEST(SnapshotController, FetchesANewerBundleFromAPeer)
 {
-    StartingNode node({Self});
+    StartingNode node({selfNode});
     node.wait(std::chrono::seconds(4));
-    Member newer = Near;
+    Member newer = nearNode;
     newer.bundleVersion = 9;
-    node.fleet.members = {Self, newer};
+    node.fleet.members = {selfNode, newer};
     node.controller.contribute(node.fleet, node.now);
     node.wait(milliseconds(1100));
     ASSERT_EQ(node.sent.size(), 1U);
@@ -116,9 +116,9 @@
 
 TEST(SnapshotController, AnswersARequestOnTheRouteItCameBy)
 {
-    StartingNode node({Self});
+    StartingNode node({selfNode});
     node.controller.handle(
-            PeerHeard{{Near, {}, {}, SnapshotRequest{SnapshotSection::Bundle, 0}}, {"r"}},
+            PeerHeard{{nearNode, {}, {}, SnapshotRequest{SnapshotSection::Bundle, 0}}, {"r"}},
             node.now);
     ASSERT_EQ(node.sent.size(), 1U);
     EXPECT_EQ(std::get<ReplyRoute>(node.sent[0].to).identity, "r");
