--- a/include/vanilladyke/policy/cache_view.hpp
+++ b/include/vanilladyke/policy/cache_view.hpp
@@ -4,6 +4,7 @@
 #include "vanilladyke/model/fleet.hpp"
 #include "vanilladyke/model/prefix_chain.hpp"
 
+#include <array>
 #include <cstdint>
 #include <unordered_map>
 #include <vector>
@@ -17,14 +18,32 @@
 /// entry costs time and never a wrong answer: the whole prompt is sent all the same.
 namespace vanilladyke {
 
+/// @brief A prefix up to some cut, and how old the news of it is.
+struct KnownLength
+{
+    std::uint32_t tokens = 0;
+    Duration age{};      ///< since it was learned
+    bool trusted = true; ///< false if news of the engine got lost since
+};
+
 /// @brief An engine that is believed to hold a prefix.
+///
+/// The beginning of a prefix is asked for more often than its end, so the news of it is fresher.
+/// Lengths stand longest first; a shorter one is given where its news is at most half as old.
 struct PrefixHolder
 {
+    /// @brief Four halvings tell 16 s from 1 s; finer steps would not change a choice.
+    static constexpr std::size_t MostLengths = 4;
+
     EngineKey engine{};
     Incarnation incarnation{};
-    std::uint32_t tokens = 0; ///< length of the longest prefix known there
-    Duration age{};           ///< since that was learned
-    bool trusted = true;      ///< false if news of the engine got lost since
+    std::array<KnownLength, MostLengths> lengths{};
+    std::size_t lengthCount = 0;
+
+    /// @brief The longest prefix known there.
+    [[nodiscard]] const KnownLength &longest() const { return lengths.front(); }
+    /// @brief Takes in a shorter length, if its news is much fresher.
+    void add(const KnownLength &shorter);
 };
 
 /// @brief A bounded table of (engine, incarnation, prefix).
@@ -49,7 +68,7 @@
     void stored(EngineKey engine, Incarnation incarnation, const ChainHash &hash, TimePoint now);
     void evicted(EngineKey engine, Incarnation incarnation, const ChainHash &hash);
 
-    /// @brief Adds the holders of one cut that are not in the list yet.
+    /// @brief Adds what is known of one cut, which is shorter than those added before.
     void addHolders(const PrefixCut &cut, TimePoint now, std::vector<PrefixHolder> &holders) const;
     /// @brief Engines with the longest prefix known of each, longest first; O(cuts).
     [[nodiscard]] std::vector<PrefixHolder> holders(const PrefixChain &chain, TimePoint now) const;
--- a/include/vanilladyke/policy/placement.hpp
+++ b/include/vanilladyke/policy/placement.hpp
@@ -57,13 +57,19 @@
     KeptPrefix kept;
 };
 
+/// @brief Why a prefix up to some length is believed to be cached.
+struct Belief
+{
+    Evidence evidence = Evidence::None;
+    Duration age{};           ///< of the evidence
+    std::uint32_t tokens = 0; ///< length that it speaks for
+};
+
 /// @brief One engine that was weighed.
 struct Candidate
 {
-    std::size_t engine = 0; ///< index into Fleet::engines
-    Evidence evidence = Evidence::None;
-    std::uint32_t believedTokens = 0; ///< that the evidence speaks for
-    Duration age{};                   ///< of the evidence
+    std::size_t engine = 0;      ///< index into Fleet::engines
+    std::vector<Belief> beliefs; ///< longest first; each speaks for what the next one does not
     std::uint32_t expectedCachedTokens = 0;
     std::uint32_t importedTokens = 0; ///< to take from the kept-cache store; 0 for none
     Duration wait{};                  ///< until its prefill may start
--- a/include/vanilladyke/policy/survival.hpp
+++ b/include/vanilladyke/policy/survival.hpp
@@ -20,6 +20,7 @@
     Doubted,    ///< the view says so, but news of that engine got lost since
     Home,       ///< the view has nothing, but all nodes send this prefix there
     SharedHome, ///< as Home, for the level that many prefixes share only
+    ColdHome,   ///< a home of which the view has nothing, while it knows other holders
 };
 
 /// @brief The fraction of a believed prefix that was really cached, by evidence and age.
@@ -32,7 +33,7 @@
     void learn(Evidence evidence, Duration age, std::uint32_t believed, std::uint32_t cached);
 
 private:
-    static constexpr std::size_t EvidenceCount = 5;
+    static constexpr std::size_t EvidenceCount = 6;
     static constexpr std::size_t AgeClasses = 12;
 
     /// Sums that fade, so that the figures follow the engines' memory pressure.
--- a/src/vanilladyke/experiment/ways.cpp
+++ b/src/vanilladyke/experiment/ways.cpp
@@ -185,7 +185,9 @@
     const PlacementRequest wanted = placementOf(request);
     const std::vector<PrefixHolder> holders = m_view.holders(request.chain, now);
     const Placement placement = m_policy.decide(wanted, m_fleet, holders, {}, now, m_random);
-    m_placed[index] = m_policy.sent(wanted, m_fleet, placement, now);
+    const PlacedRequest placed = m_policy.sent(wanted, m_fleet, placement, now);
+    m_placed[index] = placed;
+    remember(request, placed, now);
     m_pending.push_back({index, placement.winner->engine});
 }
 
@@ -222,6 +224,12 @@
     const PlacedRequest &placed = m_placed.at(index);
     m_policy.firstToken(placed);
     m_policy.learn(placed, static_cast<std::uint32_t>(cachedTokens));
+    remember(request, placed, now);
+}
+
+void VanilladykeNode::remember(const SimRequest &request, const PlacedRequest &placed,
+                               TimePoint now)
+{
     for (const PrefixCut &cut : request.chain) {
         m_view.stored(placed.engine, placed.incarnation, cut.hash, now);
     }
--- a/src/vanilladyke/experiment/ways.hpp
+++ b/src/vanilladyke/experiment/ways.hpp
@@ -94,6 +94,9 @@
     void finished(std::size_t index, TimePoint now);
 
 private:
+    /// What was sent to an engine will be in its cache before what is sent there next.
+    void remember(const SimRequest &request, const PlacedRequest &placed, TimePoint now);
+
     Fleet m_fleet;
     Random m_random;
     CacheView m_view;
--- a/src/vanilladyke/measure_main.cpp
+++ b/src/vanilladyke/measure_main.cpp
@@ -32,14 +32,24 @@
     TCLAP::ValueArg<double> load("", "load", "part of capacity offered", false, 0.8, "F", line);
     TCLAP::ValueArg<std::string> way("", "way", "one way only", false, "", "WAY", line);
     TCLAP::ValueArg<int> length("", "seconds", "virtual time", false, 150, "S", line);
+    TCLAP::ValueArg<double> recompute("", "recompute-weight", "instead of the deployment's", false,
+                                      -1, "W", line);
+    TCLAP::ValueArg<double> tail("", "tail-weight", "instead of the deployment's", false, -1, "W",
+                                 line);
     line.parse(argc, argv);
     if (name.getValue() != "shadeline" && name.getValue() != "ashline") {
         std::cerr << "unknown deployment " << name.getValue() << '\n';
         return 2;
     }
-    const Deployment deployment =
+    Deployment deployment =
             name.getValue() == "ashline" ? vanilladyke::ashline() : vanilladyke::shadeline();
     const double capacity = vanilladyke::measureCapacity(deployment);
+    if (recompute.isSet()) {
+        deployment.objective.recomputeWeight = recompute.getValue();
+    }
+    if (tail.isSet()) {
+        deployment.objective.tailWeight = tail.getValue();
+    }
     std::fprintf(stderr, "capacity_requests_per_second=%.2f\n", capacity);
     for (const std::string &each : vanilladyke::wayNames()) {
         if (way.getValue().empty() || way.getValue() == each) {
--- a/src/vanilladyke/policy/cache_view.cpp
+++ b/src/vanilladyke/policy/cache_view.cpp
@@ -6,6 +6,15 @@
 
 namespace vanilladyke {
 
+void PrefixHolder::add(const KnownLength &shorter)
+{
+    const KnownLength &last = lengths[lengthCount - 1];
+    const bool fresher = shorter.age <= last.age / 2 || (shorter.trusted && !last.trusted);
+    if (fresher && lengthCount < MostLengths) {
+        lengths[lengthCount++] = shorter;
+    }
+}
+
 CacheView::CacheView(std::size_t bytes)
 {
     const std::size_t sets = std::max<std::size_t>(bytes / (EntryBytes * Ways), 1);
@@ -84,13 +93,16 @@
             continue;
         }
         const KnownEngine &engine = m_engines[entry.engine];
-        const bool known =
-                std::any_of(holders.begin(), holders.end(), [&](const PrefixHolder &holder) {
+        const KnownLength length{cut.tokens, now - entry.learnedAt,
+                                 entry.learnedAt >= engine.trustedSince};
+        const auto found =
+                std::find_if(holders.begin(), holders.end(), [&](const PrefixHolder &holder) {
                     return holder.engine == engine.key;
                 });
-        if (!known && holders.size() < MostHolders) {
-            holders.push_back({engine.key, engine.incarnation, cut.tokens, now - entry.learnedAt,
-                               entry.learnedAt >= engine.trustedSince});
+        if (found != holders.end()) {
+            found->add(length);
+        } else if (holders.size() < MostHolders) {
+            holders.push_back({engine.key, engine.incarnation, {length}, 1});
         }
     }
 }
@@ -101,9 +113,6 @@
     holders.reserve(MostHolders);
     for (std::size_t i = chain.size(); i-- > 0;) {
         addHolders(chain[i], now, holders);
-        if (holders.size() == MostHolders) {
-            break;
-        }
     }
     return holders;
 }
--- a/src/vanilladyke/policy/cache_view_test.cpp
+++ b/src/vanilladyke/policy/cache_view_test.cpp
@@ -46,10 +46,28 @@
     const auto holders = view.holders(chain, at(5));
     ASSERT_EQ(holders.size(), 2U);
     EXPECT_EQ(holders[0].engine, Two);
-    EXPECT_EQ(holders[0].tokens, 2048U);
-    EXPECT_EQ(holders[0].age, seconds(3));
+    EXPECT_EQ(holders[0].longest().tokens, 2048U);
+    EXPECT_EQ(holders[0].longest().age, seconds(3));
     EXPECT_EQ(holders[1].engine, One);
-    EXPECT_EQ(holders[1].tokens, 1024U);
+    EXPECT_EQ(holders[1].longest().tokens, 1024U);
+}
+
+TEST(CacheView, TellsHowMuchFresherTheNewsOfTheBeginningIs)
+{
+    CacheView view(1U << 16U);
+    view.setIncarnation(One, First, at(0));
+    const PrefixChain chain = chainOf(100, 3);
+    for (const PrefixCut &cut : chain) {
+        view.stored(One, First, cut.hash, at(1));
+    }
+    view.stored(One, First, chain[0].hash, at(9));
+    const auto holders = view.holders(chain, at(11));
+    ASSERT_EQ(holders.size(), 1U);
+    ASSERT_EQ(holders[0].lengthCount, 2U);
+    EXPECT_EQ(holders[0].lengths[0].tokens, 1536U);
+    EXPECT_EQ(holders[0].lengths[0].age, seconds(10));
+    EXPECT_EQ(holders[0].lengths[1].tokens, 512U);
+    EXPECT_EQ(holders[0].lengths[1].age, seconds(2));
 }
 
 // An engine crashes and comes back empty under a new incarnation. Were its old entries kept, its
@@ -73,9 +91,9 @@
     view.setIncarnation(One, First, at(0));
     view.stored(One, First, hashOf(1), at(1));
     view.distrust(One, at(2));
-    EXPECT_FALSE(view.holders(chainOf(1, 1), at(3)).at(0).trusted);
+    EXPECT_FALSE(view.holders(chainOf(1, 1), at(3)).at(0).longest().trusted);
     view.stored(One, First, hashOf(1), at(4));
-    EXPECT_TRUE(view.holders(chainOf(1, 1), at(5)).at(0).trusted);
+    EXPECT_TRUE(view.holders(chainOf(1, 1), at(5)).at(0).longest().trusted);
 }
 
 TEST(CacheView, AFullSetGivesUpTheOldestEntry)
--- a/src/vanilladyke/policy/placement.cpp
+++ b/src/vanilladyke/policy/placement.cpp
@@ -43,23 +43,20 @@
         , m_survival(knowledge.survival)
     {}
 
-    /// Adds the engine or, if it is there, the evidence that promises more.
-    void add(std::size_t engine, Evidence evidence, std::uint32_t tokens, Duration age)
+    /// Adds the engine or, if it is there, beliefs that promise more.
+    void add(std::size_t engine, std::vector<Belief> beliefs)
     {
         if (!serves(m_fleet.engines[engine], m_request.model) || excluded(engine)) {
             return;
         }
-        const double fraction = m_survival.fraction(evidence, age);
-        const auto expected = static_cast<std::uint32_t>(fraction * tokens);
+        const std::uint32_t expected = expectedTokens(beliefs);
         const auto found = std::find_if(m_list.begin(), m_list.end(), [&](const Candidate &each) {
             return each.engine == engine;
         });
         Candidate *candidate = found == m_list.end() ? &m_list.emplace_back() : &*found;
         candidate->engine = engine;
-        if (expected > candidate->expectedCachedTokens || candidate->evidence == Evidence::None) {
-            candidate->evidence = evidence;
-            candidate->believedTokens = tokens;
-            candidate->age = age;
+        if (expected > candidate->expectedCachedTokens || candidate->beliefs.empty()) {
+            candidate->beliefs = std::move(beliefs);
             candidate->expectedCachedTokens = expected;
         }
     }
@@ -67,6 +64,17 @@
     [[nodiscard]] std::vector<Candidate> take() { return std::move(m_list); }
 
 private:
+    [[nodiscard]] std::uint32_t expectedTokens(const std::vector<Belief> &beliefs) const
+    {
+        double sum = 0;
+        for (std::size_t i = 0; i < beliefs.size(); ++i) {
+            const std::uint32_t next = i + 1 < beliefs.size() ? beliefs[i + 1].tokens : 0;
+            sum += m_survival.fraction(beliefs[i].evidence, beliefs[i].age)
+                   * (beliefs[i].tokens - next);
+        }
+        return static_cast<std::uint32_t>(sum);
+    }
+
     [[nodiscard]] bool excluded(std::size_t engine) const
     {
         const auto &all = m_request.excluded;
@@ -79,6 +87,18 @@
     std::vector<Candidate> m_list;
 };
 
+std::vector<Belief> beliefsIn(const PrefixHolder &holder)
+{
+    std::vector<Belief> beliefs;
+    beliefs.reserve(holder.lengthCount);
+    for (std::size_t i = 0; i < holder.lengthCount; ++i) {
+        const KnownLength &length = holder.lengths[i];
+        beliefs.push_back(
+                {length.trusted ? Evidence::Known : Evidence::Doubted, length.age, length.tokens});
+    }
+    return beliefs;
+}
+
 /// An entry of another incarnation must not count, even if the view has not heard of the new one.
 void addHolders(const Fleet &fleet, const PlacementKnowledge &knowledge, Candidates &candidates)
 {
@@ -88,8 +108,7 @@
         if (!position || fleet.engines[*position].incarnation != holder.incarnation) {
             continue;
         }
-        candidates.add(*position, holder.trusted ? Evidence::Known : Evidence::Doubted,
-                       holder.tokens, holder.age);
+        candidates.add(*position, beliefsIn(holder));
         if (++added == HolderCandidates) {
             return;
         }
@@ -99,13 +118,16 @@
 /// The homes of the shared prefix, and among them the one of its deepest level: so the prefixes
 /// below a hot one divide its homes among themselves.
 void addHomes(const PlacementRequest &request, const Fleet &fleet, const ModelEngines &engines,
-              std::uint32_t homeCount, Candidates &candidates)
+              const PlacementKnowledge &knowledge, Candidates &candidates)
 {
     const auto levels = sharedLevels(request.chain);
     if (!levels) {
         return;
     }
-    const std::uint32_t homes = std::min(homeCount, MostHomeCandidates);
+    const std::uint32_t homes = std::min(knowledge.homes, MostHomeCandidates);
+    // Where the view knows a holder, its silence about a home means that the home lost the prefix.
+    const auto &holders = knowledge.holders;
+    const bool seen = !holders.empty() && holders.front().longest().tokens >= levels->shared.tokens;
     const std::vector<std::uint32_t> order =
             rendezvousOrder(engines, levels->shared.hash, homes + SpillCandidates);
     const std::size_t count = std::min<std::size_t>(homes, order.size());
@@ -118,11 +140,13 @@
             [&](std::uint32_t a, std::uint32_t b) { return scoreOf(a) < scoreOf(b); });
     for (std::size_t i = 0; i < order.size(); ++i) {
         if (order.begin() + static_cast<std::ptrdiff_t>(i) == own) {
-            candidates.add(order[i], Evidence::Home, levels->deepest.tokens, {});
+            candidates.add(order[i], {{seen ? Evidence::ColdHome : Evidence::Home, Duration::zero(),
+                                       levels->deepest.tokens}});
         } else if (i < count) {
-            candidates.add(order[i], Evidence::SharedHome, levels->shared.tokens, {});
+            candidates.add(order[i], {{seen ? Evidence::ColdHome : Evidence::SharedHome,
+                                       Duration::zero(), levels->shared.tokens}});
         } else {
-            candidates.add(order[i], Evidence::None, 0, {});
+            candidates.add(order[i], {});
         }
     }
 }
@@ -131,7 +155,7 @@
 {
     for (std::size_t i = 0; i < RandomCandidates; ++i) {
         const std::uint64_t pick = uniformBelow(random, engines.members.size());
-        candidates.add(engines.members[pick].engine, Evidence::None, 0, {});
+        candidates.add(engines.members[pick].engine, {});
     }
 }
 
@@ -238,7 +262,7 @@
     if (engines != nullptr) {
         Candidates candidates(request, fleet, knowledge);
         addHolders(fleet, knowledge, candidates);
-        addHomes(request, fleet, *engines, knowledge.homes, candidates);
+        addHomes(request, fleet, *engines, knowledge, candidates);
         addRandom(*engines, random, candidates);
         placement.candidates = candidates.take();
     }
--- a/src/vanilladyke/policy/placement_policy.cpp
+++ b/src/vanilladyke/policy/placement_policy.cpp
@@ -57,8 +57,12 @@
 
 void PlacementPolicy::learn(const PlacedRequest &placed, std::uint32_t cachedTokens)
 {
-    const Candidate &chosen = placed.chosen;
-    m_survival.learn(chosen.evidence, chosen.age, chosen.believedTokens, cachedTokens);
+    const std::vector<Belief> &beliefs = placed.chosen.beliefs;
+    for (std::size_t i = 0; i < beliefs.size(); ++i) {
+        const std::uint32_t next = i + 1 < beliefs.size() ? beliefs[i + 1].tokens : 0;
+        m_survival.learn(beliefs[i].evidence, beliefs[i].age, beliefs[i].tokens - next,
+                         cachedTokens > next ? cachedTokens - next : 0);
+    }
 }
 
 } // namespace vanilladyke
--- a/src/vanilladyke/policy/survival.cpp
+++ b/src/vanilladyke/policy/survival.cpp
@@ -27,6 +27,8 @@
     case Evidence::Home:
     case Evidence::SharedHome:
         return 0.5;
+    case Evidence::ColdHome:
+        return 0.1;
     }
     return 0;
 }
@@ -73,6 +75,8 @@
         return "home";
     case Evidence::SharedHome:
         return "shared_home";
+    case Evidence::ColdHome:
+        return "cold_home";
     }
     return "none";
 }
