--- a/src/vanilladyke/app/serve.cpp
+++ b/src/vanilladyke/app/serve.cpp
@@ -1,6 +1,7 @@
 #include "vanilladyke/app/serve.hpp"
 
 #include "vanilladyke/app/peer_setup.hpp"
+#include "vanilladyke/app/shutdown.hpp"
 #include "vanilladyke/base/log.hpp"
 #include "vanilladyke/base/metrics.hpp"
 #include "vanilladyke/control/bundle_controller.hpp"
@@ -31,18 +32,6 @@
     return level == "error" ? Severity::Error : Severity::Info;
 }
 
-/// Blocks the stopping signals in this thread and all that it starts, so that one thread waits for
-/// them instead of a handler that may do almost nothing.
-sigset_t blockStopSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    return signals;
-}
-
 void takeBundleFile(const std::string &path, Inbox &inbox)
 {
     const auto text = readFile(path);
@@ -98,17 +87,16 @@
         takeBundleFile(settings.bundleFile, inbox);
     }
 
-    CallerServer callers(fleet, metrics);
+    CallerServer callers(fleet, metrics, {settings.streamKey});
     if (!callers.bind(settings.callers)) {
         LogEvent("bind_failed", Severity::Error).field("callers", settings.callers.str());
         return EXIT_FAILURE;
     }
     std::thread traffic([&] { callers.run(); });
     LogEvent("serving").field("callers", settings.callers.str());
-    int signal = 0;
-    sigwait(&signals, &signal);
-    LogEvent("stopping").field("signal", signal);
-    callers.stop();
+    waitForSignal(signals);
+    inbox.post(StopRequested{});
+    shutDown(callers, signals, settings.balancerLag);
     traffic.join();
     LogEvent("stopped").field("exit", EXIT_SUCCESS);
     return EXIT_SUCCESS;
