Pass calls on to plain services; hold the edges against any input

Services were unreachable, and a body of a million brackets would have ended the node by recursion in the JSON writer. The event parser takes CRLF and no longer scans a long event anew for every piece.

--- a/include/vanilladyke/gateway/filters.hpp
+++ b/include/vanilladyke/gateway/filters.hpp
@@ -22,6 +22,12 @@
     [[nodiscard]] FilterVerdict operator()(RequestContext &context) const;
 };
 
+/// @brief Sets the deadline of a plain service's whole answer in the same way.
+struct SetServiceDeadline
+{
+    [[nodiscard]] FilterVerdict operator()(RequestContext &context) const;
+};
+
 /// @brief Cuts the prompt into its prefix chain.
 struct CutPrefixes
 {
--- a/src/vanilladyke/gateway/caller_server.cpp
+++ b/src/vanilladyke/gateway/caller_server.cpp
@@ -4,6 +4,7 @@
 #include "vanilladyke/gateway/completion_handler.hpp"
 #include "vanilladyke/gateway/open_requests.hpp"
 #include "vanilladyke/gateway/refusal_response.hpp"
+#include "vanilladyke/gateway/service_handler.hpp"
 
 #include <httplib.h>
 
@@ -15,6 +16,8 @@
 
 constexpr std::size_t TrafficThreads = 512;
 constexpr std::string_view BearerScheme = "Bearer ";
+constexpr std::string_view ServicesPath = "/services/";
+constexpr const char *ServicePattern = R"(/services/([^/?]+)(/.*)?)";
 constexpr const char *RequestIdHeader = "X-Request-Id";
 
 enum class ServerStage { Serving, Leaving, Refusing };
@@ -56,6 +59,30 @@
     return whole && fits;
 }
 
+/// Services are named by the path's second part; the rest of the target goes to them as it came.
+ServiceCall serviceCallOf(const httplib::Request &request)
+{
+    ServiceCall call;
+    call.service = ServiceId(request.matches[1]);
+    call.method = request.method;
+    const std::size_t rest = request.target.find_first_of("/?", ServicesPath.size());
+    call.target = rest == std::string::npos ? "/" : request.target.substr(rest);
+    if (call.target.front() == '?') {
+        call.target.insert(0, 1, '/');
+    }
+    call.contentType = request.get_header_value("Content-Type");
+    call.accept = request.get_header_value("Accept");
+    call.idempotencyKey = request.get_header_value("Idempotency-Key");
+    return call;
+}
+
+/// The library takes a multipart body apart and gives no way to the bytes. Without the type it
+/// hands them over as they are. The request is the server's own and not const there.
+void keepBodyWhole(const httplib::Request &request)
+{
+    const_cast<httplib::Request &>(request).headers.erase("Content-Type");
+}
+
 EventKey eventKeyOf(const CallerServerOptions &options)
 {
     const auto key = parseEventKey(options.streamKey);
@@ -74,15 +101,18 @@
         : fleet(store)
         , metrics(nodeMetrics)
         , completions(store, nodeMetrics, eventKeyOf(options))
+        , services(nodeMetrics)
     {}
 
     void route();
     void complete(const httplib::Request &request, httplib::Response &response,
                   const httplib::ContentReader &reader);
+    void callService(const httplib::Request &request, httplib::Response &response,
+                     const httplib::ContentReader *reader);
     [[nodiscard]] RequestContext begin(const httplib::Request &request,
                                        httplib::Response &response);
     [[nodiscard]] std::optional<Refusal> admit(RequestContext &context,
-                                               const httplib::ContentReader &reader) const;
+                                               const httplib::ContentReader *reader) const;
     void tellReadiness(httplib::Response &response) const;
     static void explainError(const httplib::Request &request, httplib::Response &response);
 
@@ -91,6 +121,7 @@
     OpenRequests openRequests;
     std::atomic<ServerStage> stage{ServerStage::Serving};
     CompletionHandler completions;
+    ServiceHandler services;
     httplib::Server server;
 };
 
@@ -110,10 +141,10 @@
 }
 
 std::optional<Refusal> CallerServer::Private::admit(RequestContext &context,
-                                                    const httplib::ContentReader &reader) const
+                                                    const httplib::ContentReader *reader) const
 {
     const std::uint64_t limit = bodyLimit(*context.fleet);
-    const bool read = readBody(reader, limit, &context.body);
+    const bool read = reader == nullptr || readBody(*reader, limit, &context.body);
     if (stage == ServerStage::Refusing) {
         return Refusal{RefusalReason::ShuttingDown, "this node is stopping", Ran::No,
                        MonotonicClock::now()};
@@ -130,13 +161,28 @@
                                      const httplib::ContentReader &reader)
 {
     RequestContext context = begin(request, response);
-    if (const auto refusal = admit(context, reader)) {
+    if (const auto refusal = admit(context, &reader)) {
         writeRefusal(*refusal, context.id, MonotonicClock::now(), response);
         return;
     }
     completions(std::move(context), response);
 }
 
+/// @param reader null for methods that have no body
+void CallerServer::Private::callService(const httplib::Request &request,
+                                        httplib::Response &response,
+                                        const httplib::ContentReader *reader)
+{
+    RequestContext context = begin(request, response);
+    ServiceCall call = serviceCallOf(request);
+    keepBodyWhole(request);
+    if (const auto refusal = admit(context, reader)) {
+        writeRefusal(*refusal, context.id, MonotonicClock::now(), response);
+        return;
+    }
+    services(std::move(context), std::move(call), response);
+}
+
 void CallerServer::Private::tellReadiness(httplib::Response &response) const
 {
     const bool hasBundle = fleet.current()->bundle != nullptr;
@@ -179,6 +225,19 @@
     };
     server.Post("/v1/chat/completions", complete);
     server.Post("/v1/completions", complete);
+    const auto withBody = [this](const Request &request, Response &response,
+                                 const ContentReader &reader) {
+        callService(request, response, &reader);
+    };
+    const auto withoutBody = [this](const Request &request, Response &response) {
+        callService(request, response, nullptr);
+    };
+    server.Post(ServicePattern, withBody);
+    server.Put(ServicePattern, withBody);
+    server.Patch(ServicePattern, withBody);
+    server.Get(ServicePattern, withoutBody);
+    server.Delete(ServicePattern, withoutBody);
+    server.Options(ServicePattern, withoutBody);
     server.Get("/healthz", [](const Request &, Response &response) {
         response.set_content("ok\n", "text/plain");
     });
--- a/src/vanilladyke/gateway/filters.cpp
+++ b/src/vanilladyke/gateway/filters.cpp
@@ -1,17 +1,21 @@
 #include "vanilladyke/gateway/filters.hpp"
 
+#include "vanilladyke/gateway/deadline_header.hpp"
+#include "vanilladyke/gateway/json_depth.hpp"
+
 #include <nlohmann/json.hpp>
 #include <sodium.h>
 
 #include <algorithm>
 #include <array>
-#include <charconv>
+#include <stdexcept>
 
 namespace vanilladyke {
 
 namespace {
 
 constexpr std::uint32_t DefaultAnswerTokens = 256;
+constexpr std::uint64_t MostAnswerTokens = 1'000'000;
 constexpr std::string_view ChatPath = "/v1/chat/completions";
 
 Refusal badRequest(std::string detail)
@@ -25,16 +29,82 @@
     return options != body.end() && options->value("include_usage", false);
 }
 
+/// Content is a text, a list of parts, or null in a message that only calls tools.
+std::string contentOf(const nlohmann::json &message)
+{
+    const nlohmann::json &content = message.at("content");
+    if (content.is_string()) {
+        return content.get<std::string>();
+    }
+    if (!content.is_array() && !content.is_null()) {
+        throw std::invalid_argument("content must be a string or a list of parts");
+    }
+    return content.dump();
+}
+
 void readPrompt(const nlohmann::json &body, RequestContext &context)
 {
     if (!isChat(context)) {
         context.messages.push_back(body.at("prompt").get<std::string>());
         return;
     }
-    for (const auto &message : body.at("messages")) {
+    const nlohmann::json &messages = body.at("messages");
+    if (!messages.is_array() || messages.empty()) {
+        throw std::invalid_argument("messages must be a list with one message at least");
+    }
+    for (const auto &message : messages) {
         context.messages.push_back(message.at("role").get<std::string>() + "\n"
-                                   + message.at("content").get<std::string>());
+                                   + contentOf(message));
+    }
+}
+
+std::uint32_t readAnswerTokens(const nlohmann::json &body)
+{
+    for (const char *field : {"max_completion_tokens", "max_tokens"}) {
+        const auto limit = body.find(field);
+        if (limit == body.end() || limit->is_null()) {
+            continue;
+        }
+        if (!limit->is_number_unsigned() || limit->get<std::uint64_t>() > MostAnswerTokens) {
+            throw std::invalid_argument(std::string(field) + " must be a whole number up to "
+                                        + std::to_string(MostAnswerTokens));
+        }
+        return limit->get<std::uint32_t>();
     }
+    return DefaultAnswerTokens;
+}
+
+void readCompletion(RequestContext &context)
+{
+    if (nestingDepth(context.body) > DeepestJson) {
+        throw std::invalid_argument("the JSON is nested too deeply");
+    }
+    nlohmann::json body = nlohmann::json::parse(context.body);
+    context.model = ModelId(body.at("model").get<std::string>());
+    context.streamed = body.value("stream", false);
+    context.wantsUsage = !context.streamed || callerWantsUsage(body);
+    context.answerTokens = readAnswerTokens(body);
+    readPrompt(body, context);
+    body["stream"] = true;
+    body["stream_options"]["include_usage"] = true;
+    context.engineBody = body.dump();
+}
+
+/// Takes the deadline that the caller names, in milliseconds since 1970 or as RFC 3339 writes it.
+FilterVerdict setDeadline(RequestContext &context, Duration byDefault)
+{
+    context.firstTokenDeadline = context.arrivedAt + byDefault;
+    if (context.deadlineHeader.empty()) {
+        return std::nullopt;
+    }
+    const std::optional<WallTime> wall = parseDeadline(context.deadlineHeader);
+    if (!wall) {
+        return badRequest(
+                "X-Request-Deadline must be RFC 3339 or milliseconds since 1970, within a day");
+    }
+    context.firstTokenDeadline =
+            toMonotonic(*wall, std::chrono::system_clock::now(), context.arrivedAt);
+    return std::nullopt;
 }
 
 } // namespace
@@ -74,16 +144,8 @@
 FilterVerdict ParseCompletion::operator()(RequestContext &context) const
 {
     try {
-        nlohmann::json body = nlohmann::json::parse(context.body);
-        context.model = ModelId(body.at("model").get<std::string>());
-        context.streamed = body.value("stream", false);
-        context.wantsUsage = !context.streamed || callerWantsUsage(body);
-        context.answerTokens = body.value("max_tokens", DefaultAnswerTokens);
-        readPrompt(body, context);
-        body["stream"] = true;
-        body["stream_options"]["include_usage"] = true;
-        context.engineBody = body.dump();
-    } catch (const nlohmann::json::exception &error) {
+        readCompletion(context);
+    } catch (const std::exception &error) {
         return badRequest(error.what());
     }
     const Model *model = findModel(*context.fleet->bundle, context.model);
@@ -97,20 +159,12 @@
 
 FilterVerdict SetDeadline::operator()(RequestContext &context) const
 {
-    context.firstTokenDeadline =
-            context.arrivedAt + context.fleet->bundle->limits.firstTokenDeadline;
-    if (context.deadlineHeader.empty()) {
-        return std::nullopt;
-    }
-    std::int64_t millis = 0;
-    const char *end = context.deadlineHeader.data() + context.deadlineHeader.size();
-    const auto parsed = std::from_chars(context.deadlineHeader.data(), end, millis);
-    if (parsed.ec != std::errc() || parsed.ptr != end) {
-        return badRequest("X-Request-Deadline must be milliseconds since 1970");
-    }
-    context.firstTokenDeadline = toMonotonic(WallTime(std::chrono::milliseconds(millis)),
-                                             std::chrono::system_clock::now(), context.arrivedAt);
-    return std::nullopt;
+    return setDeadline(context, context.fleet->bundle->limits.firstTokenDeadline);
+}
+
+FilterVerdict SetServiceDeadline::operator()(RequestContext &context) const
+{
+    return setDeadline(context, context.fleet->bundle->limits.serviceDeadline);
 }
 
 FilterVerdict CutPrefixes::operator()(RequestContext &context) const
--- /dev/null
+++ b/src/vanilladyke/gateway/service_exchange.cpp
@@ -0,0 +1,78 @@
+#include "vanilladyke/gateway/service_exchange.hpp"
+
+#include <httplib.h>
+
+#include <algorithm>
+
+namespace vanilladyke {
+
+namespace {
+
+constexpr Duration ConnectWithin = std::chrono::milliseconds(500);
+/// A whole answer is held in memory, one for each call under way.
+constexpr std::size_t MostAnswerBytes = 64U << 20U;
+
+void addHeader(httplib::Request &request, const char *name, const std::string &value)
+{
+    if (!value.empty()) {
+        request.headers.emplace(name, value);
+    }
+}
+
+httplib::Request requestOf(const ServiceCall &call)
+{
+    httplib::Request request;
+    request.method = call.method;
+    request.path = call.target;
+    request.body = call.body;
+    addHeader(request, "X-Request-Id", call.request.str());
+    addHeader(request, "X-Customer-Id", call.customer.str());
+    addHeader(request, "Idempotency-Key", call.idempotencyKey);
+    addHeader(request, "Content-Type", call.contentType);
+    addHeader(request, "Accept", call.accept);
+    return request;
+}
+
+ExchangeFailure failureOf(const httplib::Result &result, TimePoint deadline)
+{
+    const std::string detail = httplib::to_string(result.error());
+    if (result.error() == httplib::Error::Connection) {
+        return {ExchangeError::ConnectFailed, detail};
+    }
+    const bool late = MonotonicClock::now() >= deadline;
+    return {late ? ExchangeError::Silent : ExchangeError::Reset, detail};
+}
+
+} // namespace
+
+Outcome<ServiceAnswer, ExchangeFailure> sendOnce(const ServiceCall &call, const Endpoint &backend,
+                                                 TimePoint deadline)
+{
+    const Duration left = deadline - MonotonicClock::now();
+    if (left <= Duration::zero()) {
+        return failure(ExchangeFailure{ExchangeError::ConnectFailed, "no time was left to send"});
+    }
+    httplib::Client client(backend.host, backend.port);
+    client.set_connection_timeout(std::min(left, ConnectWithin));
+    client.set_read_timeout(left);
+    client.set_write_timeout(left);
+    client.set_tcp_nodelay(true);
+    client.set_url_encode(false);
+    httplib::Request request = requestOf(call);
+    ServiceAnswer answer;
+    // The library's time-out counts from byte to byte; an answer that trickles must end as well.
+    request.content_receiver = [&](const char *data, std::size_t size, std::uint64_t,
+                                   std::uint64_t) {
+        answer.body.append(data, size);
+        return answer.body.size() <= MostAnswerBytes && MonotonicClock::now() < deadline;
+    };
+    const httplib::Result result = client.send(request);
+    if (!result) {
+        return failure(failureOf(result, deadline));
+    }
+    answer.status = result->status;
+    answer.contentType = result->get_header_value("Content-Type");
+    return answer;
+}
+
+} // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/gateway/service_exchange.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "vanilladyke/gateway/engine_exchange.hpp"
+#include "vanilladyke/model/ids.hpp"
+
+#include <optional>
+#include <string>
+
+namespace vanilladyke {
+
+/// @brief A caller's request to a plain service, as it goes to one of the backends.
+struct ServiceCall
+{
+    RequestId request;
+    CustomerId customer;
+    ServiceId service;
+    std::string method;
+    std::string target; ///< path and query, from the slash after the service's name
+    std::string contentType;
+    std::string accept;
+    std::string idempotencyKey;
+    std::string body;
+};
+
+/// @brief What the service answered, whatever its status.
+struct ServiceAnswer
+{
+    int status = 200;
+    std::string contentType;
+    std::string body;
+};
+
+/// @brief Sends the call once to one backend and reads the whole answer. The caller's bearer key is
+/// not sent on.
+/// @return Silent once the deadline has passed
+[[nodiscard]] Outcome<ServiceAnswer, ExchangeFailure>
+sendOnce(const ServiceCall &call, const Endpoint &backend, TimePoint deadline);
+
+} // namespace vanilladyke
--- a/src/vanilladyke/gateway/sse_parser.cpp
+++ b/src/vanilladyke/gateway/sse_parser.cpp
@@ -1,61 +1,66 @@
 #include "vanilladyke/gateway/sse_parser.hpp"
 
+#include <utility>
+
 namespace vanilladyke {
 
 namespace {
 
-constexpr std::string_view EventEnd = "\n\n";
-
-std::string_view valueOf(std::string_view line)
+/// The value of a line that begins with the field's name; none if it begins otherwise.
+std::optional<std::string_view> valueOf(std::string_view line, std::string_view field)
 {
-    const std::size_t colon = line.find(':');
-    std::string_view value = colon == std::string_view::npos ? "" : line.substr(colon + 1);
-    if (!value.empty() && value.front() == ' ') {
-        value.remove_prefix(1);
+    if (!line.starts_with(field)) {
+        return std::nullopt;
+    }
+    line.remove_prefix(field.size());
+    if (line.starts_with(' ')) {
+        line.remove_prefix(1);
     }
-    return value;
+    return line;
 }
 
-void addLine(SseEvent &event, std::string_view line)
+} // namespace
+
+void SseParser::feed(std::string_view bytes)
 {
-    if (line.starts_with("id:")) {
-        event.id = valueOf(line);
-    } else if (line.starts_with("data:")) {
-        event.data += event.data.empty() ? "" : "\n";
-        event.data += valueOf(line);
-    }
+    m_buffer.erase(0, m_read);
+    m_scanned -= m_read;
+    m_read = 0;
+    m_buffer.append(bytes);
 }
 
-SseEvent parseEvent(std::string_view text)
+std::optional<std::string_view> SseParser::nextLine()
 {
-    SseEvent event;
-    while (!text.empty()) {
-        const std::size_t end = text.find('\n');
-        std::string_view line = text.substr(0, end);
-        text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
-        if (line.ends_with('\r')) {
-            line.remove_suffix(1);
-        }
-        addLine(event, line);
+    const std::size_t end = m_buffer.find('\n', m_scanned);
+    if (end == std::string::npos) {
+        m_scanned = m_buffer.size();
+        return std::nullopt;
+    }
+    std::string_view line = std::string_view(m_buffer).substr(m_read, end - m_read);
+    m_read = end + 1;
+    m_scanned = m_read;
+    if (line.ends_with('\r')) {
+        line.remove_suffix(1);
     }
-    return event;
+    return line;
 }
 
-} // namespace
-
 std::optional<SseEvent> SseParser::next()
 {
-    while (true) {
-        const std::size_t end = m_buffer.find(EventEnd);
-        if (end == std::string::npos) {
-            return std::nullopt;
-        }
-        SseEvent event = parseEvent(std::string_view(m_buffer).substr(0, end));
-        m_buffer.erase(0, end + EventEnd.size());
-        if (!event.data.empty()) {
-            return event;
+    while (const auto line = nextLine()) {
+        if (line->empty()) {
+            SseEvent event = std::exchange(m_event, {});
+            if (std::exchange(m_hasData, false)) {
+                return event;
+            }
+        } else if (const auto data = valueOf(*line, "data:")) {
+            m_event.data.append(m_hasData ? "\n" : "").append(*data);
+            m_hasData = true;
+        } else if (const auto id = valueOf(*line, "id:")) {
+            m_event.id = *id;
         }
     }
+    return std::nullopt;
 }
 
 } // namespace vanilladyke
