--- a/tests/integration/harness.py
+++ b/tests/integration/harness.py
@@ -151,12 +151,13 @@
         wait_until(lambda: http_call(port, "GET", "/v1/hosts")[0] == 200, "platform up")
         return process
 
-    def node(self, name):
+    def node(self, name, **more):
         port, operators = free_port(), free_port()
         settings = {"node": name, "data_centre": "yaba-hall", "callers": f"127.0.0.1:{port}",
                     "operators": f"127.0.0.1:{operators}", "balancer_lag_ms": 300, "stream_key": "5e" * 32,
                     "bundle_file": self.write("bundle.jsonc", self.bundle)}
         settings["peers"] = self.peer_settings()
+        settings.update(more)
         process = self.start(name, [f"{self.build}/vanilladyke", "serve", "--settings",
                                     self.write(name + ".jsonc", settings)])
         process.port, process.operators = port, operators
@@ -200,6 +201,11 @@
     return text, bool(events) and events[-1] == "[DONE]"
 
 
+def whole_text(body):
+    """The text of an answer that was not streamed."""
+    return json.loads(body)["choices"][0]["message"]["content"]
+
+
 def main():
     """Runs the tests of the calling file; --build names the folder with the programs."""
     parser = argparse.ArgumentParser()
--- a/tests/standins/service.cpp
+++ b/tests/standins/service.cpp
@@ -8,8 +8,10 @@
 #include <nlohmann/json.hpp>
 #include <tclap/CmdLine.h>
 
+#include <csignal>
 #include <map>
 #include <mutex>
+#include <thread>
 
 namespace {
 
@@ -111,5 +113,14 @@
     server.Post(".*", handleBody);
     server.Put(".*", handleBody);
     server.Delete(".*", handle);
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::thread([&] {
+        int signal = 0;
+        sigwait(&signals, &signal);
+        server.stop();
+    }).detach();
     return server.listen("127.0.0.1", port.getValue()) ? EXIT_SUCCESS : EXIT_FAILURE;
 }
