--- a/include/vanilladyke/policy/orders.hpp
+++ b/include/vanilladyke/policy/orders.hpp
@@ -24,7 +24,7 @@
 {
     ModelId model;
     WeightsVersion weights;
-    std::vector<AdapterId> adapters;
+    std::vector<AdapterId> adapters = {};
 
     bool operator==(const HeldModel &) const = default;
 };
--- a/src/vanilladyke/gateway/filters.cpp
+++ b/src/vanilladyke/gateway/filters.cpp
@@ -1,10 +1,11 @@
 #include "vanilladyke/gateway/filters.hpp"
 
+#include "vanilladyke/model/signing.hpp"
+
 #include "vanilladyke/gateway/deadline_header.hpp"
 #include "vanilladyke/gateway/json_depth.hpp"
 
 #include <nlohmann/json.hpp>
-#include <sodium.h>
 
 #include <algorithm>
 #include <array>
@@ -116,12 +117,7 @@
 
 std::string keyDigest(const std::string &key)
 {
-    std::array<unsigned char, crypto_generichash_BYTES> digest{};
-    crypto_generichash(digest.data(), digest.size(),
-                       reinterpret_cast<const unsigned char *>(key.data()), key.size(), nullptr, 0);
-    std::array<char, 2 * crypto_generichash_BYTES + 1> text{};
-    sodium_bin2hex(text.data(), text.size(), digest.data(), digest.size());
-    return text.data();
+    return digestOf(key);
 }
 
 FilterVerdict IdentifyCustomer::operator()(RequestContext &context) const
--- a/tests/integration/bundles.py
+++ b/tests/integration/bundles.py
@@ -5,7 +5,6 @@
 import signal
 import subprocess
 import threading
-import time
 
 import harness
 
@@ -22,8 +21,7 @@
         return [self.cluster.node(f"n{i + 1}") for i in range(count)]
 
     def status(self, node):
-        return json.loads(harness.http_call(node.operators, "GET", "/operator/v1/status",
-                                            headers=harness.OPERATOR)[1])
+        return self.cluster.status(node)
 
     def history(self, node):
         return json.loads(harness.http_call(node.operators, "GET", "/operator/v1/history",
--- a/tests/integration/harness.py
+++ b/tests/integration/harness.py
@@ -177,6 +177,11 @@
         with open(signed, encoding="utf-8") as text:
             return text.read()
 
+    @staticmethod
+    def status(node):
+        """What the node tells operators of itself and its peers."""
+        return json.loads(http_call(node.operators, "GET", "/operator/v1/status", headers=OPERATOR)[1])
+
     def publish(self, node, signed):
         """What the node says became of the signed bundle."""
         status, body, _ = http_call(node.operators, "POST", "/operator/v1/bundles", signed, OPERATOR)
@@ -184,12 +189,12 @@
 
     def publish_bundle(self, node):
         """Publishes self.bundle as the next version."""
-        answer = json.loads(http_call(node.operators, "GET", "/operator/v1/status", headers=OPERATOR)[1])
-        if answer["version"]:
-            self.bundle["version"] = answer["version"] + 1
-            self.bundle["parent"] = answer["digest"]
-        status, result = self.publish(node, self.sign(self.bundle))
-        assert status == 200, result
+        status = self.status(node)
+        if status["version"]:
+            self.bundle["version"] = status["version"] + 1
+            self.bundle["parent"] = status["digest"]
+        code, result = self.publish(node, self.sign(self.bundle))
+        assert code == 200, result
 
     def restart(self, node):
         """A new process with the settings of one that has ended; not waited for."""
@@ -198,7 +203,7 @@
         process.port, process.operators, process.name = node.port, node.operators, node.name
         return process
 
-    def node(self, name, publish=True):
+    def node(self, name, publish=True, **more):
         port, operators = free_port(), free_port()
         settings = {"node": name, "data_centre": "yaba-hall", "callers": f"127.0.0.1:{port}",
                     "operators": f"127.0.0.1:{operators}", "balancer_lag_ms": 300, "stream_key": "5e" * 32,
@@ -206,6 +211,7 @@
                     "trusted_signers": [SIGNER], "signatures_needed": 1,
                     "operator_keys": [{"id": "ana", "digest": key_digest(OPERATOR_KEY)}]}
         settings["peers"] = self.peer_settings()
+        settings.update(more)
         process = self.start(name, [f"{self.build}/vanilladyke", "serve", "--settings",
                                     self.write(name + ".jsonc", settings)])
         process.port, process.operators, process.name = port, operators, name
@@ -213,8 +219,7 @@
         if not publish:
             return process
         if self.published != self.bundle:
-            wait_until(lambda: json.loads(http_call(operators, "GET", "/operator/v1/status",
-                                                    headers=OPERATOR)[1])["log_reachable"], name + " reads the log")
+            wait_until(lambda: self.status(process)["log_reachable"], name + " reads the log")
             self.publish_bundle(process)
             self.published = copy.deepcopy(self.bundle)
         wait_until(lambda: http_call(port, "GET", "/readyz")[0] == 200, name + " ready")
@@ -257,6 +262,11 @@
     return text, bool(events) and events[-1] == "[DONE]"
 
 
+def whole_text(body):
+    """The text of an answer that was not streamed."""
+    return json.loads(body)["choices"][0]["message"]["content"]
+
+
 def main():
     """Runs the tests of the calling file; --build names the folder with the programs."""
     parser = argparse.ArgumentParser()
--- a/tests/standins/engine_batch.cpp
+++ b/tests/standins/engine_batch.cpp
@@ -27,6 +27,7 @@
     constexpr std::array StateNames{"waiting", "running", "finished", "cancelled", "lost"};
     return {{"request", stream.request},
             {"stream", stream.id},
+            {"weights", stream.weights.version},
             {"attempts", stream.attempts},
             {"incarnation", incarnation},
             {"state", StateNames.at(static_cast<std::size_t>(stream.state))},
