Wait for a frozen engine when no retry is left, instead of refusing

An engine had frozen with dozens of first frames outstanding, and the budget saves ten retries.

A request whose engine lives but is silent now waits at it, where its stream still is, as long as no retry is to be had; one whose engine is gone moves without a retry, as its work is lost there. A refusal by the engine still needs the budget.

--- a/src/vanilladyke/gateway/conversation.cpp
+++ b/src/vanilladyke/gateway/conversation.cpp
@@ -229,18 +229,35 @@
                                           *m_environment.fleet.current(), MonotonicClock::now());
 }
 
-/// A stream that begins anew elsewhere before its first frame is a retry and has a budget. One that
-/// is continued is not: its caller already holds a part of the answer.
-std::optional<Refusal> Conversation::spendRetry(const ExchangeFailure &why)
+/// A stream that begins anew elsewhere before its first frame is a retry and has a budget. Free are
+/// one whose caller already holds a part of the answer, and one whose engine is gone: there the
+/// work is lost, and nothing is done twice at the same time.
+bool Conversation::mayMove()
 {
-    SharedRetryBudgets &retries = m_environment.control.retries;
-    if (m_guard.offset() > 0 || retries.spend(m_context.model, m_context.customer)) {
+    return m_guard.offset() > 0 || !engineLives()
+           || m_environment.control.retries.spend(m_context.model, m_context.customer);
+}
+
+/// Leaves the engine for another, or stays where no retry is to be had: the stream is still there,
+/// and waiting for it adds no load. Refused at once, all callers of a frozen engine would come back
+/// as new requests. @return the refusal, if neither will do
+std::optional<Refusal> Conversation::moveElsewhere(const ExchangeFailure &why, TimePoint now)
+{
+    if (mayMove()) {
+        m_excluded.push_back(m_call.engine.id);
+        leaveEngine();
         return std::nullopt;
     }
-    Refusal refusal = giveUp(why.detail);
-    refusal.reason = RefusalReason::RetryBudgetSpent;
-    refusal.retryAt = retries.availableAt(m_context.model, m_context.customer);
-    return refusal;
+    if (endOf(why.error) == AttemptEnd::Refused) {
+        Refusal refusal = giveUp(why.detail);
+        refusal.reason = RefusalReason::RetryBudgetSpent;
+        refusal.retryAt =
+                m_environment.control.retries.availableAt(m_context.model, m_context.customer);
+        return refusal;
+    }
+    m_fruitlessHere = 0;
+    m_notBefore = now + LookAgainAfter;
+    return std::nullopt;
 }
 
 void Conversation::logAttemptEnd(const ExchangeFailure &why, RecoveryStep step) const
@@ -279,11 +296,9 @@
         return giveUp(why.detail);
     }
     if (step == RecoveryStep::Elsewhere) {
-        if (auto refusal = spendRetry(why)) {
+        if (auto refusal = moveElsewhere(why, now)) {
             return refusal;
         }
-        m_excluded.push_back(m_call.engine.id);
-        leaveEngine();
     }
     m_exchange.reset();
     return std::nullopt;
--- a/src/vanilladyke/gateway/conversation.hpp
+++ b/src/vanilladyke/gateway/conversation.hpp
@@ -63,7 +63,8 @@
     [[nodiscard]] std::optional<StreamStep> readAttempt(TimePoint until);
     [[nodiscard]] Outcome<std::optional<StreamFrame>, ExchangeFailure> accept(StreamFrame frame);
     [[nodiscard]] std::optional<Refusal> breakOff(const ExchangeFailure &why);
-    [[nodiscard]] std::optional<Refusal> spendRetry(const ExchangeFailure &why);
+    [[nodiscard]] bool mayMove();
+    [[nodiscard]] std::optional<Refusal> moveElsewhere(const ExchangeFailure &why, TimePoint now);
     void noteFrame(const StreamFrame &frame);
     void observe(bool failed, Duration took) const;
     void logAttemptEnd(const ExchangeFailure &why, RecoveryStep step) const;
