--- a/src/vanilladyke/policy/claim_fold_test.cpp
+++ b/src/vanilladyke/policy/claim_fold_test.cpp
@@ -8,7 +8,7 @@
 using std::chrono::minutes;
 using std::chrono::seconds;
 
-const WallTime Start = WallTime(std::chrono::hours(500'000));
+constexpr WallTime Start = WallTime(std::chrono::hours(500'000));
 
 ClaimKey keyAt(WallTime time, std::uint64_t seed = 1)
 {
--- a/src/vanilladyke/policy/claim_ledger_test.cpp
+++ b/src/vanilladyke/policy/claim_ledger_test.cpp
@@ -13,7 +13,7 @@
 using std::chrono::seconds;
 
 constexpr Duration Window = minutes(10);
-const WallTime WallStart = WallTime(std::chrono::hours(500'000));
+constexpr WallTime WallStart = WallTime(std::chrono::hours(500'000));
 
 /// The log, and appends whose answer was lost and that arrive later.
 struct FakeLog
