--- a/include/vanilladyke/control/events.hpp
+++ b/include/vanilladyke/control/events.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "vanilladyke/base/time.hpp"
+#include "vanilladyke/control/claim_events.hpp"
 #include "vanilladyke/model/bundle.hpp"
 #include "vanilladyke/model/fleet.hpp"
 #include "vanilladyke/model/ids.hpp"
@@ -65,7 +66,7 @@
 };
 
 using Event = std::variant<Tick, BundleAccepted, EngineReported, EngineUnreachable, EngineLeaving,
-                           StopRequested, PeerHeard>;
+                           StopRequested, PeerHeard, ClaimEvent>;
 
 /// @brief Whether the event may be dropped when the inbox is full: a later one makes up for it.
 [[nodiscard]] bool isSoft(const Event &event);
--- /dev/null
+++ b/src/vanilladyke/control/claim_controller.cpp
@@ -0,0 +1,91 @@
+#include "vanilladyke/control/claim_controller.hpp"
+
+#include "vanilladyke/base/log.hpp"
+
+namespace vanilladyke {
+
+namespace {
+
+std::string_view nameOf(const ClaimVerdict &verdict)
+{
+    if (std::holds_alternative<MaySend>(verdict)) {
+        return "send";
+    }
+    const auto *refusal = std::get_if<Refusal>(&verdict);
+    return refusal == nullptr ? "answered_before" : toString(refusal->reason);
+}
+
+} // namespace
+
+ClaimController::ClaimController(ProcessId process, NodeId node, ClaimIo &io)
+    : m_ledger(std::move(process), std::move(node))
+    , m_io(io)
+{}
+
+void ClaimController::handle(const Event &event, TimePoint now)
+{
+    const Moment at{now, std::chrono::system_clock::now()};
+    if (const auto *claims = std::get_if<ClaimEvent>(&event)) {
+        std::visit([&](const auto &each) { take(each, at); }, *claims);
+    }
+    m_ledger.tick(at);
+    deliver();
+    if (auto batch = m_ledger.nextBatch(at)) {
+        m_io.append(std::move(*batch));
+    }
+    m_io.tell({m_ledger.nextOffset(), m_ledger.wantsRead(), m_ledger.idle()});
+}
+
+void ClaimController::contribute(Fleet &fleet, TimePoint /*now*/)
+{
+    if (fleet.bundle) {
+        m_ledger.configure(fleet.bundle->limits.claimWindow, fleet.liveNodes);
+        m_io.readBack(fleet.bundle->limits.claimWindow);
+    }
+}
+
+void ClaimController::take(const ClaimAsked &asked, Moment at)
+{
+    m_asked.emplace(asked.request.ticket, asked);
+    m_ledger.ask(asked.request, at);
+}
+
+void ClaimController::take(const ClaimSettled &settled, Moment /*at*/)
+{
+    m_ledger.settle(settled.record);
+}
+
+void ClaimController::take(const ClaimsAppended &appended, Moment at)
+{
+    m_ledger.appended(appended.result, appended.offset, at);
+}
+
+void ClaimController::take(const ClaimsRead &read, Moment at)
+{
+    m_ledger.read(read.page, at);
+    m_io.pageTaken();
+}
+
+void ClaimController::deliver()
+{
+    for (ClaimDecision &decision : m_ledger.takeDecisions()) {
+        const auto asked = m_asked.find(decision.ticket);
+        if (asked == m_asked.end()) {
+            continue;
+        }
+        const ClaimKey key = asked->second.request.key;
+        LogEvent("claim")
+                .field("customer", key.customer.str())
+                .field("service", key.service.str())
+                .field("verdict", nameOf(decision.verdict));
+        const auto *permit = std::get_if<MaySend>(&decision.verdict);
+        const ClaimNonce nonce = permit == nullptr ? ClaimNonce() : permit->nonce;
+        const bool waited = asked->second.wait->deliver(std::move(decision.verdict));
+        if (!waited && nonce.sequence != 0) {
+            m_ledger.settle(ClaimRelease{key, nonce});
+        }
+        m_asked.erase(asked);
+    }
+}
+
+} // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/control/claim_io.cpp
@@ -0,0 +1,116 @@
+#include "vanilladyke/control/claim_io.hpp"
+
+namespace vanilladyke {
+
+ClaimPage decodePage(const LogPage &page, TimePoint askedAt)
+{
+    ClaimPage claims{askedAt, page.firstOffset, page.nextOffset, {}};
+    for (const LogRecord &record : page.records) {
+        auto batch = decodeClaims(record.data);
+        if (!batch) {
+            LogEvent("claim_record_refused", Severity::Warning)
+                    .field("offset", record.offset)
+                    .field("reason", batch.error());
+        }
+        claims.records.push_back(
+                {record.offset, record.appendedAt, batch ? std::move(*batch) : ClaimBatch()});
+    }
+    return claims;
+}
+
+ClaimsAppended resultOf(const Outcome<LogOffset, LogFailure> &answer)
+{
+    if (answer) {
+        return {AppendResult::Done, *answer};
+    }
+    LogEvent("claim_append_failed", Severity::Warning)
+            .field("error", toString(answer.error().error))
+            .field("detail", answer.error().detail);
+    const LogError error = answer.error().error;
+    const bool notDone = error == LogError::NotSent || error == LogError::Refused;
+    return {notDone ? AppendResult::NotDone : AppendResult::InDoubt, 0};
+}
+
+void ClaimIo::append(ClaimBatch batch)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_batch = std::move(batch);
+    }
+    m_changed.notify_all();
+}
+
+void ClaimIo::readBack(Duration window)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_window) {
+            return;
+        }
+        m_window = window;
+    }
+    m_changed.notify_all();
+}
+
+void ClaimIo::pageTaken()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_pageTaken = true;
+    }
+    m_changed.notify_all();
+}
+
+void ClaimIo::tell(const ClaimProgress &progress)
+{
+    bool becameIdle = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        becameIdle = progress.idle && !m_progress.idle;
+        m_progress = progress;
+    }
+    if (becameIdle) {
+        m_changed.notify_all();
+    }
+}
+
+std::optional<ClaimBatch> ClaimIo::nextBatch(const std::stop_token &stop)
+{
+    std::unique_lock lock(m_mutex);
+    m_changed.wait(lock, stop, [this] { return m_batch.has_value(); });
+    return stop.stop_requested() ? std::nullopt : std::exchange(m_batch, std::nullopt);
+}
+
+std::optional<Duration> ClaimIo::awaitWindow(const std::stop_token &stop)
+{
+    std::unique_lock lock(m_mutex);
+    m_changed.wait(lock, stop, [this] { return m_window.has_value(); });
+    return m_window;
+}
+
+void ClaimIo::awaitPageTaken(const std::stop_token &stop)
+{
+    std::unique_lock lock(m_mutex);
+    m_changed.wait(lock, stop, [this] { return m_pageTaken; });
+    m_pageTaken = false;
+}
+
+void ClaimIo::pause(const std::stop_token &stop, TimePoint until)
+{
+    std::unique_lock lock(m_mutex);
+    m_changed.wait_until(lock, stop, until, [] { return false; });
+}
+
+ClaimProgress ClaimIo::progress() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_progress;
+}
+
+bool ClaimIo::flush(TimePoint deadline)
+{
+    std::unique_lock lock(m_mutex);
+    return m_changed.wait_until(lock, deadline, [this] { return m_progress.idle; });
+}
+
+} // namespace vanilladyke
--- a/src/vanilladyke/policy/claim_ledger.cpp
+++ b/src/vanilladyke/policy/claim_ledger.cpp
@@ -187,14 +187,16 @@
 
 void ClaimLedger::read(const ClaimPage &page, Moment at)
 {
-    const bool startsLater = m_fold.next() < page.firstOffset;
+    const std::uint64_t start =
+            page.records.empty() ? page.firstOffset : page.records.front().offset;
+    const bool startsLater = m_fold.next() < start;
     // A read that began before an append of this node may answer as of before it.
     const bool wentBack = page.nextOffset < m_fold.next() && page.askedAt > m_appendedAt;
     if (wentBack || (startsLater && page.records.empty())) {
         // Records are gone that this node has never seen, and nothing tells how old they were.
         m_fold.skipTo(page.firstOffset, at.wall + ClockSkew);
     } else if (startsLater) {
-        m_fold.skipTo(page.records.front().offset, coveredFrom(page.records.front().appendedAt));
+        m_fold.skipTo(start, coveredFrom(page.records.front().appendedAt));
     }
     for (const ClaimLogRecord &record : page.records) {
         if (record.offset >= m_fold.next()) {
