--- a/include/vanilladyke/app/settings.hpp
+++ b/include/vanilladyke/app/settings.hpp
@@ -38,6 +38,7 @@
     TlsFiles callersTls;
     Endpoint operators;                ///< where operators are served
     std::optional<PeerSettings> peers; ///< none for a node on its own
+    std::optional<Endpoint> log;       ///< the platform's log; none for a node on its own
     std::string logLevel = "info";
     std::string bundleFile; ///< a bundle taken as accepted at start; for a first try without a log
 };
--- a/include/vanilladyke/gateway/caller_server.hpp
+++ b/include/vanilladyke/gateway/caller_server.hpp
@@ -8,11 +8,14 @@
 
 namespace vanilladyke {
 
-/// @brief Serves callers over HTTP: completions, streamed or whole.
+class ClaimDesk;
+
+/// @brief Serves callers over HTTP: completions, streamed or whole, and plain services.
 class CallerServer
 {
 public:
-    CallerServer(const FleetStore &fleet, Metrics &metrics);
+    /// @param claims null if this node has no log
+    CallerServer(const FleetStore &fleet, Metrics &metrics, ClaimDesk *claims);
     CallerServer(const CallerServer &) = delete;
     CallerServer &operator=(const CallerServer &) = delete;
     ~CallerServer();
--- a/include/vanilladyke/gateway/exchange_context.hpp
+++ b/include/vanilladyke/gateway/exchange_context.hpp
@@ -5,6 +5,7 @@
 #include "vanilladyke/model/fleet.hpp"
 #include "vanilladyke/model/prefix_chain.hpp"
 #include "vanilladyke/model/refusal.hpp"
+#include "vanilladyke/policy/claim_record.hpp"
 #include "vanilladyke/policy/fair_queue.hpp"
 
 #include <concepts>
@@ -19,6 +20,22 @@
 
 class SlotLease;
 
+/// @brief What only calls of plain services have.
+struct ServicePart
+{
+    // As it came in.
+    std::string method;
+    std::string contentType;
+    std::string idempotencyKey;
+    bool repeat = false; ///< the caller says that it may have sent the key before
+
+    // Added by the filters.
+    Service service;
+    std::string path; ///< at the service, with the query
+    ClaimKey key;     ///< of a call that may not be repeated
+    TimePoint deadline;
+};
+
 /// @brief All that is known of one request; each filter reads what it needs and adds its part.
 struct RequestContext
 {
@@ -30,6 +47,7 @@
     std::string body;
     TimePoint arrivedAt;
     std::shared_ptr<const Fleet> fleet;
+    ServicePart call;
 
     // Added by the filters.
     CustomerId customer;
--- a/include/vanilladyke/gateway/filters.hpp
+++ b/include/vanilladyke/gateway/filters.hpp
@@ -28,6 +28,11 @@
     [[nodiscard]] FilterVerdict operator()(RequestContext &context) const;
 };
 
+/// @brief The deadline that the caller states in X-Request-Deadline.
+/// @param otherwise what it has from its arrival on if it states none
+[[nodiscard]] Outcome<TimePoint, Refusal> deadlineOf(const RequestContext &context,
+                                                     Duration otherwise);
+
 /// @brief The digest under which a bundle names a bearer key: BLAKE2b-256, hexadecimal.
 [[nodiscard]] std::string keyDigest(const std::string &key);
 
--- a/include/vanilladyke/policy/claim_record.hpp
+++ b/include/vanilladyke/policy/claim_record.hpp
@@ -86,6 +86,14 @@
 /// @brief The largest answer that is kept for repeats.
 inline constexpr std::size_t MostAnswerBytes = 4096;
 
+/// @brief The longest name, digest or content type in a record.
+inline constexpr std::size_t MostNameBytes = 256;
+inline constexpr std::uint32_t MostStatus = 999;
+
+/// @brief Whether every reader will take the record. One that is not well formed must never be
+/// appended: readers refuse it together with all others of its append.
+[[nodiscard]] bool isWellFormed(const ClaimRecord &record);
+
 [[nodiscard]] inline const ClaimKey &keyOf(const ClaimRecord &record)
 {
     return std::visit([](const auto &each) -> const ClaimKey & { return each.key; }, record);
--- a/src/vanilladyke/app/serve.cpp
+++ b/src/vanilladyke/app/serve.cpp
@@ -4,6 +4,8 @@
 #include "vanilladyke/base/log.hpp"
 #include "vanilladyke/base/metrics.hpp"
 #include "vanilladyke/control/bundle_controller.hpp"
+#include "vanilladyke/control/claim_controller.hpp"
+#include "vanilladyke/control/claim_desk.hpp"
 #include "vanilladyke/control/control_thread.hpp"
 #include "vanilladyke/control/engine_controller.hpp"
 #include "vanilladyke/control/engine_poller.hpp"
@@ -19,6 +21,9 @@
 namespace {
 
 constexpr std::size_t InboxCapacity = 65'536;
+constexpr std::string_view ClaimStream = "claims";
+/// Outcomes that are not in the log when a node stops are "unknown" to all repeats from then on.
+constexpr Duration FlushWithin = std::chrono::seconds(5);
 
 Severity severityOf(const std::string &level)
 {
@@ -92,13 +97,22 @@
             return EXIT_FAILURE;
         }
     }
-    const ControlThread control(inbox, fleet, bundles, members, engines);
+    ClaimIo claimIo;
+    ClaimController claims(ProcessId(newUuid()), settings.node, claimIo);
+    ClaimDesk claimDesk(inbox);
+    const ControlThread control(inbox, fleet, bundles, members, engines, claims);
+    std::optional<ClaimLog<LogClient>> claimLog;
+    if (settings.log) {
+        claimLog.emplace(LogClient(*settings.log, std::string(ClaimStream)),
+                         LogClient(*settings.log, std::string(ClaimStream)), claimIo, inbox,
+                         metrics);
+    }
     const EnginePoller poller(fleet, inbox);
     if (!settings.bundleFile.empty()) {
         takeBundleFile(settings.bundleFile, inbox);
     }
 
-    CallerServer callers(fleet, metrics);
+    CallerServer callers(fleet, metrics, settings.log ? &claimDesk : nullptr);
     if (!callers.bind(settings.callers)) {
         LogEvent("bind_failed", Severity::Error).field("callers", settings.callers.str());
         return EXIT_FAILURE;
@@ -110,6 +124,9 @@
     LogEvent("stopping").field("signal", signal);
     callers.stop();
     traffic.join();
+    if (!claimIo.flush(MonotonicClock::now() + FlushWithin)) {
+        LogEvent("claims_unflushed", Severity::Warning);
+    }
     LogEvent("stopped").field("exit", EXIT_SUCCESS);
     return EXIT_SUCCESS;
 }
--- a/src/vanilladyke/app/settings.cpp
+++ b/src/vanilladyke/app/settings.cpp
@@ -59,13 +59,16 @@
     HostSettings settings;
     JsonReader reader(object, "", &errors);
     reader.allowOnly({"node", "data_centre", "callers", "callers_tls", "operators", "peers",
-                      "log_level", "bundle_file"});
+                      "log_level", "log", "bundle_file"});
     reader.id("node", &settings.node);
     reader.id("data_centre", &settings.dataCentre);
     reader.endpoint("callers", &settings.callers);
     reader.object("callers_tls", [&](JsonReader &in) { readTls(in, &settings.callersTls); });
     reader.endpoint("operators", &settings.operators);
     reader.object("peers", [&](JsonReader &in) { settings.peers = readPeers(in); });
+    if (reader.has("log")) {
+        reader.endpoint("log", &settings.log.emplace());
+    }
     checkLogLevel(reader, &settings.logLevel);
     reader.text("bundle_file", &settings.bundleFile, false);
     if (!errors.empty()) {
--- a/src/vanilladyke/control/claim_codec.cpp
+++ b/src/vanilladyke/control/claim_codec.cpp
@@ -8,10 +8,8 @@
 
 namespace {
 
-constexpr std::size_t MostNameBytes = 256;
 constexpr std::size_t MostBatchBytes = 4U << 20U;
 constexpr std::size_t MostRecords = 4096;
-constexpr std::uint32_t MostStatus = 999;
 
 wire::OutcomeKind wireKind(OutcomeKind kind)
 {
@@ -58,15 +56,10 @@
     out->mutable_outcome()->set_body(outcome.body);
 }
 
-bool readName(const std::string &name)
-{
-    return !name.empty() && name.size() <= MostNameBytes;
-}
-
 bool read(const wire::ClaimKey &in, ClaimKey *out)
 {
     UuidV7::Bytes bytes{};
-    if (in.key().size() != bytes.size() || !readName(in.customer()) || !readName(in.service())) {
+    if (in.key().size() != bytes.size()) {
         return false;
     }
     std::copy(in.key().begin(), in.key().end(), bytes.begin());
@@ -85,13 +78,7 @@
         return failure(std::string("a record's key is malformed"));
     }
     const ClaimNonce nonce{ProcessId(in.nonce().process()), in.nonce().sequence()};
-    if (!readName(nonce.process.str()) || nonce.sequence == 0) {
-        return failure(std::string("a record's nonce is malformed"));
-    }
     if (in.has_claim()) {
-        if (!readName(in.claim().node()) || !readName(in.claim().request())) {
-            return failure(std::string("a claim names no node or no request"));
-        }
         return Claim{key, nonce, NodeId(in.claim().node()), RequestDigest(in.claim().request())};
     }
     if (in.has_release()) {
@@ -101,10 +88,6 @@
         return failure(std::string("a record is of no known kind"));
     }
     const wire::Outcome &outcome = in.outcome();
-    if (outcome.body().size() > MostAnswerBytes || outcome.content_type().size() > MostNameBytes
-        || outcome.status() > MostStatus) {
-        return failure(std::string("an outcome is too large"));
-    }
     return ClaimOutcome{
             key,           nonce, kindOf(outcome.kind()), outcome.status(), outcome.content_type(),
             outcome.body()};
@@ -147,6 +130,9 @@
         if (!record) {
             return failure(std::move(record.error()));
         }
+        if (!isWellFormed(*record)) {
+            return failure(std::string("a name, nonce or answer is empty or too large"));
+        }
         batch.push_back(std::move(*record));
     }
     return batch;
--- a/src/vanilladyke/control/claim_codec_test.cpp
+++ b/src/vanilladyke/control/claim_codec_test.cpp
@@ -75,6 +75,17 @@
     }
 }
 
+// A service answers with a content type of any bytes. If readers refused the outcome, they would
+// refuse the claims of other calls in the same append with it, and send those a second time.
+TEST(ClaimCodec, BytesThatAreNoTextDoNotSpoilTheBatch)
+{
+    Random random(1);
+    const ClaimKey key{CustomerId("\xD5"), ServiceId("s"), newUuidV7(WallTime(), random)};
+    const ClaimBatch batch{ClaimOutcome{
+            key, {ProcessId("p"), 1}, OutcomeKind::Answered, 200, "text/\xFF", "\xC0"}};
+    EXPECT_EQ(decodeClaims(encodeClaims(batch)).value(), batch);
+}
+
 wire::ClaimRecord soundRecord()
 {
     Random random(1);
--- a/src/vanilladyke/gateway/caller_server.cpp
+++ b/src/vanilladyke/gateway/caller_server.cpp
@@ -1,6 +1,7 @@
 #include "vanilladyke/gateway/caller_server.hpp"
 
 #include "vanilladyke/gateway/completion_handler.hpp"
+#include "vanilladyke/gateway/service_handler.hpp"
 
 #include <httplib.h>
 
@@ -27,21 +28,37 @@
     return context;
 }
 
+RequestContext serviceContextOf(const httplib::Request &request, std::shared_ptr<const Fleet> fleet)
+{
+    constexpr const char *FirstAttempt = "1";
+    RequestContext context = contextOf(request, std::move(fleet));
+    context.path = request.target; // as the caller wrote it, with the query
+    context.call.method = request.method;
+    context.call.contentType = request.get_header_value("Content-Type");
+    context.call.idempotencyKey = request.get_header_value("Idempotency-Key");
+    const std::string attempt = request.get_header_value("Idempotency-Attempt");
+    context.call.repeat = !attempt.empty() && attempt != FirstAttempt;
+    return context;
+}
+
 } // namespace
 
 struct CallerServer::Private
 {
-    Private(const FleetStore &store, Metrics &nodeMetrics)
+    Private(const FleetStore &store, Metrics &nodeMetrics, ClaimDesk *claims)
         : fleet(store)
         , metrics(nodeMetrics)
         , completions(store, nodeMetrics)
+        , services(nodeMetrics, claims)
     {}
 
     void complete(const httplib::Request &request, httplib::Response &response);
+    void serveServices();
 
     const FleetStore &fleet;
     Metrics &metrics;
     CompletionHandler completions;
+    ServiceHandler services;
     httplib::Server server;
 };
 
@@ -53,8 +70,23 @@
     completions(std::move(context), response);
 }
 
-CallerServer::CallerServer(const FleetStore &fleet, Metrics &metrics)
-    : m_private(std::make_unique<Private>(fleet, metrics))
+void CallerServer::Private::serveServices()
+{
+    const std::string pattern = R"(/services/[^/]+(/.*)?)";
+    const auto handler = [this](const httplib::Request &request, httplib::Response &response) {
+        RequestContext context = serviceContextOf(request, fleet.current());
+        response.set_header("X-Request-Id", context.id.str());
+        services(std::move(context), response);
+    };
+    server.Get(pattern, handler);
+    server.Post(pattern, handler);
+    server.Put(pattern, handler);
+    server.Patch(pattern, handler);
+    server.Delete(pattern, handler);
+}
+
+CallerServer::CallerServer(const FleetStore &fleet, Metrics &metrics, ClaimDesk *claims)
+    : m_private(std::make_unique<Private>(fleet, metrics, claims))
 {
     httplib::Server &server = m_private->server;
     server.new_task_queue = [] { return new httplib::ThreadPool(TrafficThreads); };
@@ -64,6 +96,7 @@
     };
     server.Post("/v1/chat/completions", handler);
     server.Post("/v1/completions", handler);
+    m_private->serveServices();
     server.Get("/healthz", [](const httplib::Request &, httplib::Response &response) {
         response.set_content("ok\n", "text/plain");
     });
--- a/src/vanilladyke/gateway/filters.cpp
+++ b/src/vanilladyke/gateway/filters.cpp
@@ -86,21 +86,28 @@
     return std::nullopt;
 }
 
-FilterVerdict SetDeadline::operator()(RequestContext &context) const
+Outcome<TimePoint, Refusal> deadlineOf(const RequestContext &context, Duration otherwise)
 {
-    context.firstTokenDeadline =
-            context.arrivedAt + context.fleet->bundle->limits.firstTokenDeadline;
     if (context.deadlineHeader.empty()) {
-        return std::nullopt;
+        return context.arrivedAt + otherwise;
     }
     std::int64_t millis = 0;
     const char *end = context.deadlineHeader.data() + context.deadlineHeader.size();
     const auto parsed = std::from_chars(context.deadlineHeader.data(), end, millis);
     if (parsed.ec != std::errc() || parsed.ptr != end) {
-        return badRequest("X-Request-Deadline must be milliseconds since 1970");
+        return failure(badRequest("X-Request-Deadline must be milliseconds since 1970"));
+    }
+    return toMonotonic(WallTime(std::chrono::milliseconds(millis)),
+                       std::chrono::system_clock::now(), context.arrivedAt);
+}
+
+FilterVerdict SetDeadline::operator()(RequestContext &context) const
+{
+    auto deadline = deadlineOf(context, context.fleet->bundle->limits.firstTokenDeadline);
+    if (!deadline) {
+        return std::move(deadline.error());
     }
-    context.firstTokenDeadline = toMonotonic(WallTime(std::chrono::milliseconds(millis)),
-                                             std::chrono::system_clock::now(), context.arrivedAt);
+    context.firstTokenDeadline = *deadline;
     return std::nullopt;
 }
 
--- a/src/vanilladyke/policy/claim_ledger.cpp
+++ b/src/vanilladyke/policy/claim_ledger.cpp
@@ -80,6 +80,14 @@
         m_decisions.push_back({request.ticket, refusalByAge(age)});
         return;
     }
+    if (!isWellFormed(Claim{request.key, {m_process, 1}, m_node, request.request})) {
+        m_decisions.push_back(
+                {request.ticket, Refusal{RefusalReason::BadRequest,
+                                         "the customer's, service's or node's name is too long",
+                                         Ran::No,
+                                         {}}});
+        return;
+    }
     if (m_fold.find(request.key) == nullptr) {
         enqueueClaim(waiting);
     }
@@ -101,10 +109,14 @@
     if (m_sending.erase(nonceOf(record)) == 0) {
         return;
     }
-    if (const auto *outcome = std::get_if<ClaimOutcome>(&record)) {
+    ClaimRecord kept = record;
+    if (auto *outcome = std::get_if<ClaimOutcome>(&kept)) {
+        if (!isWellFormed(kept)) {
+            *outcome = {outcome->key, outcome->nonce, OutcomeKind::AnswerTooLarge, 0, {}, {}};
+        }
         m_unseenOutcomes.insert_or_assign(outcome->nonce, *outcome);
     }
-    m_queue.push_back(record);
+    m_queue.push_back(std::move(kept));
 }
 
 void ClaimLedger::enqueueClaim(Waiting &waiting)
--- a/src/vanilladyke/policy/claim_ledger_test.cpp
+++ b/src/vanilladyke/policy/claim_ledger_test.cpp
@@ -487,6 +487,31 @@
     EXPECT_TRUE(m_ledger.fold().covers(m_key.key));
 }
 
+// A service names a content type of a kilobyte. Readers refuse such a record and all others of its
+// append, so that it must not get there.
+TEST_F(OneNode, AnOutcomeThatReadersWouldRefuseIsNotAppended)
+{
+    m_ledger.ask(request(1), m_at);
+    static_cast<void>(m_ledger.nextBatch(m_at));
+    m_ledger.appended(AppendResult::Done, 0, m_at);
+    const auto permit = std::get<MaySend>(only());
+    m_ledger.settle(ClaimOutcome{m_key, permit.nonce, OutcomeKind::Answered, 200,
+                                 std::string(1024, 'x'), ""});
+    pass(seconds(1));
+    const ClaimBatch batch = m_ledger.nextBatch(m_at).value();
+    EXPECT_TRUE(isWellFormed(batch.front()));
+    EXPECT_EQ(std::get<ClaimOutcome>(batch.front()).kind, OutcomeKind::AnswerTooLarge);
+}
+
+TEST_F(OneNode, ANameThatReadersWouldRefuseIsRefusedBeforeItsClaim)
+{
+    ClaimRequest each = request(1);
+    each.key.customer = CustomerId(std::string(MostNameBytes + 1, 'x'));
+    m_ledger.ask(each, m_at);
+    EXPECT_EQ(std::get<Refusal>(only()).reason, RefusalReason::BadRequest);
+    EXPECT_FALSE(m_ledger.nextBatch(m_at).has_value());
+}
+
 TEST(AppendPacer, ALoneAppendNeverWaitsAndABurstIsHeldToTheShare)
 {
     AppendPacer pacer;
