Send calls that may not be repeated at most once

Cause: plain services had no path through a node, and a booking that is sent twice makes two customers pay.

Change: ANY /services/{name}/{path}. A caller that repeats a key says so with Idempotency-Attempt: 2 and then hears "no" only of a call that can't have run. Host settings name the log ("log").

Integration tests with three nodes, log and service: at once at all nodes, log down, append answer lost, service answer lost, owner killed, all nodes replaced.

--- a/tests/integration/harness.py
+++ b/tests/integration/harness.py
@@ -6,12 +6,14 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
 import tempfile
 import time
 import unittest
+import uuid
 import zlib
 
 WAIT_SECONDS = 30.0
@@ -68,6 +70,24 @@
     return json.loads(http_call(port, "GET", "/control/log")[1])["runs"]
 
 
+def uuid7(at=None):
+    """A fresh UUID of version 7, of now or of the given time in seconds."""
+    millis = int((time.time() if at is None else at) * 1000)
+    value = millis << 80 | 7 << 76 | random.getrandbits(12) << 64 | 2 << 62 | random.getrandbits(62)
+    return str(uuid.UUID(int=value))
+
+
+def book(port, body, key=None, attempt=1, service="booking", seconds=10.0, timeout=WAIT_SECONDS):
+    """One call of a service that may not be repeated. Returns status, JSON and headers."""
+    headers = {"Authorization": "Bearer brand-key", "Content-Type": "text/plain",
+               "Idempotency-Attempt": str(attempt),
+               "X-Request-Deadline": str(int((time.time() + seconds) * 1000))}
+    if key:
+        headers["Idempotency-Key"] = key
+    status, text, headers = http_call(port, "POST", f"/services/{service}/book", body, headers, timeout)
+    return status, json.loads(text), headers
+
+
 class Process:
     """One process of a test; its standard error goes to a file that a test can read."""
 
@@ -97,11 +117,13 @@
         self.processes = []
         self.engines = {}
         self.seed = None
+        self.log_port = None
         self.bundle = {
             "version": 1,
             "models": [{"id": "copy", "weights": "w1"}],
             "customers": [{"id": "brand", "key_digests": [key_digest("brand-key")]}],
             "engines": [],
+            "services": [],
         }
 
     def start(self, name, arguments):
@@ -139,7 +161,7 @@
         port, control = free_port(), free_port()
         process = self.start("platform", [f"{self.build}/tests/standin_platform", "--port", str(port),
                                           "--control", str(control)])
-        process.port = port
+        process.port = self.log_port = port
 
         def order(path, value):
             status, body, _ = http_call(control, "POST", path, json.dumps(value))
@@ -151,12 +173,26 @@
         wait_until(lambda: http_call(port, "GET", "/v1/hosts")[0] == 200, "platform up")
         return process
 
-    def node(self, name):
+    def service(self, name, **options):
+        """A plain service's stand-in; options stand in its entry of the bundle."""
+        port = free_port()
+        process = self.start(name, [f"{self.build}/tests/standin_service", "--port", str(port)])
+        process.port = port
+        self.bundle["services"].append({"id": name, "backends": [f"127.0.0.1:{port}"], **options})
+        process.faults = lambda **kinds: faults(port, **kinds)
+        process.runs = lambda: runs(port)
+        process.started = lambda: json.loads(http_call(port, "GET", "/control/log")[1])["started"]
+        wait_until(lambda: http_call(port, "GET", "/control/log")[0] == 200, name + " up")
+        return process
+
+    def node(self, name, log_port=None):
         port, operators = free_port(), free_port()
         settings = {"node": name, "data_centre": "yaba-hall", "callers": f"127.0.0.1:{port}",
                     "operators": f"127.0.0.1:{operators}",
                     "bundle_file": self.write("bundle.jsonc", self.bundle)}
         settings["peers"] = self.peer_settings()
+        if self.log_port:
+            settings["log"] = f"127.0.0.1:{log_port or self.log_port}"
         process = self.start(name, [f"{self.build}/vanilladyke", "serve", "--settings",
                                     self.write(name + ".jsonc", settings)])
         process.port, process.operators = port, operators
--- a/tests/standins/service.cpp
+++ b/tests/standins/service.cpp
@@ -4,7 +4,8 @@
 //   POST /control/faults  {"slow_ms": N, "lose_answers": N, "status": N, "deduplicate": bool}
 //        slow_ms: before the run; lose_answers: the next N calls run and their connection breaks
 //        off; status: answer this after the run, 0 for 201; deduplicate: run a key only once
-//   GET  /control/log     {"runs": [{"key", "path", "body", "customer"}]} in the order they ran
+//   GET  /control/log     {"started": N, "runs": [{"key", "path", "body", "customer"}]}: calls that
+//        came in, and those that ran, in order
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 #include <tclap/CmdLine.h>
@@ -38,6 +39,7 @@
 private:
     std::mutex m_mutex;
     Faults m_faults;
+    unsigned m_started = 0;
     nlohmann::json m_runs = nlohmann::json::array();
     std::map<std::string, std::string> m_answers;
 };
@@ -45,6 +47,7 @@
 void Service::run(const httplib::Request &request, httplib::Response &response)
 {
     std::unique_lock lock(m_mutex);
+    ++m_started;
     const auto slow = m_faults.slow;
     lock.unlock();
     std::this_thread::sleep_for(slow);
@@ -81,8 +84,8 @@
 std::string Service::log()
 {
     const std::lock_guard lock(m_mutex);
-    return nlohmann::json{{"runs", m_runs}}.dump(-1, ' ', false,
-                                                 nlohmann::json::error_handler_t::replace);
+    return nlohmann::json{{"started", m_started}, {"runs", m_runs}}.dump(
+            -1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 } // namespace
