--- a/include/vanilladyke/app/settings.hpp
+++ b/include/vanilladyke/app/settings.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "vanilladyke/base/outcome.hpp"
+#include "vanilladyke/base/time.hpp"
 #include "vanilladyke/model/bundle_json.hpp"
 #include "vanilladyke/model/ids.hpp"
 
@@ -40,6 +41,8 @@
     std::optional<PeerSettings> peers; ///< none for a node on its own
     std::optional<Endpoint> log;       ///< the platform's log; none for a node on its own
     std::string logLevel = "info";
+    std::string streamKey; ///< signs event ids: 64 hexadecimal digits, the same on all nodes
+    Duration balancerLag = std::chrono::seconds(5); ///< until the balancer minds /readyz
     std::string bundleFile; ///< a bundle taken as accepted at start; for a first try without a log
 };
 
--- a/src/vanilladyke/gateway/service_handler.cpp
+++ b/src/vanilladyke/gateway/service_handler.cpp
@@ -15,8 +15,9 @@
             context.body,      context.call.deadline};
 }
 
-void write(const ServiceAnswer &answer, httplib::Response &response)
+void write(const ServiceAnswer &answer, const ServiceId &service, httplib::Response &response)
 {
+    response.set_header(ServiceHeader, service.str());
     response.status = static_cast<int>(answer.status);
     response.set_content(answer.body,
                          answer.contentType.empty() ? "text/plain" : answer.contentType);
@@ -53,7 +54,7 @@
     Random random(entropySeed());
     const auto answer = sendToService(callOf(context), context.call.service, &state, random);
     if (answer) {
-        write(*answer, response);
+        write(*answer, context.call.service.id, response);
     } else {
         refuse(context, lost(answer.error(), state), response);
     }
@@ -85,7 +86,8 @@
     }
     if (const auto *recorded = std::get_if<ClaimOutcome>(&answer)) {
         response.set_header("Idempotency-Replayed", "true");
-        write({recorded->status, recorded->contentType, recorded->body}, response);
+        write({recorded->status, recorded->contentType, recorded->body}, context.call.service.id,
+              response);
         return;
     }
     const Refusal &refusal = std::get<Refusal>(answer);
@@ -106,7 +108,7 @@
     const auto answer = sendToService(callOf(context), context.call.service, &state, random);
     if (answer) {
         permit.answered(answer->status, answer->contentType, answer->body);
-        write(*answer, response);
+        write(*answer, context.call.service.id, response);
         return;
     }
     if (state.ran() == Ran::No) {
--- a/src/vanilladyke/gateway/service_handler.hpp
+++ b/src/vanilladyke/gateway/service_handler.hpp
@@ -13,6 +13,9 @@
 /// Calls of plain services: ANY /services/{name}/{path}.
 namespace vanilladyke {
 
+/// @brief Stands in every answer of a service, to tell it from one of this node.
+inline constexpr const char *ServiceHeader = "X-Service";
+
 /// @brief Serves one call after another, each on its own thread.
 class ServiceHandler
 {
@@ -21,13 +24,14 @@
     ServiceHandler(Metrics &metrics, ClaimDesk *claims);
 
     void operator()(RequestContext context, httplib::Response &response);
+    /// @brief Writes a refusal; what it says of the call holds for all tries of its caller.
+    static void refuse(const RequestContext &context, Refusal refusal, httplib::Response &response);
 
 private:
     void sendRepeatable(const RequestContext &context, httplib::Response &response);
     void sendOnce(const RequestContext &context, httplib::Response &response);
     void sendUnder(ClaimPermit permit, const RequestContext &context, httplib::Response &response);
     [[nodiscard]] ClaimAnswer claim(const RequestContext &context);
-    void refuse(const RequestContext &context, Refusal refusal, httplib::Response &response);
 
     Metrics &m_metrics;
     ClaimDesk *m_claims;
