--- a/src/vanilladyke/gateway/caller_server.cpp
+++ b/src/vanilladyke/gateway/caller_server.cpp
@@ -16,6 +16,8 @@
 
 constexpr std::size_t TrafficThreads = 512;
 constexpr std::string_view BearerScheme = "Bearer ";
+constexpr std::string_view ServicesPath = "/services/";
+constexpr const char *ServicePattern = R"(/services/([^/?]+)(/.*)?)";
 constexpr const char *RequestIdHeader = "X-Request-Id";
 
 enum class ServerStage { Serving, Leaving, Refusing };
@@ -36,17 +38,6 @@
     return context;
 }
 
-void readServicePart(const httplib::Request &request, RequestContext *context)
-{
-    constexpr const char *FirstAttempt = "1";
-    context->path = request.target; // as the caller wrote it, with the query
-    context->call.method = request.method;
-    context->call.contentType = request.get_header_value("Content-Type");
-    context->call.idempotencyKey = request.get_header_value("Idempotency-Key");
-    const std::string attempt = request.get_header_value("Idempotency-Attempt");
-    context->call.repeat = !attempt.empty() && attempt != FirstAttempt;
-}
-
 /// The limit on a body; without a bundle nothing is taken, as nothing can be served.
 std::uint64_t bodyLimit(const Fleet &fleet)
 {
@@ -68,6 +59,32 @@
     return whole && fits;
 }
 
+/// Services are named by the path's second part; the rest of the target goes to them as it came.
+ServiceCall serviceCallOf(const httplib::Request &request)
+{
+    ServiceCall call;
+    call.service = ServiceId(request.matches[1]);
+    call.method = request.method;
+    const std::size_t rest = request.target.find_first_of("/?", ServicesPath.size());
+    call.target = rest == std::string::npos ? "/" : request.target.substr(rest);
+    if (call.target.front() == '?') {
+        call.target.insert(0, 1, '/');
+    }
+    call.contentType = request.get_header_value("Content-Type");
+    call.accept = request.get_header_value("Accept");
+    call.idempotencyKey = request.get_header_value("Idempotency-Key");
+    const std::string attempt = request.get_header_value("Idempotency-Attempt");
+    call.repeat = !attempt.empty() && attempt != "1";
+    return call;
+}
+
+/// The library takes a multipart body apart and gives no way to the bytes. Without the type it
+/// hands them over as they are. The request is the server's own and not const there.
+void keepBodyWhole(const httplib::Request &request)
+{
+    const_cast<httplib::Request &>(request).headers.erase("Content-Type");
+}
+
 EventKey eventKeyOf(const CallerServerOptions &options)
 {
     const auto key = parseEventKey(options.streamKey);
@@ -90,11 +107,10 @@
     {}
 
     void route();
-    void routeServices();
-    void callService(const httplib::Request &request, httplib::Response &response,
-                     const httplib::ContentReader *reader);
     void complete(const httplib::Request &request, httplib::Response &response,
                   const httplib::ContentReader &reader);
+    void callService(const httplib::Request &request, httplib::Response &response,
+                     const httplib::ContentReader *reader);
     [[nodiscard]] RequestContext begin(const httplib::Request &request,
                                        httplib::Response &response);
     [[nodiscard]] std::optional<Refusal> admit(RequestContext &context,
@@ -154,37 +170,19 @@
     completions(std::move(context), response);
 }
 
-/// @param reader null for methods without a body
+/// @param reader null for methods that have no body
 void CallerServer::Private::callService(const httplib::Request &request,
                                         httplib::Response &response,
                                         const httplib::ContentReader *reader)
 {
     RequestContext context = begin(request, response);
-    readServicePart(request, &context);
+    ServiceCall call = serviceCallOf(request);
+    keepBodyWhole(request);
     if (const auto refusal = admit(context, reader)) {
-        ServiceHandler::refuse(context, *refusal, response);
+        writeRefusal(forAllTries(*refusal, call), context.id, MonotonicClock::now(), response);
         return;
     }
-    services(std::move(context), response);
-}
-
-void CallerServer::Private::routeServices()
-{
-    using httplib::ContentReader;
-    using httplib::Request;
-    using httplib::Response;
-    const std::string pattern = R"(/services/[^/]+(/.*)?)";
-    const auto withBody = [this](const Request &request, Response &response,
-                                 const ContentReader &reader) {
-        callService(request, response, &reader);
-    };
-    server.Get(pattern, [this](const Request &request, Response &response) {
-        callService(request, response, nullptr);
-    });
-    server.Post(pattern, withBody);
-    server.Put(pattern, withBody);
-    server.Patch(pattern, withBody);
-    server.Delete(pattern, withBody);
+    services(std::move(context), std::move(call), response);
 }
 
 void CallerServer::Private::tellReadiness(httplib::Response &response) const
@@ -229,7 +227,19 @@
     };
     server.Post("/v1/chat/completions", complete);
     server.Post("/v1/completions", complete);
-    routeServices();
+    const auto withBody = [this](const Request &request, Response &response,
+                                 const ContentReader &reader) {
+        callService(request, response, &reader);
+    };
+    const auto withoutBody = [this](const Request &request, Response &response) {
+        callService(request, response, nullptr);
+    };
+    server.Post(ServicePattern, withBody);
+    server.Put(ServicePattern, withBody);
+    server.Patch(ServicePattern, withBody);
+    server.Get(ServicePattern, withoutBody);
+    server.Delete(ServicePattern, withoutBody);
+    server.Options(ServicePattern, withoutBody);
     server.Get("/healthz", [](const Request &, Response &response) {
         response.set_content("ok\n", "text/plain");
     });
--- a/src/vanilladyke/gateway/service_exchange.cpp
+++ b/src/vanilladyke/gateway/service_exchange.cpp
@@ -1,7 +1,5 @@
 #include "vanilladyke/gateway/service_exchange.hpp"
 
-#include "vanilladyke/base/log.hpp"
-
 #include <httplib.h>
 
 #include <algorithm>
@@ -11,91 +9,70 @@
 namespace {
 
 constexpr Duration ConnectWithin = std::chrono::milliseconds(500);
-/// Sendings of a repeatable call: one more than the first, since a retry costs the fleet a call.
-constexpr int MostSendings = 2;
+/// A whole answer is held in memory, one for each call under way.
+constexpr std::size_t MostBytesHeld = 64U << 20U;
+
+void addHeader(httplib::Request &request, const char *name, const std::string &value)
+{
+    if (!value.empty()) {
+        request.headers.emplace(name, value);
+    }
+}
 
 httplib::Request requestOf(const ServiceCall &call)
 {
     httplib::Request request;
     request.method = call.method;
-    request.path = call.path;
+    request.path = call.target;
     request.body = call.body;
-    request.headers = {{"X-Request-Id", call.request.str()}, {"X-Customer", call.customer.str()}};
-    if (!call.contentType.empty()) {
-        request.set_header("Content-Type", call.contentType);
-    }
-    if (!call.idempotencyKey.empty()) {
-        request.set_header("Idempotency-Key", call.idempotencyKey);
-    }
-    // The library's time-outs hold for each piece that arrives; an answer that drips would last
-    // beyond the deadline.
-    request.progress = [deadline = call.deadline](std::uint64_t, std::uint64_t) {
-        return MonotonicClock::now() < deadline;
-    };
+    addHeader(request, "X-Request-Id", call.request.str());
+    addHeader(request, "X-Customer-Id", call.customer.str());
+    addHeader(request, "Idempotency-Key", call.idempotencyKey);
+    addHeader(request, "Content-Type", call.contentType);
+    addHeader(request, "Accept", call.accept);
     return request;
 }
 
-bool neverConnected(httplib::Error error)
+ExchangeFailure failureOf(const httplib::Result &result, TimePoint deadline)
 {
-    return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout
-           || error == httplib::Error::BindIPAddress;
+    const std::string detail = httplib::to_string(result.error());
+    if (result.error() == httplib::Error::Connection
+        || result.error() == httplib::Error::ConnectionTimeout) {
+        return {ExchangeError::ConnectFailed, detail};
+    }
+    const bool late = MonotonicClock::now() >= deadline;
+    return {late ? ExchangeError::Silent : ExchangeError::Reset, detail};
 }
 
-/// One try on a connection of its own: on one that was kept open, a server that closed it and a
-/// server that lost the call look alike.
-Outcome<ServiceAnswer, std::string> sendOnce(const ServiceCall &call, const Endpoint &backend,
-                                             ExchangeState *state)
+} // namespace
+
+Outcome<ServiceAnswer, ExchangeFailure> sendOnce(const ServiceCall &call, const Endpoint &backend,
+                                                 TimePoint deadline)
 {
-    const Duration left = call.deadline - MonotonicClock::now();
+    const Duration left = deadline - MonotonicClock::now();
     if (left <= Duration::zero()) {
-        return failure(std::string("the deadline passed before sending"));
+        return failure(ExchangeFailure{ExchangeError::ConnectFailed, "no time was left to send"});
     }
     httplib::Client client(backend.host, backend.port);
-    client.set_tcp_nodelay(true);
-    client.set_url_encode(false); // the path goes on as the caller wrote it
-    client.set_connection_timeout(std::min(ConnectWithin, left));
+    client.set_connection_timeout(std::min(left, ConnectWithin));
     client.set_read_timeout(left);
     client.set_write_timeout(left);
+    client.set_tcp_nodelay(true);
+    client.set_url_encode(false);
     httplib::Request request = requestOf(call);
-    state->apply(ExchangeEvent::SendStarted);
+    ServiceAnswer answer;
+    // The library's time-out counts from byte to byte; an answer that trickles must end as well.
+    request.content_receiver = [&](const char *data, std::size_t size, std::uint64_t,
+                                   std::uint64_t) {
+        answer.body.append(data, size);
+        return answer.body.size() <= MostBytesHeld && MonotonicClock::now() < deadline;
+    };
     const httplib::Result result = client.send(request);
-    if (result) {
-        state->apply(ExchangeEvent::AnswerReceived);
-        return ServiceAnswer{static_cast<std::uint32_t>(result->status),
-                             result->get_header_value("Content-Type"), result->body};
-    }
-    state->apply(neverConnected(result.error()) ? ExchangeEvent::ConnectFailed
-                                                : ExchangeEvent::ConnectionLost);
-    return failure(backend.str() + ": " + httplib::to_string(result.error()));
-}
-
-} // namespace
-
-Outcome<ServiceAnswer, std::string> sendToService(const ServiceCall &call, const Service &service,
-                                                  ExchangeState *state, Random &random)
-{
-    Outcome<ServiceAnswer, std::string> answer =
-            failure(std::string("the service has no backend server"));
-    std::vector<Endpoint> backends = service.backends;
-    std::shuffle(backends.begin(), backends.end(), random);
-    int sendings = 0;
-    for (const Endpoint &backend : backends) {
-        answer = sendOnce(call, backend, state);
-        LogEvent("service_exchange")
-                .field("request", call.request.str())
-                .field("service", service.id.str())
-                .field("backend", backend.str())
-                .field("stage", toString(state->stage()))
-                .field("detail",
-                       answer ? "status " + std::to_string(answer->status) : answer.error());
-        if (state->ran() == Ran::No) {
-            continue;
-        }
-        ++sendings;
-        if (answer || !service.repeatable || sendings == MostSendings) {
-            break;
-        }
+    if (!result) {
+        return failure(failureOf(result, deadline));
     }
+    answer.status = result->status;
+    answer.contentType = result->get_header_value("Content-Type");
     return answer;
 }
 
--- a/src/vanilladyke/gateway/service_exchange.hpp
+++ b/src/vanilladyke/gateway/service_exchange.hpp
@@ -1,45 +1,41 @@
 #pragma once
 
-#include "vanilladyke/base/outcome.hpp"
-#include "vanilladyke/base/random.hpp"
-#include "vanilladyke/base/time.hpp"
-#include "vanilladyke/model/bundle.hpp"
-#include "vanilladyke/policy/exchange_state.hpp"
+#include "vanilladyke/gateway/engine_exchange.hpp"
+#include "vanilladyke/model/ids.hpp"
 
+#include <optional>
 #include <string>
 
-/// The exchange of one call with a plain service.
 namespace vanilladyke {
 
-/// @brief What goes to a service.
+/// @brief A caller's request to a plain service, as it goes to one of the backends.
 struct ServiceCall
 {
     RequestId request;
     CustomerId customer;
+    ServiceId service;
     std::string method;
-    std::string path; ///< with the query
+    std::string target; ///< path and query, from the slash after the service's name
     std::string contentType;
-    std::string idempotencyKey; ///< empty if the caller gave none
+    std::string accept;
+    std::string idempotencyKey;
+    bool repeat = false; ///< the caller says that it may have sent the key before
     std::string body;
-    TimePoint deadline; ///< for the whole answer
 };
 
 /// @brief What the service answered, whatever its status.
 struct ServiceAnswer
 {
-    std::uint32_t status = 0;
+    int status = 200;
     std::string contentType;
     std::string body;
+    bool replayed = false; ///< recorded from an earlier call with the same key
 };
 
-/// @brief Sends the call to one backend server after another, until one has got it.
-///
-/// A call whose connection broke may have run; only a repeatable one is then sent once more.
-/// @param state takes in what happened, so that a refusal can say whether the call may have run
-/// @return what went wrong with the last try
-[[nodiscard]] Outcome<ServiceAnswer, std::string> sendToService(const ServiceCall &call,
-                                                                const Service &service,
-                                                                ExchangeState *state,
-                                                                Random &random);
+/// @brief Sends the call once to one backend and reads the whole answer. The caller's bearer key is
+/// not sent on.
+/// @return Silent once the deadline has passed
+[[nodiscard]] Outcome<ServiceAnswer, ExchangeFailure>
+sendOnce(const ServiceCall &call, const Endpoint &backend, TimePoint deadline);
 
 } // namespace vanilladyke
--- a/src/vanilladyke/gateway/service_handler.cpp
+++ b/src/vanilladyke/gateway/service_handler.cpp
@@ -1,131 +1,201 @@
 #include "vanilladyke/gateway/service_handler.hpp"
 
+#include "vanilladyke/base/log.hpp"
+#include "vanilladyke/base/random.hpp"
 #include "vanilladyke/gateway/refusal_response.hpp"
+#include "vanilladyke/policy/exchange_state.hpp"
 
 #include <httplib.h>
 
+#include <algorithm>
+
 namespace vanilladyke {
 
 namespace {
 
-ServiceCall callOf(const RequestContext &context)
-{
-    return {context.id,        context.customer,         context.call.method,
-            context.call.path, context.call.contentType, context.call.idempotencyKey,
-            context.body,      context.call.deadline};
-}
+/// A backend that answers nothing must leave time for a try elsewhere.
+constexpr int SharesOfTime = 2;
 
-void write(const ServiceAnswer &answer, const ServiceId &service, httplib::Response &response)
+TimePoint tryDeadline(TimePoint deadline, bool another)
 {
-    response.set_header(ServiceHeader, service.str());
-    response.status = static_cast<int>(answer.status);
-    response.set_content(answer.body,
-                         answer.contentType.empty() ? "text/plain" : answer.contentType);
+    const TimePoint now = MonotonicClock::now();
+    return another ? now + (deadline - now) / SharesOfTime : deadline;
 }
 
-Refusal lost(const std::string &detail, const ExchangeState &state)
+void logTry(const ServiceCall &call, const Endpoint &backend,
+            const Outcome<ServiceAnswer, ExchangeFailure> &outcome)
 {
-    return {RefusalReason::BackendFailed, detail, state.ran(), {}};
+    LogEvent event("service_call", outcome ? Severity::Info : Severity::Warning);
+    event.field("request", call.request.str())
+            .field("customer", call.customer.str())
+            .field("service", call.service.str())
+            .field("backend", backend.str());
+    if (outcome) {
+        event.field("status", outcome->status);
+    } else {
+        event.field("error", toString(outcome.error().error))
+                .field("detail", outcome.error().detail);
+    }
 }
 
 } // namespace
 
-ServiceHandler::ServiceHandler(Metrics &metrics, ClaimDesk *claims)
-    : m_metrics(metrics)
-    , m_claims(claims)
-    , m_chain({}, {}, {}, {})
-{}
-
-void ServiceHandler::operator()(RequestContext context, httplib::Response &response)
+Refusal forAllTries(Refusal refusal, const ServiceCall &call)
 {
-    m_metrics.count("service_requests_total");
-    if (const FilterVerdict refusal = m_chain(context)) {
-        refuse(context, *refusal, response);
-    } else if (context.call.service.repeatable) {
-        sendRepeatable(context, response);
-    } else {
-        sendOnce(context, response);
+    if (call.repeat && refusal.reason != RefusalReason::KeyReused) {
+        refusal.ran = Ran::Unknown;
     }
+    return refusal;
 }
 
-void ServiceHandler::sendRepeatable(const RequestContext &context, httplib::Response &response)
+Outcome<ServiceAnswer, Refusal> ServiceHandler::callRepeatable(const RequestContext &context,
+                                                               const Service &service,
+                                                               const ServiceCall &call)
 {
-    ExchangeState state;
+    // Retry budgets are kept for each model; a service takes the place of one.
+    const ModelId budget("service/" + service.id.str());
+    m_retries.countFirstTry(budget, call.customer, context.fleet->bundle->limits.retryFraction);
+    std::vector<Endpoint> backends = service.backends;
     Random random(entropySeed());
-    const auto answer = sendToService(callOf(context), context.call.service, &state, random);
-    if (answer) {
-        write(*answer, context.call.service.id, response);
-    } else {
-        refuse(context, lost(answer.error(), state), response);
+    std::shuffle(backends.begin(), backends.end(), random);
+    ExchangeState state;
+    Refusal refusal{RefusalReason::NoBackend, "the service has no backend", Ran::No, std::nullopt};
+    for (std::size_t i = 0; i < backends.size(); ++i) {
+        if (i > 0 && !m_retries.spend(budget, call.customer)) {
+            refusal.reason = RefusalReason::RetryBudgetSpent;
+            refusal.retryAt = m_retries.availableAt(budget, call.customer);
+            break;
+        }
+        state.apply(ExchangeEvent::SendStarted);
+        const bool another = i + 1 < backends.size();
+        auto outcome =
+                sendOnce(call, backends[i], tryDeadline(context.firstTokenDeadline, another));
+        logTry(call, backends[i], outcome);
+        if (outcome) {
+            return std::move(*outcome);
+        }
+        state.apply(eventOf(outcome.error().error));
+        refusal = {RefusalReason::BackendFailed, outcome.error().detail, state.ran(), std::nullopt};
     }
+    return failure(std::move(refusal));
 }
 
-ClaimAnswer ServiceHandler::claim(const RequestContext &context)
+Outcome<ClaimAnswer, Refusal> ServiceHandler::claim(const RequestContext &context,
+                                                    const ServiceCall &call)
 {
     if (m_claims == nullptr) {
-        return Refusal{
-                RefusalReason::LogUnavailable, "this node has no log for claims", Ran::No, {}};
+        return failure(Refusal{RefusalReason::LogUnavailable,
+                               "this node can't claim calls that may not be repeated", Ran::No,
+                               std::nullopt});
+    }
+    const std::optional<UuidV7> key = parseUuidV7(call.idempotencyKey);
+    if (!key) {
+        return failure(
+                Refusal{RefusalReason::KeyMissing,
+                        "calls of this service need an Idempotency-Key that is a UUID of version 7",
+                        Ran::No, std::nullopt});
     }
     ClaimRequest request;
-    request.key = context.call.key;
-    request.request = requestDigest(context);
-    request.deadline = context.call.deadline;
-    request.repeat = context.call.repeat;
+    request.key = {call.customer, call.service, *key};
+    request.request = RequestDigest(keyDigest(call.method + " " + call.target + "\n" + call.body));
+    request.deadline = context.firstTokenDeadline;
+    request.repeat = call.repeat;
     const TimePoint asked = MonotonicClock::now();
     ClaimAnswer answer = m_claims->ask(request);
     m_metrics.observe("claim_seconds", MonotonicClock::now() - asked);
     return answer;
 }
 
-void ServiceHandler::sendOnce(const RequestContext &context, httplib::Response &response)
+/// Without a claim no node may send the call, as another could send it too.
+Outcome<ServiceAnswer, Refusal> ServiceHandler::callAtMostOnce(const RequestContext &context,
+                                                               const Service &service,
+                                                               const ServiceCall &call)
 {
-    ClaimAnswer answer = claim(context);
-    if (auto *permit = std::get_if<ClaimPermit>(&answer)) {
-        sendUnder(std::move(*permit), context, response);
-        return;
+    auto claimed = claim(context, call);
+    if (!claimed) {
+        return failure(std::move(claimed.error()));
     }
-    if (const auto *recorded = std::get_if<ClaimOutcome>(&answer)) {
-        response.set_header("Idempotency-Replayed", "true");
-        write({recorded->status, recorded->contentType, recorded->body}, context.call.service.id,
-              response);
-        return;
+    if (auto *permit = std::get_if<ClaimPermit>(&*claimed)) {
+        return callUnder(std::move(*permit), service, call, context.firstTokenDeadline);
     }
-    const Refusal &refusal = std::get<Refusal>(answer);
-    if (refusal.reason == RefusalReason::LogUnavailable && context.call.service.deduplicates) {
-        // The service itself runs a key at most once, so that an outage of the log need not stop
-        // its calls.
-        sendRepeatable(context, response);
-        return;
+    if (auto *recorded = std::get_if<ClaimOutcome>(&*claimed)) {
+        return ServiceAnswer{static_cast<int>(recorded->status), std::move(recorded->contentType),
+                             std::move(recorded->body), true};
+    }
+    Refusal &refusal = std::get<Refusal>(*claimed);
+    if (refusal.reason == RefusalReason::LogUnavailable && service.deduplicates) {
+        // The service runs a key at most once by itself, so that an outage of the log need not
+        // stop its calls.
+        return callRepeatable(context, service, call);
     }
-    refuse(context, refusal, response);
+    return failure(std::move(refusal));
 }
 
-void ServiceHandler::sendUnder(ClaimPermit permit, const RequestContext &context,
-                               httplib::Response &response)
+Outcome<ServiceAnswer, Refusal> ServiceHandler::callUnder(ClaimPermit permit,
+                                                          const Service &service,
+                                                          const ServiceCall &call,
+                                                          TimePoint deadline)
 {
-    ExchangeState state;
+    std::vector<Endpoint> backends = service.backends;
     Random random(entropySeed());
-    const auto answer = sendToService(callOf(context), context.call.service, &state, random);
-    if (answer) {
-        permit.answered(answer->status, answer->contentType, answer->body);
-        write(*answer, context.call.service.id, response);
-        return;
+    std::shuffle(backends.begin(), backends.end(), random);
+    ExchangeState state;
+    Refusal refusal{RefusalReason::NoBackend, "the service has no backend", Ran::No, std::nullopt};
+    for (const Endpoint &backend : backends) {
+        state.apply(ExchangeEvent::SendStarted);
+        auto outcome = sendOnce(call, backend, deadline);
+        logTry(call, backend, outcome);
+        if (outcome) {
+            permit.answered(static_cast<std::uint32_t>(outcome->status), outcome->contentType,
+                            outcome->body);
+            return std::move(*outcome);
+        }
+        state.apply(eventOf(outcome.error().error));
+        refusal = {RefusalReason::BackendFailed, outcome.error().detail, state.ran(), std::nullopt};
+        if (state.ran() != Ran::No) {
+            // It may have run, so that it must not go to another backend; the permit records that.
+            return failure(std::move(refusal));
+        }
     }
-    if (state.ran() == Ran::No) {
-        permit.release();
+    permit.release();
+    return failure(std::move(refusal));
+}
+
+Outcome<ServiceAnswer, Refusal> ServiceHandler::answer(const RequestContext &context,
+                                                       const ServiceCall &call)
+{
+    const Service *service = findService(*context.fleet->bundle, call.service);
+    if (service == nullptr) {
+        return failure(Refusal{RefusalReason::UnknownService,
+                               "no such service: " + call.service.str(), Ran::No, std::nullopt});
     }
-    refuse(context, lost(answer.error(), state), response);
+    return service->repeatable ? callRepeatable(context, *service, call)
+                               : callAtMostOnce(context, *service, call);
 }
 
-void ServiceHandler::refuse(const RequestContext &context, Refusal refusal,
-                            httplib::Response &response)
+void ServiceHandler::operator()(RequestContext context, ServiceCall call,
+                                httplib::Response &response)
 {
-    // What this node knows is that it sent nothing. An earlier try of the caller may still run
-    // elsewhere; only a key that was used for another call is known not to have sent this one.
-    if (context.call.repeat && refusal.reason != RefusalReason::KeyReused) {
-        refusal.ran = Ran::Unknown;
+    m_metrics.count("service_calls_total");
+    if (const FilterVerdict refusal = m_chain(context)) {
+        writeRefusal(forAllTries(*refusal, call), context.id, MonotonicClock::now(), response);
+        return;
+    }
+    call.request = context.id;
+    call.customer = context.customer;
+    call.body = std::move(context.body);
+    auto outcome = answer(context, call);
+    if (!outcome) {
+        writeRefusal(forAllTries(outcome.error(), call), context.id, MonotonicClock::now(),
+                     response);
+        return;
+    }
+    response.status = outcome->status;
+    response.set_header(ServiceHeader, call.service.str());
+    if (outcome->replayed) {
+        response.set_header("Idempotency-Replayed", "true");
     }
-    writeRefusal(refusal, context.id, MonotonicClock::now(), response);
+    response.set_content(outcome->body, outcome->contentType);
 }
 
 } // namespace vanilladyke
