--- a/include/vanilladyke/control/bundle_controller.hpp
+++ b/include/vanilladyke/control/bundle_controller.hpp
@@ -29,9 +29,14 @@
     void handle(const Event &event, TimePoint now);
     void contribute(Fleet &fleet, TimePoint now) const;
 
+    /// @brief The accepted bundle with its account, for a peer; empty if there is none.
+    [[nodiscard]] std::string peerRecord() const;
+    /// @brief Takes what a peer's peerRecord() gave, if its signatures hold and it is newer.
+    void takePeerRecord(std::string_view data);
+
 private:
     void takePage(const LogPage &page);
-    void takeFromPeer(const AcceptedBundle &heard);
+    [[nodiscard]] const std::vector<HistoryEntry> &history() const;
     void enforce(const AcceptedBundle &accepted, std::string_view source);
     void checkpoint(TimePoint now);
     [[nodiscard]] Duration checkpointDelay() const;
@@ -43,6 +48,7 @@
     BundleFold m_fold;
     std::shared_ptr<const Bundle> m_bundle;
     std::shared_ptr<const AcceptedBundle> m_accepted; ///< null for a bundle from a file
+    std::vector<HistoryEntry> m_peerHistory;
     bool m_logReachable = false;
     std::string m_logTrouble = "the log has not been read yet";
     std::optional<TimePoint> m_checkpointAt;
--- a/include/vanilladyke/control/events.hpp
+++ b/include/vanilladyke/control/events.hpp
@@ -1,10 +1,11 @@
 #pragma once
 
 #include "vanilladyke/base/time.hpp"
+#include "vanilladyke/control/claim_events.hpp"
 #include "vanilladyke/model/bundle.hpp"
 #include "vanilladyke/model/fleet.hpp"
 #include "vanilladyke/model/ids.hpp"
-#include "vanilladyke/policy/bundle_fold.hpp"
+#include "vanilladyke/model/log_page.hpp"
 #include "vanilladyke/policy/orders.hpp"
 #include "vanilladyke/policy/peer_message.hpp"
 
@@ -32,12 +33,6 @@
     std::string reason;
 };
 
-/// @brief A peer sent the bundle that is accepted by its knowledge; its signatures are not checked.
-struct BundleHeard
-{
-    std::shared_ptr<const AcceptedBundle> accepted;
-};
-
 /// @brief An engine told its state.
 struct EngineReported
 {
@@ -72,8 +67,8 @@
     ReplyRoute route;
 };
 
-using Event = std::variant<Tick, BundleLogRead, BundleLogDown, BundleHeard, EngineReported,
-                           EngineUnreachable, EngineLeaving, StopRequested, PeerHeard>;
+using Event = std::variant<Tick, BundleLogRead, BundleLogDown, EngineReported, EngineUnreachable,
+                           EngineLeaving, StopRequested, PeerHeard, ClaimEvent>;
 
 /// @brief Whether the event may be dropped when the inbox is full: a later one makes up for it.
 [[nodiscard]] bool isSoft(const Event &event);
--- a/include/vanilladyke/platform/http_call.hpp
+++ b/include/vanilladyke/platform/http_call.hpp
@@ -44,6 +44,8 @@
                                                         std::string_view body,
                                                         const std::string &contentType,
                                                         TimePoint deadline);
+    /// @brief Breaks off a call that is under way; any thread may call.
+    void cancel();
     /// @brief Sends this bearer key with every call from now on.
     void setBearer(const std::string &key);
 
--- a/src/vanilladyke/app/serve.cpp
+++ b/src/vanilladyke/app/serve.cpp
@@ -6,6 +6,9 @@
 #include "vanilladyke/base/log.hpp"
 #include "vanilladyke/base/metrics.hpp"
 #include "vanilladyke/control/bundle_controller.hpp"
+#include "vanilladyke/control/bundle_snapshot.hpp"
+#include "vanilladyke/control/claim_controller.hpp"
+#include "vanilladyke/control/claim_desk.hpp"
 #include "vanilladyke/control/control_thread.hpp"
 #include "vanilladyke/control/engine_controller.hpp"
 #include "vanilladyke/control/engine_poller.hpp"
@@ -24,6 +27,9 @@
 namespace {
 
 constexpr std::size_t InboxCapacity = 65'536;
+constexpr std::string_view ClaimStream = "claims";
+/// Outcomes that are not in the log when a node stops are "unknown" to all repeats from then on.
+constexpr Duration FlushWithin = std::chrono::seconds(5);
 
 Severity severityOf(const std::string &level)
 {
@@ -65,6 +71,10 @@
             makeMembership(settings, std::chrono::system_clock::now()),
             [&transport](Outgoing outgoing) { transport.send(std::move(outgoing)); }, inbox,
             Random(entropySeed()));
+    BundleSnapshot bundleSnapshot(bundles);
+    SnapshotController snapshots({bundleSnapshot.store(), {}, {}}, [&transport](Outgoing outgoing) {
+        transport.send(std::move(outgoing));
+    });
     EngineController engines;
     OrderSender orderSender;
     OrderController orders(settings.node, engines, orderSender);
@@ -76,7 +86,16 @@
             return EXIT_FAILURE;
         }
     }
-    const ControlThread control(inbox, fleet, bundles, members, engines, orders);
+    ClaimIo claimIo;
+    ClaimController claims(ProcessId(newUuid()), settings.node, claimIo);
+    ClaimDesk claimDesk(inbox);
+    const ControlThread control(inbox, fleet, bundles, members, snapshots, engines, orders, claims);
+    std::optional<ClaimLog<LogClient>> claimLog;
+    if (settings.platform) {
+        claimLog.emplace(LogClient(settings.platform->log, std::string(ClaimStream)),
+                         LogClient(settings.platform->log, std::string(ClaimStream)), claimIo,
+                         inbox, metrics);
+    }
     const EnginePoller poller(fleet, inbox);
     OperatorServer operators(operatorContext(settings, fleet, board, metrics));
     if (!operators.bind(settings.operators)) {
@@ -89,7 +108,8 @@
         hostList.emplace(*settings.platform->hosts, fleet, inbox);
     }
 
-    CallerServer callers(fleet, metrics, {settings.streamKey});
+    CallerServer callers(fleet, metrics,
+                         {settings.streamKey, settings.platform ? &claimDesk : nullptr});
     if (!callers.bind(settings.callers)) {
         LogEvent("bind_failed", Severity::Error).field("callers", settings.callers.str());
         return EXIT_FAILURE;
@@ -101,6 +121,9 @@
     inbox.post(StopRequested{});
     shutDown(callers, signals, settings.balancerLag);
     traffic.join();
+    if (!claimIo.flush(MonotonicClock::now() + FlushWithin)) {
+        LogEvent("claims_unflushed", Severity::Warning);
+    }
     operators.stop();
     operatorTraffic.join();
     LogEvent("stopped").field("exit", EXIT_SUCCESS);
--- a/src/vanilladyke/control/bundle_controller.cpp
+++ b/src/vanilladyke/control/bundle_controller.cpp
@@ -34,8 +34,6 @@
         m_logReachable = false;
         m_logTrouble = down->reason;
         show();
-    } else if (const auto *heard = std::get_if<BundleHeard>(&event)) {
-        takeFromPeer(*heard->accepted);
     }
     if (now >= m_nextCheckpointLook) {
         m_nextCheckpointLook = now + CheckpointLookEvery;
@@ -76,21 +74,50 @@
     }
 }
 
+std::string BundleController::peerRecord() const
+{
+    if (!m_accepted) {
+        return "";
+    }
+    BundleRecord record;
+    record.bundle = m_accepted->bundle;
+    record.checkpoint = CheckpointPart{m_accepted->entry.offset + 1, history()};
+    return writeBundleRecord(record);
+}
+
 /// A peer's word counts no more than the signatures: a peer that lies can't bring in a bundle that
 /// was never signed, nor an older one.
-void BundleController::takeFromPeer(const AcceptedBundle &heard)
+void BundleController::takePeerRecord(std::string_view data)
 {
-    if (validSigners(heard.bundle, m_control.trusted).size() < m_control.trusted.needed) {
+    auto record = parseBundleRecord(data);
+    const bool whole =
+            record && record->checkpoint
+            && record->checkpoint->history.back().digest == digestOf(record->bundle.text);
+    if (!whole
+        || validSigners(record->bundle, m_control.trusted).size() < m_control.trusted.needed) {
         LogEvent("bundle_refused", Severity::Warning)
                 .field("source", "peer")
-                .field("version", heard.entry.version)
-                .field("reason", "too few trusted signatures hold");
+                .field("reason", whole ? "too few trusted signatures hold" : "not a whole record");
         return;
     }
-    enforce(heard, "peer");
+    const HistoryEntry last = record->checkpoint->history.back();
+    if (m_bundle && last.version <= m_bundle->version) {
+        return;
+    }
+    m_peerHistory = std::move(record->checkpoint->history);
+    enforce({std::move(record->bundle), last}, "peer");
     show();
 }
 
+/// The log's own account, unless the bundle in force is known only from a peer.
+const std::vector<HistoryEntry> &BundleController::history() const
+{
+    const auto &fromLog = m_fold.history();
+    const bool current =
+            m_accepted && !fromLog.empty() && fromLog.back().version >= m_accepted->entry.version;
+    return current ? fromLog : m_peerHistory;
+}
+
 void BundleController::enforce(const AcceptedBundle &accepted, std::string_view source)
 {
     const auto header = parseBundleHeader(accepted.bundle.text);
@@ -154,7 +181,7 @@
 {
     BundleStatus status;
     status.accepted = m_accepted;
-    status.history = m_fold.history();
+    status.history = history();
     status.logReachable = m_logReachable;
     status.logUnbroken = m_fold.unbroken();
     status.logTrouble = m_logTrouble;
--- a/src/vanilladyke/control/bundle_log.cpp
+++ b/src/vanilladyke/control/bundle_log.cpp
@@ -12,6 +12,9 @@
 /// The log holds a read back until there is a record, for most of this span; a connection that has
 /// gone silent is noticed after it.
 constexpr Duration ReadWithin = std::chrono::seconds(2);
+/// An empty log would hold back the first answer, and operators would be told meanwhile that the
+/// log has not been read yet.
+constexpr Duration FirstReadWithin = std::chrono::milliseconds(200);
 constexpr Duration AppendWithin = std::chrono::seconds(3);
 
 } // namespace
@@ -27,10 +30,14 @@
     Random random(entropySeed());
     BackOff backOff;
     LogOffset from = 0;
+    // A read is held back by the log for seconds; a node that stops must not wait for it.
+    const std::stop_callback breakOff(stop, [this] { m_client.cancel(); });
     std::mutex mutex;
     std::condition_variable_any wake;
+    Duration readWithin = FirstReadWithin;
     while (!stop.stop_requested()) {
-        auto page = m_client.read(from, MonotonicClock::now() + ReadWithin);
+        auto page = m_client.read(from, MonotonicClock::now() + readWithin);
+        readWithin = ReadWithin;
         if (page) {
             from = std::max(from, page->firstOffset);
             if (!page->records.empty()) {
@@ -40,6 +47,9 @@
             m_inbox.post(BundleLogRead{std::make_shared<const LogPage>(std::move(*page))});
             continue;
         }
+        if (stop.stop_requested()) {
+            return;
+        }
         if (!backOff.down()) {
             LogEvent("log_down", Severity::Warning)
                     .field("stream", BundleStream)
--- a/src/vanilladyke/gateway/service_exchange.cpp
+++ b/src/vanilladyke/gateway/service_exchange.cpp
@@ -10,7 +10,7 @@
 
 constexpr Duration ConnectWithin = std::chrono::milliseconds(500);
 /// A whole answer is held in memory, one for each call under way.
-constexpr std::size_t MostAnswerBytes = 64U << 20U;
+constexpr std::size_t MostBytesHeld = 64U << 20U;
 
 void addHeader(httplib::Request &request, const char *name, const std::string &value)
 {
@@ -36,7 +36,8 @@
 ExchangeFailure failureOf(const httplib::Result &result, TimePoint deadline)
 {
     const std::string detail = httplib::to_string(result.error());
-    if (result.error() == httplib::Error::Connection) {
+    if (result.error() == httplib::Error::Connection
+        || result.error() == httplib::Error::ConnectionTimeout) {
         return {ExchangeError::ConnectFailed, detail};
     }
     const bool late = MonotonicClock::now() >= deadline;
@@ -64,7 +65,7 @@
     request.content_receiver = [&](const char *data, std::size_t size, std::uint64_t,
                                    std::uint64_t) {
         answer.body.append(data, size);
-        return answer.body.size() <= MostAnswerBytes && MonotonicClock::now() < deadline;
+        return answer.body.size() <= MostBytesHeld && MonotonicClock::now() < deadline;
     };
     const httplib::Result result = client.send(request);
     if (!result) {
--- a/src/vanilladyke/gateway/service_exchange.hpp
+++ b/src/vanilladyke/gateway/service_exchange.hpp
@@ -19,6 +19,7 @@
     std::string contentType;
     std::string accept;
     std::string idempotencyKey;
+    bool repeat = false; ///< the caller says that it may have sent the key before
     std::string body;
 };
 
@@ -28,6 +29,7 @@
     int status = 200;
     std::string contentType;
     std::string body;
+    bool replayed = false; ///< recorded from an earlier call with the same key
 };
 
 /// @brief Sends the call once to one backend and reads the whole answer. The caller's bearer key is
--- a/src/vanilladyke/operators/operator_server.cpp
+++ b/src/vanilladyke/operators/operator_server.cpp
@@ -91,6 +91,7 @@
     void publish(const OperatorKey &key, const std::string &body,
                  httplib::Response &response) const;
     [[nodiscard]] json status() const;
+    [[nodiscard]] std::string metricsText() const;
 
     OperatorContext context;
     httplib::Server server;
@@ -159,6 +160,21 @@
             {"nodes", std::move(nodes)}};
 }
 
+/// The node's own metrics and, read at this moment, those of its bundle.
+std::string OperatorServer::Private::metricsText() const
+{
+    const BundleStatus bundles = context.board.status();
+    const std::shared_ptr<const Fleet> fleet = context.fleet.current();
+    const auto gauge = [](const std::string &name, std::uint64_t value) {
+        return "vanilladyke_" + name + ' ' + std::to_string(value) + '\n';
+    };
+    return context.metrics.text()
+           + gauge("bundle_version", fleet->bundle ? fleet->bundle->version : 0)
+           + gauge("log_reachable", bundles.logReachable ? 1 : 0)
+           + gauge("live_nodes", fleet->liveNodes)
+           + gauge("ready", notReadyReason(*fleet, bundles).empty() ? 1 : 0);
+}
+
 void OperatorServer::Private::addOperatorRoutes()
 {
     server.Post(
@@ -189,7 +205,7 @@
 void OperatorServer::Private::addOpenRoutes()
 {
     server.Get("/metrics", [this](const httplib::Request &, httplib::Response &response) {
-        response.set_content(context.metrics.text(), "text/plain; version=0.0.4");
+        response.set_content(metricsText(), "text/plain; version=0.0.4");
     });
     server.Get("/healthz", [](const httplib::Request &, httplib::Response &response) {
         response.set_content("ok\n", "text/plain");
--- a/src/vanilladyke/platform/http_call.cpp
+++ b/src/vanilladyke/platform/http_call.cpp
@@ -98,6 +98,11 @@
     return m_private->call(request, deadline);
 }
 
+void HttpCaller::cancel()
+{
+    m_private->client.stop();
+}
+
 void HttpCaller::setBearer(const std::string &key)
 {
     m_private->bearer = key;
--- a/src/vanilladyke/platform/log_client.cpp
+++ b/src/vanilladyke/platform/log_client.cpp
@@ -103,6 +103,11 @@
 LogClient &LogClient::operator=(LogClient &&) noexcept = default;
 LogClient::~LogClient() = default;
 
+void LogClient::cancel()
+{
+    m_private->http.cancel();
+}
+
 Outcome<LogOffset, LogFailure> LogClient::append(std::string_view data, TimePoint deadline)
 {
     const auto answer =
--- a/tests/integration/bundles.py
+++ b/tests/integration/bundles.py
@@ -113,6 +113,27 @@
                                "ready after the restart")
         self.assertEqual([self.status(node)["version"] for node in restarted], [2, 2, 2])
 
+    # The log is down for hours and a host is replaced. Its peers have the bundle; without them the
+    # new node could serve nobody until the log is back.
+    def test_a_node_restarted_while_the_log_is_down_takes_its_bundle_from_a_peer(self):
+        nodes = self.start_nodes(2)
+        self.cluster.publish(nodes[0], self.successor(nodes[0]))
+        self.wait_for_version(nodes, 2)
+        self.platform.faults(outage="refuse")
+        nodes[1].stop(signal.SIGKILL)
+        restarted = self.cluster.restart(nodes[1])
+        harness.wait_until(lambda: harness.http_call(restarted.port, "GET", "/readyz")[0] == 200, "ready without the log")
+        self.assertEqual(self.history(restarted), self.history(nodes[0]))
+        harness.wait_until(lambda: "event=engine_up" in restarted.log_text(), "it knows the engine")
+        status, body, _ = harness.chat(restarted.port, "bus shelter", 5, True)
+        self.assertEqual(status, 200, body)
+        self.platform.faults(outage="none")
+        harness.wait_until(lambda: all(self.status(node)["log_reachable"] for node in [nodes[0], restarted]),
+                           "the log is back")
+        status, result = self.cluster.publish(nodes[0], self.successor(nodes[0]))
+        self.assertEqual((status, result["outcome"]), (200, "accepted"), result)
+        self.wait_for_version([nodes[0], restarted], 3)
+
     # The log keeps records for a limited time. The bundle must outlive it, for a node that starts
     # later.
     def test_a_checkpoint_carries_the_bundle_beyond_the_logs_retention(self):
@@ -181,7 +202,7 @@
         code, out, _ = self.run_command("bundle", "history", "--json", *ask)
         self.assertEqual([entry["version"] for entry in json.loads(out)], [1, 2])
         self.assertEqual(json.loads(out)[1]["signers"], [harness.SIGNER])
-        stale = self.cluster.write("stale.jsonc", {**self.cluster.bundle, "version": 2, "parent": digest, "services": []})
+        stale = self.cluster.write("stale.jsonc", {**self.cluster.bundle, "version": 2, "parent": digest, "objective": {"tail_weight": 2}})
         self.run_command("bundle", "sign", stale, "--key", key, "--out", signed)
         code, _, error = self.run_command("bundle", "publish", signed, *ask)
         self.assertEqual(code, 1)
--- a/tests/standins/service.cpp
+++ b/tests/standins/service.cpp
@@ -2,8 +2,9 @@
 //
 // Any path answers {"run":N,"key":K,"path":P,"method":M,"bytes":B,"body":TEXT}. POST
 // /control/faults takes
-// {"delay_ms":T}, {"lose_answers":N} (runs the call, then never answers) and
-// {"status":S,"count":N}.
+// {"delay_ms":T}, {"lose_answers":N} (runs the call, then never answers), {"slow_ms":T} (waits
+// before the run), {"deduplicate":B} (runs a key only once) and {"status":S,"count":N}. GET
+// /control/log answers {"total":N,"started":N,"by_key":{K:N},"runs":[{"key":K,"body":TEXT}]}.
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 #include <tclap/CmdLine.h>
@@ -24,6 +25,10 @@
     unsigned toFail = 0;
     int status = 200;
     std::chrono::milliseconds delay{0};
+    std::chrono::milliseconds slow{0};
+    bool deduplicate = false;
+    unsigned started = 0;
+    nlohmann::json runs = nlohmann::json::array();
 };
 
 void answer(httplib::Response &response, const nlohmann::json &body)
@@ -43,9 +48,18 @@
          httplib::Response &response)
 {
     std::unique_lock lock(counts.mutex);
+    ++counts.started;
+    const auto slow = counts.slow;
+    lock.unlock();
+    std::this_thread::sleep_for(slow);
+    lock.lock();
     const std::string key = request.get_header_value("Idempotency-Key");
-    const unsigned number = ++counts.total;
-    ++counts.byKey[key];
+    unsigned number = counts.total;
+    if (!counts.deduplicate || counts.byKey[key] == 0) {
+        number = ++counts.total;
+        ++counts.byKey[key];
+        counts.runs.push_back({{"key", key}, {"body", body}});
+    }
     const auto delay = counts.delay;
     const bool lost = counts.toLose > 0 && counts.toLose-- > 0;
     const bool failed = counts.toFail > 0 && counts.toFail-- > 0;
@@ -71,6 +85,8 @@
 {
     const std::lock_guard lock(counts.mutex);
     counts.delay = std::chrono::milliseconds(faults.value("delay_ms", counts.delay.count()));
+    counts.slow = std::chrono::milliseconds(faults.value("slow_ms", counts.slow.count()));
+    counts.deduplicate = faults.value("deduplicate", counts.deduplicate);
     counts.toLose = faults.value("lose_answers", counts.toLose);
     counts.status = faults.value("status", counts.status);
     counts.toFail = faults.value("count", counts.toFail);
@@ -85,7 +101,7 @@
     line.parse(argc, argv);
     Counts counts;
     httplib::Server server;
-    server.new_task_queue = [] { return new httplib::ThreadPool(64); };
+    server.new_task_queue = [] { return new httplib::ThreadPool(256); };
     server.set_tcp_nodelay(true);
     const auto handle = [&](const httplib::Request &in, httplib::Response &out) {
         run(counts, in, "", out);
@@ -101,13 +117,24 @@
         });
         run(counts, in, body, out);
     };
-    server.Post("/control/faults", [&](const httplib::Request &in, httplib::Response &out) {
-        setFaults(counts, nlohmann::json::parse(in.body));
+    // With a reader as well: the library asks handlers without one only after those with one, and
+    // ".*" below would run the order as a call.
+    server.Post("/control/faults", [&](const httplib::Request &, httplib::Response &out,
+                                       const httplib::ContentReader &reader) {
+        std::string body;
+        reader([&](const char *data, std::size_t size) {
+            body.append(data, size);
+            return true;
+        });
+        setFaults(counts, nlohmann::json::parse(body));
         answer(out, {{"set", true}});
     });
     server.Get("/control/log", [&](const httplib::Request &, httplib::Response &out) {
         const std::lock_guard lock(counts.mutex);
-        answer(out, {{"total", counts.total}, {"by_key", counts.byKey}});
+        answer(out, {{"total", counts.total},
+                     {"started", counts.started},
+                     {"by_key", counts.byKey},
+                     {"runs", counts.runs}});
     });
     server.Get(".*", handle);
     server.Post(".*", handleBody);
