Give first tokens a margin in time, not only a factor

Cause: in the test of two nodes under load some admitted requests were late: a short prompt is predicted at a millisecond, so they were started up to a millisecond before their deadline, and no factor of that covers connecting and scheduling.

--- a/include/vanilladyke/policy/admission.hpp
+++ b/include/vanilladyke/policy/admission.hpp
@@ -28,8 +28,10 @@
 ///
 /// Grounds for the figures: predictions of slot time are corrected by the measured ratio, averaged
 /// over some twenty requests (CorrectionRate). First tokens scatter, so that a mean would admit
-/// many that come late: the margin follows the 99th percentile of measured against predicted
-/// (a step up weighs 99 steps down), between 1 and MostMargin.
+/// many that come late: the margin is a factor that follows the 99th percentile of measured against
+/// predicted (a step up weighs 99 steps down), between 1 and MostMargin. It works on the prediction
+/// plus LeastFirstToken, for connecting, scheduling and one step of the engine's batch: a short
+/// prompt is predicted at a millisecond, and no factor of that covers them.
 namespace vanilladyke {
 
 /// @brief A request as admission sees it.
@@ -72,7 +74,8 @@
 {
 public:
     static constexpr double CorrectionRate = 0.05;
-    static constexpr double MostMargin = 3.0;
+    static constexpr double MostMargin = 10.0;
+    static constexpr Duration LeastFirstToken = std::chrono::milliseconds(50);
 
     explicit Admission(std::size_t queueCapacity)
         : m_queue(queueCapacity)
@@ -115,6 +118,7 @@
     };
 
     [[nodiscard]] QueuedJob jobOf(const AdmissionRequest &request) const;
+    [[nodiscard]] Duration allowedFor(Duration firstToken) const;
     [[nodiscard]] Duration waitBehind(Duration work, TimePoint now) const;
     [[nodiscard]] Duration untilNextSlot(TimePoint now) const;
     [[nodiscard]] Duration meanJob() const;
--- a/src/vanilladyke/policy/admission.cpp
+++ b/src/vanilladyke/policy/admission.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr double MarginStep = 0.02;
+constexpr double MarginStep = 0.1;
 constexpr double MarginPercentile = 0.99;
 constexpr double LeastCorrection = 0.1;
 constexpr double MostCorrection = 10.0;
@@ -29,7 +29,7 @@
     const ExpectedWork expected =
             decision.returned ? ExpectedWork{} : expectedReturns(job.customer);
     decision.wait = free ? Duration(0) : waitBehind(m_queue.workAhead(job, expected), now);
-    decision.firstToken = now + decision.wait + scaled(request.firstToken, m_margin);
+    decision.firstToken = now + decision.wait + allowedFor(request.firstToken);
     if (m_slots == 0) {
         decision.reason = RefusalReason::NoBackend;
     } else if (decision.firstToken > request.deadline) {
@@ -53,7 +53,7 @@
                                                  const AdmissionRequest &request,
                                                  TimePoint firstToken, TimePoint now)
 {
-    if (now + scaled(request.firstToken, m_margin) > request.deadline) {
+    if (now + allowedFor(request.firstToken) > request.deadline) {
         return std::nullopt; // too late even with nothing ahead of it
     }
     const Duration lateBy = firstToken - request.deadline;
@@ -93,7 +93,7 @@
 
 void Admission::observeFirstToken(Duration predicted, Duration measured)
 {
-    const bool above = measured > scaled(predicted, m_margin);
+    const bool above = measured > allowedFor(predicted);
     m_margin += MarginStep * (above ? MarginPercentile : MarginPercentile - 1);
     m_margin = std::clamp(m_margin, 1.0, MostMargin);
 }
@@ -152,7 +152,12 @@
             request.weight,
             request.priority,
             std::max(request.slotTime, least),
-            request.deadline - scaled(request.firstToken, m_margin)};
+            request.deadline - allowedFor(request.firstToken)};
+}
+
+Duration Admission::allowedFor(Duration firstToken) const
+{
+    return scaled(firstToken + LeastFirstToken, m_margin);
 }
 
 Duration Admission::waitBehind(Duration work, TimePoint now) const
