--- a/src/vanilladyke/gateway/placer.cpp
+++ b/src/vanilladyke/gateway/placer.cpp
@@ -32,19 +32,28 @@
             excluded};
 }
 
+/// Homes and reported load only, until the node keeps a view of its own.
+Placement decide(const RequestContext &context, const Fleet &fleet,
+                 const std::vector<EngineId> &excluded, Random &random)
+{
+    const Survival survival;
+    const InFlight inFlight;
+    return place(requestOf(context, excluded), fleet, {{}, survival, inFlight, 1, {}},
+                 MonotonicClock::now(), random);
+}
+
 } // namespace
 
 std::optional<Candidate> forecastPlacement(const RequestContext &context, const Fleet &fleet,
                                            const std::vector<EngineId> &excluded, Random &random)
 {
-    return place(requestOf(context, excluded), fleet, MonotonicClock::now(), random).winner;
+    return decide(context, fleet, excluded, random).winner;
 }
 
 std::optional<PlacedAttempt> placeAttempt(const RequestContext &context, const Fleet &fleet,
                                           const std::vector<EngineId> &excluded, Random &random)
 {
-    const Placement placement =
-            place(requestOf(context, excluded), fleet, MonotonicClock::now(), random);
+    const Placement placement = decide(context, fleet, excluded, random);
     logPlacement(context, fleet, placement);
     if (!placement.winner) {
         return std::nullopt;
