--- a/include/vanilladyke/app/settings.hpp
+++ b/include/vanilladyke/app/settings.hpp
@@ -39,6 +39,7 @@
     TlsFiles callersTls;
     Endpoint operators;                ///< where operators are served
     std::optional<PeerSettings> peers; ///< none for a node on its own
+    std::optional<Endpoint> log;       ///< the platform's log; none for a node on its own
     std::string logLevel = "info";
     std::string streamKey; ///< signs event ids: 64 hexadecimal digits, the same on all nodes
     Duration balancerLag = std::chrono::seconds(5); ///< until the balancer minds /readyz
--- a/include/vanilladyke/control/events.hpp
+++ b/include/vanilladyke/control/events.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "vanilladyke/base/time.hpp"
+#include "vanilladyke/control/claim_events.hpp"
 #include "vanilladyke/model/bundle.hpp"
 #include "vanilladyke/model/fleet.hpp"
 #include "vanilladyke/model/ids.hpp"
@@ -71,7 +72,7 @@
 };
 
 using Event = std::variant<Tick, BundleAccepted, EngineReported, EngineUnreachable, EngineLeaving,
-                           StopRequested, PeerHeard, LoadObserved>;
+                           StopRequested, PeerHeard, LoadObserved, ClaimEvent>;
 
 /// @brief Whether the event may be dropped when the inbox is full: a later one makes up for it.
 [[nodiscard]] bool isSoft(const Event &event);
--- a/src/vanilladyke/gateway/caller_server.cpp
+++ b/src/vanilladyke/gateway/caller_server.cpp
@@ -73,6 +73,8 @@
     call.contentType = request.get_header_value("Content-Type");
     call.accept = request.get_header_value("Accept");
     call.idempotencyKey = request.get_header_value("Idempotency-Key");
+    const std::string attempt = request.get_header_value("Idempotency-Attempt");
+    call.repeat = !attempt.empty() && attempt != "1";
     return call;
 }
 
@@ -102,7 +104,7 @@
         : fleet(store)
         , metrics(nodeMetrics)
         , completions(store, inbox, nodeMetrics, eventKeyOf(options))
-        , services(nodeMetrics)
+        , services(nodeMetrics, options.claims)
     {}
 
     void route();
@@ -178,7 +180,7 @@
     ServiceCall call = serviceCallOf(request);
     keepBodyWhole(request);
     if (const auto refusal = admit(context, reader)) {
-        writeRefusal(*refusal, context.id, MonotonicClock::now(), response);
+        writeRefusal(forAllTries(*refusal, call), context.id, MonotonicClock::now(), response);
         return;
     }
     services(std::move(context), std::move(call), response);
@@ -199,7 +201,7 @@
 void CallerServer::Private::explainError(const httplib::Request &request,
                                          httplib::Response &response)
 {
-    if (!response.body.empty()) {
+    if (!response.body.empty() || response.has_header(ServiceHeader)) {
         return;
     }
     const bool ours = response.status >= 500;
--- a/src/vanilladyke/gateway/service_handler.cpp
+++ b/src/vanilladyke/gateway/service_handler.cpp
@@ -40,6 +40,14 @@
 
 } // namespace
 
+Refusal forAllTries(Refusal refusal, const ServiceCall &call)
+{
+    if (call.repeat && refusal.reason != RefusalReason::KeyReused) {
+        refusal.ran = Ran::Unknown;
+    }
+    return refusal;
+}
+
 Outcome<ServiceAnswer, Refusal> ServiceHandler::callRepeatable(const RequestContext &context,
                                                                const Service &service,
                                                                const ServiceCall &call)
@@ -72,12 +80,85 @@
     return failure(std::move(refusal));
 }
 
+Outcome<ClaimAnswer, Refusal> ServiceHandler::claim(const RequestContext &context,
+                                                    const ServiceCall &call)
+{
+    if (m_claims == nullptr) {
+        return failure(Refusal{RefusalReason::LogUnavailable,
+                               "this node can't claim calls that may not be repeated", Ran::No,
+                               std::nullopt});
+    }
+    const std::optional<UuidV7> key = parseUuidV7(call.idempotencyKey);
+    if (!key) {
+        return failure(
+                Refusal{RefusalReason::KeyMissing,
+                        "calls of this service need an Idempotency-Key that is a UUID of version 7",
+                        Ran::No, std::nullopt});
+    }
+    ClaimRequest request;
+    request.key = {call.customer, call.service, *key};
+    request.request = RequestDigest(keyDigest(call.method + " " + call.target + "\n" + call.body));
+    request.deadline = context.firstTokenDeadline;
+    request.repeat = call.repeat;
+    const TimePoint asked = MonotonicClock::now();
+    ClaimAnswer answer = m_claims->ask(request);
+    m_metrics.observe("claim_seconds", MonotonicClock::now() - asked);
+    return answer;
+}
+
 /// Without a claim no node may send the call, as another could send it too.
-Outcome<ServiceAnswer, Refusal> ServiceHandler::callAtMostOnce(const ServiceCall & /*call*/)
+Outcome<ServiceAnswer, Refusal> ServiceHandler::callAtMostOnce(const RequestContext &context,
+                                                               const Service &service,
+                                                               const ServiceCall &call)
+{
+    auto claimed = claim(context, call);
+    if (!claimed) {
+        return failure(std::move(claimed.error()));
+    }
+    if (auto *permit = std::get_if<ClaimPermit>(&*claimed)) {
+        return callUnder(std::move(*permit), service, call, context.firstTokenDeadline);
+    }
+    if (auto *recorded = std::get_if<ClaimOutcome>(&*claimed)) {
+        return ServiceAnswer{static_cast<int>(recorded->status), std::move(recorded->contentType),
+                             std::move(recorded->body), true};
+    }
+    Refusal &refusal = std::get<Refusal>(*claimed);
+    if (refusal.reason == RefusalReason::LogUnavailable && service.deduplicates) {
+        // The service runs a key at most once by itself, so that an outage of the log need not
+        // stop its calls.
+        return callRepeatable(context, service, call);
+    }
+    return failure(std::move(refusal));
+}
+
+Outcome<ServiceAnswer, Refusal> ServiceHandler::callUnder(ClaimPermit permit,
+                                                          const Service &service,
+                                                          const ServiceCall &call,
+                                                          TimePoint deadline)
 {
-    return failure(Refusal{RefusalReason::LogUnavailable,
-                           "this node can't claim calls that may not be repeated", Ran::No,
-                           std::nullopt});
+    std::vector<Endpoint> backends = service.backends;
+    Random random(entropySeed());
+    std::shuffle(backends.begin(), backends.end(), random);
+    ExchangeState state;
+    Refusal refusal{RefusalReason::NoBackend, "the service has no backend", Ran::No, std::nullopt};
+    for (const Endpoint &backend : backends) {
+        state.apply(ExchangeEvent::SendStarted);
+        auto outcome = sendOnce(call, backend, deadline);
+        logTry(call, backend, outcome);
+        if (outcome) {
+            permit.answered(static_cast<std::uint32_t>(outcome->status), outcome->contentType,
+                            outcome->body);
+            return std::move(*outcome);
+        }
+        state.apply(eventOf(outcome.error().error));
+        refusal = {RefusalReason::BackendFailed, outcome.error().detail, state.ran(), std::nullopt};
+        if (state.ran() != Ran::No) {
+            // It may have run, so that it must not go to another backend; the permit records that.
+            return failure(std::move(refusal));
+        }
+    }
+    permit.release();
+    return failure(std::move(refusal));
 }
 
 Outcome<ServiceAnswer, Refusal> ServiceHandler::answer(const RequestContext &context,
@@ -88,7 +169,8 @@
         return failure(Refusal{RefusalReason::UnknownService,
                                "no such service: " + call.service.str(), Ran::No, std::nullopt});
     }
-    return service->repeatable ? callRepeatable(context, *service, call) : callAtMostOnce(call);
+    return service->repeatable ? callRepeatable(context, *service, call)
+                               : callAtMostOnce(context, *service, call);
 }
 
 void ServiceHandler::operator()(RequestContext context, ServiceCall call,
@@ -96,7 +178,7 @@
 {
     m_metrics.count("service_calls_total");
     if (const FilterVerdict refusal = m_chain(context)) {
-        writeRefusal(*refusal, context.id, MonotonicClock::now(), response);
+        writeRefusal(forAllTries(*refusal, call), context.id, MonotonicClock::now(), response);
         return;
     }
     call.request = context.id;
@@ -104,10 +186,15 @@
     call.body = std::move(context.body);
     auto outcome = answer(context, call);
     if (!outcome) {
-        writeRefusal(outcome.error(), context.id, MonotonicClock::now(), response);
+        writeRefusal(forAllTries(outcome.error(), call), context.id, MonotonicClock::now(),
+                     response);
         return;
     }
     response.status = outcome->status;
+    response.set_header(ServiceHeader, call.service.str());
+    if (outcome->replayed) {
+        response.set_header("Idempotency-Replayed", "true");
+    }
     response.set_content(outcome->body, outcome->contentType);
 }
 
