--- a/include/vanilladyke/gateway/caller_server.hpp
+++ b/include/vanilladyke/gateway/caller_server.hpp
@@ -10,13 +10,16 @@
 
 namespace vanilladyke {
 
+class ClaimDesk;
+
 /// @brief What a caller server takes from the host's settings.
 struct CallerServerOptions
 {
     std::string streamKey; ///< 64 hexadecimal digits, the same on all nodes; empty: one of its own
+    ClaimDesk *claims = nullptr; ///< null if this node has no log
 };
 
-/// @brief Serves callers over HTTP: completions, streamed or whole.
+/// @brief Serves callers over HTTP: completions, streamed or whole, and plain services.
 class CallerServer
 {
 public:
