--- a/src/vanilladyke/app/serve.cpp
+++ b/src/vanilladyke/app/serve.cpp
@@ -108,7 +108,7 @@
         hostList.emplace(*settings.platform->hosts, fleet, inbox);
     }
 
-    CallerServer callers(fleet, metrics,
+    CallerServer callers(fleet, inbox, metrics,
                          {settings.streamKey, settings.platform ? &claimDesk : nullptr});
     if (!callers.bind(settings.callers)) {
         LogEvent("bind_failed", Severity::Error).field("callers", settings.callers.str());
--- a/src/vanilladyke/gateway/engine_slots.cpp
+++ b/src/vanilladyke/gateway/engine_slots.cpp
@@ -6,6 +6,46 @@
 
 namespace vanilladyke {
 
+namespace {
+
+/// Place of this node among the live ones by name; all nodes that know the same ones agree on it.
+std::size_t rankOf(const Fleet &fleet)
+{
+    if (fleet.members.empty()) {
+        return 0;
+    }
+    const NodeId &self = fleet.members.front().node;
+    return static_cast<std::size_t>(
+            std::count_if(fleet.members.begin(), fleet.members.end(), [&](const Member &member) {
+                return member.liveness != Liveness::Dead && member.node < self;
+            }));
+}
+
+bool holdsAny(const std::vector<ModelId> &models, const std::vector<ModelId> &wanted)
+{
+    return std::find_first_of(models.begin(), models.end(), wanted.begin(), wanted.end())
+           != models.end();
+}
+
+/// For each model, the nodes where its requests wait.
+std::map<ModelId, std::uint32_t> wantingNodes(const Fleet &fleet,
+                                              const std::vector<ModelId> &waitingHere)
+{
+    std::map<ModelId, std::uint32_t> nodes;
+    for (const Model &model : fleet.bundle ? fleet.bundle->models : std::vector<Model>{}) {
+        const auto waits = [&](const PeerLoad &peer) {
+            return holdsAny(peer.load->waiting, {model.id});
+        };
+        const auto waiting = static_cast<std::size_t>(
+                std::count_if(fleet.peerLoads.begin(), fleet.peerLoads.end(), waits));
+        nodes[model.id] = estimateWantingNodes(waiting, fleet.peerLoads.size(),
+                                               holdsAny(waitingHere, {model.id}), fleet.liveNodes);
+    }
+    return nodes;
+}
+
+} // namespace
+
 std::uint32_t EngineSlots::Use::total() const
 {
     std::uint32_t sum = 0;
@@ -15,20 +55,15 @@
     return sum;
 }
 
-EngineSlots::Use &EngineSlots::useOf(const EngineId &engine)
-{
-    const auto found = m_uses.find(engine);
-    if (found != m_uses.end()) {
-        return found->second;
-    }
-    return m_uses.emplace(engine, Use{SlotShare(uniform(m_random)), {}, {}}).first->second;
-}
-
-void EngineSlots::refresh(const Fleet &fleet, TimePoint now)
+void EngineSlots::refresh(const Fleet &fleet, const std::vector<ModelId> &waiting, TimePoint now)
 {
+    const std::size_t rank = rankOf(fleet);
+    const std::map<ModelId, std::uint32_t> wanting = wantingNodes(fleet, waiting);
     const std::lock_guard lock(m_mutex);
-    for (const EngineView &engine : fleet.engines) {
-        Use &use = useOf(engine.id);
+    for (std::size_t i = 0; i < fleet.engines.size(); ++i) {
+        const EngineView &engine = fleet.engines[i];
+        Use &use = m_uses[engine.id];
+        use.rounding = slotRounding(rank, fleet.liveNodes, i);
         if (engine.load.measuredAt == use.reportedAt) {
             continue;
         }
@@ -36,7 +71,12 @@
         // What this node sent since the engine measured is not in the report.
         const double own = use.total();
         const double busy = std::max<double>(engine.load.running + engine.load.waiting, own);
-        use.share.update({static_cast<double>(engine.slots), busy, own, fleet.liveNodes});
+        std::uint32_t wantingHere = 1;
+        for (const ModelId &model : engine.models) {
+            wantingHere = std::max(wantingHere, wanting.at(model));
+        }
+        use.share.update({static_cast<double>(engine.slots), busy, own, fleet.liveNodes,
+                          wantingHere, holdsAny(engine.models, waiting)});
     }
     m_ejection.fit(fleet, now);
 }
@@ -49,7 +89,7 @@
     }
     // An engine on its way back gets one request at least, or it could never prove itself.
     const double allowance = m_ejection.allowance(engine.id, now);
-    const std::uint32_t share = use->second.share.usable();
+    const std::uint32_t share = use->second.share.usable(use->second.rounding);
     return allowance < 1 ? std::max(1U, static_cast<std::uint32_t>(share * allowance)) : share;
 }
 
@@ -103,7 +143,7 @@
 void EngineSlots::begin(const EngineId &engine, const ModelId &model)
 {
     const std::lock_guard lock(m_mutex);
-    ++useOf(engine).underWay[model];
+    ++m_uses[engine].underWay[model];
 }
 
 void EngineSlots::end(const EngineId &engine, const ModelId &model)
