--- a/include/vanilladyke/gateway/engine_slots.hpp
+++ b/include/vanilladyke/gateway/engine_slots.hpp
@@ -24,7 +24,9 @@
                                          TimePoint now) const;
     /// @brief Engines that must get no request of the model now: ejected ones, and, unless all the
     /// others are full, those where this node's share is used up.
+    /// @param tried engines that failed the request; being open does not help it
     [[nodiscard]] std::vector<EngineId> closedFor(const ModelId &model, const Fleet &fleet,
+                                                  const std::vector<EngineId> &tried,
                                                   TimePoint now) const;
     /// @brief Counts a request that is sent to the engine.
     void begin(const EngineId &engine, const ModelId &model);
--- a/src/vanilladyke/gateway/conversation.cpp
+++ b/src/vanilladyke/gateway/conversation.cpp
@@ -122,7 +122,7 @@
 {
     const std::shared_ptr<const Fleet> fleet = m_environment.fleet.current();
     EngineSlots &slots = m_environment.control.engines;
-    std::vector<EngineId> closed = slots.closedFor(m_context.model, *fleet, now);
+    std::vector<EngineId> closed = slots.closedFor(m_context.model, *fleet, m_excluded, now);
     closed.insert(closed.end(), m_excluded.begin(), m_excluded.end());
     const std::optional<PlacedAttempt> placed = placeAttempt(m_context, *fleet, closed, m_random);
     if (!placed) {
--- a/src/vanilladyke/gateway/engine_slots.cpp
+++ b/src/vanilladyke/gateway/engine_slots.cpp
@@ -118,6 +118,7 @@
 }
 
 std::vector<EngineId> EngineSlots::closedFor(const ModelId &model, const Fleet &fleet,
+                                             const std::vector<EngineId> &tried,
                                              TimePoint now) const
 {
     const std::lock_guard lock(m_mutex);
@@ -133,7 +134,7 @@
         }
         if (full(engine, now)) {
             closed.push_back(engine.id);
-        } else {
+        } else if (std::find(tried.begin(), tried.end(), engine.id) == tried.end()) {
             anyOpen = true;
         }
     }
