Show a customer's share in the log; prove that it follows demand

Cause: nothing with real processes showed that nodes hear of each other's demand.

Changed: the line of a rate-limited request names the node's share of the limit; a test of two nodes waits until the one that gets all of a customer's requests gives out more than nine tenths of its limit, which needs the other's word (a half without it).

--- a/src/vanilladyke/gateway/admission_control.cpp
+++ b/src/vanilladyke/gateway/admission_control.cpp
@@ -144,9 +144,11 @@
     const TimePoint now = MonotonicClock::now();
     const double tokens = context.promptTokens + context.answerTokens;
     Outcome<void, TimePoint> taken;
+    double share = 0;
     {
         const std::lock_guard lock(m_mutex);
         taken = m_limiter.take(customer, tokens, context.fleet->liveNodes, now);
+        share = m_limiter.share(customer.id, context.fleet->liveNodes, now);
     }
     if (taken) {
         return std::nullopt;
@@ -156,6 +158,7 @@
             .field("verdict", "refused")
             .field("reason", toString(RefusalReason::RateLimited))
             .field("tokens", tokens)
+            .field("share", share)
             .field("retry_after", taken.error() - now);
     return refusalOf(RefusalReason::RateLimited, taken.error());
 }
--- a/tests/integration/overload.py
+++ b/tests/integration/overload.py
@@ -1,6 +1,7 @@
 """Two nodes and two small engines at about twice what the engines can do."""
 
 import json
+import re
 import threading
 import time
 
@@ -71,6 +72,29 @@
         self.assertNotIn("-key", log)
 
 
+class LimitOverNodes(harness.ClusterTest):
+    # All connections of a limited customer reach one of two nodes. Half of its limit would stay
+    # unused at the other, and the customer be refused at half of what it pays for.
+    def test_the_limit_follows_the_customer_to_its_node(self):
+        self.cluster.engine("copy-1")
+        self.cluster.bundle["customers"][0].update({"tokens_per_second": 100, "burst_tokens": 50})
+        node = self.cluster.node("n1")
+        self.cluster.node("n2")
+        shares = re.compile(r"reason=rate_limited .*share=([0-9.]+)")
+
+        def asked_and_followed():
+            status, body, headers = harness.chat(node.port, "shelter", 20, False)
+            if status != 200:
+                error = json.loads(body)["error"]
+                self.assertEqual((error["reason"], error["ran"]), ("rate_limited", "no"), body)
+                self.assertGreaterEqual(int(headers["Retry-After"]) * 1000, error["retry_after_ms"])
+            # A node that is alone gives out all of it, one of two that has heard nothing a half.
+            return any(0.9 < float(share) < 0.99 for share in shares.findall(node.log_text()))
+
+        harness.wait_until(lambda: "event=peer peer=n2" in node.log_text(), "n1 knows n2")
+        harness.wait_until(asked_and_followed, "the limit at n1")
+
+
 class FailingEngine(harness.ClusterTest):
     # An engine's process is gone, but the nodes have not noticed yet. Requests that were placed
     # there go to the other engine, and their callers see nothing of it.
