Give the services' test a log that is away; probe ports below the ephemeral ones

Every node of the tests has a log now, so that 'a node that can't claim' is one whose log is away: the test asks for the same refusal there, and for key_missing before it. first_path failed once in eleven runs after a wait of 30 s; its cause was not seen. The likeliest is a port that an outgoing connection of another process took between the probe and the node's bind, so the probe now stays below the ephemeral range.

--- a/tests/integration/harness.py
+++ b/tests/integration/harness.py
@@ -31,9 +31,14 @@
 
 
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A port below those that the system gives to outgoing connections: one of these may take an
+    ephemeral port between this probe and the process that is to listen on it."""
+    chooser = random.SystemRandom()
+    while True:
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            port = chooser.randrange(10000, 32000)
+            probe.bind(("127.0.0.1", port))
+            return port
 
 
 def key_digest(key):
--- a/tests/integration/services.py
+++ b/tests/integration/services.py
@@ -50,11 +50,15 @@
         self.assertGreaterEqual(self.total(), 20)
 
     def test_refusals_are_truthful(self):
-        """A service that nobody knows, and a call that may not be repeated on a node that can't
-        claim it. Nothing may have run."""
-        for path, expected in [("/services/none/x", (404, "unknown_service")),
-                               ("/services/booking/b", (503, "log_unavailable"))]:
-            status, body, _ = self.call("POST", path, "{}")
+        """A service that nobody knows, and a call that may not be repeated: without a key, and while
+        the log is away and the node can't claim it. Nothing may have run."""
+        self.cluster.platform_process.faults(outage="refuse")
+        harness.wait_until(lambda: not self.cluster.status(self.node)["log_reachable"], "the outage is noticed")
+        key = {"Idempotency-Key": harness.uuid7()}
+        for path, headers, expected in [("/services/none/x", {}, (404, "unknown_service")),
+                                        ("/services/booking/b", {}, (400, "key_missing")),
+                                        ("/services/booking/b", key, (503, "log_unavailable"))]:
+            status, body, _ = self.call("POST", path, "{}", headers)
             error = json.loads(body)["error"]
             self.assertEqual((status, error["reason"], error["ran"]), (*expected, "no"))
         self.assertEqual(self.total(), 0)
