--- a/include/vanilladyke/app/settings.hpp
+++ b/include/vanilladyke/app/settings.hpp
@@ -4,6 +4,7 @@
 #include "vanilladyke/base/time.hpp"
 #include "vanilladyke/model/bundle_json.hpp"
 #include "vanilladyke/model/ids.hpp"
+#include "vanilladyke/platform/backend_client.hpp"
 
 #include <optional>
 #include <string>
@@ -37,6 +38,7 @@
     DataCentreId dataCentre;
     Endpoint callers; ///< where callers are served
     TlsFiles callersTls;
+    BackendTls backendsTls;
     Endpoint operators;                ///< where operators are served
     std::optional<PeerSettings> peers; ///< none for a node on its own
     std::string logLevel = "info";
--- a/include/vanilladyke/control/engine_poller.hpp
+++ b/include/vanilladyke/control/engine_poller.hpp
@@ -2,6 +2,7 @@
 
 #include "vanilladyke/control/fleet_store.hpp"
 #include "vanilladyke/control/inbox.hpp"
+#include "vanilladyke/platform/backend_client.hpp"
 
 #include <condition_variable>
 #include <map>
@@ -16,7 +17,7 @@
 class EnginePoller
 {
 public:
-    EnginePoller(const FleetStore &fleet, Inbox &inbox);
+    EnginePoller(const FleetStore &fleet, Inbox &inbox, BackendTls tls = {});
     EnginePoller(const EnginePoller &) = delete;
     EnginePoller &operator=(const EnginePoller &) = delete;
     ~EnginePoller();
@@ -28,6 +29,7 @@
 
     const FleetStore &m_fleet;
     Inbox &m_inbox;
+    const BackendTls m_tls;
     std::mutex m_mutex;
     std::condition_variable_any m_wake;
     std::map<EngineId, std::jthread> m_pollers;
--- a/include/vanilladyke/gateway/caller_server.hpp
+++ b/include/vanilladyke/gateway/caller_server.hpp
@@ -4,6 +4,7 @@
 #include "vanilladyke/base/time.hpp"
 #include "vanilladyke/control/fleet_store.hpp"
 #include "vanilladyke/model/ids.hpp"
+#include "vanilladyke/platform/backend_client.hpp"
 
 #include <memory>
 #include <string>
@@ -13,6 +14,9 @@
 /// @brief What a caller server takes from the host's settings.
 struct CallerServerOptions
 {
+    std::string certificate; ///< PEM file; empty: callers are served without TLS
+    std::string privateKey;  ///< PEM file that belongs to the certificate
+    BackendTls backends;
     std::string streamKey; ///< 64 hexadecimal digits, the same on all nodes; empty: one of its own
 };
 
@@ -25,6 +29,8 @@
     CallerServer &operator=(const CallerServer &) = delete;
     ~CallerServer();
 
+    /// @brief Whether the TLS files are usable; to be asked before all else.
+    [[nodiscard]] bool tlsUsable() const;
     /// @brief Takes the address. @return false if it is not to be had
     [[nodiscard]] bool bind(const Endpoint &endpoint);
     /// @brief Serves until stop().
--- a/include/vanilladyke/gateway/engine_exchange.hpp
+++ b/include/vanilladyke/gateway/engine_exchange.hpp
@@ -4,6 +4,7 @@
 #include "vanilladyke/base/time.hpp"
 #include "vanilladyke/model/fleet.hpp"
 #include "vanilladyke/model/prefix_chain.hpp"
+#include "vanilladyke/platform/backend_client.hpp"
 #include "vanilladyke/policy/exchange_state.hpp"
 
 #include <cstdint>
@@ -17,6 +18,7 @@
 struct EngineCall
 {
     EngineView engine;
+    BackendTls tls;
     WeightsVersion weights; ///< that the answer must come from
     RequestId request;
     StreamId stream;
--- a/src/vanilladyke/app/serve.cpp
+++ b/src/vanilladyke/app/serve.cpp
@@ -12,7 +12,9 @@
 #include "vanilladyke/gateway/caller_server.hpp"
 #include "vanilladyke/model/json_reader.hpp"
 
+#include <array>
 #include <csignal>
+#include <optional>
 #include <thread>
 
 namespace vanilladyke {
@@ -45,6 +47,29 @@
     inbox.post(BundleAccepted{std::make_shared<const Bundle>(*bundle)});
 }
 
+/// The first TLS file of the settings that can't be read; none if all can.
+std::optional<FieldError> unreadableTlsFile(const HostSettings &settings)
+{
+    const std::array<std::pair<const char *, const std::string *>, 3> files{{
+            {"callers_tls.certificate", &settings.callersTls.certificate},
+            {"callers_tls.private_key", &settings.callersTls.privateKey},
+            {"backends_tls.authority", &settings.backendsTls.authorityFile},
+    }};
+    for (const auto &[field, file] : files) {
+        const auto content = file->empty() ? Outcome<std::string, FieldError>() : readFile(*file);
+        if (!content) {
+            return FieldError{field, *file, content.error().reason};
+        }
+    }
+    return std::nullopt;
+}
+
+CallerServerOptions callerOptions(const HostSettings &settings)
+{
+    return {settings.callersTls.certificate, settings.callersTls.privateKey, settings.backendsTls,
+            settings.streamKey};
+}
+
 } // namespace
 
 int serve(const HostSettings &settings)
@@ -61,6 +86,13 @@
                 .field("reason", peerKeys.error().reason);
         return EXIT_FAILURE;
     }
+    if (const auto unreadable = unreadableTlsFile(settings)) {
+        LogEvent("settings_refused", Severity::Error)
+                .field("field", unreadable->field)
+                .field("file", unreadable->value)
+                .field("reason", unreadable->reason);
+        return EXIT_FAILURE;
+    }
     Metrics metrics;
     FleetStore fleet;
     Inbox inbox(InboxCapacity);
@@ -82,12 +114,18 @@
         }
     }
     const ControlThread control(inbox, fleet, bundles, members, engines);
-    const EnginePoller poller(fleet, inbox);
+    const EnginePoller poller(fleet, inbox, settings.backendsTls);
     if (!settings.bundleFile.empty()) {
         takeBundleFile(settings.bundleFile, inbox);
     }
 
-    CallerServer callers(fleet, metrics, {settings.streamKey});
+    CallerServer callers(fleet, metrics, callerOptions(settings));
+    if (!callers.tlsUsable()) {
+        LogEvent("settings_refused", Severity::Error)
+                .field("field", "callers_tls")
+                .field("reason", "no certificate with its private key in these PEM files");
+        return EXIT_FAILURE;
+    }
     if (!callers.bind(settings.callers)) {
         LogEvent("bind_failed", Severity::Error).field("callers", settings.callers.str());
         return EXIT_FAILURE;
--- a/src/vanilladyke/app/settings.cpp
+++ b/src/vanilladyke/app/settings.cpp
@@ -69,12 +69,16 @@
     }
     HostSettings settings;
     JsonReader reader(object, "", &errors);
-    reader.allowOnly({"node", "data_centre", "callers", "callers_tls", "operators", "peers",
-                      "log_level", "bundle_file", "stream_key", "balancer_lag_ms"});
+    reader.allowOnly({"node", "data_centre", "callers", "callers_tls", "backends_tls", "operators",
+                      "peers", "log_level", "bundle_file", "stream_key", "balancer_lag_ms"});
     reader.id("node", &settings.node);
     reader.id("data_centre", &settings.dataCentre);
     reader.endpoint("callers", &settings.callers);
     reader.object("callers_tls", [&](JsonReader &in) { readTls(in, &settings.callersTls); });
+    reader.object("backends_tls", [&](JsonReader &in) {
+        in.allowOnly({"authority"});
+        in.text("authority", &settings.backendsTls.authorityFile);
+    });
     reader.endpoint("operators", &settings.operators);
     reader.object("peers", [&](JsonReader &in) { settings.peers = readPeers(in); });
     checkLogLevel(reader, &settings.logLevel);
--- a/src/vanilladyke/control/engine_poller.cpp
+++ b/src/vanilladyke/control/engine_poller.cpp
@@ -48,9 +48,10 @@
 
 } // namespace
 
-EnginePoller::EnginePoller(const FleetStore &fleet, Inbox &inbox)
+EnginePoller::EnginePoller(const FleetStore &fleet, Inbox &inbox, BackendTls tls)
     : m_fleet(fleet)
     , m_inbox(inbox)
+    , m_tls(std::move(tls))
 {
     m_supervisor = std::jthread([this](const std::stop_token &stop) { supervise(stop); });
 }
@@ -83,7 +84,8 @@
 
 void EnginePoller::poll(const std::stop_token &stop, const EngineEntry &entry)
 {
-    httplib::Client client(entry.endpoint.host, entry.endpoint.port);
+    const auto owned = makeBackendClient(entry.endpoint, m_tls);
+    httplib::Client &client = *owned;
     client.set_keep_alive(true);
     client.set_connection_timeout(AnswerWithin);
     client.set_read_timeout(AnswerWithin);
--- a/src/vanilladyke/gateway/caller_server.cpp
+++ b/src/vanilladyke/gateway/caller_server.cpp
@@ -83,6 +83,15 @@
     const_cast<httplib::Request &>(request).headers.erase("Content-Type");
 }
 
+std::unique_ptr<httplib::Server> makeServer(const CallerServerOptions &options)
+{
+    if (options.certificate.empty()) {
+        return std::make_unique<httplib::Server>();
+    }
+    return std::make_unique<httplib::SSLServer>(options.certificate.c_str(),
+                                                options.privateKey.c_str());
+}
+
 EventKey eventKeyOf(const CallerServerOptions &options)
 {
     const auto key = parseEventKey(options.streamKey);
@@ -100,8 +109,10 @@
     Private(const FleetStore &store, Metrics &nodeMetrics, const CallerServerOptions &options)
         : fleet(store)
         , metrics(nodeMetrics)
-        , completions(store, nodeMetrics, eventKeyOf(options))
-        , services(nodeMetrics)
+        , completions(store, nodeMetrics, eventKeyOf(options), options.backends)
+        , services(nodeMetrics, options.backends)
+        , ownedServer(makeServer(options))
+        , server(*ownedServer)
     {}
 
     void route();
@@ -122,7 +133,8 @@
     std::atomic<ServerStage> stage{ServerStage::Serving};
     CompletionHandler completions;
     ServiceHandler services;
-    httplib::Server server;
+    std::unique_ptr<httplib::Server> ownedServer;
+    httplib::Server &server;
 };
 
 /// Counts the request in; the server's logger, which runs after the last byte, counts it out.
@@ -265,6 +277,11 @@
 
 CallerServer::~CallerServer() = default;
 
+bool CallerServer::tlsUsable() const
+{
+    return m_private->server.is_valid();
+}
+
 bool CallerServer::bind(const Endpoint &endpoint)
 {
     return m_private->server.bind_to_port(endpoint.host, endpoint.port);
--- a/src/vanilladyke/gateway/completion_handler.cpp
+++ b/src/vanilladyke/gateway/completion_handler.cpp
@@ -104,11 +104,13 @@
 } // namespace
 
 CompletionHandler::CompletionHandler(const FleetStore &fleet, Metrics &metrics,
-                                     const EventKey &eventKey)
+                                     const EventKey &eventKey, BackendTls tls)
     : m_metrics(metrics)
     , m_signer(eventKey)
+    , m_tls(std::move(tls))
+    , m_canceller(m_tls)
     , m_control(fleet, metrics)
-    , m_environment{fleet, m_control, m_threads, m_canceller, m_hurried}
+    , m_environment{fleet, m_control, m_threads, m_canceller, m_tls, m_hurried}
     , m_chain({}, {}, {}, {}, {&m_control.admission}, {&m_control.admission})
 {}
 
--- a/src/vanilladyke/gateway/completion_handler.hpp
+++ b/src/vanilladyke/gateway/completion_handler.hpp
@@ -22,7 +22,8 @@
 class CompletionHandler
 {
 public:
-    CompletionHandler(const FleetStore &fleet, Metrics &metrics, const EventKey &eventKey);
+    CompletionHandler(const FleetStore &fleet, Metrics &metrics, const EventKey &eventKey,
+                      BackendTls tls);
 
     void operator()(RequestContext context, httplib::Response &response);
     /// @brief From now on every conversation ends with a truthful error.
@@ -37,6 +38,7 @@
 
     Metrics &m_metrics;
     EventSigner m_signer;
+    const BackendTls m_tls;
     ReaderThreads m_threads;
     StreamCanceller m_canceller;
     std::atomic<bool> m_hurried{false};
--- a/src/vanilladyke/gateway/conversation.cpp
+++ b/src/vanilladyke/gateway/conversation.cpp
@@ -146,6 +146,7 @@
 void Conversation::startAttempt(TimePoint now)
 {
     m_call.weights = m_context.weights;
+    m_call.tls = m_environment.tls;
     m_call.request = m_context.id;
     m_call.attempt = newUuid();
     m_call.path = m_context.path;
--- a/src/vanilladyke/gateway/conversation.hpp
+++ b/src/vanilladyke/gateway/conversation.hpp
@@ -29,6 +29,7 @@
     TrafficControl &control;
     ReaderThreads &threads;
     StreamCanceller &canceller;
+    const BackendTls &tls;
     const std::atomic<bool> &hurried; ///< the node stops without waiting for answers
 };
 
--- a/src/vanilladyke/gateway/engine_exchange.cpp
+++ b/src/vanilladyke/gateway/engine_exchange.cpp
@@ -120,7 +120,8 @@
 {
     explicit Shared(const EngineCall &engineCall)
         : call(engineCall)
-        , client(engineCall.engine.endpoint.host, engineCall.engine.endpoint.port)
+        , ownedClient(makeBackendClient(engineCall.engine.endpoint, engineCall.tls))
+        , client(*ownedClient)
     {}
 
     void read();
@@ -132,7 +133,8 @@
     void abandon();
 
     EngineCall call;
-    httplib::Client client;
+    std::unique_ptr<httplib::Client> ownedClient;
+    httplib::Client &client;
     SseParser parser;
     std::atomic<TimePoint> heardAt{MonotonicClock::now()};
     std::mutex mutex;
@@ -219,7 +221,7 @@
     client.set_read_timeout(call.silence * ReaderSilences);
     client.set_write_timeout(call.silence);
     const httplib::Result result = client.send(request);
-    const bool unconnected = !result && result.error() == httplib::Error::Connection;
+    const bool unconnected = !result && failedBeforeSending(result.error());
     // The library may name a connection error for a connection that broke later; then bytes left.
     const bool nothingSent = unconnected && !connected;
     fail(nothingSent ? ExchangeError::ConnectFailed : ExchangeError::Reset,
--- a/src/vanilladyke/gateway/service_exchange.cpp
+++ b/src/vanilladyke/gateway/service_exchange.cpp
@@ -36,7 +36,7 @@
 ExchangeFailure failureOf(const httplib::Result &result, TimePoint deadline)
 {
     const std::string detail = httplib::to_string(result.error());
-    if (result.error() == httplib::Error::Connection) {
+    if (failedBeforeSending(result.error())) {
         return {ExchangeError::ConnectFailed, detail};
     }
     const bool late = MonotonicClock::now() >= deadline;
@@ -46,18 +46,18 @@
 } // namespace
 
 Outcome<ServiceAnswer, ExchangeFailure> sendOnce(const ServiceCall &call, const Endpoint &backend,
-                                                 TimePoint deadline)
+                                                 const BackendTls &tls, TimePoint deadline)
 {
     const Duration left = deadline - MonotonicClock::now();
     if (left <= Duration::zero()) {
         return failure(ExchangeFailure{ExchangeError::ConnectFailed, "no time was left to send"});
     }
-    httplib::Client client(backend.host, backend.port);
-    client.set_connection_timeout(std::min(left, ConnectWithin));
-    client.set_read_timeout(left);
-    client.set_write_timeout(left);
-    client.set_tcp_nodelay(true);
-    client.set_url_encode(false);
+    const auto client = makeBackendClient(backend, tls);
+    client->set_connection_timeout(std::min(left, ConnectWithin));
+    client->set_read_timeout(left);
+    client->set_write_timeout(left);
+    client->set_tcp_nodelay(true);
+    client->set_url_encode(false);
     httplib::Request request = requestOf(call);
     ServiceAnswer answer;
     // The library's time-out counts from byte to byte; an answer that trickles must end as well.
@@ -66,7 +66,7 @@
         answer.body.append(data, size);
         return answer.body.size() <= MostAnswerBytes && MonotonicClock::now() < deadline;
     };
-    const httplib::Result result = client.send(request);
+    const httplib::Result result = client->send(request);
     if (!result) {
         return failure(failureOf(result, deadline));
     }
--- a/src/vanilladyke/gateway/service_exchange.hpp
+++ b/src/vanilladyke/gateway/service_exchange.hpp
@@ -2,6 +2,7 @@
 
 #include "vanilladyke/gateway/engine_exchange.hpp"
 #include "vanilladyke/model/ids.hpp"
+#include "vanilladyke/platform/backend_client.hpp"
 
 #include <optional>
 #include <string>
@@ -33,7 +34,9 @@
 /// @brief Sends the call once to one backend and reads the whole answer. The caller's bearer key is
 /// not sent on.
 /// @return Silent once the deadline has passed
-[[nodiscard]] Outcome<ServiceAnswer, ExchangeFailure>
-sendOnce(const ServiceCall &call, const Endpoint &backend, TimePoint deadline);
+[[nodiscard]] Outcome<ServiceAnswer, ExchangeFailure> sendOnce(const ServiceCall &call,
+                                                               const Endpoint &backend,
+                                                               const BackendTls &tls,
+                                                               TimePoint deadline);
 
 } // namespace vanilladyke
--- a/src/vanilladyke/gateway/service_handler.cpp
+++ b/src/vanilladyke/gateway/service_handler.cpp
@@ -60,8 +60,8 @@
         }
         state.apply(ExchangeEvent::SendStarted);
         const bool another = i + 1 < backends.size();
-        auto outcome =
-                sendOnce(call, backends[i], tryDeadline(context.firstTokenDeadline, another));
+        auto outcome = sendOnce(call, backends[i], m_tls,
+                                tryDeadline(context.firstTokenDeadline, another));
         logTry(call, backends[i], outcome);
         if (outcome) {
             return std::move(*outcome);
--- a/src/vanilladyke/gateway/service_handler.hpp
+++ b/src/vanilladyke/gateway/service_handler.hpp
@@ -15,8 +15,9 @@
 class ServiceHandler
 {
 public:
-    explicit ServiceHandler(Metrics &metrics)
+    ServiceHandler(Metrics &metrics, BackendTls tls)
         : m_metrics(metrics)
+        , m_tls(std::move(tls))
         , m_chain({}, {})
     {}
 
@@ -30,6 +31,7 @@
     [[nodiscard]] static Outcome<ServiceAnswer, Refusal> callAtMostOnce(const ServiceCall &call);
 
     Metrics &m_metrics;
+    const BackendTls m_tls;
     SharedRetryBudgets m_retries;
     FilterChain<IdentifyCustomer, SetServiceDeadline> m_chain;
 };
--- a/src/vanilladyke/gateway/stream_canceller.cpp
+++ b/src/vanilladyke/gateway/stream_canceller.cpp
@@ -15,7 +15,8 @@
 
 } // namespace
 
-StreamCanceller::StreamCanceller()
+StreamCanceller::StreamCanceller(BackendTls tls)
+    : m_tls(std::move(tls))
 {
     m_thread = std::jthread([this](const std::stop_token &stop) { run(stop); });
 }
@@ -48,10 +49,11 @@
         const Order order = std::move(m_orders.front());
         m_orders.pop_front();
         lock.unlock();
-        httplib::Client client(order.engine.host, order.engine.port);
-        client.set_connection_timeout(AnswerWithin);
-        client.set_read_timeout(AnswerWithin);
-        const httplib::Result result = client.Post("/v1/streams/" + order.stream.str() + "/cancel");
+        const auto client = makeBackendClient(order.engine, m_tls);
+        client->set_connection_timeout(AnswerWithin);
+        client->set_read_timeout(AnswerWithin);
+        const httplib::Result result =
+                client->Post("/v1/streams/" + order.stream.str() + "/cancel");
         LogEvent("stream_cancelled")
                 .field("stream", order.stream.str())
                 .field("engine", order.engine.str())
--- a/src/vanilladyke/gateway/stream_canceller.hpp
+++ b/src/vanilladyke/gateway/stream_canceller.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "vanilladyke/model/ids.hpp"
+#include "vanilladyke/platform/backend_client.hpp"
 
 #include <condition_variable>
 #include <deque>
@@ -18,7 +19,7 @@
 class StreamCanceller
 {
 public:
-    StreamCanceller();
+    explicit StreamCanceller(BackendTls tls);
     StreamCanceller(const StreamCanceller &) = delete;
     StreamCanceller &operator=(const StreamCanceller &) = delete;
     /// @brief Gives up what still waits.
@@ -35,6 +36,7 @@
 
     void run(const std::stop_token &stop);
 
+    const BackendTls m_tls;
     std::mutex m_mutex;
     std::condition_variable_any m_filled;
     std::deque<Order> m_orders;
--- a/tests/integration/harness.py
+++ b/tests/integration/harness.py
@@ -151,7 +151,8 @@
         wait_until(lambda: http_call(port, "GET", "/v1/hosts")[0] == 200, "platform up")
         return process
 
-    def node(self, name, **more):
+    def node_process(self, name, **more):
+        """A node that was only started; more settings replace those of the harness."""
         port, operators = free_port(), free_port()
         settings = {"node": name, "data_centre": "yaba-hall", "callers": f"127.0.0.1:{port}",
                     "operators": f"127.0.0.1:{operators}", "balancer_lag_ms": 300, "stream_key": "5e" * 32,
@@ -161,7 +162,12 @@
         process = self.start(name, [f"{self.build}/vanilladyke", "serve", "--settings",
                                     self.write(name + ".jsonc", settings)])
         process.port, process.operators = port, operators
-        wait_until(lambda: http_call(port, "GET", "/readyz")[0] == 200, name + " ready")
+        return process
+
+    def node(self, name, **more):
+        """A node that is ready and knows the engines."""
+        process = self.node_process(name, **more)
+        wait_until(lambda: http_call(process.port, "GET", "/readyz")[0] == 200, name + " ready")
         wait_until(lambda: process.log_text().count("event=engine_up") >= len(self.engines),
                    name + " knows the engines")
         return process
--- a/tests/standins/engine.cpp
+++ b/tests/standins/engine.cpp
@@ -346,14 +346,21 @@
 class Port
 {
 public:
-    Port(Engine &engine, int port)
+    Port(Engine &engine, int port, std::string certificate, std::string key)
         : m_engine(engine)
         , m_port(port)
+        , m_certificate(std::move(certificate))
+        , m_key(std::move(key))
     {}
 
     bool open()
     {
-        auto server = std::make_shared<httplib::Server>();
+        std::shared_ptr<httplib::Server> server;
+        if (m_certificate.empty()) {
+            server = std::make_shared<httplib::Server>();
+        } else {
+            server = std::make_shared<httplib::SSLServer>(m_certificate.c_str(), m_key.c_str());
+        }
         m_engine.install(*server);
         if (!server->bind_to_port("127.0.0.1", m_port)) {
             return false;
@@ -378,6 +385,8 @@
 private:
     Engine &m_engine;
     int m_port;
+    std::string m_certificate;
+    std::string m_key;
     std::shared_ptr<httplib::Server> m_server;
 };
 
@@ -399,6 +408,8 @@
     Number reportLag("", "report-lag-ms", "age of load reports", false, 0, "MS", line);
     Number eventLag("", "event-lag-ms", "age of cache events", false, 0, "MS", line);
     Number load("", "load-ms", "time to load weights", false, 2000, "MS", line);
+    Text certificate("", "certificate", "PEM file, for TLS", false, "", "FILE", line);
+    Text key("", "key", "PEM file of its private key", false, "", "FILE", line);
     TCLAP::SwitchArg noFencing("", "no-fencing", "takes orders with an old number", line);
     line.parse(argc, argv);
 
@@ -419,7 +430,8 @@
     options.load = Milliseconds(load.getValue());
     options.fencing = !noFencing.getValue();
     Engine engine(options, {model.getValue(), weights.getValue(), {}});
-    Port listener(engine, static_cast<int>(port.getValue()));
+    Port listener(engine, static_cast<int>(port.getValue()), certificate.getValue(),
+                  key.getValue());
     engine.refuse = [&](Milliseconds span) { listener.closeFor(span); };
     if (!listener.open()) {
         return EXIT_FAILURE;
