--- a/include/vanilladyke/gateway/caller_server.hpp
+++ b/include/vanilladyke/gateway/caller_server.hpp
@@ -11,6 +11,8 @@
 
 namespace vanilladyke {
 
+class ClaimDesk;
+
 /// @brief What a caller server takes from the host's settings.
 struct CallerServerOptions
 {
@@ -18,9 +20,10 @@
     std::string privateKey;  ///< PEM file that belongs to the certificate
     BackendTls backends;
     std::string streamKey; ///< 64 hexadecimal digits, the same on all nodes; empty: one of its own
+    ClaimDesk *claims = nullptr; ///< null if this node has no log
 };
 
-/// @brief Serves callers over HTTP: completions, streamed or whole.
+/// @brief Serves callers over HTTP: completions, streamed or whole, and plain services.
 class CallerServer
 {
 public:
--- a/src/vanilladyke/app/serve.cpp
+++ b/src/vanilladyke/app/serve.cpp
@@ -5,6 +5,8 @@
 #include "vanilladyke/base/log.hpp"
 #include "vanilladyke/base/metrics.hpp"
 #include "vanilladyke/control/bundle_controller.hpp"
+#include "vanilladyke/control/claim_controller.hpp"
+#include "vanilladyke/control/claim_desk.hpp"
 #include "vanilladyke/control/control_thread.hpp"
 #include "vanilladyke/control/engine_controller.hpp"
 #include "vanilladyke/control/engine_poller.hpp"
@@ -22,6 +24,9 @@
 namespace {
 
 constexpr std::size_t InboxCapacity = 65'536;
+constexpr std::string_view ClaimStream = "claims";
+/// Outcomes that are not in the log when a node stops are "unknown" to all repeats from then on.
+constexpr Duration FlushWithin = std::chrono::seconds(5);
 
 Severity severityOf(const std::string &level)
 {
@@ -64,10 +69,10 @@
     return std::nullopt;
 }
 
-CallerServerOptions callerOptions(const HostSettings &settings)
+CallerServerOptions callerOptions(const HostSettings &settings, ClaimDesk *claims)
 {
     return {settings.callersTls.certificate, settings.callersTls.privateKey, settings.backendsTls,
-            settings.streamKey};
+            settings.streamKey, claims};
 }
 
 } // namespace
@@ -113,13 +118,23 @@
             return EXIT_FAILURE;
         }
     }
-    const ControlThread control(inbox, fleet, bundles, members, engines);
+    ClaimIo claimIo;
+    ClaimController claims(ProcessId(newUuid()), settings.node, claimIo);
+    ClaimDesk claimDesk(inbox);
+    const ControlThread control(inbox, fleet, bundles, members, engines, claims);
+    std::optional<ClaimLog<LogClient>> claimLog;
+    if (settings.log) {
+        claimLog.emplace(LogClient(*settings.log, std::string(ClaimStream)),
+                         LogClient(*settings.log, std::string(ClaimStream)), claimIo, inbox,
+                         metrics);
+    }
     const EnginePoller poller(fleet, inbox, settings.backendsTls);
     if (!settings.bundleFile.empty()) {
         takeBundleFile(settings.bundleFile, inbox);
     }
 
-    CallerServer callers(fleet, metrics, callerOptions(settings));
+    CallerServer callers(fleet, metrics,
+                         callerOptions(settings, settings.log ? &claimDesk : nullptr));
     if (!callers.tlsUsable()) {
         LogEvent("settings_refused", Severity::Error)
                 .field("field", "callers_tls")
@@ -136,6 +151,9 @@
     inbox.post(StopRequested{});
     shutDown(callers, signals, settings.balancerLag);
     traffic.join();
+    if (!claimIo.flush(MonotonicClock::now() + FlushWithin)) {
+        LogEvent("claims_unflushed", Severity::Warning);
+    }
     LogEvent("stopped").field("exit", EXIT_SUCCESS);
     return EXIT_SUCCESS;
 }
--- a/src/vanilladyke/platform/backend_client.cpp
+++ b/src/vanilladyke/platform/backend_client.cpp
@@ -20,8 +20,8 @@
 
 bool failedBeforeSending(httplib::Error error)
 {
-    return error == httplib::Error::Connection || error == httplib::Error::SSLConnection
-           || error == httplib::Error::SSLLoadingCerts
+    return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout
+           || error == httplib::Error::SSLConnection || error == httplib::Error::SSLLoadingCerts
            || error == httplib::Error::SSLServerVerification;
 }
 
--- a/src/vanilladyke/policy/claim_ledger.cpp
+++ b/src/vanilladyke/policy/claim_ledger.cpp
@@ -80,6 +80,14 @@
         m_decisions.push_back({request.ticket, refusalByAge(age)});
         return;
     }
+    if (!isWellFormed(Claim{request.key, {m_process, 1}, m_node, request.request})) {
+        m_decisions.push_back(
+                {request.ticket, Refusal{RefusalReason::BadRequest,
+                                         "the customer's, service's or node's name is too long",
+                                         Ran::No,
+                                         {}}});
+        return;
+    }
     if (m_fold.find(request.key) == nullptr) {
         enqueueClaim(waiting);
     }
@@ -101,10 +109,14 @@
     if (m_sending.erase(nonceOf(record)) == 0) {
         return;
     }
-    if (const auto *outcome = std::get_if<ClaimOutcome>(&record)) {
+    ClaimRecord kept = record;
+    if (auto *outcome = std::get_if<ClaimOutcome>(&kept)) {
+        if (!isWellFormed(kept)) {
+            *outcome = {outcome->key, outcome->nonce, OutcomeKind::AnswerTooLarge, 0, {}, {}};
+        }
         m_unseenOutcomes.insert_or_assign(outcome->nonce, *outcome);
     }
-    m_queue.push_back(record);
+    m_queue.push_back(std::move(kept));
 }
 
 void ClaimLedger::enqueueClaim(Waiting &waiting)
@@ -187,14 +199,16 @@
 
 void ClaimLedger::read(const ClaimPage &page, Moment at)
 {
-    const bool startsLater = m_fold.next() < page.firstOffset;
+    const std::uint64_t start =
+            page.records.empty() ? page.firstOffset : page.records.front().offset;
+    const bool startsLater = m_fold.next() < start;
     // A read that began before an append of this node may answer as of before it.
     const bool wentBack = page.nextOffset < m_fold.next() && page.askedAt > m_appendedAt;
     if (wentBack || (startsLater && page.records.empty())) {
         // Records are gone that this node has never seen, and nothing tells how old they were.
         m_fold.skipTo(page.firstOffset, at.wall + ClockSkew);
     } else if (startsLater) {
-        m_fold.skipTo(page.records.front().offset, coveredFrom(page.records.front().appendedAt));
+        m_fold.skipTo(start, coveredFrom(page.records.front().appendedAt));
     }
     for (const ClaimLogRecord &record : page.records) {
         if (record.offset >= m_fold.next()) {
