--- a/src/vanilladyke/app/serve.cpp
+++ b/src/vanilladyke/app/serve.cpp
@@ -133,7 +133,7 @@
         takeBundleFile(settings.bundleFile, inbox);
     }
 
-    CallerServer callers(fleet, metrics,
+    CallerServer callers(fleet, inbox, metrics,
                          callerOptions(settings, settings.log ? &claimDesk : nullptr));
     if (!callers.tlsUsable()) {
         LogEvent("settings_refused", Severity::Error)
--- a/src/vanilladyke/gateway/caller_server.cpp
+++ b/src/vanilladyke/gateway/caller_server.cpp
@@ -85,6 +85,15 @@
     const_cast<httplib::Request &>(request).headers.erase("Content-Type");
 }
 
+/// The library would let two processes share a port: a node started twice by mistake would get half
+/// of the other's callers, and nobody would notice. Only ports of closed connections are taken
+/// over.
+void bindAlone(int socket)
+{
+    const int yes = 1;
+    setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+}
+
 std::unique_ptr<httplib::Server> makeServer(const CallerServerOptions &options)
 {
     if (options.certificate.empty()) {
@@ -108,10 +117,11 @@
 
 struct CallerServer::Private
 {
-    Private(const FleetStore &store, Metrics &nodeMetrics, const CallerServerOptions &options)
+    Private(const FleetStore &store, Inbox &inbox, Metrics &nodeMetrics,
+            const CallerServerOptions &options)
         : fleet(store)
         , metrics(nodeMetrics)
-        , completions(store, nodeMetrics, eventKeyOf(options), options.backends)
+        , completions(store, inbox, nodeMetrics, eventKeyOf(options), options.backends)
         , services(nodeMetrics, options.backends, options.claims)
         , ownedServer(makeServer(options))
         , server(*ownedServer)
@@ -268,12 +278,13 @@
     });
 }
 
-CallerServer::CallerServer(const FleetStore &fleet, Metrics &metrics,
+CallerServer::CallerServer(const FleetStore &fleet, Inbox &inbox, Metrics &metrics,
                            const CallerServerOptions &options)
-    : m_private(std::make_unique<Private>(fleet, metrics, options))
+    : m_private(std::make_unique<Private>(fleet, inbox, metrics, options))
 {
     m_private->server.new_task_queue = [] { return new httplib::ThreadPool(TrafficThreads); };
     m_private->server.set_tcp_nodelay(true);
+    m_private->server.set_socket_options(bindAlone);
     m_private->route();
 }
 
--- a/src/vanilladyke/gateway/completion_handler.hpp
+++ b/src/vanilladyke/gateway/completion_handler.hpp
@@ -22,8 +22,8 @@
 class CompletionHandler
 {
 public:
-    CompletionHandler(const FleetStore &fleet, Metrics &metrics, const EventKey &eventKey,
-                      BackendTls tls);
+    CompletionHandler(const FleetStore &fleet, Inbox &inbox, Metrics &metrics,
+                      const EventKey &eventKey, BackendTls tls);
 
     void operator()(RequestContext context, httplib::Response &response);
     /// @brief From now on every conversation ends with a truthful error.
--- a/tests/integration/harness.py
+++ b/tests/integration/harness.py
@@ -23,10 +23,20 @@
 PEER_SECRET_KEY = 'sH5PtY068MU7s}ce^UNo?gL:6v5tCc:OoX5.HzBu'
 
 
+# Below the range that the kernel takes for outgoing connections: a port from there may be in use
+# as one by the time that a process binds it, and a test would fail now and then.
+PORTS = range(10_000, 32_000)
+given_ports = set()
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    while True:
+        port = random.SystemRandom().choice(PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            if port not in given_ports:
+                given_ports.add(port)
+                return port
 
 
 def key_digest(key):
--- a/tests/standins/engine.cpp
+++ b/tests/standins/engine.cpp
@@ -294,6 +294,10 @@
     using httplib::Response;
     server.new_task_queue = [] { return new httplib::ThreadPool(Threads); };
     server.set_tcp_nodelay(true);
+    server.set_socket_options([](int socket) {
+        const int yes = 1; // not the library's SO_REUSEPORT: two tests must not share a port
+        setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+    });
     server.set_pre_routing_handler([this](const Request &request, Response &) {
         if (!request.path.starts_with("/control/")) {
             waitWhileFrozen();
