--- a/include/vanilladyke/app/settings.hpp
+++ b/include/vanilladyke/app/settings.hpp
@@ -5,6 +5,7 @@
 #include "vanilladyke/model/bundle_json.hpp"
 #include "vanilladyke/model/ids.hpp"
 #include "vanilladyke/operators/operator_server.hpp"
+#include "vanilladyke/platform/backend_client.hpp"
 #include "vanilladyke/policy/bundle_fold.hpp"
 
 #include <optional>
@@ -47,6 +48,7 @@
     DataCentreId dataCentre;
     Endpoint callers; ///< where callers are served
     TlsFiles callersTls;
+    BackendTls backendsTls;
     Endpoint operators;                ///< where operators are served
     std::optional<PeerSettings> peers; ///< none for a node on its own
     std::optional<PlatformSettings> platform;
--- a/include/vanilladyke/control/order_controller.hpp
+++ b/include/vanilladyke/control/order_controller.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "vanilladyke/control/engine_controller.hpp"
+#include "vanilladyke/platform/backend_client.hpp"
 
 #include <condition_variable>
 #include <deque>
@@ -13,7 +14,7 @@
 class OrderSender
 {
 public:
-    OrderSender();
+    explicit OrderSender(BackendTls tls);
     OrderSender(const OrderSender &) = delete;
     OrderSender &operator=(const OrderSender &) = delete;
     ~OrderSender() = default;
@@ -24,6 +25,7 @@
 private:
     void run(const std::stop_token &stop);
 
+    BackendTls m_tls;
     std::mutex m_mutex;
     std::condition_variable_any m_filled;
     std::deque<EngineOrder> m_orders;
--- a/include/vanilladyke/platform/http_call.hpp
+++ b/include/vanilladyke/platform/http_call.hpp
@@ -3,6 +3,7 @@
 #include "vanilladyke/base/outcome.hpp"
 #include "vanilladyke/base/time.hpp"
 #include "vanilladyke/model/ids.hpp"
+#include "vanilladyke/platform/backend_client.hpp"
 
 #include <memory>
 #include <string>
@@ -34,7 +35,7 @@
 class HttpCaller
 {
 public:
-    explicit HttpCaller(const Endpoint &endpoint);
+    explicit HttpCaller(const Endpoint &endpoint, const BackendTls &tls = {});
     HttpCaller(HttpCaller &&) noexcept;
     HttpCaller &operator=(HttpCaller &&) noexcept;
     ~HttpCaller();
--- a/src/vanilladyke/app/serve.cpp
+++ b/src/vanilladyke/app/serve.cpp
@@ -18,6 +18,7 @@
 #include "vanilladyke/gateway/caller_server.hpp"
 #include "vanilladyke/model/json_reader.hpp"
 
+#include <array>
 #include <csignal>
 #include <optional>
 #include <thread>
@@ -42,6 +43,29 @@
     return level == "error" ? Severity::Error : Severity::Info;
 }
 
+/// The first TLS file of the settings that can't be read; none if all can.
+std::optional<FieldError> unreadableTlsFile(const HostSettings &settings)
+{
+    const std::array<std::pair<const char *, const std::string *>, 3> files{{
+            {"callers_tls.certificate", &settings.callersTls.certificate},
+            {"callers_tls.private_key", &settings.callersTls.privateKey},
+            {"backends_tls.authority", &settings.backendsTls.authorityFile},
+    }};
+    for (const auto &[field, file] : files) {
+        const auto content = file->empty() ? Outcome<std::string, FieldError>() : readFile(*file);
+        if (!content) {
+            return FieldError{field, *file, content.error().reason};
+        }
+    }
+    return std::nullopt;
+}
+
+CallerServerOptions callerOptions(const HostSettings &settings, ClaimDesk *claims)
+{
+    return {settings.callersTls.certificate, settings.callersTls.privateKey, settings.backendsTls,
+            settings.streamKey, claims};
+}
+
 } // namespace
 
 int serve(const HostSettings &settings)
@@ -58,6 +82,13 @@
                 .field("reason", peerKeys.error().reason);
         return EXIT_FAILURE;
     }
+    if (const auto unreadable = unreadableTlsFile(settings)) {
+        LogEvent("settings_refused", Severity::Error)
+                .field("field", unreadable->field)
+                .field("file", unreadable->value)
+                .field("reason", unreadable->reason);
+        return EXIT_FAILURE;
+    }
     Metrics metrics;
     FleetStore fleet;
     Inbox inbox(InboxCapacity);
@@ -76,7 +107,7 @@
         transport.send(std::move(outgoing));
     });
     EngineController engines;
-    OrderSender orderSender;
+    OrderSender orderSender(settings.backendsTls);
     OrderController orders(settings.node, engines, orderSender);
     if (settings.peers) {
         if (const auto refused = transport.start(settings.peers->listen)) {
@@ -96,7 +127,7 @@
                          LogClient(settings.platform->log, std::string(ClaimStream)), claimIo,
                          inbox, metrics);
     }
-    const EnginePoller poller(fleet, inbox);
+    const EnginePoller poller(fleet, inbox, settings.backendsTls);
     OperatorServer operators(operatorContext(settings, fleet, board, metrics));
     if (!operators.bind(settings.operators)) {
         LogEvent("bind_failed", Severity::Error).field("operators", settings.operators.str());
@@ -109,7 +140,13 @@
     }
 
     CallerServer callers(fleet, inbox, metrics,
-                         {settings.streamKey, settings.platform ? &claimDesk : nullptr});
+                         callerOptions(settings, settings.platform ? &claimDesk : nullptr));
+    if (!callers.tlsUsable()) {
+        LogEvent("settings_refused", Severity::Error)
+                .field("field", "callers_tls")
+                .field("reason", "no certificate with its private key in these PEM files");
+        return EXIT_FAILURE;
+    }
     if (!callers.bind(settings.callers)) {
         LogEvent("bind_failed", Severity::Error).field("callers", settings.callers.str());
         return EXIT_FAILURE;
--- a/src/vanilladyke/control/order_controller.cpp
+++ b/src/vanilladyke/control/order_controller.cpp
@@ -48,8 +48,9 @@
             .dump();
 }
 
-OrderSender::OrderSender()
-    : m_thread([this](const std::stop_token &stop) { run(stop); })
+OrderSender::OrderSender(BackendTls tls)
+    : m_tls(std::move(tls))
+    , m_thread([this](const std::stop_token &stop) { run(stop); })
 {}
 
 void OrderSender::send(EngineOrder order)
@@ -71,7 +72,7 @@
         const EngineOrder order = std::move(m_orders.front());
         m_orders.pop_front();
         lock.unlock();
-        HttpCaller engine(order.endpoint);
+        HttpCaller engine(order.endpoint, m_tls);
         logOutcome(order, engine.post("/v1/orders", writeOrder(order), "application/json",
                                       MonotonicClock::now() + AnswerWithin));
     }
--- a/tests/integration/harness.py
+++ b/tests/integration/harness.py
@@ -30,15 +30,20 @@
 PEER_SECRET_KEY = 'sH5PtY068MU7s}ce^UNo?gL:6v5tCc:OoX5.HzBu'
 
 
+# Below the range that the kernel takes for outgoing connections: a port from there may be in use
+# as one by the time that a process binds it, and a test would fail now and then.
+PORTS = range(10_000, 32_000)
+given_ports = set()
+
+
 def free_port():
-    """A port below those that the system gives to outgoing connections: one of these may take an
-    ephemeral port between this probe and the process that is to listen on it."""
-    chooser = random.SystemRandom()
     while True:
+        port = random.SystemRandom().choice(PORTS)
         with socket.socket() as probe, contextlib.suppress(OSError):
-            port = chooser.randrange(10000, 32000)
             probe.bind(("127.0.0.1", port))
-            return port
+            if port not in given_ports:
+                given_ports.add(port)
+                return port
 
 
 def key_digest(key):
@@ -223,6 +228,14 @@
         code, result = self.publish(node, self.sign(self.bundle))
         assert code == 200, result
 
+    def ensure_bundle(self, node):
+        """Publishes self.bundle through the node unless it was published as it is now."""
+        wait_until(lambda: http_call(node.operators, "GET", "/healthz")[0] == 200, node.name + " up")
+        if self.published != self.bundle:
+            wait_until(lambda: self.status(node)["log_reachable"], node.name + " reads the log")
+            self.publish_bundle(node)
+            self.published = copy.deepcopy(self.bundle)
+
     def restart(self, node):
         """A new process with the settings of one that has ended; not waited for."""
         process = self.start(node.name + "-again", [f"{self.build}/vanilladyke", "serve", "--settings",
@@ -242,7 +255,8 @@
         wait_until(lambda: http_call(port, "GET", "/control/log")[0] == 200, name + " up")
         return process
 
-    def node(self, name, publish=True, **more):
+    def node_process(self, name, **more):
+        """A node that was only started; more settings replace those of the harness."""
         port, operators = free_port(), free_port()
         settings = {"node": name, "data_centre": "yaba-hall", "callers": f"127.0.0.1:{port}",
                     "operators": f"127.0.0.1:{operators}", "balancer_lag_ms": 300, "stream_key": "5e" * 32,
@@ -256,14 +270,16 @@
         process = self.start(name, [f"{self.build}/vanilladyke", "serve", "--settings",
                                     self.write(name + ".jsonc", settings)])
         process.port, process.operators, process.name = port, operators, name
-        wait_until(lambda: http_call(operators, "GET", "/healthz")[0] == 200, name + " up")
+        return process
+
+    def node(self, name, publish=True, **more):
+        """A node that is ready and knows the engines; without publish, one that has no bundle."""
+        process = self.node_process(name, **more)
         if not publish:
+            wait_until(lambda: http_call(process.operators, "GET", "/healthz")[0] == 200, name + " up")
             return process
-        if self.published != self.bundle:
-            wait_until(lambda: self.status(process)["log_reachable"], name + " reads the log")
-            self.publish_bundle(process)
-            self.published = copy.deepcopy(self.bundle)
-        wait_until(lambda: http_call(port, "GET", "/readyz")[0] == 200, name + " ready")
+        self.ensure_bundle(process)
+        wait_until(lambda: http_call(process.port, "GET", "/readyz")[0] == 200, name + " ready")
         wait_until(lambda: process.log_text().count("event=engine_up") >= len(self.engines),
                    name + " knows the engines")
         return process
