--- a/tests/integration/streams.py
+++ b/tests/integration/streams.py
@@ -1,6 +1,7 @@
 """A stream reaches its caller whole and in order, whatever happens on the way."""
 
 import json
+import signal
 
 import harness
 
@@ -143,6 +144,21 @@
         self.assertEqual(response.status, 400)
         self.assertEqual(json.loads(response.read())["error"]["ran"], "no")
 
+    def test_a_stop_finishes_streams_and_a_second_signal_ends_them_truthfully(self):
+        """An operator stops a node while a long answer runs, and loses patience. The first signal must
+        not cut the stream; after the second its caller must hear that the answer is not whole."""
+        self.start()
+        response = self.open(tokens=100_000).getresponse()
+        node = self.nodes[0]
+        node.popen.send_signal(signal.SIGTERM)
+        harness.wait_until(lambda: harness.http_call(node.port, "GET", "/readyz")[0] == 503, "not ready")
+        self.read_events(response, 60)
+        node.popen.send_signal(signal.SIGTERM)
+        rest = response.read().decode()
+        error = json.loads(rest.split("event: error\ndata: ")[1].splitlines()[0])["error"]
+        self.assertEqual((error["reason"], error["ran"]), ("shutting_down", "unknown"))
+        self.assertEqual(node.popen.wait(harness.WAIT_SECONDS), 0)
+
     def test_an_answer_that_cant_be_finished_ends_with_an_error(self):
         """The only engine crashes and stays away. The caller must be told that the answer is not
         whole; an end without a word would pass for a whole answer."""
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Sets up, builds, starts three engines, a plain service and two nodes on loopback, sends a streamed
-# and a whole request and a service call, prints what the caller got and the decision lines, and
-# stops all gracefully. Exits 0 only if every answer was whole and every stop clean.
+# Sets up, builds, starts three engines, the platform, two plain services and two nodes on loopback,
+# sends a streamed and a whole request, a service call and a booking (twice, under one key), prints
+# what the caller got and the decision lines, and stops all gracefully. Exits 0 only if every answer was whole and every stop clean.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${BUILD_DIR:-build}
@@ -54,11 +54,17 @@
 }
 
 mapfile -t port < <(python3 -c '
-import socket
-probes = [socket.socket() for _ in range(8)]
-for probe in probes:
-    probe.bind(("127.0.0.1", 0))
-    print(probe.getsockname()[1])')
+import random, socket
+ports = []
+while len(ports) < 11:
+    port = random.SystemRandom().randrange(10000, 32000)
+    try:
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", port))
+        ports.append(port)
+    except OSError:
+        pass
+print(*ports, sep="\n")')
 
 key=brand-key
 digest=$(python3 -c "import hashlib; print(hashlib.blake2b(b'$key', digest_size=32).hexdigest())")
@@ -73,7 +79,10 @@
         { "id": "copy-2", "endpoint": "127.0.0.1:${port[1]}", "data_centre": "lekki-hall", "models": ["copy"] },
         { "id": "copy-3", "endpoint": "127.0.0.1:${port[2]}", "data_centre": "yaba-hall", "models": ["copy"] }
     ],
-    "services": [{ "id": "tags", "backends": ["127.0.0.1:${port[3]}"], "repeatable": true }]
+    "services": [
+        { "id": "tags", "backends": ["127.0.0.1:${port[3]}"], "repeatable": true },
+        { "id": "booking", "backends": ["127.0.0.1:${port[8]}"] }
+    ]
 }
 JSON
 
@@ -83,6 +92,10 @@
 done
 start tags "$build/tests/standin_service" --port "${port[3]}"
 wait_for "http://127.0.0.1:${port[3]}/control/log"
+start booking "$build/tests/standin_service" --port "${port[8]}"
+wait_for "http://127.0.0.1:${port[8]}/control/log"
+start platform "$build/tests/standin_platform" --port "${port[9]}" --control "${port[10]}"
+wait_for "http://127.0.0.1:${port[9]}/v1/hosts"
 
 for i in 1 2; do
     cat >"$work/node-$i.jsonc" <<JSON
@@ -92,6 +105,7 @@
     "callers": "127.0.0.1:${port[2 + 2 * i]}",
     "operators": "127.0.0.1:${port[3 + 2 * i]}",
     "balancer_lag_ms": 300,
+    "log": "127.0.0.1:${port[9]}",
     "bundle_file": "$work/bundle.jsonc"
 }
 JSON
@@ -103,8 +117,8 @@
     done
 done
 
-ask() { # PORT PATH BODY
-    curl -sS --max-time 30 -H "Authorization: Bearer $key" -H 'Content-Type: application/json' \
+ask() { # PORT PATH BODY [HEADER]
+    curl -sS --max-time 30 -H "${4:-Accept: */*}" -H "Authorization: Bearer $key" -H 'Content-Type: application/json' \
         "http://127.0.0.1:$1$2" -d "$3"
 }
 
@@ -132,12 +146,31 @@
 echo
 grep -q '"path":"/photos"' "$work/service" || fail "the service did not answer"
 
-for name in node-1 node-2 copy-1 copy-2 copy-3 tags; do
+echo "== a booking at node-1, and the same key again at node-2"
+idempotency_key=$(python3 -c '
+import random, time, uuid
+print(uuid.UUID(int=int(time.time() * 1000) << 80 | 7 << 76 | 2 << 62 | random.getrandbits(62)))')
+for i in 4 6; do
+    ask "${port[i]}" /services/booking/shelter-7 '{"from": "Monday"}' "Idempotency-Key: $idempotency_key" \
+        >"$work/booking-$i"
+    cat "$work/booking-$i"
+    echo
+done
+grep -q '"run":1' "$work/booking-4" || fail "the booking was not answered"
+cmp -s "$work/booking-4" "$work/booking-6" || fail "the second answer differs from the first"
+curl -sS "http://127.0.0.1:${port[8]}/control/log" >"$work/runs"
+(($(grep -o "$idempotency_key" "$work/runs" | sort -u | wc -l) == 1)) || fail "the booking did not run"
+
+for name in node-1 node-2 copy-1 copy-2 copy-3 tags booking; do
     stop "$name"
 done
+# The platform's stand-in keeps nothing and has no shutdown of its own.
+kill -TERM "${pids[platform]}"
+wait "${pids[platform]}" || true
+unset "pids[platform]"
 
 echo "== decisions"
-grep -h -e event=placement -e event=service_call "$work"/node-*.log
+grep -h -e event=placement -e event=service_call -e event=claim "$work"/node-*.log
 
 ((failures == 0)) && echo "== every answer was whole and every stop clean"
 exit $((failures > 0))
