--- a/src/vanilladyke/policy/claim_ledger.cpp
+++ b/src/vanilladyke/policy/claim_ledger.cpp
@@ -129,7 +129,7 @@
 
 std::optional<ClaimBatch> ClaimLedger::nextBatch(Moment at)
 {
-    if (m_batchState != BatchState::None || !ready()) {
+    if (m_batchState != BatchState::None || !ready() || m_queue.empty()) {
         return std::nullopt;
     }
     // Claims of calls that have been refused meanwhile need not be appended any more.
--- a/tests/integration/harness.py
+++ b/tests/integration/harness.py
@@ -23,10 +23,17 @@
 PEER_SECRET_KEY = 'sH5PtY068MU7s}ce^UNo?gL:6v5tCc:OoX5.HzBu'
 
 
+# Below the ports that the system gives to outgoing connections. From among those, any process could
+# take the port of one that is restarted, and its bind would fail now and then.
+LISTENING_PORTS = range(12_000, 32_000)
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    while True:
+        port = random.SystemRandom().choice(LISTENING_PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return port
 
 
 def key_digest(key):
--- /dev/null
+++ b/tests/standins/fault_proxy.py
@@ -0,0 +1,192 @@
+"""A TCP proxy that breaks connections on demand, between any two parties.
+
+    fault_proxy.py --control PORT
+
+    POST /control/links   {"name": NAME, "to": "HOST:PORT"}       -> {"port": P}: listen and pass on
+    POST /control/faults  {"link": NAME, ...}                     what from now on goes wrong:
+        "refuse": bool          take no connection (the listening port is closed)
+        "reset": bool           take a connection and reset it
+        "cut_request_at": N     reset once N bytes of the request have gone through; null: never
+        "cut_answer_at": N      reset once N bytes of the answer have gone through
+        "lose_answers": N       for the next N connections: the request gets through, the answer not
+        "freeze": bool          connections that are open now stay open, and carry nothing ever again
+        "freeze_new": bool      connections from now on carry nothing
+        "delay_ms": N           hold back every piece of an answer
+        "duplicate": bool       send the request's bytes on a second connection too
+    POST /control/clear   {"link": NAME}                          all faults off; frozen ones stay
+    GET  /control/state   {"links": {NAME: {"connections": N, "open": N, "bytes_to": N, "bytes_from": N}}}
+
+A connection frozen stays so for good, as when something between the two ends has lost track of it.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import json
+import socket
+import struct
+
+PIECE = 65536
+NEVER = 1 << 60
+
+
+def clean_faults():
+    return {"refuse": False, "reset": False, "cut_request_at": None, "cut_answer_at": None, "lose_answers": 0,
+            "freeze": False, "freeze_new": False, "delay_ms": 0, "duplicate": False}
+
+
+def reset(writer):
+    """Ends a connection by a reset instead of an orderly close."""
+    with contextlib.suppress(OSError):
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+class Connection:
+    """One connection of a caller, and the one that was opened for it."""
+
+    def __init__(self, link, reader, writer):
+        self.link, self.reader, self.writer = link, reader, writer
+        self.far_writer = self.second = None
+        self.frozen = link.faults["freeze_new"]
+        self.deaf = link.faults["lose_answers"] > 0
+        if self.deaf:
+            link.faults["lose_answers"] -= 1
+        self.thawed = asyncio.Event()  # never set: a frozen connection stays frozen
+
+    def break_off(self):
+        for writer in (self.writer, self.far_writer, self.second):
+            if writer:
+                reset(writer)
+
+    async def run(self):
+        if self.link.faults["reset"]:
+            self.break_off()
+            return
+        if self.frozen:
+            await self.thawed.wait()
+        far_reader, self.far_writer = await asyncio.open_connection(*self.link.target)
+        if self.link.faults["duplicate"]:
+            drain, self.second = await asyncio.open_connection(*self.link.target)
+            asyncio.ensure_future(drain.read())
+        await asyncio.gather(self.carry(self.reader, self.far_writer, "cut_request_at", "bytes_to"),
+                             self.carry(far_reader, self.writer, "cut_answer_at", "bytes_from"))
+
+    async def carry(self, reader, writer, cut, count):
+        answering = cut == "cut_answer_at"
+        passed = 0
+        while True:
+            data = await reader.read(PIECE)
+            if self.frozen:
+                await self.thawed.wait()
+            if not data:
+                break
+            if answering and self.deaf:
+                self.break_off()
+                return
+            if answering and self.link.faults["delay_ms"]:
+                await asyncio.sleep(self.link.faults["delay_ms"] / 1000)
+            limit = self.link.faults[cut]
+            room = (NEVER if limit is None else limit) - passed
+            writer.write(data[:max(room, 0)])
+            if self.second and not answering:
+                self.second.write(data)
+            await writer.drain()
+            passed += len(data)
+            self.link.bytes[count] += len(data)
+            if len(data) > room:
+                self.break_off()
+                return
+        with contextlib.suppress(OSError):
+            writer.write_eof()
+
+
+class Link:
+    """One listening port and where its connections go."""
+
+    def __init__(self, name, target):
+        host, port = target.rsplit(":", 1)
+        self.name, self.target = name, (host, int(port))
+        self.faults = clean_faults()
+        self.open, self.connections, self.port, self.server = set(), 0, 0, None
+        self.bytes = {"bytes_to": 0, "bytes_from": 0}
+        self.changing = asyncio.Lock()  # two orders at once must not both open the port
+
+    async def listen(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port, backlog=512)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        connection = Connection(self, reader, writer)
+        self.open.add(connection)
+        try:
+            await connection.run()
+        except (OSError, asyncio.IncompleteReadError):
+            connection.break_off()
+        finally:
+            self.open.discard(connection)
+            for each in (connection.writer, connection.far_writer, connection.second):
+                if each:
+                    each.close()
+
+    async def set_faults(self, changes):
+        self.faults.update(changes)
+        if self.faults.pop("freeze", False):
+            for connection in self.open:
+                connection.frozen = True
+        self.faults["freeze"] = False
+        async with self.changing:
+            if self.faults["refuse"] and self.server:
+                self.server.close()
+                self.server = None
+            elif not self.faults["refuse"] and not self.server:
+                await self.listen()
+
+    def state(self):
+        return {"connections": self.connections, "open": len(self.open), **self.bytes}
+
+
+class Proxy:
+    def __init__(self):
+        self.links = {}
+
+    async def order(self, path, value):
+        if path == "/control/links":
+            link = self.links[value["name"]] = Link(value["name"], value["to"])
+            await link.listen()
+            return {"port": link.port}
+        if path == "/control/state":
+            return {"links": {name: link.state() for name, link in self.links.items()}}
+        link = self.links[value.pop("link")]
+        await link.set_faults(clean_faults() if path == "/control/clear" else value)
+        return {}
+
+    async def control(self, reader, writer):
+        try:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            length = next((int(line.split(":")[1]) for line in head.split("\r\n")
+                           if line.lower().startswith("content-length:")), 0)
+            body = await reader.readexactly(length)
+            answer = json.dumps(await self.order(head.split()[1], json.loads(body or b"{}"))).encode()
+            status = b"200 OK"
+        except (KeyError, ValueError, TypeError, OSError, asyncio.IncompleteReadError) as error:
+            status, answer = b"400 Bad Request", json.dumps({"error": repr(error)}).encode()
+        writer.write(b"HTTP/1.1 %s\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s"
+                     % (status, len(answer), answer))
+        with contextlib.suppress(OSError):
+            await writer.drain()
+        writer.close()
+
+
+async def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--control", type=int, required=True)
+    proxy = Proxy()
+    server = await asyncio.start_server(proxy.control, "127.0.0.1", parser.parse_args().control)
+    async with server:
+        await server.serve_forever()
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
