--- a/src/vanilladyke/app/serve.cpp
+++ b/src/vanilladyke/app/serve.cpp
@@ -101,7 +101,8 @@
         takeBundleFile(settings.bundleFile, inbox);
     }
 
-    CallerServer callers(fleet, metrics, {settings.streamKey, settings.log ? &claimDesk : nullptr});
+    CallerServer callers(fleet, inbox, metrics,
+                         {settings.streamKey, settings.log ? &claimDesk : nullptr});
     if (!callers.bind(settings.callers)) {
         LogEvent("bind_failed", Severity::Error).field("callers", settings.callers.str());
         return EXIT_FAILURE;
