--- a/src/vanilladyke/policy/claim_ledger.cpp
+++ b/src/vanilladyke/policy/claim_ledger.cpp
@@ -155,6 +155,14 @@
     return m_batch;
 }
 
+std::optional<TimePoint> ClaimLedger::nextAppendAt() const
+{
+    if (m_batchState != BatchState::None || !ready() || m_queue.empty()) {
+        return std::nullopt;
+    }
+    return m_pacer.readyAt();
+}
+
 void ClaimLedger::appended(AppendResult result, std::uint64_t offset, Moment at)
 {
     if (m_batchState != BatchState::UnderWay) {
--- a/src/vanilladyke/policy/claim_ledger_test.cpp
+++ b/src/vanilladyke/policy/claim_ledger_test.cpp
@@ -523,6 +523,12 @@
         now += milliseconds(1);
     }
     EXPECT_NEAR(taken, 10 * AppendsPerSecond / 3, AppendBurst + 1);
+    while (pacer.take(now)) {
+    }
+    const TimePoint ready = pacer.readyAt();
+    EXPECT_GT(ready, now);
+    EXPECT_FALSE(pacer.take(ready - milliseconds(2)));
+    EXPECT_TRUE(pacer.take(ready));
     EXPECT_TRUE(pacer.take(now + seconds(1)));
     pacer.failed(now + seconds(1));
     EXPECT_FALSE(pacer.take(now + seconds(1)));
--- a/tests/integration/bookings.py
+++ b/tests/integration/bookings.py
@@ -16,7 +16,7 @@
 import threading
 import time
 
-import faults
+import fault_cluster
 import harness
 
 PROCESSES = 4
@@ -56,12 +56,12 @@
             action()
 
     def kill(self):
-        name = self.random.choice(faults.NODES)
+        name = self.random.choice(fault_cluster.NODES)
         self.cluster.running[name].stop(signal.SIGKILL)
         self.cluster.restart(name)
 
     def pause(self):
-        process = self.cluster.running[self.random.choice(faults.NODES)]
+        process = self.cluster.running[self.random.choice(fault_cluster.NODES)]
         process.popen.send_signal(signal.SIGSTOP)
         time.sleep(self.random.uniform(0.3, 2.0))
         process.popen.send_signal(signal.SIGCONT)
@@ -78,17 +78,17 @@
         self.cluster.booking.faults(lose_answers=self.random.randint(1, 3))
 
     def reset_log(self):
-        link = "log-" + self.random.choice(faults.NODES)
+        link = "log-" + self.random.choice(fault_cluster.NODES)
         self.cluster.order("/control/faults", {"link": link, "cut_answer_at": self.random.randint(0, 300)})
         time.sleep(self.random.uniform(0.1, 0.5))
         self.cluster.order("/control/clear", {"link": link})
 
     def silence(self):
-        self.cluster.order("/control/faults", {"link": "log-" + self.random.choice(faults.NODES), "freeze": True})
+        self.cluster.order("/control/faults", {"link": "log-" + self.random.choice(fault_cluster.NODES), "freeze": True})
 
 
 def soak(arguments):
-    cluster = faults.Cluster(os.path.abspath(arguments.build))
+    cluster = fault_cluster.Cluster(os.path.abspath(arguments.build))
     chooser = random.Random(arguments.seed)
     chaos = Chaos(cluster, arguments.seed)
     callers = []
@@ -97,8 +97,8 @@
         start = time.monotonic()
         for i in range(arguments.count):
             first = chooser.randrange(3)
-            nodes = list(faults.NODES[first:] + faults.NODES[:first])
-            callers.append(faults.BookingCaller(cluster, nodes, f"panel {i}", chooser.random()))
+            nodes = list(fault_cluster.NODES[first:] + fault_cluster.NODES[:first])
+            callers.append(fault_cluster.BookingCaller(cluster, nodes, f"panel {i}", chooser.random()))
             time.sleep(max(0.0, start + i / arguments.rate - time.monotonic()))
             callers[-1].start()
         for each in callers:
@@ -116,11 +116,11 @@
 
 
 def drive(ports, service, count, rate):
-    """One process's share of the load. Returns the seconds of each call, and how many failed."""
+    """One process's share of the load. Returns the seconds of each call, and why calls failed."""
     def call(i):
         start = time.monotonic()
-        status = harness.book(ports[i % len(ports)], f"panel {i}", harness.uuid7(), service=service)[0]
-        return time.monotonic() - start, status
+        status, answer, _ = harness.book(ports[i % len(ports)], f"panel {i}", harness.uuid7(), service=service)
+        return time.monotonic() - start, "" if status == 200 else answer["error"]["reason"]
     with concurrent.futures.ThreadPoolExecutor(THREADS) as pool:
         begin = time.monotonic()
         calls = []
@@ -128,7 +128,7 @@
             time.sleep(max(0.0, begin + i / rate - time.monotonic()))
             calls.append(pool.submit(call, i))
         results = [each.result() for each in calls]
-    return [seconds for seconds, _ in results], sum(status != 200 for _, status in results)
+    return [seconds for seconds, _ in results], [reason for _, reason in results if reason]
 
 
 def load(ports, service, rate, seconds):
@@ -140,7 +140,7 @@
         results = [part.result() for part in parts]
         spent = time.monotonic() - begin
     times = sorted(second for part, _ in results for second in part)
-    return times, sum(failed for _, failed in results), spent
+    return times, [reason for _, failed in results for reason in failed], spent
 
 
 def percentile(times, part):
@@ -154,14 +154,14 @@
         cluster.service("booking")
         cluster.service("enquiry", repeatable=True)
         cluster.engine("e1")
-        ports = [cluster.node(name).port for name in faults.NODES]
+        ports = [cluster.node(name).port for name in fault_cluster.NODES]
         for rate in [int(each) for each in arguments.rates.split(",")]:
             plain, _, _ = load(ports, "enquiry", rate, arguments.seconds)
             before = log.state()["streams"].get("claims", 0)
             claimed, failed, spent = load(ports, "booking", rate, arguments.seconds)
             time.sleep(1.0)
             appends = log.state()["streams"].get("claims", 0) - before
-            print(f"rate={rate} bookings={len(claimed)} failed={failed} bookings_per_s={len(claimed) / spent:.1f} "
+            print(f"rate={rate} bookings={len(claimed)} failed={len(failed)} reasons={','.join(sorted(set(failed))) or '-'} bookings_per_s={len(claimed) / spent:.1f} "
                   f"appends={appends} appends_per_s={appends / spent:.1f} "
                   f"claimed_p50_ms={percentile(claimed, 0.5):.1f} claimed_p99_ms={percentile(claimed, 0.99):.1f} "
                   f"plain_p50_ms={percentile(plain, 0.5):.1f} plain_p99_ms={percentile(plain, 0.99):.1f}", flush=True)
