--- a/include/vanilladyke/control/claim_io.hpp
+++ b/include/vanilladyke/control/claim_io.hpp
@@ -58,13 +58,17 @@
 public:
     /// @brief Gives a batch to the appending thread. Control thread only.
     void append(ClaimBatch batch);
+    /// @brief Has the appending thread post a tick then: a claim that waits for the node's share of
+    /// appends would else wait for the control thread's next tick. Control thread only.
+    void wakeAt(TimePoint when);
     /// @brief Lets the reading thread begin; later calls change nothing.
     void readBack(Duration window);
     /// @brief The last page has been taken in, and the next may be read.
     void pageTaken();
     void tell(const ClaimProgress &progress);
 
-    /// @brief The next batch to append; none once the thread is to stop.
+    /// @brief The next batch to append; an empty one when the control thread is to be woken, none
+    /// once the thread is to stop.
     [[nodiscard]] std::optional<ClaimBatch> nextBatch(const std::stop_token &stop);
     [[nodiscard]] std::optional<Duration> awaitWindow(const std::stop_token &stop);
     void awaitPageTaken(const std::stop_token &stop);
@@ -78,6 +82,7 @@
     mutable std::mutex m_mutex;
     std::condition_variable_any m_changed;
     std::optional<ClaimBatch> m_batch;
+    std::optional<TimePoint> m_wakeAt;
     std::optional<Duration> m_window;
     bool m_pageTaken = false;
     ClaimProgress m_progress;
@@ -110,6 +115,10 @@
     void runAppends(const std::stop_token &stop)
     {
         while (const auto batch = m_io.nextBatch(stop)) {
+            if (batch->empty()) {
+                m_inbox.post(Tick{});
+                continue;
+            }
             const TimePoint started = MonotonicClock::now();
             const auto answer = m_appends.append(encodeClaims(*batch), started + AppendWithin);
             m_metrics.count("claim_appends_total");
