Wire placement into the node: cache view, feeds, in-flight work, reasons

The node placed by homes and reported load only. Now a poller reads each engine's cache feed, a controller applies it to a sharded view that only the control thread writes (a missing number makes what was known of that engine doubtful, a later incarnation drops it), and what the node sends is expected to be cached there. Each attempt counts as in flight until its first token, and cached tokens in the usage teach how long entries last. The placement line carries the evidence, expected cached tokens, predicted wait and prefill, and the runner-up.

integration_placement: four engines, one guide: every later request lands on the first one's engine with more than 3000 tokens cached; so does one through a node that has just started; after a crash nothing of the former life is believed.

--- a/include/vanilladyke/control/events.hpp
+++ b/include/vanilladyke/control/events.hpp
@@ -4,6 +4,7 @@
 #include "vanilladyke/model/bundle.hpp"
 #include "vanilladyke/model/fleet.hpp"
 #include "vanilladyke/model/ids.hpp"
+#include "vanilladyke/model/prefix_chain.hpp"
 #include "vanilladyke/policy/peer_message.hpp"
 
 #include <memory>
@@ -47,6 +48,35 @@
     std::string reason;
 };
 
+/// @brief What an engine's cache did with a prefix.
+enum class CacheEventKind { Stored, Evicted };
+
+/// @brief One event of an engine's cache feed.
+struct CacheEvent
+{
+    std::uint64_t sequence = 0; ///< from 1, without gaps as long as none is lost
+    CacheEventKind kind = CacheEventKind::Stored;
+    ChainHash hash;
+};
+
+/// @brief A page of an engine's cache feed was read.
+struct CacheEventsRead
+{
+    EngineId engine;
+    Incarnation incarnation{};
+    std::uint64_t first = 0; ///< the oldest event that the engine still has
+    std::uint64_t next = 0;  ///< the event after this page
+    std::vector<CacheEvent> events;
+};
+
+/// @brief This node sent a prompt to an engine, which will have it in its cache.
+struct PrefixSent
+{
+    EngineKey engine{};
+    Incarnation incarnation{};
+    std::shared_ptr<const PrefixChain> chain;
+};
+
 /// @brief This node was told to stop.
 struct StopRequested
 {};
@@ -65,7 +95,7 @@
 };
 
 using Event = std::variant<Tick, BundleAccepted, EngineReported, EngineUnreachable, EngineLeaving,
-                           StopRequested, PeerHeard>;
+                           StopRequested, PeerHeard, CacheEventsRead, PrefixSent>;
 
 /// @brief Whether the event may be dropped when the inbox is full: a later one makes up for it.
 [[nodiscard]] bool isSoft(const Event &event);
--- /dev/null
+++ b/include/vanilladyke/control/shared_cache_view.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "vanilladyke/policy/cache_view.hpp"
+
+#include <array>
+#include <shared_mutex>
+
+namespace vanilladyke {
+
+/// @brief The node's cache view: the control thread writes, traffic threads look up.
+///
+/// It is too large to publish a copy with each change. It is divided into shards by hash instead,
+/// so that a look-up waits for no more than one small write.
+class SharedCacheView
+{
+public:
+    /// @param bytes memory of all shards together
+    explicit SharedCacheView(std::size_t bytes);
+
+    void setIncarnation(EngineKey engine, Incarnation incarnation, TimePoint now);
+    void distrust(EngineKey engine, TimePoint now);
+    void stored(EngineKey engine, Incarnation incarnation, const ChainHash &hash, TimePoint now);
+    void evicted(EngineKey engine, Incarnation incarnation, const ChainHash &hash);
+
+    /// @brief As CacheView::holders. Any thread.
+    [[nodiscard]] std::vector<PrefixHolder> holders(const PrefixChain &chain, TimePoint now) const;
+
+private:
+    static constexpr std::size_t Shards = 16;
+
+    struct Shard
+    {
+        mutable std::shared_mutex mutex;
+        CacheView view{0};
+    };
+
+    [[nodiscard]] Shard &shardOf(const ChainHash &hash) { return m_shards[hash.high % Shards]; }
+    [[nodiscard]] const Shard &shardOf(const ChainHash &hash) const
+    {
+        return m_shards[hash.high % Shards];
+    }
+
+    std::array<Shard, Shards> m_shards;
+};
+
+} // namespace vanilladyke
--- a/include/vanilladyke/gateway/admission_control.hpp
+++ b/include/vanilladyke/gateway/admission_control.hpp
@@ -4,6 +4,7 @@
 #include "vanilladyke/control/fleet_store.hpp"
 #include "vanilladyke/gateway/engine_slots.hpp"
 #include "vanilladyke/gateway/exchange_context.hpp"
+#include "vanilladyke/gateway/placer.hpp"
 #include "vanilladyke/policy/admission.hpp"
 #include "vanilladyke/policy/customer_share.hpp"
 #include "vanilladyke/policy/placement.hpp"
@@ -50,7 +51,8 @@
 class AdmissionControl
 {
 public:
-    AdmissionControl(const FleetStore &fleet, EngineSlots &engines, Metrics &metrics);
+    AdmissionControl(const FleetStore &fleet, EngineSlots &engines, const Placer &placer,
+                     Metrics &metrics);
     AdmissionControl(const AdmissionControl &) = delete;
     AdmissionControl &operator=(const AdmissionControl &) = delete;
     ~AdmissionControl();
@@ -87,6 +89,7 @@
 
     const FleetStore &m_fleet;
     EngineSlots &m_engines;
+    const Placer &m_placer;
     Metrics &m_metrics;
     std::mutex m_mutex;
     std::condition_variable_any m_changed;
--- a/include/vanilladyke/gateway/caller_server.hpp
+++ b/include/vanilladyke/gateway/caller_server.hpp
@@ -2,7 +2,7 @@
 
 #include "vanilladyke/base/metrics.hpp"
 #include "vanilladyke/base/time.hpp"
-#include "vanilladyke/control/fleet_store.hpp"
+#include "vanilladyke/control/node_state.hpp"
 #include "vanilladyke/model/ids.hpp"
 
 #include <memory>
@@ -20,7 +20,7 @@
 class CallerServer
 {
 public:
-    CallerServer(const FleetStore &fleet, Metrics &metrics, const CallerServerOptions &options);
+    CallerServer(const NodeState &node, Metrics &metrics, const CallerServerOptions &options);
     CallerServer(const CallerServer &) = delete;
     CallerServer &operator=(const CallerServer &) = delete;
     ~CallerServer();
--- a/include/vanilladyke/gateway/traffic_control.hpp
+++ b/include/vanilladyke/gateway/traffic_control.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "vanilladyke/control/node_state.hpp"
 #include "vanilladyke/gateway/admission_control.hpp"
 #include "vanilladyke/gateway/engine_slots.hpp"
+#include "vanilladyke/gateway/placer.hpp"
 #include "vanilladyke/policy/retry_budget.hpp"
 
 #include <mutex>
@@ -39,12 +41,14 @@
 /// @brief What the requests of one node share when they compete for engines.
 struct TrafficControl
 {
-    TrafficControl(const FleetStore &fleet, Metrics &metrics)
+    TrafficControl(const NodeState &node, Metrics &metrics)
         : engines(entropySeed())
-        , admission(fleet, engines, metrics)
+        , placer(node.cacheView, node.inbox)
+        , admission(node.fleet, engines, placer, metrics)
     {}
 
     EngineSlots engines;
+    Placer placer;
     SharedRetryBudgets retries;
     AdmissionControl admission;
 };
--- a/include/vanilladyke/policy/hot_prefixes.hpp
+++ b/include/vanilladyke/policy/hot_prefixes.hpp
@@ -28,6 +28,9 @@
     std::uint32_t note(const ChainHash &prefix, double engineSeconds, std::uint32_t nodes,
                        TimePoint now);
 
+    /// @brief Engines that the prefix should live on, as last noted.
+    [[nodiscard]] std::uint32_t homes(const ChainHash &prefix) const;
+
 private:
     struct Tracked
     {
--- a/include/vanilladyke/policy/placement_policy.hpp
+++ b/include/vanilladyke/policy/placement_policy.hpp
@@ -23,6 +23,10 @@
     [[nodiscard]] Placement decide(const PlacementRequest &request, const Fleet &fleet,
                                    std::span<const PrefixHolder> holders, const KeptPrefix &kept,
                                    TimePoint now, Random &random);
+    /// @brief What decide() would choose; the request is not counted.
+    [[nodiscard]] Placement forecast(const PlacementRequest &request, const Fleet &fleet,
+                                     std::span<const PrefixHolder> holders, const KeptPrefix &kept,
+                                     TimePoint now, Random &random) const;
     /// @brief The request is about to be sent to the placement's winner.
     [[nodiscard]] PlacedRequest sent(const PlacementRequest &request, const Fleet &fleet,
                                      const Placement &placement, TimePoint now);
--- a/src/vanilladyke/app/serve.cpp
+++ b/src/vanilladyke/app/serve.cpp
@@ -5,6 +5,7 @@
 #include "vanilladyke/base/log.hpp"
 #include "vanilladyke/base/metrics.hpp"
 #include "vanilladyke/control/bundle_controller.hpp"
+#include "vanilladyke/control/cache_controller.hpp"
 #include "vanilladyke/control/control_thread.hpp"
 #include "vanilladyke/control/engine_controller.hpp"
 #include "vanilladyke/control/engine_poller.hpp"
@@ -20,6 +21,9 @@
 namespace {
 
 constexpr std::size_t InboxCapacity = 65'536;
+/// 524,288 entries of 32 bytes: with two holders each, prefixes of 134 million tokens in blocks of
+/// 512. Half of the memory that a node may spend on control.
+constexpr std::size_t CacheViewBytes = 16U << 20U;
 
 Severity severityOf(const std::string &level)
 {
@@ -73,6 +77,8 @@
             [&transport](Outgoing outgoing) { transport.send(std::move(outgoing)); }, inbox,
             Random(entropySeed()));
     EngineController engines;
+    SharedCacheView cacheView(CacheViewBytes);
+    CacheController cache(cacheView);
     if (settings.peers) {
         if (const auto refused = transport.start(settings.peers->listen)) {
             LogEvent("bind_failed", Severity::Error)
@@ -81,13 +87,13 @@
             return EXIT_FAILURE;
         }
     }
-    const ControlThread control(inbox, fleet, bundles, members, engines);
+    const ControlThread control(inbox, fleet, bundles, members, engines, cache);
     const EnginePoller poller(fleet, inbox);
     if (!settings.bundleFile.empty()) {
         takeBundleFile(settings.bundleFile, inbox);
     }
 
-    CallerServer callers(fleet, metrics, {settings.streamKey});
+    CallerServer callers({fleet, cacheView, inbox}, metrics, {settings.streamKey});
     if (!callers.bind(settings.callers)) {
         LogEvent("bind_failed", Severity::Error).field("callers", settings.callers.str());
         return EXIT_FAILURE;
--- a/src/vanilladyke/control/engine_poller.cpp
+++ b/src/vanilladyke/control/engine_poller.cpp
@@ -1,5 +1,7 @@
 #include "vanilladyke/control/engine_poller.hpp"
 
+#include "vanilladyke/base/log.hpp"
+
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
@@ -30,6 +32,55 @@
     return report;
 }
 
+CacheEventsRead parseCacheEvents(const EngineId &engine, const std::string &body)
+{
+    const nlohmann::json json = nlohmann::json::parse(body);
+    CacheEventsRead page;
+    page.engine = engine;
+    page.incarnation = Incarnation{json.at("incarnation").get<std::uint64_t>()};
+    page.first = json.at("first");
+    page.next = json.at("next");
+    for (const auto &item : json.at("events")) {
+        CacheEvent event;
+        event.sequence = item.at("seq");
+        event.kind = item.at("kind") == "stored" ? CacheEventKind::Stored : CacheEventKind::Evicted;
+        if (parseChainHash(item.at("hash").get<std::string>(), &event.hash)) {
+            page.events.push_back(event);
+        }
+    }
+    return page;
+}
+
+/// Where the poller is in an engine's cache feed.
+struct FeedPosition
+{
+    Incarnation incarnation{};
+    std::uint64_t after = 0;
+};
+
+/// Reads on in the cache feed. An answer that can't be read is as none: the next one shows the gap.
+std::optional<CacheEventsRead> readCacheEvents(httplib::Client &client, const EngineId &engine,
+                                               FeedPosition &position)
+{
+    const std::string path =
+            "/v1/cache_events?after=" + std::to_string(position.after)
+            + "&incarnation=" + std::to_string(static_cast<std::uint64_t>(position.incarnation));
+    const httplib::Result answer = client.Get(path);
+    if (!answer || answer->status != 200) {
+        return std::nullopt;
+    }
+    try {
+        CacheEventsRead page = parseCacheEvents(engine, answer->body);
+        position = {page.incarnation, page.next > 0 ? page.next - 1 : 0};
+        return page;
+    } catch (const nlohmann::json::exception &error) {
+        LogEvent("cache_events_unreadable", Severity::Warning)
+                .field("engine", engine.str())
+                .field("reason", error.what());
+        return std::nullopt;
+    }
+}
+
 Event ask(httplib::Client &client, const EngineId &engine)
 {
     const httplib::Result answer = client.Get("/v1/state");
@@ -87,8 +138,16 @@
     client.set_keep_alive(true);
     client.set_connection_timeout(AnswerWithin);
     client.set_read_timeout(AnswerWithin);
+    FeedPosition position;
     while (!stop.stop_requested()) {
-        m_inbox.post(ask(client, entry.id));
+        Event state = ask(client, entry.id);
+        const bool reached = std::holds_alternative<EngineReported>(state);
+        m_inbox.post(std::move(state));
+        if (reached) {
+            if (auto page = readCacheEvents(client, entry.id, position)) {
+                m_inbox.post(std::move(*page));
+            }
+        }
         pause(stop, MonotonicClock::now() + PollEvery);
     }
 }
--- a/src/vanilladyke/control/events.cpp
+++ b/src/vanilladyke/control/events.cpp
@@ -5,7 +5,9 @@
 bool isSoft(const Event &event)
 {
     return std::holds_alternative<Tick>(event) || std::holds_alternative<EngineReported>(event)
-           || std::holds_alternative<EngineUnreachable>(event);
+           || std::holds_alternative<EngineUnreachable>(event)
+           || std::holds_alternative<CacheEventsRead>(event)
+           || std::holds_alternative<PrefixSent>(event);
 }
 
 } // namespace vanilladyke
--- a/src/vanilladyke/gateway/admission_control.cpp
+++ b/src/vanilladyke/gateway/admission_control.cpp
@@ -1,7 +1,6 @@
 #include "vanilladyke/gateway/admission_control.hpp"
 
 #include "vanilladyke/base/log.hpp"
-#include "vanilladyke/gateway/placer.hpp"
 
 #include <algorithm>
 
@@ -99,9 +98,11 @@
     }
 }
 
-AdmissionControl::AdmissionControl(const FleetStore &fleet, EngineSlots &engines, Metrics &metrics)
+AdmissionControl::AdmissionControl(const FleetStore &fleet, EngineSlots &engines,
+                                   const Placer &placer, Metrics &metrics)
     : m_fleet(fleet)
     , m_engines(engines)
+    , m_placer(placer)
     , m_metrics(metrics)
     , m_random(entropySeed())
 {
@@ -159,7 +160,7 @@
 AdmissionControl::Forecast AdmissionControl::forecast(const RequestContext &context,
                                                       const Fleet &fleet)
 {
-    const auto best = forecastPlacement(context, fleet, {}, m_random);
+    const auto best = m_placer.forecast(context, fleet, {}, m_random);
     if (!best) {
         return {};
     }
--- a/src/vanilladyke/gateway/caller_server.cpp
+++ b/src/vanilladyke/gateway/caller_server.cpp
@@ -70,10 +70,10 @@
 
 struct CallerServer::Private
 {
-    Private(const FleetStore &store, Metrics &nodeMetrics, const CallerServerOptions &options)
-        : fleet(store)
+    Private(const NodeState &node, Metrics &nodeMetrics, const CallerServerOptions &options)
+        : fleet(node.fleet)
         , metrics(nodeMetrics)
-        , completions(store, nodeMetrics, eventKeyOf(options))
+        , completions(node, nodeMetrics, eventKeyOf(options))
     {}
 
     void route();
@@ -195,9 +195,9 @@
     });
 }
 
-CallerServer::CallerServer(const FleetStore &fleet, Metrics &metrics,
+CallerServer::CallerServer(const NodeState &node, Metrics &metrics,
                            const CallerServerOptions &options)
-    : m_private(std::make_unique<Private>(fleet, metrics, options))
+    : m_private(std::make_unique<Private>(node, metrics, options))
 {
     m_private->server.new_task_queue = [] { return new httplib::ThreadPool(TrafficThreads); };
     m_private->server.set_tcp_nodelay(true);
--- a/src/vanilladyke/gateway/completion_handler.cpp
+++ b/src/vanilladyke/gateway/completion_handler.cpp
@@ -103,12 +103,12 @@
 
 } // namespace
 
-CompletionHandler::CompletionHandler(const FleetStore &fleet, Metrics &metrics,
+CompletionHandler::CompletionHandler(const NodeState &node, Metrics &metrics,
                                      const EventKey &eventKey)
     : m_metrics(metrics)
     , m_signer(eventKey)
-    , m_control(fleet, metrics)
-    , m_environment{fleet, m_control, m_threads, m_canceller, m_hurried}
+    , m_control(node, metrics)
+    , m_environment{node.fleet, m_control, m_threads, m_canceller, m_hurried}
     , m_chain({}, {}, {}, {}, {&m_control.admission}, {&m_control.admission})
 {}
 
--- a/src/vanilladyke/gateway/completion_handler.hpp
+++ b/src/vanilladyke/gateway/completion_handler.hpp
@@ -22,7 +22,7 @@
 class CompletionHandler
 {
 public:
-    CompletionHandler(const FleetStore &fleet, Metrics &metrics, const EventKey &eventKey);
+    CompletionHandler(const NodeState &node, Metrics &metrics, const EventKey &eventKey);
 
     void operator()(RequestContext context, httplib::Response &response);
     /// @brief From now on every conversation ends with a truthful error.
--- a/src/vanilladyke/gateway/conversation.cpp
+++ b/src/vanilladyke/gateway/conversation.cpp
@@ -85,6 +85,7 @@
     }
     m_exchange.reset();
     m_use.reset();
+    m_work.reset();
     m_call.engine.id = EngineId();
 }
 
@@ -124,7 +125,8 @@
     EngineSlots &slots = m_environment.control.engines;
     std::vector<EngineId> closed = slots.closedFor(m_context.model, *fleet, now);
     closed.insert(closed.end(), m_excluded.begin(), m_excluded.end());
-    const std::optional<PlacedAttempt> placed = placeAttempt(m_context, *fleet, closed, m_random);
+    std::optional<PlacedAttempt> placed =
+            m_environment.control.placer.placeAttempt(m_context, *fleet, closed, m_random);
     if (!placed) {
         if (waitForEngine(now)) {
             return std::nullopt;
@@ -135,6 +137,7 @@
     }
     m_call.engine = placed->engine;
     m_use = std::make_unique<EngineUse>(slots, m_call.engine.id, m_context.model);
+    m_work = std::move(placed->work);
     m_predictedFirstToken = placed->firstToken;
     m_call.stream = StreamId(newUuid());
     m_call.answerOffset = m_answer.tokens();
@@ -216,6 +219,9 @@
     if (m_context.slot && frame.end) {
         m_context.slot->completed();
     }
+    if (m_work) {
+        teachPlacement(frame);
+    }
     m_over = frame.end;
     m_progress = true;
     m_fruitless = 0;
@@ -223,6 +229,14 @@
     m_excluded.clear();
 }
 
+void Conversation::teachPlacement(const StreamFrame &frame)
+{
+    m_work->firstTokenCame();
+    if (const auto cached = cachedTokensIn(frame.data)) {
+        m_work->cachedTokensTold(*cached);
+    }
+}
+
 void Conversation::observe(bool failed, Duration took) const
 {
     m_environment.control.engines.observe({m_call.engine.id, failed, m_predictedFirstToken, took},
--- a/src/vanilladyke/gateway/conversation.hpp
+++ b/src/vanilladyke/gateway/conversation.hpp
@@ -65,6 +65,7 @@
     [[nodiscard]] std::optional<Refusal> breakOff(const ExchangeFailure &why);
     [[nodiscard]] std::optional<Refusal> spendRetry(const ExchangeFailure &why);
     void noteFrame(const StreamFrame &frame);
+    void teachPlacement(const StreamFrame &frame);
     void observe(bool failed, Duration took) const;
     void logAttemptEnd(const ExchangeFailure &why, RecoveryStep step) const;
     [[nodiscard]] TimePoint silentAt() const;
@@ -82,6 +83,7 @@
     EngineCall m_call; ///< the stream under way; its engine's id is empty when there is none
     std::unique_ptr<EngineExchange> m_exchange; ///< the attempt under way
     std::unique_ptr<EngineUse> m_use;           ///< counts the stream under way
+    std::unique_ptr<AttemptWork> m_work;        ///< teaches placement; none if resumed for a caller
     Duration m_predictedFirstToken{};
     TimePoint m_attemptedAt;
     std::vector<EngineId> m_excluded;
--- a/src/vanilladyke/gateway/placer.cpp
+++ b/src/vanilladyke/gateway/placer.cpp
@@ -1,6 +1,9 @@
 #include "vanilladyke/gateway/placer.hpp"
 
 #include "vanilladyke/base/log.hpp"
+#include "vanilladyke/policy/explain.hpp"
+
+#include <nlohmann/json.hpp>
 
 namespace vanilladyke {
 
@@ -11,13 +14,9 @@
     LogEvent event("placement");
     event.field("request", context.id.str())
             .field("customer", context.customer.str())
-            .field("model", context.model.str())
-            .field("prompt_tokens", context.promptTokens)
-            .field("candidates", placement.candidates.size())
-            .field("reason", placement.reason);
-    if (placement.winner) {
-        event.field("engine", fleet.engines[placement.winner->engine].id.str())
-                .field("cost", placement.winner->cost);
+            .field("model", context.model.str());
+    for (const ExplainField &field : explainFields(context.promptTokens, fleet, placement)) {
+        event.field(field.key, field.value);
     }
 }
 
@@ -32,34 +31,79 @@
             excluded};
 }
 
-/// Homes and reported load only, until the node keeps a view of its own.
-Placement decide(const RequestContext &context, const Fleet &fleet,
-                 const std::vector<EngineId> &excluded, Random &random)
+} // namespace
+
+AttemptWork::~AttemptWork()
 {
-    const Survival survival;
-    const InFlight inFlight;
-    return place(requestOf(context, excluded), fleet, {{}, survival, inFlight, 1, {}},
-                 MonotonicClock::now(), random);
+    const std::lock_guard lock(m_placer.m_mutex);
+    m_placer.m_policy.finished(m_placed);
 }
 
-} // namespace
+void AttemptWork::firstTokenCame()
+{
+    if (m_firstTokenCame) {
+        return;
+    }
+    m_firstTokenCame = true;
+    const std::lock_guard lock(m_placer.m_mutex);
+    m_placer.m_policy.firstToken(m_placed);
+}
+
+void AttemptWork::cachedTokensTold(std::uint32_t tokens)
+{
+    const std::lock_guard lock(m_placer.m_mutex);
+    m_placer.m_policy.learn(m_placed, tokens);
+}
 
-std::optional<Candidate> forecastPlacement(const RequestContext &context, const Fleet &fleet,
-                                           const std::vector<EngineId> &excluded, Random &random)
+std::optional<Candidate> Placer::forecast(const RequestContext &context, const Fleet &fleet,
+                                          const std::vector<EngineId> &excluded,
+                                          Random &random) const
 {
-    return decide(context, fleet, excluded, random).winner;
+    const TimePoint now = MonotonicClock::now();
+    const std::vector<PrefixHolder> holders = m_view.holders(context.chain, now);
+    const std::lock_guard lock(m_mutex);
+    return m_policy.forecast(requestOf(context, excluded), fleet, holders, {}, now, random).winner;
 }
 
-std::optional<PlacedAttempt> placeAttempt(const RequestContext &context, const Fleet &fleet,
-                                          const std::vector<EngineId> &excluded, Random &random)
+std::optional<PlacedAttempt> Placer::placeAttempt(const RequestContext &context, const Fleet &fleet,
+                                                  const std::vector<EngineId> &excluded,
+                                                  Random &random)
 {
-    const Placement placement = decide(context, fleet, excluded, random);
+    const TimePoint now = MonotonicClock::now();
+    const PlacementRequest request = requestOf(context, excluded);
+    const std::vector<PrefixHolder> holders = m_view.holders(request.chain, now);
+    Placement placement;
+    PlacedRequest placed;
+    {
+        const std::lock_guard lock(m_mutex);
+        placement = m_policy.decide(request, fleet, holders, {}, now, random);
+        if (placement.winner) {
+            placed = m_policy.sent(request, fleet, placement, now);
+        }
+    }
     logPlacement(context, fleet, placement);
     if (!placement.winner) {
         return std::nullopt;
     }
+    m_inbox.post(PrefixSent{placed.engine, placed.incarnation,
+                            std::make_shared<const PrefixChain>(context.chain)});
     const Candidate &winner = *placement.winner;
-    return PlacedAttempt{fleet.engines[winner.engine], winner.wait + winner.prefill};
+    return PlacedAttempt{fleet.engines[winner.engine], winner.wait + winner.prefill,
+                         std::make_unique<AttemptWork>(*this, std::move(placed))};
+}
+
+std::optional<std::uint32_t> cachedTokensIn(const std::string &frame)
+{
+    // Reading every frame as JSON would cost more than all else that is done to it.
+    if (frame.find("\"cached_tokens\"") == std::string::npos) {
+        return std::nullopt;
+    }
+    try {
+        const nlohmann::json chunk = nlohmann::json::parse(frame);
+        return chunk.at("usage").at("prompt_tokens_details").at("cached_tokens");
+    } catch (const nlohmann::json::exception &) {
+        return std::nullopt;
+    }
 }
 
 } // namespace vanilladyke
--- a/src/vanilladyke/policy/hot_prefixes.cpp
+++ b/src/vanilladyke/policy/hot_prefixes.cpp
@@ -41,6 +41,12 @@
     return tracked.homes;
 }
 
+std::uint32_t HotPrefixes::homes(const ChainHash &prefix) const
+{
+    const auto found = m_tracked.find(prefix);
+    return found == m_tracked.end() ? 1 : found->second.homes;
+}
+
 /// Drops the colder half in one pass, so that the cost per request stays small.
 void HotPrefixes::makeRoom(TimePoint now)
 {
--- a/src/vanilladyke/policy/placement_policy.cpp
+++ b/src/vanilladyke/policy/placement_policy.cpp
@@ -35,6 +35,15 @@
     return place(request, fleet, {holders, m_survival, m_inFlight, homes, kept}, now, random);
 }
 
+Placement PlacementPolicy::forecast(const PlacementRequest &request, const Fleet &fleet,
+                                    std::span<const PrefixHolder> holders, const KeptPrefix &kept,
+                                    TimePoint now, Random &random) const
+{
+    const auto levels = sharedLevels(request.chain);
+    const std::uint32_t homes = levels ? m_hot.homes(levels->shared.hash) : 1;
+    return place(request, fleet, {holders, m_survival, m_inFlight, homes, kept}, now, random);
+}
+
 PlacedRequest PlacementPolicy::sent(const PlacementRequest &request, const Fleet &fleet,
                                     const Placement &placement, TimePoint now)
 {
