Raise the price of recomputing while every candidate has a queue

When even the least busy candidate has a wait, recomputing takes time from all that wait, so its price now grows with that wait. The oracle uses the same rule, or it would break down too.

--- a/include/vanilladyke/policy/placement.hpp
+++ b/include/vanilladyke/policy/placement.hpp
@@ -21,7 +21,7 @@
 /// queues. So each of a few candidates gets a predicted cost in weighted seconds:
 ///
 ///     tail weight × wait + prefill of the tokens expected missing (or their import)
-///         + recompute weight × prefill of the tokens that another candidate has
+///         + price of recomputing × prefill of the tokens that another candidate has
 ///
 /// Candidates are the holders of the longest known prefixes, the first of the rendezvous order
 /// and a few at random: their number doesn't grow with the fleet.
@@ -92,7 +92,13 @@
 
 /// @brief Time until the engine could start a new prefill.
 [[nodiscard]] Duration predictedWait(const EngineView &engine, const InFlight &inFlight,
-                                     std::uint32_t liveNodes, std::uint32_t answerTokens,
-                                     TimePoint now);
+                                     std::uint32_t answerTokens, TimePoint now);
+
+/// @brief The weight of a second of prefill that another candidate would save.
+///
+/// While even the least busy candidate has a queue, recomputing takes time from all that wait.
+/// Without this a fleet at its limit spreads every prefix over all engines to even out their
+/// queues, computes each anew everywhere, and so gets slower the more is asked of it.
+[[nodiscard]] double priceOfRecomputing(const Objective &objective, Duration leastWait);
 
 } // namespace vanilladyke
--- a/src/vanilladyke/control/cache_controller_test.cpp
+++ b/src/vanilladyke/control/cache_controller_test.cpp
@@ -7,7 +7,7 @@
 
 using std::chrono::seconds;
 
-const EngineId Engine("copy-1");
+const EngineId copyEngine("copy-1");
 constexpr Incarnation First{1};
 constexpr Incarnation Second{2};
 
@@ -19,7 +19,7 @@
     void read(Incarnation incarnation, std::uint64_t first, std::uint64_t next,
               std::vector<CacheEvent> events, int second)
     {
-        const CacheEventsRead page{Engine, incarnation, first, next, std::move(events)};
+        const CacheEventsRead page{copyEngine, incarnation, first, next, std::move(events)};
         controller.handle(page, TimePoint(seconds(second)));
     }
 
@@ -66,7 +66,7 @@
 {
     read(First, 1, 2, {{1, CacheEventKind::Stored, A}}, 1);
     EngineReported report;
-    report.engine = Engine;
+    report.engine = copyEngine;
     report.incarnation = Second;
     controller.handle(report, TimePoint(seconds(2)));
     EXPECT_TRUE(holders(A, 2).empty());
@@ -78,9 +78,9 @@
 {
     read(First, 1, 1, {}, 1);
     const auto chain = std::make_shared<const PrefixChain>(PrefixChain{{A, 512, true}});
-    controller.handle(PrefixSent{engineKeyOf(Engine), First, chain}, TimePoint(seconds(2)));
+    controller.handle(PrefixSent{engineKeyOf(copyEngine), First, chain}, TimePoint(seconds(2)));
     EXPECT_EQ(holders(A, 2).size(), 1U);
-    controller.handle(PrefixSent{engineKeyOf(Engine), Second, chain}, TimePoint(seconds(3)));
+    controller.handle(PrefixSent{engineKeyOf(copyEngine), Second, chain}, TimePoint(seconds(3)));
     EXPECT_EQ(holders(A, 3).size(), 1U);
 }
 
--- a/src/vanilladyke/experiment/trace.cpp
+++ b/src/vanilladyke/experiment/trace.cpp
@@ -171,7 +171,7 @@
     Deployment deployment;
     deployment.name = "ashline";
     deployment.engines = 9;
-    deployment.objective = {0.5, 2.0};
+    deployment.objective = {1.0, 1.0};
     deployment.customerWeights = {0.35, 0.20, 0.15, 0.10, 0.08, 0.06, 0.04, 0.02};
     deployment.levels = {{4, 5000, 9000, 1.2}, {6, 600, 1500, 0.8}, {10, 150, 400, 0.8}};
     deployment.shiftEvery = std::chrono::seconds(45);
--- a/src/vanilladyke/experiment/ways.cpp
+++ b/src/vanilladyke/experiment/ways.cpp
@@ -145,23 +145,24 @@
 void OracleNode::offer(std::size_t index, const SimRequest &request, TimePoint now)
 {
     std::uint32_t most = 0;
-    for (const EngineModel &engine : m_engines) {
-        most = std::max(most, engine.cachedTokens(request.chain));
+    std::vector<Duration> waits;
+    for (std::size_t i = 0; i < m_engines.size(); ++i) {
+        most = std::max(most, m_engines[i].cachedTokens(request.chain));
+        EngineView view = fleet().engines[i];
+        view.load = m_engines[i].load(now);
+        waits.push_back(predictedWait(view, InFlight(), request.answerTokens, now));
     }
+    const double price =
+            priceOfRecomputing(m_objective, *std::min_element(waits.begin(), waits.end()));
     std::size_t best = 0;
     double least = std::numeric_limits<double>::max();
-    const InFlight none;
     for (std::size_t i = 0; i < m_engines.size(); ++i) {
         const EngineModel &engine = m_engines[i];
         const std::uint32_t cached = engine.cachedTokens(request.chain);
-        EngineView view = fleet().engines[i];
-        view.load = engine.load(now);
         const double rate = engine.spec().prefillTokensPerSecond;
-        const double cost =
-                m_objective.tailWeight
-                        * seconds(predictedWait(view, none, 1, request.answerTokens, now))
-                + (request.promptTokens - cached) / rate
-                + m_objective.recomputeWeight * (most - cached) / rate;
+        const double cost = m_objective.tailWeight * seconds(waits[i])
+                            + (request.promptTokens - cached) / rate
+                            + price * (most - cached) / rate;
         if (cost < least) {
             least = cost;
             best = i;
--- a/src/vanilladyke/policy/placement.cpp
+++ b/src/vanilladyke/policy/placement.cpp
@@ -22,6 +22,9 @@
 constexpr double StayFraction = 0.10;
 constexpr double StaySeconds = 0.005;
 
+/// A least wait of this length adds 1 to the price of recomputing; see docs/DECISIONS.md.
+constexpr double BusySeconds = 0.1;
+
 double seconds(Duration span)
 {
     return std::chrono::duration<double>(span).count();
@@ -185,17 +188,22 @@
     for (const Candidate &candidate : candidates) {
         most = std::max(most, candidate.expectedCachedTokens);
     }
+    Duration leastWait = Duration::max();
+    for (Candidate &candidate : candidates) {
+        candidate.wait = predictedWait(fleet.engines[candidate.engine], knowledge.inFlight,
+                                       request.answerTokens, now);
+        leastWait = std::min(leastWait, candidate.wait);
+    }
     const Objective objective = fleet.bundle ? fleet.bundle->objective : Objective{};
+    const double recomputePrice = priceOfRecomputing(objective, leastWait);
     for (Candidate &candidate : candidates) {
         const EngineView &engine = fleet.engines[candidate.engine];
         const double rate = engine.load.prefillTokensPerSecond;
-        candidate.wait = predictedWait(engine, knowledge.inFlight, fleet.liveNodes,
-                                       request.answerTokens, now);
         predictPrefill(candidate, request, knowledge.kept, rate);
         const std::uint32_t here = candidate.expectedCachedTokens + candidate.importedTokens;
         candidate.recomputedTokens = most > here ? most - here : 0;
         candidate.cost = objective.tailWeight * seconds(candidate.wait) + seconds(candidate.prefill)
-                         + objective.recomputeWeight * candidate.recomputedTokens / rate;
+                         + recomputePrice * candidate.recomputedTokens / rate;
     }
 }
 
@@ -236,7 +244,7 @@
 
 } // namespace
 
-Duration predictedWait(const EngineView &engine, const InFlight &inFlight, std::uint32_t /*nodes*/,
+Duration predictedWait(const EngineView &engine, const InFlight &inFlight,
                        std::uint32_t answerTokens, TimePoint now)
 {
     const LoadReport &load = engine.load;
@@ -254,6 +262,11 @@
     return spanOf(std::max(prefillWait, slotWait));
 }
 
+double priceOfRecomputing(const Objective &objective, Duration leastWait)
+{
+    return objective.recomputeWeight + seconds(leastWait) / BusySeconds;
+}
+
 Placement place(const PlacementRequest &request, const Fleet &fleet,
                 const PlacementKnowledge &knowledge, TimePoint now, Random &random)
 {
