--- a/src/vanilladyke/app/serve.cpp
+++ b/src/vanilladyke/app/serve.cpp
@@ -6,6 +6,8 @@
 #include "vanilladyke/base/metrics.hpp"
 #include "vanilladyke/control/bundle_controller.hpp"
 #include "vanilladyke/control/cache_controller.hpp"
+#include "vanilladyke/control/claim_controller.hpp"
+#include "vanilladyke/control/claim_desk.hpp"
 #include "vanilladyke/control/control_thread.hpp"
 #include "vanilladyke/control/engine_controller.hpp"
 #include "vanilladyke/control/engine_poller.hpp"
@@ -24,6 +26,9 @@
 /// 524,288 entries of 32 bytes: with two holders each, prefixes of 134 million tokens in blocks of
 /// 512. Half of the memory that a node may spend on control.
 constexpr std::size_t CacheViewBytes = 16U << 20U;
+constexpr std::string_view ClaimStream = "claims";
+/// Outcomes that are not in the log when a node stops are "unknown" to all repeats from then on.
+constexpr Duration FlushWithin = std::chrono::seconds(5);
 
 Severity severityOf(const std::string &level)
 {
@@ -87,13 +92,23 @@
             return EXIT_FAILURE;
         }
     }
-    const ControlThread control(inbox, fleet, bundles, members, engines, cache);
+    ClaimIo claimIo;
+    ClaimController claims(ProcessId(newUuid()), settings.node, claimIo);
+    ClaimDesk claimDesk(inbox);
+    const ControlThread control(inbox, fleet, bundles, members, engines, cache, claims);
+    std::optional<ClaimLog<LogClient>> claimLog;
+    if (settings.log) {
+        claimLog.emplace(LogClient(*settings.log, std::string(ClaimStream)),
+                         LogClient(*settings.log, std::string(ClaimStream)), claimIo, inbox,
+                         metrics);
+    }
     const EnginePoller poller(fleet, inbox);
     if (!settings.bundleFile.empty()) {
         takeBundleFile(settings.bundleFile, inbox);
     }
 
-    CallerServer callers({fleet, cacheView, inbox}, metrics, {settings.streamKey});
+    CallerServer callers({fleet, cacheView, inbox}, metrics,
+                         {settings.streamKey, settings.log ? &claimDesk : nullptr});
     if (!callers.bind(settings.callers)) {
         LogEvent("bind_failed", Severity::Error).field("callers", settings.callers.str());
         return EXIT_FAILURE;
@@ -104,6 +119,9 @@
     inbox.post(StopRequested{});
     shutDown(callers, signals, settings.balancerLag);
     traffic.join();
+    if (!claimIo.flush(MonotonicClock::now() + FlushWithin)) {
+        LogEvent("claims_unflushed", Severity::Warning);
+    }
     LogEvent("stopped").field("exit", EXIT_SUCCESS);
     return EXIT_SUCCESS;
 }
