--- a/include/vanilladyke/gateway/traffic_control.hpp
+++ b/include/vanilladyke/gateway/traffic_control.hpp
@@ -42,9 +42,8 @@
 struct TrafficControl
 {
     TrafficControl(const NodeState &node, Metrics &metrics)
-        : engines(entropySeed())
-        , placer(node.cacheView, node.inbox)
-        , admission(node.fleet, engines, placer, metrics)
+        : placer(node.cacheView, node.inbox)
+        , admission(node.fleet, engines, placer, node.inbox, metrics)
     {}
 
     EngineSlots engines;
--- /dev/null
+++ b/src/vanilladyke/policy/placement_test.cpp
@@ -0,0 +1,249 @@
+#include "vanilladyke/policy/placement_policy.hpp"
+
+#include "vanilladyke/model/fleet_index.hpp"
+#include "vanilladyke/policy/explain.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <array>
+#include <map>
+
+namespace vanilladyke {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint32_t GuideTokens = 6000;
+constexpr Incarnation First{1};
+
+Fleet fleetOf(std::size_t engines)
+{
+    Fleet fleet;
+    fleet.bundle = std::make_shared<const Bundle>();
+    for (std::size_t i = 0; i < engines; ++i) {
+        EngineView engine;
+        engine.id = EngineId("engine-" + std::to_string(i));
+        engine.key = engineKeyOf(engine.id);
+        engine.incarnation = First;
+        engine.state = EngineState::Ready;
+        engine.models = {ModelId("copy")};
+        engine.slots = 32;
+        fleet.engines.push_back(engine);
+    }
+    fleet.index = indexEngines(fleet.engines, nullptr);
+    return fleet;
+}
+
+/// A guide that others share and a question of its own.
+PlacementRequest requestFor(std::uint64_t guide, std::uint64_t question)
+{
+    PlacementRequest request;
+    request.customer = CustomerId("brand");
+    request.model = ModelId("copy");
+    request.chain = {{{mixBits(guide), mixBits(guide + 7)}, GuideTokens, true},
+                     {{mixBits(question), mixBits(question + 9)}, GuideTokens + 200, true}};
+    request.promptTokens = GuideTokens + 200;
+    request.answerTokens = 200;
+    return request;
+}
+
+std::vector<PrefixHolder> holderOf(const EngineView &engine, std::uint32_t tokens)
+{
+    return {{engine.key, engine.incarnation, {KnownLength{tokens, seconds(1), true}}, 1}};
+}
+
+TEST(Placement, GoesToTheHolderWhenQueuesAreShort)
+{
+    const Fleet fleet = fleetOf(12);
+    Random random(1);
+    PlacementPolicy policy;
+    const auto placement = policy.decide(requestFor(1, 2), fleet,
+                                         holderOf(fleet.engines[5], GuideTokens), {}, {}, random);
+    ASSERT_TRUE(placement.winner.has_value());
+    EXPECT_EQ(placement.winner->engine, 5U);
+    EXPECT_GT(placement.winner->expectedCachedTokens, GuideTokens * 9 / 10);
+}
+
+// The engine that has the guide is slow and a queue has grown there. A caller that is sent to it
+// all the same waits for seconds, though any other engine would have computed the guide sooner.
+TEST(Placement, LeavesAHolderWhoseQueueCostsMoreThanTheGuide)
+{
+    Fleet fleet = fleetOf(12);
+    fleet.engines[5].load.queuedPrefillTokens = 60'000;
+    Random random(1);
+    PlacementPolicy policy;
+    const auto placement = policy.decide(requestFor(1, 2), fleet,
+                                         holderOf(fleet.engines[5], GuideTokens), {}, {}, random);
+    EXPECT_NE(placement.winner->engine, 5U);
+}
+
+TEST(Placement, ImportsFromTheStoreWhereThatIsSooner)
+{
+    const Fleet fleet = fleetOf(12);
+    Random random(1);
+    PlacementPolicy policy;
+    const KeptPrefix fast{GuideTokens, milliseconds(20), 100'000};
+    const KeptPrefix slow{GuideTokens, milliseconds(20), 1000};
+    const auto imported = policy.decide(requestFor(1, 2), fleet, {}, fast, {}, random);
+    EXPECT_GT(imported.winner->importedTokens, 0U);
+    EXPECT_LT(imported.winner->prefill, milliseconds(200));
+    const auto computed = policy.decide(requestFor(1, 3), fleet, {}, slow, {}, random);
+    EXPECT_EQ(computed.winner->importedTokens, 0U);
+}
+
+// A node is replaced and starts with an empty view while the others go on. If it chose by load, the
+// guide would be computed again on one engine after the other, and its callers would wait for it.
+TEST(Placement, ARestartedNodeSendsAGuideWhereTheOthersDo)
+{
+    const Fleet fleet = fleetOf(18);
+    for (std::uint64_t guide = 1; guide <= 50; ++guide) {
+        Random random(guide);
+        Random other(guide + 1000);
+        PlacementPolicy old;
+        PlacementPolicy restarted;
+        const auto before = old.decide(requestFor(guide, 1), fleet, {}, {}, {}, random);
+        const auto after = restarted.decide(requestFor(guide, 2), fleet, {}, {}, {}, other);
+        EXPECT_EQ(before.winner->engine, after.winner->engine);
+    }
+}
+
+// Nine nodes read the same report, in which one engine is idle and the others have a short queue,
+// and each gets two prompts before the next report. If all of them chose the idle engine, their
+// callers would queue behind each other there.
+TEST(Placement, NineNodesDoNotAllRunToTheEngineThatWasIdle)
+{
+    Fleet fleet = fleetOf(12);
+    fleet.liveNodes = 9;
+    for (EngineView &engine : fleet.engines) {
+        engine.load.queuedPrefillTokens = 3000;
+    }
+    fleet.engines[0].load.queuedPrefillTokens = 0;
+    std::map<std::size_t, int> sent;
+    for (std::uint64_t node = 0; node < 9; ++node) {
+        Random random(node);
+        PlacementPolicy policy;
+        for (std::uint64_t i = 0; i < 2; ++i) {
+            const PlacementRequest request = requestFor(node * 2 + i, 500 + node * 2 + i);
+            const auto placement = policy.decide(request, fleet, {}, {}, {}, random);
+            static_cast<void>(policy.sent(request, fleet, placement, {}));
+            ++sent[placement.winner->engine];
+        }
+    }
+    for (const auto &[engine, count] : sent) {
+        EXPECT_LE(count, 6) << engine;
+    }
+}
+
+// A burst arrives at one node between two reports. Without its own count the node would send all of
+// it to the engine that was idle when it reported.
+TEST(Placement, ABurstBetweenTwoReportsIsSpread)
+{
+    Fleet fleet = fleetOf(12);
+    Random random(1);
+    PlacementPolicy policy;
+    std::map<std::size_t, int> sent;
+    const TimePoint now(seconds(1));
+    for (std::uint64_t i = 0; i < 48; ++i) {
+        const PlacementRequest request = requestFor(1, 500 + i);
+        const auto placement = policy.decide(request, fleet, {}, {}, now, random);
+        static_cast<void>(policy.sent(request, fleet, placement, now));
+        ++sent[placement.winner->engine];
+    }
+    EXPECT_GE(sent.size(), 4U);
+    for (const auto &[engine, count] : sent) {
+        EXPECT_LE(count, 24) << engine;
+    }
+}
+
+TEST(Placement, ExcludedAndDeadEnginesGetNothing)
+{
+    Fleet fleet = fleetOf(3);
+    fleet.engines[1].state = EngineState::Dead;
+    fleet.index = indexEngines(fleet.engines, nullptr);
+    Random random(1);
+    PlacementPolicy policy;
+    PlacementRequest request = requestFor(1, 2);
+    request.excluded = {fleet.engines[0].id};
+    for (int i = 0; i < 50; ++i) {
+        EXPECT_EQ(policy.decide(request, fleet, {}, {}, {}, random).winner->engine, 2U);
+    }
+    request.excluded.push_back(fleet.engines[2].id);
+    const auto none = policy.decide(request, fleet, {}, {}, {}, random);
+    EXPECT_FALSE(none.winner.has_value());
+    EXPECT_EQ(none.reason, "no_engine");
+}
+
+TEST(Placement, TheNumberOfCandidatesDoesNotGrowWithTheFleet)
+{
+    Random random(1);
+    PlacementPolicy policy;
+    for (const std::size_t engines : {100U, 1000U, 6700U}) {
+        const Fleet fleet = fleetOf(engines);
+        const auto placement = policy.decide(requestFor(1, 2), fleet, {}, {}, {}, random);
+        EXPECT_LE(placement.candidates.size(), 18U);
+    }
+}
+
+// An engine has died and come back between the news that a holder rests on and the decision. The
+// prefix must not be expected there, or the caller waits for work that nobody has.
+RC_GTEST_PROP(Placement, NeverCountsAnotherIncarnation, (std::uint64_t seed))
+{
+    Fleet fleet = fleetOf(6);
+    Random random(seed);
+    const std::size_t engine = uniformBelow(random, fleet.engines.size());
+    const auto holders = holderOf(fleet.engines[engine], GuideTokens);
+    fleet.engines[engine].incarnation = Incarnation{2 + uniformBelow(random, 1000)};
+    PlacementPolicy policy;
+    const auto placement =
+            policy.decide(requestFor(random(), random()), fleet, holders, {}, {}, random);
+    for (const Candidate &candidate : placement.candidates) {
+        for (const Belief &belief : candidate.beliefs) {
+            RC_ASSERT(belief.evidence != Evidence::Known);
+            RC_ASSERT(belief.evidence != Evidence::Doubted);
+        }
+    }
+}
+
+// Two customers send the very same text, and so does one customer after new weights. What is cached
+// for the one must never be expected for the other.
+RC_GTEST_PROP(Placement, NeverCountsAnotherCustomersOrOlderWeightsEntries,
+              (const std::string &text))
+{
+    const std::array<std::string_view, 2> messages{text, "question"};
+    const auto chainFor = [&](const char *customer, const char *weights) {
+        return buildPrefixChain({CustomerId(customer), ModelId("copy"), WeightsVersion(weights)},
+                                messages);
+    };
+    const EngineKey engine{1};
+    CacheView view(1U << 16U);
+    view.setIncarnation(engine, First, {});
+    for (const PrefixCut &cut : chainFor("brand", "w1")) {
+        view.stored(engine, First, cut.hash, {});
+    }
+    RC_ASSERT(view.holders(chainFor("brand", "w1"), {}).size() == 1U);
+    RC_ASSERT(view.holders(chainFor("trader", "w1"), {}).empty());
+    RC_ASSERT(view.holders(chainFor("brand", "w2"), {}).empty());
+}
+
+TEST(Explain, TellsCandidatesCostsWinnerAndWhy)
+{
+    const Fleet fleet = fleetOf(12);
+    Random random(1);
+    PlacementPolicy policy;
+    const auto placement = policy.decide(requestFor(1, 2), fleet,
+                                         holderOf(fleet.engines[5], GuideTokens), {}, {}, random);
+    const std::string text = explainText(GuideTokens + 200, fleet, placement);
+    EXPECT_NE(text.find("engine-5 (least_cost): its predicted cost is the least"),
+              std::string::npos)
+            << text;
+    const auto fields = explainFields(GuideTokens + 200, fleet, placement);
+    ASSERT_GE(fields.size(), 9U);
+    EXPECT_EQ(fields[3].key, "engine");
+    EXPECT_EQ(fields[3].value, "engine-5");
+    EXPECT_EQ(fields[5].value, "known");
+}
+
+} // namespace
+} // namespace vanilladyke
