--- a/src/vanilladyke/policy/placement.cpp
+++ b/src/vanilladyke/policy/placement.cpp
@@ -25,12 +25,6 @@
 /// A least wait of this length adds 1 to the price of recomputing; see docs/DECISIONS.md.
 constexpr double BusySeconds = 0.1;
 
-/// Part of the time to the deadline that a prediction may fill: what other nodes send between two
-/// reports is not in it.
-constexpr double SafePart = 0.7;
-/// Cost of a second of lateness. At 20 and more, full fleets without admission spread prefixes.
-constexpr double LatePrice = 5;
-
 double seconds(Duration span)
 {
     return std::chrono::duration<double>(span).count();
@@ -213,26 +207,6 @@
     }
 }
 
-/// Work that was saved for an answer that comes late is worth little: while one candidate is
-/// expected in time, the others pay for each second of lateness. While none is, nobody does, or a
-/// full fleet would spread all prefixes to even out its queues.
-void chargeLateness(std::vector<Candidate> &candidates, const PlacementRequest &request,
-                    TimePoint now)
-{
-    const double allowed = SafePart * seconds(request.firstTokenDeadline - now);
-    const auto lateness = [&](const Candidate &candidate) {
-        return std::max(0.0, seconds(candidate.wait + candidate.prefill) - allowed);
-    };
-    const bool anyInTime = std::any_of(candidates.begin(), candidates.end(),
-                                       [&](const Candidate &each) { return lateness(each) == 0; });
-    if (!anyInTime) {
-        return;
-    }
-    for (Candidate &candidate : candidates) {
-        candidate.cost += LatePrice * lateness(candidate);
-    }
-}
-
 bool cheaper(const Candidate &a, const Candidate &b)
 {
     return a.cost < b.cost;
@@ -310,7 +284,6 @@
         return placement;
     }
     weigh(placement.candidates, request, fleet, knowledge, now);
-    chargeLateness(placement.candidates, request, now);
     choose(placement, random);
     return placement;
 }
