--- a/src/vanilladyke/gateway/caller_server.cpp
+++ b/src/vanilladyke/gateway/caller_server.cpp
@@ -85,6 +85,24 @@
     const_cast<httplib::Request &>(request).headers.erase("Content-Type");
 }
 
+/// The library would let two processes share a port: a node started twice by mistake would get half
+/// of the other's callers, and nobody would notice. Only ports of closed connections are taken
+/// over.
+void bindAlone(int socket)
+{
+    const int yes = 1;
+    setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+}
+
+std::unique_ptr<httplib::Server> makeServer(const CallerServerOptions &options)
+{
+    if (options.certificate.empty()) {
+        return std::make_unique<httplib::Server>();
+    }
+    return std::make_unique<httplib::SSLServer>(options.certificate.c_str(),
+                                                options.privateKey.c_str());
+}
+
 EventKey eventKeyOf(const CallerServerOptions &options)
 {
     const auto key = parseEventKey(options.streamKey);
@@ -102,8 +120,10 @@
     Private(const NodeState &node, Metrics &nodeMetrics, const CallerServerOptions &options)
         : fleet(node.fleet)
         , metrics(nodeMetrics)
-        , completions(node, nodeMetrics, eventKeyOf(options))
-        , services(nodeMetrics, options.claims)
+        , completions(node, nodeMetrics, eventKeyOf(options), options.backends)
+        , services(nodeMetrics, options.backends, options.claims)
+        , ownedServer(makeServer(options))
+        , server(*ownedServer)
     {}
 
     void route();
@@ -124,7 +144,8 @@
     std::atomic<ServerStage> stage{ServerStage::Serving};
     CompletionHandler completions;
     ServiceHandler services;
-    httplib::Server server;
+    std::unique_ptr<httplib::Server> ownedServer;
+    httplib::Server &server;
 };
 
 /// Counts the request in; the server's logger, which runs after the last byte, counts it out.
@@ -262,11 +283,17 @@
 {
     m_private->server.new_task_queue = [] { return new httplib::ThreadPool(TrafficThreads); };
     m_private->server.set_tcp_nodelay(true);
+    m_private->server.set_socket_options(bindAlone);
     m_private->route();
 }
 
 CallerServer::~CallerServer() = default;
 
+bool CallerServer::tlsUsable() const
+{
+    return m_private->server.is_valid();
+}
+
 bool CallerServer::bind(const Endpoint &endpoint)
 {
     return m_private->server.bind_to_port(endpoint.host, endpoint.port);
--- a/src/vanilladyke/gateway/filters.cpp
+++ b/src/vanilladyke/gateway/filters.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr std::uint32_t DefaultAnswerTokens = 256;
+constexpr std::size_t ForStreamField = 16;
 constexpr std::uint64_t MostAnswerTokens = 1'000'000;
 constexpr std::string_view ChatPath = "/v1/chat/completions";
 
@@ -74,6 +75,25 @@
     return DefaultAnswerTokens;
 }
 
+/// The caller's body, changed to ask for a stream with its usage. Where fields are only missing
+/// they are put in front of the text as it came: writing a long prompt as JSON again costs more
+/// than all else that a request needs.
+std::string streamedBody(nlohmann::json &body, const std::string &text)
+{
+    if (body.contains("stream_options")
+        || (body.contains("stream") && !body["stream"].get<bool>())) {
+        body["stream"] = true;
+        body["stream_options"]["include_usage"] = true;
+        return body.dump();
+    }
+    std::string streamed = R"({"stream_options":{"include_usage":true},)";
+    streamed.reserve(streamed.size() + text.size() + ForStreamField);
+    if (!body.contains("stream")) {
+        streamed += R"("stream":true,)";
+    }
+    return streamed.append(text, text.find('{') + 1);
+}
+
 void readCompletion(RequestContext &context)
 {
     if (nestingDepth(context.body) > DeepestJson) {
@@ -85,9 +105,7 @@
     context.wantsUsage = !context.streamed || callerWantsUsage(body);
     context.answerTokens = readAnswerTokens(body);
     readPrompt(body, context);
-    body["stream"] = true;
-    body["stream_options"]["include_usage"] = true;
-    context.engineBody = body.dump();
+    context.engineBody = streamedBody(body, context.body);
 }
 
 /// Takes the deadline that the caller names, in milliseconds since 1970 or as RFC 3339 writes it.
--- a/src/vanilladyke/gateway/service_handler.hpp
+++ b/src/vanilladyke/gateway/service_handler.hpp
@@ -26,8 +26,9 @@
 {
 public:
     /// @param claims null if this node has no log; calls that may not be repeated are then refused
-    ServiceHandler(Metrics &metrics, ClaimDesk *claims)
+    ServiceHandler(Metrics &metrics, BackendTls tls, ClaimDesk *claims)
         : m_metrics(metrics)
+        , m_tls(std::move(tls))
         , m_claims(claims)
         , m_chain({}, {})
     {}
@@ -41,14 +42,15 @@
     callRepeatable(const RequestContext &context, const Service &service, const ServiceCall &call);
     [[nodiscard]] Outcome<ServiceAnswer, Refusal>
     callAtMostOnce(const RequestContext &context, const Service &service, const ServiceCall &call);
-    [[nodiscard]] static Outcome<ServiceAnswer, Refusal> callUnder(ClaimPermit permit,
-                                                                   const Service &service,
-                                                                   const ServiceCall &call,
-                                                                   TimePoint deadline);
+    [[nodiscard]] Outcome<ServiceAnswer, Refusal> callUnder(ClaimPermit permit,
+                                                            const Service &service,
+                                                            const ServiceCall &call,
+                                                            TimePoint deadline);
     [[nodiscard]] Outcome<ClaimAnswer, Refusal> claim(const RequestContext &context,
                                                       const ServiceCall &call);
 
     Metrics &m_metrics;
+    const BackendTls m_tls;
     ClaimDesk *m_claims;
     SharedRetryBudgets m_retries;
     FilterChain<IdentifyCustomer, SetServiceDeadline> m_chain;
--- a/tests/integration/harness.py
+++ b/tests/integration/harness.py
@@ -23,10 +23,20 @@
 PEER_SECRET_KEY = 'sH5PtY068MU7s}ce^UNo?gL:6v5tCc:OoX5.HzBu'
 
 
+# Below the range that the kernel takes for outgoing connections: a port from there may be in use
+# as one by the time that a process binds it, and a test would fail now and then.
+PORTS = range(10_000, 32_000)
+given_ports = set()
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    while True:
+        port = random.SystemRandom().choice(PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            if port not in given_ports:
+                given_ports.add(port)
+                return port
 
 
 def key_digest(key):
@@ -185,7 +195,8 @@
         wait_until(lambda: http_call(port, "GET", "/control/log")[0] == 200, name + " up")
         return process
 
-    def node(self, name, **more):
+    def node_process(self, name, **more):
+        """A node that was only started; more settings replace those of the harness."""
         port, operators = free_port(), free_port()
         settings = {"node": name, "data_centre": "yaba-hall", "callers": f"127.0.0.1:{port}",
                     "operators": f"127.0.0.1:{operators}", "balancer_lag_ms": 300, "stream_key": "5e" * 32,
@@ -197,7 +208,12 @@
         process = self.start(name, [f"{self.build}/vanilladyke", "serve", "--settings",
                                     self.write(name + ".jsonc", settings)])
         process.port, process.operators = port, operators
-        wait_until(lambda: http_call(port, "GET", "/readyz")[0] == 200, name + " ready")
+        return process
+
+    def node(self, name, **more):
+        """A node that is ready and knows the engines."""
+        process = self.node_process(name, **more)
+        wait_until(lambda: http_call(process.port, "GET", "/readyz")[0] == 200, name + " ready")
         wait_until(lambda: process.log_text().count("event=engine_up") >= len(self.engines),
                    name + " knows the engines")
         return process
