Keep a wrong stream key out of the error that names it

Errors in settings quote the value found, which for the key that signs event ids is a secret with one digit missing. Fields that hold secrets now leave it out.

--- a/include/vanilladyke/model/json_reader.hpp
+++ b/include/vanilladyke/model/json_reader.hpp
@@ -53,6 +53,8 @@
     }
 
     void fail(const std::string &key, const std::string &reason);
+    /// @brief The same for a field that holds a secret: the error leaves its value out.
+    void failSecret(const std::string &key, const std::string &reason);
 
 private:
     [[nodiscard]] std::string pathOf(const std::string &key) const;
--- a/src/vanilladyke/app/settings.cpp
+++ b/src/vanilladyke/app/settings.cpp
@@ -27,7 +27,7 @@
     reader.text("stream_key", key, false);
     const bool digits = key->find_first_not_of("0123456789abcdef") == std::string::npos;
     if (!key->empty() && (key->size() != StreamKeyDigits || !digits)) {
-        reader.fail("stream_key", "must be 64 lower-case hexadecimal digits");
+        reader.failSecret("stream_key", "must be 64 lower-case hexadecimal digits");
     }
 }
 
--- a/src/vanilladyke/app/settings_test.cpp
+++ b/src/vanilladyke/app/settings_test.cpp
@@ -1,5 +1,7 @@
 #include "vanilladyke/app/settings.hpp"
 
+#include "vanilladyke/model/json_reader.hpp"
+
 #include <gtest/gtest.h>
 
 namespace vanilladyke {
@@ -34,5 +36,19 @@
     EXPECT_EQ(settings.error()[1].reason, "must be a string");
 }
 
+// An operator drops a digit of the stream key. The error goes to terminals and tickets; with the
+// key in it whoever reads those could forge event ids.
+TEST(Settings, KeepsAWrongStreamKeyOutOfItsError)
+{
+    const auto settings = parseSettings(R"({
+        "node": "n1", "data_centre": "yaba-hall", "callers": "127.0.0.1:8080",
+        "operators": "127.0.0.1:8081", "stream_key": "5e5e5e"
+    })");
+    ASSERT_FALSE(settings.has_value());
+    ASSERT_EQ(settings.error().size(), 1U);
+    EXPECT_EQ(settings.error()[0].field, "stream_key");
+    EXPECT_EQ(describe("host.jsonc", settings.error()).find("5e5e"), std::string::npos);
+}
+
 } // namespace
 } // namespace vanilladyke
--- a/src/vanilladyke/model/json_reader.cpp
+++ b/src/vanilladyke/model/json_reader.cpp
@@ -201,6 +201,11 @@
     m_errors->push_back({pathOf(key), found == m_object.end() ? "" : shown(*found), reason});
 }
 
+void JsonReader::failSecret(const std::string &key, const std::string &reason)
+{
+    m_errors->push_back({pathOf(key), "", reason});
+}
+
 std::string JsonReader::pathOf(const std::string &key) const
 {
     return m_path.empty() ? key : m_path + "." + key;
