--- a/include/vanilladyke/control/events.hpp
+++ b/include/vanilladyke/control/events.hpp
@@ -6,6 +6,7 @@
 #include "vanilladyke/model/fleet.hpp"
 #include "vanilladyke/model/ids.hpp"
 #include "vanilladyke/model/log_page.hpp"
+#include "vanilladyke/model/prefix_chain.hpp"
 #include "vanilladyke/policy/orders.hpp"
 #include "vanilladyke/policy/peer_message.hpp"
 
@@ -50,6 +51,35 @@
     std::string reason;
 };
 
+/// @brief What an engine's cache did with a prefix.
+enum class CacheEventKind { Stored, Evicted };
+
+/// @brief One event of an engine's cache feed.
+struct CacheEvent
+{
+    std::uint64_t sequence = 0; ///< from 1, without gaps as long as none is lost
+    CacheEventKind kind = CacheEventKind::Stored;
+    ChainHash hash;
+};
+
+/// @brief A page of an engine's cache feed was read.
+struct CacheEventsRead
+{
+    EngineId engine;
+    Incarnation incarnation{};
+    std::uint64_t first = 0; ///< the oldest event that the engine still has
+    std::uint64_t next = 0;  ///< the event after this page
+    std::vector<CacheEvent> events;
+};
+
+/// @brief This node sent a prompt to an engine, which will have it in its cache.
+struct PrefixSent
+{
+    EngineKey engine{};
+    Incarnation incarnation{};
+    std::shared_ptr<const PrefixChain> chain;
+};
+
 /// @brief This node was told to stop.
 struct StopRequested
 {};
@@ -74,7 +104,8 @@
 };
 
 using Event = std::variant<Tick, BundleLogRead, BundleLogDown, EngineReported, EngineUnreachable,
-                           EngineLeaving, StopRequested, PeerHeard, LoadObserved, ClaimEvent>;
+                           EngineLeaving, StopRequested, PeerHeard, CacheEventsRead, PrefixSent,
+                           LoadObserved, ClaimEvent>;
 
 /// @brief Whether the event may be dropped when the inbox is full: a later one makes up for it.
 [[nodiscard]] bool isSoft(const Event &event);
--- a/include/vanilladyke/gateway/admission_control.hpp
+++ b/include/vanilladyke/gateway/admission_control.hpp
@@ -5,6 +5,7 @@
 #include "vanilladyke/control/inbox.hpp"
 #include "vanilladyke/gateway/engine_slots.hpp"
 #include "vanilladyke/gateway/exchange_context.hpp"
+#include "vanilladyke/gateway/placer.hpp"
 #include "vanilladyke/policy/admission.hpp"
 #include "vanilladyke/policy/customer_share.hpp"
 #include "vanilladyke/policy/placement.hpp"
@@ -51,7 +52,8 @@
 class AdmissionControl
 {
 public:
-    AdmissionControl(const FleetStore &fleet, EngineSlots &engines, Inbox &inbox, Metrics &metrics);
+    AdmissionControl(const FleetStore &fleet, EngineSlots &engines, const Placer &placer,
+                     Inbox &inbox, Metrics &metrics);
     AdmissionControl(const AdmissionControl &) = delete;
     AdmissionControl &operator=(const AdmissionControl &) = delete;
     ~AdmissionControl();
@@ -93,6 +95,7 @@
 
     const FleetStore &m_fleet;
     EngineSlots &m_engines;
+    const Placer &m_placer;
     Inbox &m_inbox; ///< hears of the load here, for the peers
     Metrics &m_metrics;
     std::mutex m_mutex;
--- a/include/vanilladyke/gateway/caller_server.hpp
+++ b/include/vanilladyke/gateway/caller_server.hpp
@@ -2,8 +2,7 @@
 
 #include "vanilladyke/base/metrics.hpp"
 #include "vanilladyke/base/time.hpp"
-#include "vanilladyke/control/fleet_store.hpp"
-#include "vanilladyke/control/inbox.hpp"
+#include "vanilladyke/control/node_state.hpp"
 #include "vanilladyke/model/ids.hpp"
 #include "vanilladyke/platform/backend_client.hpp"
 
@@ -28,9 +27,7 @@
 class CallerServer
 {
 public:
-    /// @param inbox hears of the load here, which the peers are told
-    CallerServer(const FleetStore &fleet, Inbox &inbox, Metrics &metrics,
-                 const CallerServerOptions &options);
+    CallerServer(const NodeState &node, Metrics &metrics, const CallerServerOptions &options);
     CallerServer(const CallerServer &) = delete;
     CallerServer &operator=(const CallerServer &) = delete;
     ~CallerServer();
--- a/src/vanilladyke/app/serve.cpp
+++ b/src/vanilladyke/app/serve.cpp
@@ -7,6 +7,7 @@
 #include "vanilladyke/base/metrics.hpp"
 #include "vanilladyke/control/bundle_controller.hpp"
 #include "vanilladyke/control/bundle_snapshot.hpp"
+#include "vanilladyke/control/cache_controller.hpp"
 #include "vanilladyke/control/claim_controller.hpp"
 #include "vanilladyke/control/claim_desk.hpp"
 #include "vanilladyke/control/control_thread.hpp"
@@ -28,6 +29,9 @@
 namespace {
 
 constexpr std::size_t InboxCapacity = 65'536;
+/// 524,288 entries of 32 bytes: with two holders each, prefixes of 134 million tokens in blocks of
+/// 512. Half of the memory that a node may spend on control.
+constexpr std::size_t CacheViewBytes = 16U << 20U;
 constexpr std::string_view ClaimStream = "claims";
 /// Outcomes that are not in the log when a node stops are "unknown" to all repeats from then on.
 constexpr Duration FlushWithin = std::chrono::seconds(5);
@@ -109,6 +113,8 @@
     EngineController engines;
     OrderSender orderSender(settings.backendsTls);
     OrderController orders(settings.node, engines, orderSender);
+    SharedCacheView cacheView(CacheViewBytes);
+    CacheController cache(cacheView);
     if (settings.peers) {
         if (const auto refused = transport.start(settings.peers->listen)) {
             LogEvent("bind_failed", Severity::Error)
@@ -120,7 +126,8 @@
     ClaimIo claimIo;
     ClaimController claims(ProcessId(newUuid()), settings.node, claimIo);
     ClaimDesk claimDesk(inbox);
-    const ControlThread control(inbox, fleet, bundles, members, snapshots, engines, orders, claims);
+    const ControlThread control(inbox, fleet, bundles, members, snapshots, engines, cache, orders,
+                                claims);
     std::optional<ClaimLog<LogClient>> claimLog;
     if (settings.platform) {
         claimLog.emplace(LogClient(settings.platform->log, std::string(ClaimStream)),
@@ -139,7 +146,7 @@
         hostList.emplace(*settings.platform->hosts, fleet, inbox);
     }
 
-    CallerServer callers(fleet, inbox, metrics,
+    CallerServer callers({fleet, cacheView, inbox}, metrics,
                          callerOptions(settings, settings.platform ? &claimDesk : nullptr));
     if (!callers.tlsUsable()) {
         LogEvent("settings_refused", Severity::Error)
--- a/src/vanilladyke/gateway/caller_server.cpp
+++ b/src/vanilladyke/gateway/caller_server.cpp
@@ -117,11 +117,10 @@
 
 struct CallerServer::Private
 {
-    Private(const FleetStore &store, Inbox &inbox, Metrics &nodeMetrics,
-            const CallerServerOptions &options)
-        : fleet(store)
+    Private(const NodeState &node, Metrics &nodeMetrics, const CallerServerOptions &options)
+        : fleet(node.fleet)
         , metrics(nodeMetrics)
-        , completions(store, inbox, nodeMetrics, eventKeyOf(options), options.backends)
+        , completions(node, nodeMetrics, eventKeyOf(options), options.backends)
         , services(nodeMetrics, options.backends, options.claims)
         , ownedServer(makeServer(options))
         , server(*ownedServer)
@@ -278,9 +277,9 @@
     });
 }
 
-CallerServer::CallerServer(const FleetStore &fleet, Inbox &inbox, Metrics &metrics,
+CallerServer::CallerServer(const NodeState &node, Metrics &metrics,
                            const CallerServerOptions &options)
-    : m_private(std::make_unique<Private>(fleet, inbox, metrics, options))
+    : m_private(std::make_unique<Private>(node, metrics, options))
 {
     m_private->server.new_task_queue = [] { return new httplib::ThreadPool(TrafficThreads); };
     m_private->server.set_tcp_nodelay(true);
--- a/tests/integration/harness.py
+++ b/tests/integration/harness.py
@@ -228,9 +228,18 @@
         code, result = self.publish(node, self.sign(self.bundle))
         assert code == 200, result
 
+    @staticmethod
+    def wait_up(node):
+        def up():
+            if node.popen.poll() is not None:
+                raise AssertionError(f"{node.name} has ended: {node.log_text()[-2000:]}")
+            return http_call(node.operators, "GET", "/healthz")[0] == 200
+
+        wait_until(up, f"{node.name} up")
+
     def ensure_bundle(self, node):
         """Publishes self.bundle through the node unless it was published as it is now."""
-        wait_until(lambda: http_call(node.operators, "GET", "/healthz")[0] == 200, node.name + " up")
+        self.wait_up(node)
         if self.published != self.bundle:
             wait_until(lambda: self.status(node)["log_reachable"], node.name + " reads the log")
             self.publish_bundle(node)
@@ -276,7 +285,7 @@
         """A node that is ready and knows the engines; without publish, one that has no bundle."""
         process = self.node_process(name, **more)
         if not publish:
-            wait_until(lambda: http_call(process.operators, "GET", "/healthz")[0] == 200, name + " up")
+            self.wait_up(process)
             return process
         self.ensure_bundle(process)
         wait_until(lambda: http_call(process.port, "GET", "/readyz")[0] == 200, name + " ready")
