Keep the log silent until it is set up

Cause: a program or test that uses the libraries without a log got complaints of log4cplus on standard error. Change: the root logger is off until initializeLog. Conclusion: library users need no log.

--- a/src/vanilladyke/base/log.cpp
+++ b/src/vanilladyke/base/log.cpp
@@ -49,10 +49,18 @@
     return result;
 }
 
+/// Silent until initializeLog: a program without a log must not write complaints about it.
+log4cplus::Logger silentRoot()
+{
+    log4cplus::Logger root = log4cplus::Logger::getRoot();
+    root.setLogLevel(log4cplus::OFF_LOG_LEVEL);
+    return root;
+}
+
 log4cplus::Logger &logger()
 {
     static log4cplus::Initializer initializer;
-    static log4cplus::Logger instance = log4cplus::Logger::getRoot();
+    static log4cplus::Logger instance = silentRoot();
     return instance;
 }
 
