Hand the cache view to starting nodes

Claims are no section: a node has to read the log's whole window anyway before it may let a claim through, so a copy would save nothing.

--- a/include/vanilladyke/control/cache_controller.hpp
+++ b/include/vanilladyke/control/cache_controller.hpp
@@ -16,6 +16,8 @@
     {}
 
     void handle(const Event &event, TimePoint now);
+    /// @brief Takes over what a peer knows; what this node learned itself later stays.
+    void takeOver(const CacheEntry &entry, TimePoint now);
     void contribute(Fleet &, TimePoint) const {} // the view is read where it is
 
 private:
--- a/include/vanilladyke/control/shared_cache_view.hpp
+++ b/include/vanilladyke/control/shared_cache_view.hpp
@@ -25,6 +25,10 @@
     /// @brief As CacheView::holders. Any thread.
     [[nodiscard]] std::vector<PrefixHolder> holders(const PrefixChain &chain, TimePoint now) const;
 
+    /// @brief As CacheView::entries, over all shards; @p from is 0 or what the last piece named
+    /// next.
+    [[nodiscard]] CachePiece entries(std::size_t from, std::size_t most, TimePoint now) const;
+
 private:
     static constexpr std::size_t Shards = 16;
 
--- a/include/vanilladyke/control/snapshot_controller.hpp
+++ b/include/vanilladyke/control/snapshot_controller.hpp
@@ -28,7 +28,7 @@
 class SnapshotController
 {
 public:
-    static constexpr std::size_t SectionCount = 3;
+    static constexpr std::size_t SectionCount = 2;
     /// @brief A store for each section, in SnapshotSection's order; one without functions is left
     /// out.
     using Stores = std::array<SnapshotStore, SectionCount>;
--- a/include/vanilladyke/peers/codec.hpp
+++ b/include/vanilladyke/peers/codec.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "vanilladyke/base/outcome.hpp"
+#include "vanilladyke/policy/cache_view.hpp"
 #include "vanilladyke/policy/peer_message.hpp"
 
 #include <string>
@@ -22,4 +23,8 @@
 /// @brief Reads and checks a message: every name present, every number in range.
 [[nodiscard]] Outcome<PeerMessage, DecodeError> decode(std::string_view bytes);
 
+/// @brief An item of a cache view's snapshot.
+[[nodiscard]] std::string encode(const CacheEntry &entry);
+[[nodiscard]] Outcome<CacheEntry, DecodeError> decodeCacheEntry(std::string_view bytes);
+
 } // namespace vanilladyke
--- a/include/vanilladyke/policy/cache_view.hpp
+++ b/include/vanilladyke/policy/cache_view.hpp
@@ -46,6 +46,24 @@
     void add(const KnownLength &shorter);
 };
 
+/// @brief One entry as another node takes it over.
+struct CacheEntry
+{
+    EngineKey engine{};
+    Incarnation incarnation{};
+    ChainHash hash;
+    Duration age{}; ///< since it was learned
+
+    bool operator==(const CacheEntry &) const = default;
+};
+
+/// @brief Some entries of a view, and where the next ones start; 0 if there are none.
+struct CachePiece
+{
+    std::vector<CacheEntry> entries;
+    std::size_t next = 0;
+};
+
 /// @brief A bounded table of (engine, incarnation, prefix).
 class CacheView
 {
@@ -71,6 +89,9 @@
     /// @brief Adds what is known of one cut, which is shorter than those added before.
     void addHolders(const PrefixCut &cut, TimePoint now, std::vector<PrefixHolder> &holders) const;
     /// @brief Engines with the longest prefix known of each, longest first; O(cuts).
+    /// @brief Up to @p most entries that count, from place @p from on, for another node to take
+    /// over.
+    [[nodiscard]] CachePiece entries(std::size_t from, std::size_t most, TimePoint now) const;
     [[nodiscard]] std::vector<PrefixHolder> holders(const PrefixChain &chain, TimePoint now) const;
 
 private:
--- a/include/vanilladyke/policy/peer_message.hpp
+++ b/include/vanilladyke/policy/peer_message.hpp
@@ -30,7 +30,10 @@
 };
 
 /// @brief Parts of a node's state that a starting node takes over.
-enum class SnapshotSection { Bundle, Claims, CacheView };
+///
+/// Claims are none of them: a node may only let one through once it has read the log up to the
+/// claim itself, and on the way it reads the whole window; a peer's copy would save nothing.
+enum class SnapshotSection { Bundle, CacheView };
 
 /// @brief Asks for one bounded piece of a section.
 struct SnapshotRequest
--- a/src/vanilladyke/app/serve.cpp
+++ b/src/vanilladyke/app/serve.cpp
@@ -12,6 +12,7 @@
 #include "vanilladyke/control/engine_controller.hpp"
 #include "vanilladyke/control/engine_poller.hpp"
 #include "vanilladyke/control/membership_controller.hpp"
+#include "vanilladyke/control/snapshot_stores.hpp"
 #include "vanilladyke/gateway/caller_server.hpp"
 #include "vanilladyke/model/json_reader.hpp"
 
@@ -77,13 +78,15 @@
     PeerTransport transport(*peerKeys, [&inbox](PeerMessage message, ReplyRoute route) {
         inbox.post(PeerHeard{std::move(message), std::move(route)});
     });
-    MembershipController members(
-            makeMembership(settings, std::chrono::system_clock::now()),
-            [&transport](Outgoing outgoing) { transport.send(std::move(outgoing)); }, inbox,
-            Random(entropySeed()));
+    const auto sendToPeer = [&transport](Outgoing outgoing) {
+        transport.send(std::move(outgoing));
+    };
+    MembershipController members(makeMembership(settings, std::chrono::system_clock::now()),
+                                 sendToPeer, inbox, Random(entropySeed()));
     EngineController engines;
     SharedCacheView cacheView(CacheViewBytes);
     CacheController cache(cacheView);
+    SnapshotController snapshots({SnapshotStore{}, cacheViewStore(cacheView, cache)}, sendToPeer);
     if (settings.peers) {
         if (const auto refused = transport.start(settings.peers->listen)) {
             LogEvent("bind_failed", Severity::Error)
@@ -95,7 +98,7 @@
     ClaimIo claimIo;
     ClaimController claims(ProcessId(newUuid()), settings.node, claimIo);
     ClaimDesk claimDesk(inbox);
-    const ControlThread control(inbox, fleet, bundles, members, engines, cache, claims);
+    const ControlThread control(inbox, fleet, bundles, members, engines, cache, claims, snapshots);
     std::optional<ClaimLog<LogClient>> claimLog;
     if (settings.log) {
         claimLog.emplace(LogClient(*settings.log, std::string(ClaimStream)),
--- a/src/vanilladyke/control/cache_controller.cpp
+++ b/src/vanilladyke/control/cache_controller.cpp
@@ -15,6 +15,12 @@
     }
 }
 
+void CacheController::takeOver(const CacheEntry &entry, TimePoint now)
+{
+    enterIncarnation(entry.engine, entry.incarnation, now - entry.age);
+    m_view.stored(entry.engine, entry.incarnation, entry.hash, now - entry.age);
+}
+
 void CacheController::enterIncarnation(EngineKey engine, Incarnation incarnation, TimePoint now)
 {
     const auto [found, added] = m_feeds.try_emplace(engine, Feed{incarnation, 1});
--- a/src/vanilladyke/control/shared_cache_view.cpp
+++ b/src/vanilladyke/control/shared_cache_view.cpp
@@ -54,4 +54,30 @@
     return holders;
 }
 
+CachePiece SharedCacheView::entries(std::size_t from, std::size_t most, TimePoint now) const
+{
+    // A place is a shard and a place inside it, so that one number can stand for both.
+    std::size_t shardIndex = from % Shards;
+    std::size_t place = from / Shards;
+    while (shardIndex < Shards) {
+        const Shard &shard = m_shards.at(shardIndex);
+        const std::shared_lock lock(shard.mutex);
+        CachePiece piece = shard.view.entries(place, most, now);
+        if (piece.next != 0) {
+            piece.next = piece.next * Shards + shardIndex;
+            return piece;
+        }
+        ++shardIndex;
+        place = 0;
+        if (!piece.entries.empty() && shardIndex < Shards) {
+            piece.next = shardIndex;
+            return piece;
+        }
+        if (!piece.entries.empty()) {
+            return piece;
+        }
+    }
+    return {};
+}
+
 } // namespace vanilladyke
--- a/src/vanilladyke/control/snapshot_controller.cpp
+++ b/src/vanilladyke/control/snapshot_controller.cpp
@@ -15,6 +15,11 @@
 /// How long the log has to bring a bundle that a peer has already, before the peer is asked for it.
 constexpr Duration BundleCheckEvery = std::chrono::milliseconds(1000);
 
+std::string_view nameOf(SnapshotSection section)
+{
+    return section == SnapshotSection::Bundle ? "bundle" : "cache_view";
+}
+
 bool canGive(const Member &member)
 {
     return member.phase == Phase::Ready && member.liveness == Liveness::Alive;
@@ -79,7 +84,7 @@
         return;
     }
     LogEvent("snapshot_taken")
-            .field("section", static_cast<int>(piece.section))
+            .field("section", nameOf(piece.section))
             .field("peer", from.node.str());
     if (static_cast<std::size_t>(piece.section) == m_next) {
         ++m_next;
@@ -106,7 +111,7 @@
     }
     if (m_fetch) {
         LogEvent("snapshot_unanswered", Severity::Warning)
-                .field("section", static_cast<int>(m_fetch->section))
+                .field("section", nameOf(m_fetch->section))
                 .field("peer", m_fetch->from.node.str());
         m_failed.push_back(m_fetch->from.node);
         m_fetch.reset();
--- a/src/vanilladyke/control/snapshot_controller_test.cpp
+++ b/src/vanilladyke/control/snapshot_controller_test.cpp
@@ -50,7 +50,6 @@
                          return SnapshotPiece{{}, 0, 0, {"bundle"}};
                      },
                      [this](const SnapshotPiece &piece) { taken.push_back(piece.items.at(0)); }},
-             {},
              {}},
             [this](Outgoing outgoing) { sent.push_back(std::move(outgoing)); },
     };
--- a/src/vanilladyke/peers/codec.cpp
+++ b/src/vanilladyke/peers/codec.cpp
@@ -4,6 +4,7 @@
 
 #include <google/protobuf/stubs/logging.h>
 
+#include <algorithm>
 #include <limits>
 
 namespace vanilladyke {
@@ -175,4 +176,31 @@
     return message;
 }
 
+std::string encode(const CacheEntry &entry)
+{
+    wire::CacheEntry out;
+    out.set_engine(static_cast<std::uint64_t>(entry.engine));
+    out.set_incarnation(static_cast<std::uint64_t>(entry.incarnation));
+    out.set_hash_high(entry.hash.high);
+    out.set_hash_low(entry.hash.low);
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(entry.age).count();
+    out.set_age_milliseconds(static_cast<std::uint32_t>(
+            std::clamp<std::int64_t>(age, 0, std::numeric_limits<std::uint32_t>::max())));
+    return out.SerializeAsString();
+}
+
+Outcome<CacheEntry, DecodeError> decodeCacheEntry(std::string_view bytes)
+{
+    wire::CacheEntry in;
+    const google::protobuf::LogSilencer silencer;
+    if (bytes.size() > MostMessageBytes
+        || !in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        return failure(DecodeError{"no cache entry"});
+    }
+    return CacheEntry{EngineKey{in.engine()},
+                      Incarnation{in.incarnation()},
+                      {in.hash_high(), in.hash_low()},
+                      std::chrono::milliseconds(in.age_milliseconds())};
+}
+
 } // namespace vanilladyke
--- a/src/vanilladyke/peers/codec_test.cpp
+++ b/src/vanilladyke/peers/codec_test.cpp
@@ -57,6 +57,15 @@
     RC_ASSERT(!read.has_value() || !read->from.node.empty());
 }
 
+TEST(Codec, ReadsBackACacheEntry)
+{
+    const CacheEntry entry{EngineKey{7}, Incarnation{9}, {1, 2}, std::chrono::milliseconds(1500)};
+    const auto read = decodeCacheEntry(encode(entry));
+    ASSERT_TRUE(read.has_value());
+    EXPECT_EQ(*read, entry);
+    EXPECT_FALSE(decodeCacheEntry("\x01\x02").has_value());
+}
+
 TEST(Codec, RefusesAMessageThatIsTooLong)
 {
     EXPECT_FALSE(decode(std::string(MostMessageBytes + 1, 'x')).has_value());
--- a/src/vanilladyke/policy/cache_view.cpp
+++ b/src/vanilladyke/policy/cache_view.cpp
@@ -68,6 +68,11 @@
     }
     const auto slot = static_cast<std::uint32_t>(known - m_engines.data());
     Entry *entry = place(hash, slot);
+    // A peer's entry may be older than what this node has learned itself.
+    const bool held = entry->hash == hash && entry->engine == slot && counts(*entry);
+    if (held && entry->learnedAt >= now) {
+        return;
+    }
     *entry = {hash, slot, known->life, now};
 }
 
@@ -117,6 +122,25 @@
     return holders;
 }
 
+CachePiece CacheView::entries(std::size_t from, std::size_t most, TimePoint now) const
+{
+    CachePiece piece;
+    for (std::size_t i = from; i < m_entries.size(); ++i) {
+        const Entry &entry = m_entries[i];
+        if (!counts(entry)) {
+            continue;
+        }
+        if (piece.entries.size() == most) {
+            piece.next = i;
+            break;
+        }
+        const KnownEngine &engine = m_engines[entry.engine];
+        piece.entries.push_back(
+                {engine.key, engine.incarnation, entry.hash, now - entry.learnedAt});
+    }
+    return piece;
+}
+
 CacheView::Entry *CacheView::setOf(const ChainHash &hash)
 {
     return &m_entries[(hash.low & m_mask) * Ways];
--- a/tests/integration/peers.py
+++ b/tests/integration/peers.py
@@ -44,6 +44,15 @@
             self.nodes["n2"].popen.send_signal(signal.SIGCONT)
         self.wait_for_word("n2", "alive", but=())
 
+    # A node is replaced while the others know what the engines hold. With an empty view it would send
+    # the first requests of each prompt past the engine that has it.
+    def test_a_new_node_takes_over_what_its_peer_knows_of_caches(self):
+        for turn in range(3):
+            status, body, _ = harness.chat(self.nodes["n1"].port, f"guide {turn} " * 500, 4, True)
+            self.assertEqual(status, 200, body)
+        newcomer = self.cluster.node("n4")
+        harness.wait_until(lambda: "event=snapshot_taken section=cache_view" in newcomer.log_text(), "snapshot")
+
 
 if __name__ == "__main__":
     harness.main()
