Name constants as the linter asks

Cause: three findings over the whole tree (lint of 140 files). Change: camelBack names of constants that are no constexpr.

--- a/examples/place_a_request.cpp
+++ b/examples/place_a_request.cpp
@@ -10,25 +10,26 @@
 
 namespace {
 
-const ModelId Copy("copy");
-const WeightsVersion Weights("w1");
+const ModelId copyModel("copy");
+const WeightsVersion copyWeights("w1");
 
 EngineEntry engineNamed(const std::string &name)
 {
     EngineEntry engine;
     engine.id = EngineId(name);
-    engine.models = {Copy};
+    engine.models = {copyModel};
     return engine;
 }
 
 Fleet readyFleet(TimePoint now)
 {
     auto bundle = std::make_shared<Bundle>();
-    bundle->models = {{Copy, Weights, {}}};
+    bundle->models = {{copyModel, copyWeights, {}}};
     bundle->engines = {engineNamed("copy-1"), engineNamed("copy-2"), engineNamed("copy-3")};
     EngineController controller;
     for (const EngineEntry &engine : bundle->engines) {
-        controller.handle(EngineReported{engine.id, Incarnation{1}, {{Copy, Weights}}, {}}, now);
+        controller.handle(EngineReported{engine.id, Incarnation{1}, {{copyModel, copyWeights}}, {}},
+                          now);
     }
     Fleet fleet;
     fleet.bundle = bundle;
@@ -46,8 +47,8 @@
     const std::vector<std::string_view> messages{guide, "Write a headline for a bus shelter."};
     PlacementRequest request;
     request.customer = CustomerId("brand");
-    request.model = Copy;
-    request.chain = buildPrefixChain({request.customer, Copy, Weights}, messages);
+    request.model = copyModel;
+    request.chain = buildPrefixChain({request.customer, copyModel, copyWeights}, messages);
     request.promptTokens = request.chain.back().tokens;
 
     CacheView view(1U << 20U);
--- a/src/vanilladyke/capacity/measure_policy.cpp
+++ b/src/vanilladyke/capacity/measure_policy.cpp
@@ -16,7 +16,7 @@
 
 constexpr std::uint64_t Seed = 5;
 constexpr std::uint32_t Cuts = 16;
-const TimePoint Now{std::chrono::seconds(1000)};
+const TimePoint now{std::chrono::seconds(1000)};
 
 double microsOf(Duration time)
 {
@@ -42,9 +42,9 @@
         controller.handle(
                 EngineReported{
                         engine.id, Incarnation{1}, {{ModelId("model"), WeightsVersion("w1")}}, {}},
-                Now);
+                now);
     }
-    controller.contribute(*fleet, Now);
+    controller.contribute(*fleet, now);
     return fleet;
 }
 
@@ -61,17 +61,17 @@
         request.chain = syntheticChain(i);
         request.promptTokens = request.chain.back().tokens;
         const EngineView &holder = fleet->engines[uniformBelow(random, fleet->engines.size())];
-        view.setIncarnation(holder.key, holder.incarnation, Now);
-        view.stored(holder.key, holder.incarnation, request.chain[Cuts / 2].hash, Now);
+        view.setIncarnation(holder.key, holder.incarnation, now);
+        view.stored(holder.key, holder.incarnation, request.chain[Cuts / 2].hash, now);
         requests.push_back(std::move(request));
     }
     const Survival survival;
     const InFlight inFlight;
     const Duration spent = processorTime([&] {
         for (const PlacementRequest &request : requests) {
-            const auto holders = view.holders(request.chain, Now);
+            const auto holders = view.holders(request.chain, now);
             static_cast<void>(
-                    place(request, *fleet, {holders, survival, inFlight, 1, {}}, Now, random));
+                    place(request, *fleet, {holders, survival, inFlight, 1, {}}, now, random));
         }
     });
     return microsOf(spent) / Calls;
@@ -82,12 +82,12 @@
     constexpr std::uint64_t Events = 10'000;
     const EngineKey engine = engineKeyOf(EngineId("e"));
     CacheView view(static_cast<std::size_t>(entries) * CacheView::EntryBytes);
-    view.setIncarnation(engine, Incarnation{1}, Now);
+    view.setIncarnation(engine, Incarnation{1}, now);
     std::uint64_t next = 0;
     const Duration spent = processorTime([&] {
         for (std::uint64_t i = 0; i < Events; ++i) {
             ++next;
-            view.stored(engine, Incarnation{1}, {mixBits(next), mixBits(next * 3)}, Now);
+            view.stored(engine, Incarnation{1}, {mixBits(next), mixBits(next * 3)}, now);
         }
     });
     return microsOf(spent) / Events;
@@ -99,7 +99,7 @@
     job.ticket = QueueTicket{index};
     job.customer = CustomerId("customer-" + std::to_string(index % customers));
     job.cost = std::chrono::milliseconds(50);
-    job.latestStart = Now + std::chrono::seconds(10);
+    job.latestStart = now + std::chrono::seconds(10);
     return job;
 }
 
@@ -151,7 +151,7 @@
         other.dataCentre = DataCentreId("ikeja-hall");
         other.peers = {"10.0.0.1", static_cast<std::uint16_t>(i + 1)};
         other.operators = other.peers;
-        static_cast<void>(membership->receive({other, {}, {}, Ack{}}, {}, Now));
+        static_cast<void>(membership->receive({other, {}, {}, Ack{}}, {}, now));
     }
     return membership;
 }
