--- a/src/vanilladyke/gateway/conversation.cpp
+++ b/src/vanilladyke/gateway/conversation.cpp
@@ -123,7 +123,7 @@
 {
     const std::shared_ptr<const Fleet> fleet = m_environment.fleet.current();
     EngineSlots &slots = m_environment.control.engines;
-    std::vector<EngineId> closed = slots.closedFor(m_context.model, *fleet, now);
+    std::vector<EngineId> closed = slots.closedFor(m_context.model, *fleet, m_excluded, now);
     closed.insert(closed.end(), m_excluded.begin(), m_excluded.end());
     std::optional<PlacedAttempt> placed =
             m_environment.control.placer.placeAttempt(m_context, *fleet, closed, m_random);
@@ -149,6 +149,7 @@
 void Conversation::startAttempt(TimePoint now)
 {
     m_call.weights = m_context.weights;
+    m_call.tls = m_environment.tls;
     m_call.request = m_context.id;
     m_call.attempt = newUuid();
     m_call.path = m_context.path;
--- a/src/vanilladyke/gateway/service_handler.cpp
+++ b/src/vanilladyke/gateway/service_handler.cpp
@@ -68,8 +68,8 @@
         }
         state.apply(ExchangeEvent::SendStarted);
         const bool another = i + 1 < backends.size();
-        auto outcome =
-                sendOnce(call, backends[i], tryDeadline(context.firstTokenDeadline, another));
+        auto outcome = sendOnce(call, backends[i], m_tls,
+                                tryDeadline(context.firstTokenDeadline, another));
         logTry(call, backends[i], outcome);
         if (outcome) {
             return std::move(*outcome);
@@ -143,7 +143,7 @@
     Refusal refusal{RefusalReason::NoBackend, "the service has no backend", Ran::No, std::nullopt};
     for (const Endpoint &backend : backends) {
         state.apply(ExchangeEvent::SendStarted);
-        auto outcome = sendOnce(call, backend, deadline);
+        auto outcome = sendOnce(call, backend, m_tls, deadline);
         logTry(call, backend, outcome);
         if (outcome) {
             permit.answered(static_cast<std::uint32_t>(outcome->status), outcome->contentType,
