--- a/src/vanilladyke/control/claim_controller.cpp
+++ b/src/vanilladyke/control/claim_controller.cpp
@@ -32,6 +32,8 @@
     deliver();
     if (auto batch = m_ledger.nextBatch(at)) {
         m_io.append(std::move(*batch));
+    } else if (const auto when = m_ledger.nextAppendAt()) {
+        m_io.wakeAt(*when);
     }
     m_io.tell({m_ledger.nextOffset(), m_ledger.wantsRead(), m_ledger.idle()});
 }
