--- a/include/vanilladyke/gateway/admission_control.hpp
+++ b/include/vanilladyke/gateway/admission_control.hpp
@@ -2,7 +2,7 @@
 
 #include "vanilladyke/base/metrics.hpp"
 #include "vanilladyke/control/fleet_store.hpp"
-#include "vanilladyke/control/node_state.hpp"
+#include "vanilladyke/control/inbox.hpp"
 #include "vanilladyke/gateway/engine_slots.hpp"
 #include "vanilladyke/gateway/exchange_context.hpp"
 #include "vanilladyke/gateway/placer.hpp"
@@ -52,8 +52,8 @@
 class AdmissionControl
 {
 public:
-    AdmissionControl(const NodeState &node, EngineSlots &engines, const Placer &placer,
-                     Metrics &metrics);
+    AdmissionControl(const FleetStore &fleet, EngineSlots &engines, const Placer &placer,
+                     Inbox &inbox, Metrics &metrics);
     AdmissionControl(const AdmissionControl &) = delete;
     AdmissionControl &operator=(const AdmissionControl &) = delete;
     ~AdmissionControl();
--- a/include/vanilladyke/gateway/traffic_control.hpp
+++ b/include/vanilladyke/gateway/traffic_control.hpp
@@ -43,7 +43,7 @@
 {
     TrafficControl(const NodeState &node, Metrics &metrics)
         : placer(node.cacheView, node.inbox)
-        , admission(node, engines, placer, metrics)
+        , admission(node.fleet, engines, placer, node.inbox, metrics)
     {}
 
     EngineSlots engines;
--- a/src/vanilladyke/experiment/ways.cpp
+++ b/src/vanilladyke/experiment/ways.cpp
@@ -192,7 +192,7 @@
                                                    const std::vector<EngineId> &excluded)
 {
     const std::vector<PrefixHolder> holders = m_view.holders(request.chain, now);
-    return m_policy.decide(placementOf(request, excluded), m_fleet, holders, {}, now, m_random)
+    return m_policy.forecast(placementOf(request, excluded), m_fleet, holders, {}, now, m_random)
             .winner;
 }
 
--- a/src/vanilladyke/gateway/admission_control.cpp
+++ b/src/vanilladyke/gateway/admission_control.cpp
@@ -100,12 +100,12 @@
     }
 }
 
-AdmissionControl::AdmissionControl(const NodeState &node, EngineSlots &engines,
-                                   const Placer &placer, Metrics &metrics)
-    : m_fleet(node.fleet)
+AdmissionControl::AdmissionControl(const FleetStore &fleet, EngineSlots &engines,
+                                   const Placer &placer, Inbox &inbox, Metrics &metrics)
+    : m_fleet(fleet)
     , m_engines(engines)
     , m_placer(placer)
-    , m_inbox(node.inbox)
+    , m_inbox(inbox)
     , m_metrics(metrics)
     , m_random(entropySeed())
 {
