--- a/src/vanilladyke/app/serve.cpp
+++ b/src/vanilladyke/app/serve.cpp
@@ -16,6 +16,7 @@
 #include "vanilladyke/control/host_list_poller.hpp"
 #include "vanilladyke/control/membership_controller.hpp"
 #include "vanilladyke/control/order_controller.hpp"
+#include "vanilladyke/control/snapshot_stores.hpp"
 #include "vanilladyke/gateway/caller_server.hpp"
 #include "vanilladyke/model/json_reader.hpp"
 
@@ -102,19 +103,19 @@
     PeerTransport transport(*peerKeys, [&inbox](PeerMessage message, ReplyRoute route) {
         inbox.post(PeerHeard{std::move(message), std::move(route)});
     });
-    MembershipController members(
-            makeMembership(settings, std::chrono::system_clock::now()),
-            [&transport](Outgoing outgoing) { transport.send(std::move(outgoing)); }, inbox,
-            Random(entropySeed()));
-    BundleSnapshot bundleSnapshot(bundles);
-    SnapshotController snapshots({bundleSnapshot.store(), {}, {}}, [&transport](Outgoing outgoing) {
+    const auto sendToPeer = [&transport](Outgoing outgoing) {
         transport.send(std::move(outgoing));
-    });
+    };
+    MembershipController members(makeMembership(settings, std::chrono::system_clock::now()),
+                                 sendToPeer, inbox, Random(entropySeed()));
+    BundleSnapshot bundleSnapshot(bundles);
     EngineController engines;
     OrderSender orderSender(settings.backendsTls);
     OrderController orders(settings.node, engines, orderSender);
     SharedCacheView cacheView(CacheViewBytes);
     CacheController cache(cacheView);
+    SnapshotController snapshots({bundleSnapshot.store(), cacheViewStore(cacheView, cache)},
+                                 sendToPeer);
     if (settings.peers) {
         if (const auto refused = transport.start(settings.peers->listen)) {
             LogEvent("bind_failed", Severity::Error)
@@ -126,8 +127,8 @@
     ClaimIo claimIo;
     ClaimController claims(ProcessId(newUuid()), settings.node, claimIo);
     ClaimDesk claimDesk(inbox);
-    const ControlThread control(inbox, fleet, bundles, members, snapshots, engines, cache, orders,
-                                claims);
+    const ControlThread control(inbox, fleet, bundles, members, engines, cache, orders, claims,
+                                snapshots);
     std::optional<ClaimLog<LogClient>> claimLog;
     if (settings.platform) {
         claimLog.emplace(LogClient(settings.platform->log, std::string(ClaimStream)),
