Weigh all engines when every first candidate is closed

A node in that state refused a request with "no engine serves the model". Placement now weighs all engines in that case.

--- a/src/vanilladyke/policy/placement.cpp
+++ b/src/vanilladyke/policy/placement.cpp
@@ -64,6 +64,7 @@
         }
     }
 
+    [[nodiscard]] bool empty() const { return m_list.empty(); }
     [[nodiscard]] std::vector<Candidate> take() { return std::move(m_list); }
 
 private:
@@ -162,6 +163,15 @@
     }
 }
 
+/// When most engines are excluded, the few candidates may all be among them while another engine is
+/// free; a request must not be refused for that. Rare, so that its cost of O(engines) is no matter.
+void addAll(const ModelEngines &engines, Candidates &candidates)
+{
+    for (const RendezvousMember &member : engines.members) {
+        candidates.add(member.engine, {});
+    }
+}
+
 /// The prefill, or the import of what the store has where that is sooner.
 void predictPrefill(Candidate &candidate, const PlacementRequest &request, const KeptPrefix &kept,
                     double tokensPerSecond)
@@ -277,6 +287,9 @@
         addHolders(fleet, knowledge, candidates);
         addHomes(request, fleet, *engines, knowledge, candidates);
         addRandom(*engines, random, candidates);
+        if (candidates.empty()) {
+            addAll(*engines, candidates);
+        }
         placement.candidates = candidates.take();
     }
     if (placement.candidates.empty()) {
--- a/src/vanilladyke/policy/placement_test.cpp
+++ b/src/vanilladyke/policy/placement_test.cpp
@@ -175,6 +175,26 @@
     EXPECT_EQ(none.reason, "no_engine");
 }
 
+// The fleet is nearly full: of 100 engines all but one are closed to this node, and none of the few
+// that are looked at first is the open one. A caller must not be refused while an engine is free.
+TEST(Placement, TheOnlyOpenEngineIsFound)
+{
+    const Fleet fleet = fleetOf(100);
+    Random random(1);
+    PlacementPolicy policy;
+    for (std::size_t open = 0; open < fleet.engines.size(); ++open) {
+        PlacementRequest request = requestFor(1, 2);
+        for (std::size_t i = 0; i < fleet.engines.size(); ++i) {
+            if (i != open) {
+                request.excluded.push_back(fleet.engines[i].id);
+            }
+        }
+        const auto placement = policy.decide(request, fleet, {}, {}, {}, random);
+        ASSERT_TRUE(placement.winner.has_value());
+        EXPECT_EQ(placement.winner->engine, open);
+    }
+}
+
 TEST(Placement, TheNumberOfCandidatesDoesNotGrowWithTheFleet)
 {
     Random random(1);
