Show a node's log when it never gets ready

Cause: in one of about twenty landings a node of the claims test never got ready, and its log was gone with the test's folder, so that the reason could not be told. A port that another test took in between is the likely one; it is not proven.

Change: the harness puts exit code and end of the log into the failure.

--- a/tests/integration/harness.py
+++ b/tests/integration/harness.py
@@ -213,7 +213,10 @@
     def node(self, name, **more):
         """A node that is ready and knows the engines."""
         process = self.node_process(name, **more)
-        wait_until(lambda: http_call(process.port, "GET", "/readyz")[0] == 200, name + " ready")
+        try:
+            wait_until(lambda: http_call(process.port, "GET", "/readyz")[0] == 200, name + " ready")
+        except AssertionError as error:
+            raise AssertionError(f"{error}; exit {process.popen.poll()}; its log:\n{process.log_text()[-2000:]}") from error
         wait_until(lambda: process.log_text().count("event=engine_up") >= len(self.engines),
                    name + " knows the engines")
         return process
