--- a/include/vanilladyke/app/settings.hpp
+++ b/include/vanilladyke/app/settings.hpp
@@ -4,7 +4,9 @@
 #include "vanilladyke/base/time.hpp"
 #include "vanilladyke/model/bundle_json.hpp"
 #include "vanilladyke/model/ids.hpp"
+#include "vanilladyke/operators/operator_server.hpp"
 #include "vanilladyke/platform/backend_client.hpp"
+#include "vanilladyke/policy/bundle_fold.hpp"
 
 #include <optional>
 #include <string>
@@ -31,6 +33,14 @@
     std::string formerPublicKey; ///< accepted besides while keys are changed
 };
 
+/// @brief Where the platform's services are.
+struct PlatformSettings
+{
+    Endpoint log;
+    std::optional<Endpoint> hosts;                 ///< the host list; none to go without
+    Duration logRetention = std::chrono::hours(1); ///< how long the log keeps a record
+};
+
 /// @brief Everything in the settings file of one host.
 struct HostSettings
 {
@@ -41,11 +51,12 @@
     BackendTls backendsTls;
     Endpoint operators;                ///< where operators are served
     std::optional<PeerSettings> peers; ///< none for a node on its own
-    std::optional<Endpoint> log;       ///< the platform's log; none for a node on its own
+    std::optional<PlatformSettings> platform;
+    TrustedSigners trusted;                ///< whose signatures of bundles count
+    std::vector<OperatorKey> operatorKeys; ///< who may use the operators' interface
     std::string logLevel = "info";
     std::string streamKey; ///< signs event ids: 64 hexadecimal digits, the same on all nodes
     Duration balancerLag = std::chrono::seconds(5); ///< until the balancer minds /readyz
-    std::string bundleFile; ///< a bundle taken as accepted at start; for a first try without a log
 };
 
 /// @brief Reads settings and checks them; on failure every error is given.
--- a/include/vanilladyke/control/events.hpp
+++ b/include/vanilladyke/control/events.hpp
@@ -5,7 +5,9 @@
 #include "vanilladyke/model/bundle.hpp"
 #include "vanilladyke/model/fleet.hpp"
 #include "vanilladyke/model/ids.hpp"
+#include "vanilladyke/model/log_page.hpp"
 #include "vanilladyke/model/prefix_chain.hpp"
+#include "vanilladyke/policy/orders.hpp"
 #include "vanilladyke/policy/peer_message.hpp"
 
 #include <memory>
@@ -20,17 +22,16 @@
 struct Tick
 {};
 
-/// @brief A bundle was accepted and is in force from now on.
-struct BundleAccepted
+/// @brief A page of the log's stream of bundles was read.
+struct BundleLogRead
 {
-    std::shared_ptr<const Bundle> bundle;
+    std::shared_ptr<const LogPage> page;
 };
 
-/// @brief A model as an engine holds it.
-struct HeldModel
+/// @brief The log's stream of bundles can't be read.
+struct BundleLogDown
 {
-    ModelId model;
-    WeightsVersion weights;
+    std::string reason;
 };
 
 /// @brief An engine told its state.
@@ -40,6 +41,7 @@
     Incarnation incarnation{};
     std::vector<HeldModel> held;
     LoadReport load;
+    std::vector<HeldModel> loading = {}; ///< what it is about to hold
 };
 
 /// @brief An engine could not be reached at all.
@@ -101,9 +103,9 @@
     NodeLoad load;
 };
 
-using Event = std::variant<Tick, BundleAccepted, EngineReported, EngineUnreachable, EngineLeaving,
-                           StopRequested, PeerHeard, CacheEventsRead, PrefixSent, LoadObserved,
-                           ClaimEvent>;
+using Event = std::variant<Tick, BundleLogRead, BundleLogDown, EngineReported, EngineUnreachable,
+                           EngineLeaving, StopRequested, PeerHeard, CacheEventsRead, PrefixSent,
+                           LoadObserved, ClaimEvent>;
 
 /// @brief Whether the event may be dropped when the inbox is full: a later one makes up for it.
 [[nodiscard]] bool isSoft(const Event &event);
--- a/include/vanilladyke/platform/http_call.hpp
+++ b/include/vanilladyke/platform/http_call.hpp
@@ -3,6 +3,7 @@
 #include "vanilladyke/base/outcome.hpp"
 #include "vanilladyke/base/time.hpp"
 #include "vanilladyke/model/ids.hpp"
+#include "vanilladyke/platform/backend_client.hpp"
 
 #include <memory>
 #include <string>
@@ -34,7 +35,7 @@
 class HttpCaller
 {
 public:
-    explicit HttpCaller(const Endpoint &endpoint);
+    explicit HttpCaller(const Endpoint &endpoint, const BackendTls &tls = {});
     HttpCaller(HttpCaller &&) noexcept;
     HttpCaller &operator=(HttpCaller &&) noexcept;
     ~HttpCaller();
@@ -44,6 +45,8 @@
                                                         std::string_view body,
                                                         const std::string &contentType,
                                                         TimePoint deadline);
+    /// @brief Breaks off a call that is under way; any thread may call.
+    void cancel();
     /// @brief Sends this bearer key with every call from now on.
     void setBearer(const std::string &key);
 
--- a/include/vanilladyke/platform/log_client.hpp
+++ b/include/vanilladyke/platform/log_client.hpp
@@ -72,6 +72,8 @@
     [[nodiscard]] Outcome<LogOffset, LogFailure> append(std::string_view data, TimePoint deadline);
     /// @brief Reads from an offset on; waits for a record until shortly before the deadline.
     [[nodiscard]] Outcome<LogPage, LogFailure> read(LogOffset from, TimePoint deadline);
+    /// @brief Breaks off a call that is under way, for a stop; any thread may call.
+    void cancel();
 
 private:
     struct Private;
--- a/src/vanilladyke/app/serve.cpp
+++ b/src/vanilladyke/app/serve.cpp
@@ -1,17 +1,21 @@
 #include "vanilladyke/app/serve.hpp"
 
+#include "vanilladyke/app/bundle_setup.hpp"
 #include "vanilladyke/app/peer_setup.hpp"
 #include "vanilladyke/app/shutdown.hpp"
 #include "vanilladyke/base/log.hpp"
 #include "vanilladyke/base/metrics.hpp"
 #include "vanilladyke/control/bundle_controller.hpp"
+#include "vanilladyke/control/bundle_snapshot.hpp"
 #include "vanilladyke/control/cache_controller.hpp"
 #include "vanilladyke/control/claim_controller.hpp"
 #include "vanilladyke/control/claim_desk.hpp"
 #include "vanilladyke/control/control_thread.hpp"
 #include "vanilladyke/control/engine_controller.hpp"
 #include "vanilladyke/control/engine_poller.hpp"
+#include "vanilladyke/control/host_list_poller.hpp"
 #include "vanilladyke/control/membership_controller.hpp"
+#include "vanilladyke/control/order_controller.hpp"
 #include "vanilladyke/control/snapshot_stores.hpp"
 #include "vanilladyke/gateway/caller_server.hpp"
 #include "vanilladyke/model/json_reader.hpp"
@@ -44,19 +48,6 @@
     return level == "error" ? Severity::Error : Severity::Info;
 }
 
-void takeBundleFile(const std::string &path, Inbox &inbox)
-{
-    const auto text = readFile(path);
-    const auto bundle = parseBundle(text ? *text : "");
-    if (!bundle) {
-        LogEvent("bundle_refused", Severity::Error)
-                .field("file", path)
-                .field("errors", describe(path, bundle.error()));
-        return;
-    }
-    inbox.post(BundleAccepted{std::make_shared<const Bundle>(*bundle)});
-}
-
 /// The first TLS file of the settings that can't be read; none if all can.
 std::optional<FieldError> unreadableTlsFile(const HostSettings &settings)
 {
@@ -106,7 +97,9 @@
     Metrics metrics;
     FleetStore fleet;
     Inbox inbox(InboxCapacity);
-    BundleController bundles;
+    BundleBoard board;
+    BundleLog bundleLog(settings.platform, inbox);
+    BundleController bundles(bundleControl(settings, bundleLog), board, fleet);
     PeerTransport transport(*peerKeys, [&inbox](PeerMessage message, ReplyRoute route) {
         inbox.post(PeerHeard{std::move(message), std::move(route)});
     });
@@ -116,9 +109,13 @@
     MembershipController members(makeMembership(settings, std::chrono::system_clock::now()),
                                  sendToPeer, inbox, Random(entropySeed()));
     EngineController engines;
+    OrderSender orderSender(settings.backendsTls);
+    OrderController orders(settings.node, engines, orderSender);
     SharedCacheView cacheView(CacheViewBytes);
     CacheController cache(cacheView);
-    SnapshotController snapshots({SnapshotStore{}, cacheViewStore(cacheView, cache)}, sendToPeer);
+    BundleSnapshot bundleSnapshot(bundles);
+    SnapshotController snapshots({bundleSnapshot.store(), cacheViewStore(cacheView, cache)},
+                                 sendToPeer);
     if (settings.peers) {
         if (const auto refused = transport.start(settings.peers->listen)) {
             LogEvent("bind_failed", Severity::Error)
@@ -130,20 +127,28 @@
     ClaimIo claimIo;
     ClaimController claims(ProcessId(newUuid()), settings.node, claimIo);
     ClaimDesk claimDesk(inbox);
-    const ControlThread control(inbox, fleet, bundles, members, engines, cache, claims, snapshots);
+    const ControlThread control(inbox, fleet, bundles, members, snapshots, engines, orders, cache,
+                                claims);
     std::optional<ClaimLog<LogClient>> claimLog;
-    if (settings.log) {
-        claimLog.emplace(LogClient(*settings.log, std::string(ClaimStream)),
-                         LogClient(*settings.log, std::string(ClaimStream)), claimIo, inbox,
-                         metrics);
+    if (settings.platform) {
+        claimLog.emplace(LogClient(settings.platform->log, std::string(ClaimStream)),
+                         LogClient(settings.platform->log, std::string(ClaimStream)), claimIo,
+                         inbox, metrics);
     }
     const EnginePoller poller(fleet, inbox, settings.backendsTls);
-    if (!settings.bundleFile.empty()) {
-        takeBundleFile(settings.bundleFile, inbox);
+    OperatorServer operators(operatorContext(settings, fleet, board, metrics));
+    if (!operators.bind(settings.operators)) {
+        LogEvent("bind_failed", Severity::Error).field("operators", settings.operators.str());
+        return EXIT_FAILURE;
+    }
+    bundleLog.startReading();
+    std::optional<HostListPoller> hostList;
+    if (settings.platform && settings.platform->hosts) {
+        hostList.emplace(*settings.platform->hosts, fleet, inbox);
     }
 
     CallerServer callers({fleet, cacheView, inbox}, metrics,
-                         callerOptions(settings, settings.log ? &claimDesk : nullptr));
+                         callerOptions(settings, settings.platform ? &claimDesk : nullptr));
     if (!callers.tlsUsable()) {
         LogEvent("settings_refused", Severity::Error)
                 .field("field", "callers_tls")
@@ -155,6 +160,7 @@
         return EXIT_FAILURE;
     }
     std::thread traffic([&] { callers.run(); });
+    std::thread operatorTraffic([&] { operators.run(); });
     LogEvent("serving").field("callers", settings.callers.str());
     waitForSignal(signals);
     inbox.post(StopRequested{});
@@ -163,6 +169,8 @@
     if (!claimIo.flush(MonotonicClock::now() + FlushWithin)) {
         LogEvent("claims_unflushed", Severity::Warning);
     }
+    operators.stop();
+    operatorTraffic.join();
     LogEvent("stopped").field("exit", EXIT_SUCCESS);
     return EXIT_SUCCESS;
 }
--- /dev/null
+++ b/src/vanilladyke/control/bundle_snapshot_test.cpp
@@ -0,0 +1,147 @@
+#include "vanilladyke/control/bundle_snapshot.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace vanilladyke {
+namespace {
+
+SigningKey signer(unsigned char seed)
+{
+    std::array<unsigned char, 32> bytes{};
+    bytes.fill(seed);
+    return signingKeyOf(bytes);
+}
+
+/// A node's bundle controller with all that it needs.
+struct Node
+{
+    Node()
+        : bundles(control(), board, fleet)
+    {}
+
+    static BundleControl control()
+    {
+        BundleControl control;
+        control.node = NodeId("n");
+        control.trusted = {{verifyKeyOf(signer(1))}, 1};
+        control.appendCheckpoint = [](const std::string &) {};
+        return control;
+    }
+
+    /// The node reads this record from the log.
+    void readLog(const std::string &data, LogOffset offset)
+    {
+        auto page = std::make_shared<LogPage>();
+        page->nextOffset = offset + 1;
+        page->records = {{offset, WallTime(), data}};
+        bundles.handle(BundleLogRead{page}, TimePoint());
+    }
+
+    [[nodiscard]] std::uint64_t version() const
+    {
+        Fleet seen;
+        bundles.contribute(seen, TimePoint());
+        return seen.bundle ? seen.bundle->version : 0;
+    }
+
+    FleetStore fleet;
+    BundleBoard board;
+    BundleController bundles;
+    BundleSnapshot snapshot{bundles};
+};
+
+std::string record(std::uint64_t version, const std::string &parent, const SigningKey &key,
+                   std::size_t padding = 0)
+{
+    BundleRecord record;
+    record.nonce = "n";
+    record.bundle.text = "{\"version\":" + std::to_string(version) + ",\"parent\":\"" + parent
+                         + "\"}" + std::string(padding, ' ');
+    record.bundle.signatures = {signBundleText(key, record.bundle.text)};
+    return writeBundleRecord(record);
+}
+
+void handOver(Node &from, Node &to)
+{
+    std::uint64_t cursor = 0;
+    do {
+        SnapshotPiece piece = from.snapshot.write(cursor);
+        piece.cursor = cursor;
+        to.snapshot.read(piece);
+        cursor = piece.nextCursor;
+    } while (cursor != 0);
+}
+
+// The log is down and a node is replaced. Without its peer it could serve nobody until the log is
+// back.
+TEST(BundleSnapshot, ANodeTakesTheBundleOfAPeerWithItsAccount)
+{
+    Node peer;
+    peer.readLog(record(1, "", signer(1), 3 * BundleSnapshot::PieceBytes), 0);
+    Node started;
+    handOver(peer, started);
+    EXPECT_EQ(started.version(), 1U);
+    EXPECT_EQ(started.board.status().history, peer.board.status().history);
+    EXPECT_EQ(started.bundles.peerRecord(), peer.bundles.peerRecord());
+}
+
+// A peer hands over a bundle that nobody signed. A node that took its word for it would go by a
+// configuration that no operator ever published.
+TEST(BundleSnapshot, APeersWordCountsNoMoreThanTheSignatures)
+{
+    Node started;
+    started.bundles.takePeerRecord(record(5, "", signer(2)));
+    started.bundles.takePeerRecord(record(5, "", signer(1)));
+    EXPECT_EQ(started.version(), 0U) << "unsigned, and signed but never accepted by anyone";
+}
+
+TEST(BundleSnapshot, AnOlderBundleOfAPeerChangesNothing)
+{
+    Node peer;
+    const std::string first = record(1, "", signer(1));
+    peer.readLog(first, 0);
+    Node newer;
+    newer.readLog(first, 0);
+    const std::string parent = digestOf(parseBundleRecord(first)->bundle.text);
+    newer.readLog(record(2, parent, signer(1)), 1);
+    handOver(peer, newer);
+    EXPECT_EQ(newer.version(), 2U);
+    handOver(newer, peer);
+    EXPECT_EQ(peer.version(), 2U);
+}
+
+// The peer accepts a new bundle between two pieces. Half of each would be no bundle at all.
+TEST(BundleSnapshot, PiecesOfTwoBundlesAreNotPutTogether)
+{
+    Node peer;
+    const std::string first = record(1, "", signer(1), 2 * BundleSnapshot::PieceBytes);
+    peer.readLog(first, 0);
+    Node started;
+    const SnapshotPiece begun = peer.snapshot.write(0);
+    started.snapshot.read(begun);
+    const std::string parent = digestOf(parseBundleRecord(first)->bundle.text);
+    peer.readLog(record(2, parent, signer(1), 2 * BundleSnapshot::PieceBytes), 1);
+    static_cast<void>(peer.snapshot.write(0));
+    SnapshotPiece other = peer.snapshot.write(begun.nextCursor);
+    other.cursor = begun.nextCursor;
+    started.snapshot.read(other);
+    EXPECT_EQ(started.version(), 0U);
+    handOver(peer, started);
+    EXPECT_EQ(started.version(), 2U);
+}
+
+RC_GTEST_PROP(BundleSnapshot, RandomPiecesAreRefused, (const std::vector<std::string> &items))
+{
+    Node node;
+    SnapshotPiece piece;
+    piece.items = items;
+    node.snapshot.read(piece);
+    for (const std::string &item : items) {
+        node.bundles.takePeerRecord(item);
+    }
+    RC_ASSERT(node.version() == 0U);
+}
+
+} // namespace
+} // namespace vanilladyke
--- a/src/vanilladyke/control/engine_poller.cpp
+++ b/src/vanilladyke/control/engine_poller.cpp
@@ -14,15 +14,27 @@
 constexpr Duration PollEvery = std::chrono::milliseconds(100);
 constexpr Duration AnswerWithin = std::chrono::milliseconds(700);
 
+std::vector<HeldModel> parseModels(const nlohmann::json &list)
+{
+    std::vector<HeldModel> models;
+    for (const auto &item : list) {
+        HeldModel model{ModelId(item.at("id")), WeightsVersion(item.at("weights")), {}};
+        for (const auto &adapter : item.value("adapters", nlohmann::json::array())) {
+            model.adapters.emplace_back(adapter.get<std::string>());
+        }
+        models.push_back(std::move(model));
+    }
+    return models;
+}
+
 EngineReported parseReport(const EngineId &engine, const std::string &body, TimePoint now)
 {
     const nlohmann::json json = nlohmann::json::parse(body);
     EngineReported report;
     report.engine = engine;
     report.incarnation = Incarnation{json.at("incarnation").get<std::uint64_t>()};
-    for (const auto &held : json.at("models")) {
-        report.held.push_back({ModelId(held.at("id")), WeightsVersion(held.at("weights"))});
-    }
+    report.held = parseModels(json.at("models"));
+    report.loading = parseModels(json.value("loading", nlohmann::json::array()));
     report.load.measuredAt = now;
     report.load.running = json.at("running");
     report.load.waiting = json.at("waiting");
--- a/src/vanilladyke/platform/http_call.cpp
+++ b/src/vanilladyke/platform/http_call.cpp
@@ -3,7 +3,7 @@
 #include <httplib.h>
 
 #include <algorithm>
-#include <optional>
+#include <memory>
 
 namespace vanilladyke {
 
@@ -28,16 +28,16 @@
 
 struct HttpCaller::Private
 {
-    explicit Private(const Endpoint &endpoint)
-        : client(endpoint.host, endpoint.port)
+    Private(const Endpoint &endpoint, const BackendTls &tls)
+        : client(makeBackendClient(endpoint, tls))
     {
-        client.set_keep_alive(true);
-        client.set_tcp_nodelay(true);
+        client->set_keep_alive(true);
+        client->set_tcp_nodelay(true);
     }
 
     Outcome<HttpAnswer, HttpFailure> call(httplib::Request &request, TimePoint deadline);
 
-    httplib::Client client;
+    std::unique_ptr<httplib::Client> client;
     std::string bearer;
 };
 
@@ -48,9 +48,9 @@
     if (left <= Duration::zero()) {
         return failure(HttpFailure{false, "the deadline had passed before the call"});
     }
-    client.set_connection_timeout(marginOf(left));
-    client.set_read_timeout(left - marginOf(left));
-    client.set_write_timeout(left - marginOf(left));
+    client->set_connection_timeout(marginOf(left));
+    client->set_read_timeout(left - marginOf(left));
+    client->set_write_timeout(left - marginOf(left));
     if (!bearer.empty()) {
         request.set_header("Authorization", "Bearer " + bearer);
     }
@@ -59,19 +59,16 @@
     request.progress = [deadline](std::uint64_t, std::uint64_t) {
         return MonotonicClock::now() < deadline;
     };
-    const httplib::Result result = client.send(request);
+    const httplib::Result result = client->send(request);
     if (result) {
         return HttpAnswer{result->status, result->body};
     }
     const httplib::Error error = result.error();
-    const bool neverConnected = error == httplib::Error::Connection
-                                || error == httplib::Error::ConnectionTimeout
-                                || error == httplib::Error::BindIPAddress;
-    return failure(HttpFailure{!neverConnected, httplib::to_string(error)});
+    return failure(HttpFailure{!failedBeforeSending(error), httplib::to_string(error)});
 }
 
-HttpCaller::HttpCaller(const Endpoint &endpoint)
-    : m_private(std::make_unique<Private>(endpoint))
+HttpCaller::HttpCaller(const Endpoint &endpoint, const BackendTls &tls)
+    : m_private(std::make_unique<Private>(endpoint, tls))
 {}
 
 HttpCaller::HttpCaller(HttpCaller &&) noexcept = default;
@@ -98,6 +95,11 @@
     return m_private->call(request, deadline);
 }
 
+void HttpCaller::cancel()
+{
+    m_private->client->stop();
+}
+
 void HttpCaller::setBearer(const std::string &key)
 {
     m_private->bearer = key;
--- a/tests/integration/harness.py
+++ b/tests/integration/harness.py
@@ -2,6 +2,7 @@
 
 import argparse
 import contextlib
+import copy
 import hashlib
 import http.client
 import json
@@ -17,6 +18,12 @@
 import zlib
 
 WAIT_SECONDS = 30.0
+OPERATOR_KEY = "operator-key"
+OPERATOR = {"Authorization": "Bearer " + OPERATOR_KEY}
+# A key pair for tests only: the secret half holds the public one at its end.
+SIGNING_KEY = ("10392db94f37c9c0ab2c3ee084a1d7b2babc8dcb509dec336fdb7d200e315759"
+               "2276e4103d0ad19e2172327aa865006e3a03c2dfe22b64a8781acb6145b4b751")
+SIGNER = "2276e4103d0ad19e2172327aa865006e3a03c2dfe22b64a8781acb6145b4b751"
 
 # A fleet's key pair for peer links, made for these tests and used nowhere else.
 PEER_PUBLIC_KEY = 'v/e[w[t-k]wA7rgIYcoejd?e=UCv)eNV.KwPIQ20'
@@ -127,6 +134,8 @@
         self.processes = []
         self.engines = {}
         self.seed = None
+        self.platform_process = None
+        self.published = None
         self.log_port = None
         self.bundle = {
             "version": 1,
@@ -166,6 +175,10 @@
         self.seed = self.seed or listen
         return {"listen": listen, "seeds": [self.seed], "public_key": PEER_PUBLIC_KEY, "secret_key_file": secret}
 
+    def platform_settings(self):
+        platform = self.platform_process or self.platform()
+        return {"log": f"127.0.0.1:{platform.port}", "hosts": f"127.0.0.1:{platform.port}"}
+
     def platform(self):
         """The platform's stand-in: .port for its protocols; faults() and hosts() change it."""
         port, control = free_port(), free_port()
@@ -179,10 +192,57 @@
 
         process.faults = lambda **faults: order("/control/faults", faults)
         process.hosts = lambda hosts: order("/control/hosts", {"hosts": hosts})
+        self.platform_process = process
         process.state = lambda: json.loads(http_call(control, "GET", "/control/state")[1])
         wait_until(lambda: http_call(port, "GET", "/v1/hosts")[0] == 200, "platform up")
         return process
 
+    def sign(self, bundle):
+        """The bundle with one signature, as operators hand it in."""
+        key = self.path("operator.sign")
+        if not os.path.exists(key):
+            with open(key, "w", encoding="utf-8") as out:
+                out.write(SIGNING_KEY)
+        signed = self.path("bundle.signed")
+        subprocess.run([f"{self.build}/vanilladyke", "bundle", "sign", self.write("bundle.jsonc", bundle),
+                        "--key", key, "--out", signed], check=True, stdout=subprocess.DEVNULL)
+        with open(signed, encoding="utf-8") as text:
+            return text.read()
+
+    @staticmethod
+    def status(node):
+        """What the node tells operators of itself and its peers."""
+        return json.loads(http_call(node.operators, "GET", "/operator/v1/status", headers=OPERATOR)[1])
+
+    def publish(self, node, signed):
+        """What the node says became of the signed bundle."""
+        status, body, _ = http_call(node.operators, "POST", "/operator/v1/bundles", signed, OPERATOR)
+        return status, json.loads(body)
+
+    def publish_bundle(self, node):
+        """Publishes self.bundle as the next version."""
+        status = self.status(node)
+        if status["version"]:
+            self.bundle["version"] = status["version"] + 1
+            self.bundle["parent"] = status["digest"]
+        code, result = self.publish(node, self.sign(self.bundle))
+        assert code == 200, result
+
+    def ensure_bundle(self, node):
+        """Publishes self.bundle through the node unless it was published as it is now."""
+        wait_until(lambda: http_call(node.operators, "GET", "/healthz")[0] == 200, node.name + " up")
+        if self.published != self.bundle:
+            wait_until(lambda: self.status(node)["log_reachable"], node.name + " reads the log")
+            self.publish_bundle(node)
+            self.published = copy.deepcopy(self.bundle)
+
+    def restart(self, node):
+        """A new process with the settings of one that has ended; not waited for."""
+        process = self.start(node.name + "-again", [f"{self.build}/vanilladyke", "serve", "--settings",
+                                                    self.path(node.name + ".jsonc")])
+        process.port, process.operators, process.name = node.port, node.operators, node.name
+        return process
+
     def service(self, name, **options):
         """A plain service's stand-in; options stand in its entry of the bundle."""
         port = free_port()
@@ -200,19 +260,25 @@
         port, operators = free_port(), free_port()
         settings = {"node": name, "data_centre": "yaba-hall", "callers": f"127.0.0.1:{port}",
                     "operators": f"127.0.0.1:{operators}", "balancer_lag_ms": 300, "stream_key": "5e" * 32,
-                    "bundle_file": self.write("bundle.jsonc", self.bundle)}
+                    "platform": self.platform_settings(),
+                    "trusted_signers": [SIGNER], "signatures_needed": 1,
+                    "operator_keys": [{"id": "ana", "digest": key_digest(OPERATOR_KEY)}]}
         settings["peers"] = self.peer_settings()
         if self.log_port:
-            settings["log"] = f"127.0.0.1:{self.log_port}"
+            settings["platform"]["log"] = f"127.0.0.1:{self.log_port}"
         settings.update(more)
         process = self.start(name, [f"{self.build}/vanilladyke", "serve", "--settings",
                                     self.write(name + ".jsonc", settings)])
-        process.port, process.operators = port, operators
+        process.port, process.operators, process.name = port, operators, name
         return process
 
-    def node(self, name, **more):
-        """A node that is ready and knows the engines."""
+    def node(self, name, publish=True, **more):
+        """A node that is ready and knows the engines; without publish, one that has no bundle."""
         process = self.node_process(name, **more)
+        if not publish:
+            wait_until(lambda: http_call(process.operators, "GET", "/healthz")[0] == 200, name + " up")
+            return process
+        self.ensure_bundle(process)
         wait_until(lambda: http_call(process.port, "GET", "/readyz")[0] == 200, name + " ready")
         wait_until(lambda: process.log_text().count("event=engine_up") >= len(self.engines),
                    name + " knows the engines")
--- a/tests/integration/tls.py
+++ b/tests/integration/tls.py
@@ -23,7 +23,9 @@
         self.cluster.engine("copy-1", "--certificate", engines[0], "--key", engines[1])
         tls = {"callers_tls": {"certificate": self.callers[0], "private_key": self.callers[1]},
                "backends_tls": {"authority": {"engines": engines[0], "callers": self.callers[0]}[authority]}}
-        return self.cluster.node_process("n1", **tls)
+        node = self.cluster.node_process("n1", **tls)
+        self.cluster.ensure_bundle(node)
+        return node
 
     def ask(self, node):
         context = ssl.create_default_context(cafile=self.callers[0])
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -97,6 +97,12 @@
 start platform "$build/tests/standin_platform" --port "${port[9]}" --control "${port[10]}"
 wait_for "http://127.0.0.1:${port[9]}/v1/hosts"
 
+signer=$("$build/vanilladyke" keys new --kind signing "$work/ana.sign")
+operator=$("$build/vanilladyke" keys new --kind bearer "$work/ana.bearer")
+
+echo "== a signed bundle"
+"$build/vanilladyke" bundle sign "$work/bundle.jsonc" --key "$work/ana.sign" --out "$work/bundle.signed"
+
 for i in 1 2; do
     cat >"$work/node-$i.jsonc" <<JSON
 {
@@ -105,11 +111,20 @@
     "callers": "127.0.0.1:${port[2 + 2 * i]}",
     "operators": "127.0.0.1:${port[3 + 2 * i]}",
     "balancer_lag_ms": 300,
-    "log": "127.0.0.1:${port[9]}",
-    "bundle_file": "$work/bundle.jsonc"
+    "platform": { "log": "127.0.0.1:${port[9]}", "hosts": "127.0.0.1:${port[9]}" },
+    "trusted_signers": ["$signer"],
+    "operator_keys": [{ "id": "ana", "digest": "$operator" }]
 }
 JSON
     start "node-$i" "$build/vanilladyke" serve --settings "$work/node-$i.jsonc"
+    if ((i == 1)); then
+        wait_for "http://127.0.0.1:${port[5]}/healthz"
+        for ((n = 0; n < 100; n++)); do
+            "$build/vanilladyke" bundle publish "$work/bundle.signed" --node "127.0.0.1:${port[5]}" \
+                --operator-key "$work/ana.bearer" && break
+            sleep 0.1
+        done
+    fi
     wait_for "http://127.0.0.1:${port[2 + 2 * i]}/readyz"
     for ((n = 0; n < 100; n++)); do
         (($(grep -c event=engine_up "$work/node-$i.log") >= 3)) && break
