--- a/src/vanilladyke/app/serve.cpp
+++ b/src/vanilladyke/app/serve.cpp
@@ -108,12 +108,12 @@
     };
     MembershipController members(makeMembership(settings, std::chrono::system_clock::now()),
                                  sendToPeer, inbox, Random(entropySeed()));
+    BundleSnapshot bundleSnapshot(bundles);
     EngineController engines;
     OrderSender orderSender(settings.backendsTls);
     OrderController orders(settings.node, engines, orderSender);
     SharedCacheView cacheView(CacheViewBytes);
     CacheController cache(cacheView);
-    BundleSnapshot bundleSnapshot(bundles);
     SnapshotController snapshots({bundleSnapshot.store(), cacheViewStore(cacheView, cache)},
                                  sendToPeer);
     if (settings.peers) {
@@ -127,8 +127,8 @@
     ClaimIo claimIo;
     ClaimController claims(ProcessId(newUuid()), settings.node, claimIo);
     ClaimDesk claimDesk(inbox);
-    const ControlThread control(inbox, fleet, bundles, members, snapshots, engines, orders, cache,
-                                claims);
+    const ControlThread control(inbox, fleet, bundles, members, engines, cache, orders, claims,
+                                snapshots);
     std::optional<ClaimLog<LogClient>> claimLog;
     if (settings.platform) {
         claimLog.emplace(LogClient(settings.platform->log, std::string(ClaimStream)),
--- a/tests/integration/fault_cluster.py
+++ b/tests/integration/fault_cluster.py
@@ -35,7 +35,7 @@
         self.settings, self.running, self.callers, self.operators = {}, {}, {}, {}
         for name in NODES:
             log_link = self.link("log-" + name, self.log_port)
-            self.running[name] = self.node(name, log=f"127.0.0.1:{log_link}")
+            self.running[name] = self.node(name, platform={"log": f"127.0.0.1:{log_link}"})
             self.callers[name] = self.link("caller-" + name, self.running[name].port)
         self.links = list(self.proxy_state())
         self.ending = {}  # nodes that were killed or told to stop, and by which signal
