Keep traffic threads free for refusals; let the dispatcher be woken

Cause: a node before many engines could have more requests running and waiting than it has traffic threads; new ones would then wait unseen, and their refusals come late. And the dispatcher's wait had a condition that was never true, so that a new request's earlier deadline did not wake it (at most 20 ms late).

Changed: at most 192 running and 256 waiting of 512 threads; a flag wakes the dispatcher.

--- a/include/vanilladyke/gateway/admission_control.hpp
+++ b/include/vanilladyke/gateway/admission_control.hpp
@@ -102,6 +102,7 @@
     std::map<ModelId, Admission> m_models;
     Waiters m_waiters;
     std::uint64_t m_tickets = 0;
+    bool m_woken = false;                ///< the dispatcher has something new to look at
     std::map<NodeId, TimePoint> m_heard; ///< peers' loads that the limiter has taken in
     TimePoint m_nextTelling;
     std::jthread m_dispatcher;
--- a/src/vanilladyke/gateway/admission_control.cpp
+++ b/src/vanilladyke/gateway/admission_control.cpp
@@ -9,9 +9,11 @@
 
 namespace {
 
-/// Every waiting request holds a traffic thread; half of them stay free for requests that run and
-/// for refusals, which must not wait themselves.
+/// Every waiting and every running request holds one of the 512 traffic threads. Were all of them
+/// taken, new requests would wait unseen for a thread, and a refusal would come late itself; so
+/// some stay free for refusals and plain services.
 constexpr std::size_t MostWaiting = 256;
+constexpr std::size_t MostRunning = 192;
 constexpr std::size_t LeastQueue = 16;
 /// Load reports come every 100 ms; looking more often would find nothing new.
 constexpr Duration LookAtFleetEvery = std::chrono::milliseconds(100);
@@ -205,7 +207,8 @@
                 std::make_shared<SlotLease>(*this, context.model, ticket, predicted.firstToken);
     } else {
         m_waiters.try_emplace(ticket);
-        m_changed.notify_one(); // the dispatcher may have to wake earlier for its deadline
+        m_woken = true; // the dispatcher may have to wake earlier for its deadline
+        m_changed.notify_one();
     }
     return decision;
 }
@@ -262,7 +265,8 @@
         for (const auto &[model, admission] : m_models) {
             wakeAt = std::min(wakeAt, admission.nextExpiry().value_or(wakeAt));
         }
-        m_changed.wait_until(lock, stop, wakeAt, [] { return false; });
+        m_changed.wait_until(lock, stop, wakeAt, [this] { return m_woken; });
+        m_woken = false;
         now = MonotonicClock::now();
         if (now >= nextLook) {
             nextLook = now + LookAtFleetEvery;
@@ -320,7 +324,13 @@
 void AdmissionControl::updateSlots(const ModelId &model, Admission &admission, const Fleet &fleet,
                                    TimePoint now)
 {
-    giveUp(admission.setSlots(m_engines.slotsFor(model, fleet, now), now));
+    std::size_t othersRunning = 0;
+    for (const auto &[other, its] : m_models) {
+        othersRunning += other == model ? 0 : its.busy();
+    }
+    const std::size_t threads = MostRunning > othersRunning ? MostRunning - othersRunning : 1;
+    const std::size_t slots = std::min<std::size_t>(m_engines.slotsFor(model, fleet, now), threads);
+    giveUp(admission.setSlots(static_cast<std::uint32_t>(slots), now));
 }
 
 void AdmissionControl::startWaiting(Admission &admission)
