--- a/src/vanilladyke/gateway/filters_test.cpp
+++ b/src/vanilladyke/gateway/filters_test.cpp
@@ -38,6 +38,24 @@
     }
 }
 
+// The engine must get the caller's prompt as it came, whether the body is changed in front or
+// written anew. A prompt that differs by one space would miss every cached prefix.
+TEST(ParseCompletion, AsksForAStreamAndChangesNothingElse)
+{
+    for (const std::string extra : {R"()", R"(,"stream":true)", R"(,"stream":false)",
+                                    R"(,"stream_options":{"include_usage":false})"}) {
+        const std::string text =
+                R"( { "model":"copy","messages":[{"role":"user","content":"a {\"\u00e9"}])" + extra
+                + "}";
+        RequestContext context = requestWith(text);
+        ASSERT_FALSE(ParseCompletion{}(context).has_value()) << text;
+        nlohmann::json expected = nlohmann::json::parse(text);
+        expected["stream"] = true;
+        expected["stream_options"]["include_usage"] = true;
+        EXPECT_EQ(nlohmann::json::parse(context.engineBody), expected);
+    }
+}
+
 // A client with a fault sends fields of the wrong kind or size. It must hear which one is wrong;
 // taken as it is, a negative limit would become four billion tokens.
 TEST(ParseCompletion, RefusesWrongTypesAndSizes)
--- a/tests/standins/service.cpp
+++ b/tests/standins/service.cpp
@@ -103,6 +103,10 @@
     httplib::Server server;
     server.new_task_queue = [] { return new httplib::ThreadPool(256); };
     server.set_tcp_nodelay(true);
+    server.set_socket_options([](int socket) {
+        const int yes = 1; // not the library's SO_REUSEPORT: two tests must not share a port
+        setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+    });
     const auto handle = [&](const httplib::Request &in, httplib::Response &out) {
         run(counts, in, "", out);
     };
