--- a/include/vanilladyke/policy/append_pacer.hpp
+++ b/include/vanilladyke/policy/append_pacer.hpp
@@ -28,6 +28,8 @@
     void share(std::uint32_t liveNodes);
     /// @brief Takes the right to append once. @return false if it is too early
     [[nodiscard]] bool take(TimePoint now);
+    /// @brief When take() will grant the right, if nothing fails until then.
+    [[nodiscard]] TimePoint readyAt() const;
     void succeeded() { m_pause = Duration::zero(); }
     void failed(TimePoint now);
 
--- a/include/vanilladyke/policy/claim_ledger.hpp
+++ b/include/vanilladyke/policy/claim_ledger.hpp
@@ -104,6 +104,8 @@
 
     /// @brief What to append now; one append is under way at a time.
     [[nodiscard]] std::optional<ClaimBatch> nextBatch(Moment at);
+    /// @brief When something that waits may be appended; none if nothing waits or may go now.
+    [[nodiscard]] std::optional<TimePoint> nextAppendAt() const;
     /// @brief How the append of the batch ended.
     /// @param offset where it stands if it is done
     void appended(AppendResult result, std::uint64_t offset, Moment at);
--- a/src/vanilladyke/control/claim_io.cpp
+++ b/src/vanilladyke/control/claim_io.cpp
@@ -40,6 +40,18 @@
     m_changed.notify_all();
 }
 
+void ClaimIo::wakeAt(TimePoint when)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_wakeAt) {
+            return;
+        }
+        m_wakeAt = when;
+    }
+    m_changed.notify_all();
+}
+
 void ClaimIo::readBack(Duration window)
 {
     {
@@ -77,8 +89,15 @@
 std::optional<ClaimBatch> ClaimIo::nextBatch(const std::stop_token &stop)
 {
     std::unique_lock lock(m_mutex);
-    m_changed.wait(lock, stop, [this] { return m_batch.has_value(); });
-    return stop.stop_requested() ? std::nullopt : std::exchange(m_batch, std::nullopt);
+    m_changed.wait(lock, stop, [this] { return m_batch || m_wakeAt; });
+    if (!m_batch && m_wakeAt) {
+        m_changed.wait_until(lock, stop, *m_wakeAt, [this] { return m_batch.has_value(); });
+    }
+    if (stop.stop_requested()) {
+        return std::nullopt;
+    }
+    m_wakeAt.reset();
+    return m_batch ? std::exchange(m_batch, std::nullopt) : ClaimBatch();
 }
 
 std::optional<Duration> ClaimIo::awaitWindow(const std::stop_token &stop)
--- a/src/vanilladyke/policy/append_pacer.cpp
+++ b/src/vanilladyke/policy/append_pacer.cpp
@@ -21,6 +21,14 @@
     return true;
 }
 
+TimePoint AppendPacer::readyAt() const
+{
+    const std::chrono::duration<double> missing(std::max(0.0, 1 - m_tokens) / m_perSecond);
+    // Rounded up: woken a moment too early, the caller would have to come again.
+    return std::max(m_notBefore,
+                    m_filledAt + std::chrono::ceil<std::chrono::milliseconds>(missing));
+}
+
 void AppendPacer::failed(TimePoint now)
 {
     m_pause = std::clamp(2 * m_pause, FirstAppendPause, LongestAppendPause);
