--- a/src/vanilladyke/app/serve.cpp
+++ b/src/vanilladyke/app/serve.cpp
@@ -5,6 +5,7 @@
 #include "vanilladyke/base/log.hpp"
 #include "vanilladyke/base/metrics.hpp"
 #include "vanilladyke/control/bundle_controller.hpp"
+#include "vanilladyke/control/cache_controller.hpp"
 #include "vanilladyke/control/claim_controller.hpp"
 #include "vanilladyke/control/claim_desk.hpp"
 #include "vanilladyke/control/control_thread.hpp"
@@ -24,6 +25,9 @@
 namespace {
 
 constexpr std::size_t InboxCapacity = 65'536;
+/// 524,288 entries of 32 bytes: with two holders each, prefixes of 134 million tokens in blocks of
+/// 512. Half of the memory that a node may spend on control.
+constexpr std::size_t CacheViewBytes = 16U << 20U;
 constexpr std::string_view ClaimStream = "claims";
 /// Outcomes that are not in the log when a node stops are "unknown" to all repeats from then on.
 constexpr Duration FlushWithin = std::chrono::seconds(5);
@@ -110,6 +114,8 @@
             [&transport](Outgoing outgoing) { transport.send(std::move(outgoing)); }, inbox,
             Random(entropySeed()));
     EngineController engines;
+    SharedCacheView cacheView(CacheViewBytes);
+    CacheController cache(cacheView);
     if (settings.peers) {
         if (const auto refused = transport.start(settings.peers->listen)) {
             LogEvent("bind_failed", Severity::Error)
@@ -121,7 +127,7 @@
     ClaimIo claimIo;
     ClaimController claims(ProcessId(newUuid()), settings.node, claimIo);
     ClaimDesk claimDesk(inbox);
-    const ControlThread control(inbox, fleet, bundles, members, engines, claims);
+    const ControlThread control(inbox, fleet, bundles, members, engines, cache, claims);
     std::optional<ClaimLog<LogClient>> claimLog;
     if (settings.log) {
         claimLog.emplace(LogClient(*settings.log, std::string(ClaimStream)),
@@ -133,7 +139,7 @@
         takeBundleFile(settings.bundleFile, inbox);
     }
 
-    CallerServer callers(fleet, inbox, metrics,
+    CallerServer callers({fleet, cacheView, inbox}, metrics,
                          callerOptions(settings, settings.log ? &claimDesk : nullptr));
     if (!callers.tlsUsable()) {
         LogEvent("settings_refused", Severity::Error)
