Explain placements from a state dump; find customers by an index

Change: state dumps are written and read back (policy/state_dump), the node gives its own, and vanilladyke explain makes the placement again and says why; a CustomerIndex comes with each bundle and serves the filter and admission.

--- /dev/null
+++ b/include/vanilladyke/app/explain_command.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace vanilladyke {
+
+/// @brief `explain --state FILE --request FILE`: makes a placement again from a node's state dump
+/// and prints its candidates, their predicted costs, the winner and why. @return the exit code
+[[nodiscard]] int runExplain(const std::vector<std::string> &arguments);
+
+} // namespace vanilladyke
--- a/include/vanilladyke/control/bundle_controller.hpp
+++ b/include/vanilladyke/control/bundle_controller.hpp
@@ -47,6 +47,7 @@
     const FleetStore &m_fleet;
     BundleFold m_fold;
     std::shared_ptr<const Bundle> m_bundle;
+    std::shared_ptr<const CustomerIndex> m_customers; ///< of the bundle
     std::shared_ptr<const AcceptedBundle> m_accepted; ///< null for a bundle from a file
     std::vector<HistoryEntry> m_peerHistory;
     bool m_logReachable = false;
--- a/include/vanilladyke/model/fleet.hpp
+++ b/include/vanilladyke/model/fleet.hpp
@@ -41,6 +41,7 @@
 [[nodiscard]] EngineKey engineKeyOf(const EngineId &id);
 
 class FleetIndex;
+class CustomerIndex;
 
 /// @brief One engine.
 struct EngineView
@@ -59,18 +60,18 @@
 /// @brief All that traffic needs to know, as of one moment.
 struct Fleet
 {
-    std::shared_ptr<const Bundle> bundle;    ///< null until one has been accepted
-    LogOffset bundleOffset = 0;              ///< where the log has it; the fencing number of orders
-    std::vector<EngineView> engines;         ///< in the bundle's order
-    std::uint32_t liveNodes = 1;             ///< nodes that share the engines, this one included
-    std::vector<Member> members;             ///< all nodes known, this one first, the dead included
-    std::vector<PeerLoad> peerLoads;         ///< of the peers that were heard of lately
-    bool leaving = false;                    ///< this node is shutting down
+    std::shared_ptr<const Bundle> bundle; ///< null until one has been accepted
+    LogOffset bundleOffset = 0;           ///< where the log has it; the fencing number of orders
+    std::vector<EngineView> engines;      ///< in the bundle's order
+    std::uint32_t liveNodes = 1;          ///< nodes that share the engines, this one included
+    std::vector<Member> members;          ///< all nodes known, this one first, the dead included
+    std::vector<PeerLoad> peerLoads;      ///< of the peers that were heard of lately
+    bool leaving = false;                 ///< this node is shutting down
+    std::shared_ptr<const CustomerIndex> customers; ///< of the bundle; null while there is none
     std::shared_ptr<const FleetIndex> index; ///< of the engines above; null while there are none
 };
 
-/// @brief The customer with this id; null if the bundle has none.
-[[nodiscard]] const Customer *findCustomer(const Bundle &bundle, const CustomerId &id);
+/// @brief The model with this id; null if the bundle has none.
 [[nodiscard]] const Model *findModel(const Bundle &bundle, const ModelId &id);
 [[nodiscard]] const Service *findService(const Bundle &bundle, const ServiceId &id);
 [[nodiscard]] const EngineView *findEngine(const Fleet &fleet, const EngineId &id);
--- a/src/vanilladyke/app/command_line.cpp
+++ b/src/vanilladyke/app/command_line.cpp
@@ -1,6 +1,7 @@
 #include "vanilladyke/app/command_line.hpp"
 
 #include "vanilladyke/app/bundle_commands.hpp"
+#include "vanilladyke/app/explain_command.hpp"
 #include "vanilladyke/app/serve.hpp"
 #include "vanilladyke/model/json_reader.hpp"
 
@@ -24,7 +25,9 @@
         "  settings check FILE       check host settings\n"
         "  keys new|show             secret keys of operators, nodes and customers\n"
         "  bundle check|sign|publish|status|history\n"
-        "                            the life of a configuration bundle\n";
+        "                            the life of a configuration bundle\n"
+        "  explain --state FILE --request FILE --customer ID\n"
+        "                            why a request went where it went\n";
 
 std::optional<HostSettings> loadSettings(const std::string &path)
 {
@@ -80,6 +83,9 @@
     if (command == "bundle") {
         return runBundle(verb, rest);
     }
+    if (command == "explain") {
+        return runExplain({argv + 2, argv + argc});
+    }
     if (command == "settings") {
         return runSettings(arguments);
     }
--- /dev/null
+++ b/src/vanilladyke/app/explain_command.cpp
@@ -0,0 +1,143 @@
+#include "vanilladyke/app/explain_command.hpp"
+
+#include "vanilladyke/app/command.hpp"
+#include "vanilladyke/app/settings.hpp"
+#include "vanilladyke/gateway/filters.hpp"
+#include "vanilladyke/model/json_reader.hpp"
+#include "vanilladyke/policy/explain.hpp"
+#include "vanilladyke/policy/state_dump.hpp"
+
+#include <iostream>
+#include <optional>
+
+namespace vanilladyke {
+
+namespace {
+
+constexpr std::size_t ViewBytes = 4U << 20U;
+/// Any seed serves: it only decides among candidates that cost about the same.
+constexpr std::uint64_t Seed = 1;
+
+std::optional<StateDump> loadDump(const std::string &path, TimePoint now)
+{
+    const auto text = readFile(path);
+    if (!text) {
+        std::cerr << path << ": " << text.error().reason << '\n';
+        return std::nullopt;
+    }
+    auto dump = readStateDump(*text, now);
+    if (!dump) {
+        std::cerr << describe(path, dump.error());
+        return std::nullopt;
+    }
+    return std::move(*dump);
+}
+
+/// The request as the filters leave it: parsed and cut into its prefix chain.
+std::optional<RequestContext> loadRequest(const std::string &path, const std::string &customer,
+                                          std::shared_ptr<const Fleet> fleet, TimePoint now)
+{
+    const auto text = readFile(path);
+    if (!text) {
+        std::cerr << path << ": " << text.error().reason << '\n';
+        return std::nullopt;
+    }
+    RequestContext context;
+    context.path = text->find("\"messages\"") == std::string::npos ? "/v1/completions"
+                                                                   : "/v1/chat/completions";
+    context.body = *text;
+    context.customer = CustomerId(customer);
+    context.arrivedAt = now;
+    context.fleet = std::move(fleet);
+    auto refusal = ParseCompletion{}(context);
+    if (!refusal) {
+        refusal = CutPrefixes{}(context);
+    }
+    if (refusal) {
+        std::cerr << path << ": " << refusal->detail << '\n';
+        return std::nullopt;
+    }
+    return context;
+}
+
+CacheView viewOf(const StateDump &dump, TimePoint now)
+{
+    CacheView view(ViewBytes);
+    for (const EngineView &engine : dump.fleet.engines) {
+        view.setIncarnation(engine.key, engine.incarnation, TimePoint::min());
+    }
+    for (const CacheEntry &entry : dump.cache) {
+        view.stored(entry.engine, entry.incarnation, entry.hash, now - entry.age);
+    }
+    return view;
+}
+
+Placement placeAgain(const RequestContext &context, const CacheView &view, TimePoint now)
+{
+    PlacementRequest request;
+    request.customer = context.customer;
+    request.model = context.model;
+    request.chain = context.chain;
+    request.promptTokens = context.promptTokens;
+    request.answerTokens = context.answerTokens;
+    request.firstTokenDeadline = now + Limits{}.firstTokenDeadline;
+    const auto holders = view.holders(request.chain, now);
+    const Survival survival;
+    const InFlight inFlight;
+    Random random(Seed);
+    return place(request, *context.fleet, {holders, survival, inFlight, 1, {}}, now, random);
+}
+
+void printJson(const RequestContext &context, const Placement &placement)
+{
+    nlohmann::json out{{"reason", placement.reason}, {"candidates", nlohmann::json::array()}};
+    for (const Candidate &candidate : placement.candidates) {
+        out["candidates"].push_back(
+                {{"engine", context.fleet->engines[candidate.engine].id.str()},
+                 {"expected_cached_tokens", candidate.expectedCachedTokens},
+                 {"wait_s", std::chrono::duration<double>(candidate.wait).count()},
+                 {"prefill_s", std::chrono::duration<double>(candidate.prefill).count()},
+                 {"cost", candidate.cost}});
+    }
+    if (placement.winner) {
+        out["winner"] = context.fleet->engines[placement.winner->engine].id.str();
+    }
+    std::cout << out.dump(1) << '\n';
+}
+
+} // namespace
+
+int runExplain(const std::vector<std::string> &arguments)
+{
+    TCLAP::CmdLine line("Makes a placement again from a node's state dump and says why it went so.",
+                        ' ', ProgramVersion);
+    TCLAP::ValueArg<std::string> state("s", "state", "what /operator/v1/state gave", true, "",
+                                       "FILE", line);
+    TCLAP::ValueArg<std::string> body("r", "request", "the request's JSON body", true, "", "FILE",
+                                      line);
+    TCLAP::ValueArg<std::string> customer("c", "customer", "whose request it is", true, "", "ID",
+                                          line);
+    TCLAP::SwitchArg asJson("j", "json", "print JSON", line);
+    if (const auto over = parseArguments(line, "explain", arguments)) {
+        return *over;
+    }
+    const TimePoint now = MonotonicClock::now();
+    const std::optional<StateDump> dump = loadDump(state.getValue(), now);
+    if (!dump) {
+        return CommandFailed;
+    }
+    const auto fleet = std::make_shared<const Fleet>(dump->fleet);
+    const auto context = loadRequest(body.getValue(), customer.getValue(), fleet, now);
+    if (!context) {
+        return CommandFailed;
+    }
+    const Placement placement = placeAgain(*context, viewOf(*dump, now), now);
+    if (asJson.getValue()) {
+        printJson(*context, placement);
+    } else {
+        std::cout << explainText(context->promptTokens, *fleet, placement);
+    }
+    return placement.winner ? CommandDone : CommandFailed;
+}
+
+} // namespace vanilladyke
--- a/src/vanilladyke/app/serve.cpp
+++ b/src/vanilladyke/app/serve.cpp
@@ -11,6 +11,7 @@
 #include "vanilladyke/control/claim_controller.hpp"
 #include "vanilladyke/control/claim_desk.hpp"
 #include "vanilladyke/control/control_thread.hpp"
+#include "vanilladyke/control/dump_state.hpp"
 #include "vanilladyke/control/engine_controller.hpp"
 #include "vanilladyke/control/engine_poller.hpp"
 #include "vanilladyke/control/host_list_poller.hpp"
@@ -136,7 +137,9 @@
                          inbox, metrics);
     }
     const EnginePoller poller(fleet, inbox, settings.backendsTls);
-    OperatorServer operators(operatorContext(settings, fleet, board, metrics));
+    OperatorContext operatorSide = operatorContext(settings, fleet, board, metrics);
+    operatorSide.stateDump = [&fleet, &cacheView] { return dumpState(fleet, cacheView); };
+    OperatorServer operators(std::move(operatorSide));
     if (!operators.bind(settings.operators)) {
         LogEvent("bind_failed", Severity::Error).field("operators", settings.operators.str());
         return EXIT_FAILURE;
--- a/src/vanilladyke/capacity/measure_node.cpp
+++ b/src/vanilladyke/capacity/measure_node.cpp
@@ -4,6 +4,7 @@
 #include "vanilladyke/control/engine_controller.hpp"
 #include "vanilladyke/gateway/filters.hpp"
 #include "vanilladyke/model/bundle_json.hpp"
+#include "vanilladyke/model/customer_index.hpp"
 
 #include <memory>
 
@@ -56,6 +57,7 @@
     auto fleet = std::make_shared<Fleet>();
     fleet->bundle =
             std::make_shared<const Bundle>(syntheticBundle(static_cast<std::size_t>(customers), 0));
+    fleet->customers = std::make_shared<const CustomerIndex>(fleet->bundle);
     return fleet;
 }
 
--- a/src/vanilladyke/control/bundle_controller.cpp
+++ b/src/vanilladyke/control/bundle_controller.cpp
@@ -1,6 +1,7 @@
 #include "vanilladyke/control/bundle_controller.hpp"
 
 #include "vanilladyke/base/log.hpp"
+#include "vanilladyke/model/customer_index.hpp"
 #include "vanilladyke/model/json_reader.hpp"
 
 #include <algorithm>
@@ -44,6 +45,7 @@
 void BundleController::contribute(Fleet &fleet, TimePoint /*now*/) const
 {
     fleet.bundle = m_bundle;
+    fleet.customers = m_customers;
     fleet.bundleOffset = m_accepted ? m_accepted->entry.offset : 0;
 }
 
@@ -133,6 +135,7 @@
         return;
     }
     m_bundle = std::make_shared<const Bundle>(std::move(*bundle));
+    m_customers = std::make_shared<const CustomerIndex>(m_bundle);
     m_accepted = std::make_shared<const AcceptedBundle>(accepted);
     LogEvent("bundle_in_force")
             .field("version", m_bundle->version)
--- a/src/vanilladyke/gateway/admission_control.cpp
+++ b/src/vanilladyke/gateway/admission_control.cpp
@@ -1,6 +1,7 @@
 #include "vanilladyke/gateway/admission_control.hpp"
 
 #include "vanilladyke/base/log.hpp"
+#include "vanilladyke/model/customer_index.hpp"
 
 #include <algorithm>
 
@@ -123,7 +124,7 @@
 
 FilterVerdict AdmissionControl::admit(RequestContext &context)
 {
-    const Customer *customer = findCustomer(*context.fleet->bundle, context.customer);
+    const Customer *customer = context.fleet->customers->byId(context.customer);
     if (customer == nullptr) {
         return Refusal{RefusalReason::UnknownCustomer, "no such customer", Ran::No, {}};
     }
--- a/src/vanilladyke/gateway/filters.cpp
+++ b/src/vanilladyke/gateway/filters.cpp
@@ -5,6 +5,8 @@
 #include "vanilladyke/gateway/deadline_header.hpp"
 #include "vanilladyke/gateway/json_depth.hpp"
 
+#include "vanilladyke/model/customer_index.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -140,19 +142,17 @@
 
 FilterVerdict IdentifyCustomer::operator()(RequestContext &context) const
 {
-    if (!context.fleet->bundle) {
+    if (!context.fleet->bundle || !context.fleet->customers) {
         return Refusal{RefusalReason::NotReady, "no bundle has been accepted yet", Ran::No, {}};
     }
-    const std::string digest = keyDigest(context.bearer);
-    for (const Customer &customer : context.fleet->bundle->customers) {
-        const auto &digests = customer.keyDigests;
-        if (std::find(digests.begin(), digests.end(), digest) != digests.end()) {
-            context.customer = customer.id;
-            context.priority = customer.priority;
-            return std::nullopt;
-        }
+    const Customer *customer = context.fleet->customers->byKeyDigest(keyDigest(context.bearer));
+    if (customer == nullptr) {
+        return Refusal{
+                RefusalReason::UnknownCustomer, "the bearer key names no customer", Ran::No, {}};
     }
-    return Refusal{RefusalReason::UnknownCustomer, "the bearer key names no customer", Ran::No, {}};
+    context.customer = customer->id;
+    context.priority = customer->priority;
+    return std::nullopt;
 }
 
 FilterVerdict ParseCompletion::operator()(RequestContext &context) const
--- a/tests/integration/placement.py
+++ b/tests/integration/placement.py
@@ -2,6 +2,7 @@
 
 import json
 import re
+import subprocess
 
 import harness
 
@@ -69,6 +70,30 @@
         self.assertEqual(cached, 0)
         self.assertNotIn(placement_of(self.node, request)["evidence"], ["known", "doubted"])
 
+    def test_a_placement_is_explained_from_the_nodes_state(self):
+        first, _ = ask(self.node, "question 0")
+        engine = placement_of(self.node, first)["engine"]
+        request = self.cluster.write("request.json", {"model": "copy", "messages": [
+            {"role": "system", "content": GUIDE}, {"role": "user", "content": "question 1"}]})
+
+        def explanation():
+            status, state, _ = harness.http_call(self.node.operators, "GET", "/operator/v1/state",
+                                                 headers=harness.OPERATOR)
+            self.assertEqual(status, 200, state)
+            self.assertNotIn("brand-key", state)
+            dump = self.cluster.write("state.json", json.loads(state))
+            run = subprocess.run([f"{self.build}/vanilladyke", "explain", "--state", dump, "--request", request,
+                                  "--customer", "brand", "--json"], capture_output=True, text=True, check=True)
+            return json.loads(run.stdout)
+
+        def cached_at_winner():
+            told = explanation()
+            return max(each["expected_cached_tokens"] for each in told["candidates"]
+                       if each["engine"] == told["winner"]) > 3000
+
+        harness.wait_until(cached_at_winner, "the dump holds the guide")
+        self.assertEqual(explanation()["winner"], engine)
+
 
 if __name__ == "__main__":
     harness.main()
