Be ready only when every engine has been asked

Change: readiness also needs an answer or a failure from each engine since the start; it is never taken back by a bundle that adds engines. A test at the engine controller. Conclusion: the balancer sends callers a moment later, and none of them for nothing.

--- a/include/vanilladyke/control/engine_controller.hpp
+++ b/include/vanilladyke/control/engine_controller.hpp
@@ -38,6 +38,7 @@
     inService(const std::shared_ptr<const Bundle> &bundle);
 
     std::map<EngineId, Known> m_known;
+    bool m_allHeardOf = false;                 ///< once true it stays so
     std::shared_ptr<const FleetIndex> m_index; ///< kept while the serving engines stay the same
     std::vector<EngineHolding> m_holdings;
     std::vector<EngineId> m_changing;
--- a/include/vanilladyke/model/fleet.hpp
+++ b/include/vanilladyke/model/fleet.hpp
@@ -63,10 +63,11 @@
     std::shared_ptr<const Bundle> bundle; ///< null until one has been accepted
     LogOffset bundleOffset = 0;           ///< where the log has it; the fencing number of orders
     std::vector<EngineView> engines;      ///< in the bundle's order
-    std::uint32_t liveNodes = 1;          ///< nodes that share the engines, this one included
-    std::vector<Member> members;          ///< all nodes known, this one first, the dead included
-    std::vector<PeerLoad> peerLoads;      ///< of the peers that were heard of lately
-    bool leaving = false;                 ///< this node is shutting down
+    bool enginesKnown = false; ///< every engine has answered, or failed to, since the node's start
+    std::uint32_t liveNodes = 1;     ///< nodes that share the engines, this one included
+    std::vector<Member> members;     ///< all nodes known, this one first, the dead included
+    std::vector<PeerLoad> peerLoads; ///< of the peers that were heard of lately
+    bool leaving = false;            ///< this node is shutting down
     std::shared_ptr<const CustomerIndex> customers; ///< of the bundle; null while there is none
     std::shared_ptr<const FleetIndex> index; ///< of the engines above; null while there are none
 };
--- a/src/vanilladyke/control/engine_controller.cpp
+++ b/src/vanilladyke/control/engine_controller.cpp
@@ -95,6 +95,13 @@
     for (std::size_t i = 0; i < bundle.engines.size(); ++i) {
         fleet.engines.push_back(viewOf(bundle.engines[i], m_holdings[i]));
     }
+    // A node that called itself ready before it knew its engines refused its first callers. A later
+    // bundle that adds engines is no cause to send the balancer away again.
+    m_allHeardOf =
+            m_allHeardOf
+            || std::all_of(bundle.engines.begin(), bundle.engines.end(),
+                           [&](const EngineEntry &entry) { return m_known.contains(entry.id); });
+    fleet.enginesKnown = m_allHeardOf;
     m_index = indexEngines(fleet.engines, m_index);
     fleet.index = m_index;
     fleet.bundle = inService(fleet.bundle);
--- a/src/vanilladyke/control/engine_controller_test.cpp
+++ b/src/vanilladyke/control/engine_controller_test.cpp
@@ -57,6 +57,23 @@
     EXPECT_EQ(contribution(controller, bundle).engines[0].state, EngineState::Ready);
 }
 
+// A node restarts and has its bundle at once, but has not asked its engines yet. Were it ready, the
+// balancer would send callers whom it could only refuse. One engine that does not answer, or one
+// that a later bundle adds, must not keep it or take it away.
+TEST(EngineController, EnginesAreKnownOnceEachAnsweredOrFailedTo)
+{
+    EngineController controller;
+    EXPECT_FALSE(contribution(controller, bundleOf("w1")).enginesKnown);
+    controller.handle(report("e1", "w1"), start);
+    EXPECT_FALSE(contribution(controller, bundleOf("w1")).enginesKnown);
+    controller.handle(EngineUnreachable{EngineId("e2"), "refused"}, start);
+    EXPECT_TRUE(contribution(controller, bundleOf("w1")).enginesKnown);
+    auto grown = std::make_shared<Bundle>(*bundleOf("w1"));
+    grown->engines.push_back(grown->engines.front());
+    grown->engines.back().id = EngineId("e3");
+    EXPECT_TRUE(contribution(controller, grown).enginesKnown);
+}
+
 // New weights are in force, and no engine holds them yet. Traffic that was already bound to them
 // would find no engine for a whole loading time.
 TEST(EngineController, TrafficGoesByTheWeightsThatEnginesServe)
--- a/src/vanilladyke/gateway/caller_server.cpp
+++ b/src/vanilladyke/gateway/caller_server.cpp
@@ -208,13 +208,17 @@
 
 void CallerServer::Private::tellReadiness(httplib::Response &response) const
 {
-    const bool hasBundle = fleet.current()->bundle != nullptr;
-    const bool leaving = stage != ServerStage::Serving;
-    response.status = hasBundle && !leaving ? 200 : 503;
-    response.set_content(leaving     ? "leaving\n"
-                         : hasBundle ? "ready\n"
-                                     : "no bundle has been accepted yet\n",
-                         "text/plain");
+    const std::shared_ptr<const Fleet> known = fleet.current();
+    std::string trouble;
+    if (stage != ServerStage::Serving) {
+        trouble = "leaving";
+    } else if (!known->bundle) {
+        trouble = "no bundle has been accepted yet";
+    } else if (!known->enginesKnown) {
+        trouble = "not every engine has been asked yet";
+    }
+    response.status = trouble.empty() ? 200 : 503;
+    response.set_content((trouble.empty() ? "ready" : trouble) + "\n", "text/plain");
 }
 
 /// The library's own errors come without a body: bad requests, unknown paths, broken invariants.
--- a/src/vanilladyke/operators/operator_server.cpp
+++ b/src/vanilladyke/operators/operator_server.cpp
@@ -69,7 +69,7 @@
         return "the node is shutting down";
     }
     if (fleet.bundle) {
-        return "";
+        return fleet.enginesKnown ? "" : "not every engine has been asked yet";
     }
     return "no bundle has been accepted yet"
            + (status.logTrouble.empty() ? std::string() : ": " + status.logTrouble);
