--- a/tools/stream_slopes.py
+++ b/tools/stream_slopes.py
@@ -15,7 +15,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "tests", "integration"))
 import harness  # noqa: E402
 
-SIZES = [25, 50, 100, 200]
+SIZES = [20, 40, 80, 160]
 ENGINES = [2, 4, 8, 16]
 TOKENS = 4000
 OBSERVE_SECONDS = 4.0
@@ -63,9 +63,8 @@
     cluster = harness.Cluster(build)
     try:
         for i in range(4):
-            cluster.engine(f"copy-{i}")
-        for engine in cluster.bundle["engines"]:
-            engine["slots"] = 256
+            cluster.engine(f"copy-{i}", "--step-ms", "10", "--slots", "256")
+            cluster.bundle["engines"][i]["slots"] = 256
         node = cluster.node("n1")
         pid = node.popen.pid
         before = resident_bytes(pid)
