Size the cache view so that control fits its memory

Cause: with the 16 MB view of serve the capacity page's sum was 33.1 MB of the 32 that control may have. Change: the view takes 8 MB, 262,144 entries; the page needs some 120,000 at the target.

--- a/src/vanilladyke/app/node.cpp
+++ b/src/vanilladyke/app/node.cpp
@@ -11,9 +11,10 @@
 namespace {
 
 constexpr std::size_t InboxCapacity = 65'536;
-/// 524,288 entries of 32 bytes: with two holders each, prefixes of 134 million tokens in blocks of
-/// 512. Half of the memory that a node may spend on control.
-constexpr std::size_t CacheViewBytes = 16U << 20U;
+/// 262,144 entries of 32 bytes: with two holders each, prefixes of 67 million tokens in blocks of
+/// 512. A quarter of the memory that a node may spend on control; with half of it
+/// docs/CAPACITY.md's sum came to 33 MB of 32.
+constexpr std::size_t CacheViewBytes = 8U << 20U;
 constexpr std::string_view ClaimStream = "claims";
 /// Outcomes that are not in the log when a node stops are "unknown" to all repeats from then on.
 constexpr Duration FlushWithin = std::chrono::seconds(5);
--- a/tools/capacity_page.py
+++ b/tools/capacity_page.py
@@ -31,7 +31,7 @@
 LINK_IDLE_SECONDS, PROBES_A_SECOND = 30, 4
 PUBLISHES_A_SECOND = 20
 STREAM_SECONDS = 10
-VIEW_ENTRIES = 524_288
+VIEW_ENTRIES = 262_144
 SPREAD_ALLOWED = 2.0
 
 SLOPE = re.compile(r"slope role=(\S+) cost=(\S+) per=(\S+) base=(\S+) per_unit=(\S+) spread=(\S+) samples=(\S+)")
