Keep the scenario that placement alone fails as a known red test

Cause: the shift of a hot prefix was first written against placement alone, failed with 8 late, and was then only kept with admission in front, where it passes. Change: the first form stands again; KNOWN-RED.txt names it with cause and issue; ctest leaves out just what that file names, and tools/test.sh prints it. Conclusion: the wait for a slot is predicted too short while all running requests have just begun.

--- a/cmake/Library.cmake
+++ b/cmake/Library.cmake
@@ -1,5 +1,11 @@
 set(VANILLADYKE_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Werror)
 
+# Tests named in KNOWN-RED.txt fail for a known cause; they are built, and left out of a run's verdict.
+set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/KNOWN-RED.txt)
+file(STRINGS ${PROJECT_SOURCE_DIR}/KNOWN-RED.txt known_red_lines)
+list(TRANSFORM known_red_lines REPLACE " *\\|.*$" "")
+list(JOIN known_red_lines ":" VANILLADYKE_KNOWN_RED)
+
 # vanilladyke_library(NAME LINKS ...): the library of one layer, from src/vanilladyke/NAME/*.cpp,
 # and its test program NAME_test from the *_test.cpp files beside them.
 function(vanilladyke_library NAME)
@@ -32,8 +38,7 @@
     target_link_libraries(${NAME}_test PRIVATE vanilladyke_${NAME} GTest::gtest_main rapidcheck)
     add_test(NAME ${NAME} COMMAND ${NAME}_test)
     # Property tests draw from this seed, so that a verdict is the same every time.
-    set_tests_properties(${NAME} PROPERTIES ENVIRONMENT RC_PARAMS=seed=20261202)
-    # One seed for all property tests: the same commit gets the same verdict every time.
-    set_tests_properties(${NAME} PROPERTIES ENVIRONMENT RC_PARAMS=seed=20261202)
+    set_tests_properties(${NAME} PROPERTIES ENVIRONMENT
+                         "RC_PARAMS=seed=20261202;GTEST_FILTER=-${VANILLADYKE_KNOWN_RED}")
   endif()
 endfunction()
--- a/src/vanilladyke/experiment/behaviour_test.cpp
+++ b/src/vanilladyke/experiment/behaviour_test.cpp
@@ -52,6 +52,15 @@
     EXPECT_GT(ours.hitRate, 0.85);
 }
 
+// The same, with nobody refused and nobody queued before placement: whoever asks is placed at once.
+// The callers of a home that has just filled up wait for a slot longer than was predicted.
+TEST(PlacementBehaviour, AHotPrefixThatShiftsMakesNobodyLateWithPlacementAlone)
+{
+    Deployment deployment = smallDeployment(20, 2.0);
+    deployment.shiftEvery = seconds(5);
+    EXPECT_EQ(measure("placement-only", deployment, 30).late, 0U);
+}
+
 // One of twelve engines computes at a tenth of its speed and says so in its reports. Its callers
 // would wait seconds for a first token; they must be served elsewhere.
 TEST(PlacementBehaviour, ASlowBackendServerGetsLittleWork)
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -4,4 +4,8 @@
 cd "$(dirname "$0")/.."
 tools/setup.sh
 tools/build.sh
+if [[ -s KNOWN-RED.txt ]]; then
+    echo "known red, left out of the verdict:"
+    cat KNOWN-RED.txt
+fi
 ctest --test-dir "${BUILD_DIR:-build}" --output-on-failure --no-tests=error
