Pass the engine time of a hot prefix as a span

Cause: a signature held seconds as a double. Measured: policy and experiment tests pass. Conclusion: no change of behaviour.

--- a/include/vanilladyke/policy/hot_prefixes.hpp
+++ b/include/vanilladyke/policy/hot_prefixes.hpp
@@ -22,10 +22,10 @@
     static constexpr std::size_t MostTracked = 4096;
 
     /// @brief Counts one request.
-    /// @param engineSeconds time of an engine that it takes, over all that run there at once
+    /// @param engineTime time of an engine that it takes, over all that run there at once
     /// @param nodes nodes that see the same traffic
     /// @return engines that the prefix should live on
-    std::uint32_t note(const ChainHash &prefix, double engineSeconds, std::uint32_t nodes,
+    std::uint32_t note(const ChainHash &prefix, Duration engineTime, std::uint32_t nodes,
                        TimePoint now);
 
     /// @brief Engines that the prefix should live on, as last noted.
--- a/src/vanilladyke/policy/hot_prefixes.cpp
+++ b/src/vanilladyke/policy/hot_prefixes.cpp
@@ -24,14 +24,14 @@
 
 } // namespace
 
-std::uint32_t HotPrefixes::note(const ChainHash &prefix, double engineSeconds, std::uint32_t nodes,
+std::uint32_t HotPrefixes::note(const ChainHash &prefix, Duration engineTime, std::uint32_t nodes,
                                 TimePoint now)
 {
     if (m_tracked.size() >= MostTracked && !m_tracked.contains(prefix)) {
         makeRoom(now);
     }
     Tracked &tracked = m_tracked.try_emplace(prefix, Tracked{0, 1, now}).first->second;
-    tracked.work = faded(tracked.work, now - tracked.changedAt) + engineSeconds;
+    tracked.work = faded(tracked.work, now - tracked.changedAt) + secondsOf(engineTime);
     tracked.changedAt = now;
     const double enginesFull = tracked.work / MemorySeconds * nodes;
     const double wanted = std::clamp(std::ceil(enginesFull / WantedUse), 1.0, MostHomes);
--- a/src/vanilladyke/policy/placement_policy.cpp
+++ b/src/vanilladyke/policy/placement_policy.cpp
@@ -9,13 +9,13 @@
 namespace {
 
 /// The part of an engine that one request takes: its new tokens, or its slot if that is more.
-double engineSeconds(const PlacementRequest &request, std::uint32_t sharedTokens,
-                     const EngineView &engine)
+Duration engineTime(const PlacementRequest &request, std::uint32_t sharedTokens,
+                    const EngineView &engine)
 {
     const double fresh = request.promptTokens - std::min(sharedTokens, request.promptTokens);
     const double decode = request.answerTokens / engine.load.decodeTokensPerSecond;
     const double slots = std::max<std::uint32_t>(engine.slots, 1);
-    return std::max(fresh / engine.load.prefillTokensPerSecond, decode / slots);
+    return spanOfSeconds(std::max(fresh / engine.load.prefillTokensPerSecond, decode / slots));
 }
 
 } // namespace
@@ -29,7 +29,7 @@
     const ModelEngines *engines = fleet.index ? fleet.index->serving(request.model) : nullptr;
     if (levels && engines != nullptr) {
         const EngineView &any = fleet.engines[engines->members.front().engine];
-        homes = m_hot.note(levels->shared.hash, engineSeconds(request, levels->deepest.tokens, any),
+        homes = m_hot.note(levels->shared.hash, engineTime(request, levels->deepest.tokens, any),
                            fleet.liveNodes, now);
     }
     return place(request, fleet, {holders, m_survival, m_inFlight, homes, kept}, now, random);
