--- a/cmake/Dependencies.cmake
+++ b/cmake/Dependencies.cmake
@@ -1,8 +1,10 @@
 # Libraries, all from Debian's packages; tools/setup.sh lists them.
 find_package(Threads REQUIRED)
 find_package(PkgConfig REQUIRED)
-find_package(GTest REQUIRED)
-find_package(benchmark REQUIRED)
+if(VANILLADYKE_TESTS)
+  find_package(GTest REQUIRED)
+  find_package(benchmark REQUIRED)
+endif()
 find_package(nlohmann_json REQUIRED)
 find_package(tl-expected REQUIRED)
 find_package(Boost REQUIRED)
--- /dev/null
+++ b/include/vanilladyke/app/node_command.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace vanilladyke {
+
+/// @brief `vanilladyke node [--settings FILE] [--check]`: runs a node on the platform, or checks
+/// its settings.
+[[nodiscard]] int runNode(const std::vector<std::string> &arguments);
+
+} // namespace vanilladyke
--- /dev/null
+++ b/include/vanilladyke/node/control_plane.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "vanilladyke/node/weights_controller.hpp"
+#include "vanilladyke/traffic/traffic_state.hpp"
+
+#include <atomic>
+
+/// The control side of a node: takes in what the store tells, and hands it to the traffic thread.
+namespace vanilladyke {
+
+/// @brief Figures of the deployment that control follows.
+struct ControlSettings
+{
+    std::string self; ///< of the machine; names the holder of the lease
+    LeaseTerms lease;
+    SecondSendTerms secondSends; ///< the number of nodes is filled in as it becomes known
+};
+
+/// @brief When the configuration was last proved to be the newest; shared by both threads.
+class ProofOfAge
+{
+public:
+    void prove(TimePoint at);
+    [[nodiscard]] Duration age() const;
+
+private:
+    static constexpr Duration::rep Never = -1;
+    std::atomic<Duration::rep> m_provedAt{Never}; ///< on the boot clock
+};
+
+/// @brief Runs on the control thread.
+class ControlPlane : public StateListener
+{
+public:
+    ControlPlane(asio::io_context &context, TrafficState &traffic, ControlSettings settings,
+                 LeaseLog &log, EngineOrders &orders, std::uint64_t seed);
+
+    void start();
+    void stop();
+    [[nodiscard]] const ProofOfAge &proof() const { return m_proof; }
+
+    void configurationRead(RoutingConfig config) override;
+    void weightsNamed(const ModelId &model, std::uint64_t version, bool isNews) override;
+    void backendRead(BackendEntry entry) override;
+    void backendGone(const EngineId &id) override;
+    void backendsListed(const std::map<EngineId, bool> &present) override;
+    void configurationProved(TimePoint sentAt) override;
+    void storeFailed() override;
+    void nodesCounted(std::size_t nodes) override;
+
+private:
+    void step();
+    void schedule();
+    void publishBackends();
+    [[nodiscard]] WeightsNews newsForTraffic();
+    template <typename Change>
+    void tell(Change change)
+    {
+        asio::post(m_traffic.context, [this, change = std::move(change)] { change(m_traffic); });
+    }
+
+    asio::io_context &m_context;
+    TrafficState &m_traffic;
+    ControlSettings m_settings;
+    Random m_random;
+    BackendRoster m_roster;
+    WeightsController m_weights;
+    ProofOfAge m_proof;
+    asio::steady_timer m_timer;
+    std::uint64_t m_version = 0;
+    bool m_hasConfig = false;
+    bool m_storeIsDown = false;
+};
+
+} // namespace vanilladyke
--- /dev/null
+++ b/include/vanilladyke/node/weights_controller.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "vanilladyke/base/random.hpp"
+#include "vanilladyke/node/ports.hpp"
+#include "vanilladyke/policy/backend_roster.hpp"
+#include "vanilladyke/policy/weights_rollout.hpp"
+
+#include <set>
+
+/// Brings engines to the weights that the operator names, from one node at a time.
+namespace vanilladyke {
+
+/// @brief What the controller tells the traffic side.
+struct WeightsNews
+{
+    std::function<void(const EngineId &, Duration)> loading; ///< no requests there for so long
+    std::function<void(const EngineId &, const ModelId &, std::uint64_t)> loaded;
+};
+
+/// @brief Lease, pacing and orders of one node. Runs on the control thread; the clock comes in.
+class WeightsController
+{
+public:
+    /// A load takes about two seconds; asking earlier costs calls and brings nothing.
+    static constexpr Duration FirstQuestion = std::chrono::milliseconds(1750);
+    static constexpr Duration NextQuestion = std::chrono::milliseconds(150);
+    /// An order that shows no effect for so long is given again.
+    static constexpr Duration OrderTimeout = std::chrono::seconds(8);
+
+    WeightsController(std::string self, std::uint64_t incarnation, LeaseTerms terms,
+                      const BackendRoster &roster, LeaseLog &log, EngineOrders &orders,
+                      WeightsNews news, Random &random);
+
+    void weightsNamed(const ModelId &model, std::uint64_t version, TimePoint now);
+    /// @brief Does what is due. Called every few dozen milliseconds.
+    void step(TimePoint now);
+    [[nodiscard]] bool isPending() const;
+    [[nodiscard]] const OrderLease &lease() const { return m_lease; }
+
+private:
+    struct Load
+    {
+        ModelId model;
+        std::uint64_t version = 0;
+        TimePoint startedAt;
+        TimePoint askAt;
+        bool isAsking = false;
+        bool wasOrdered = false;
+    };
+
+    [[nodiscard]] std::vector<RolloutEngine> enginesOf(const ModelId &model) const;
+    [[nodiscard]] std::uint64_t versionOf(const BackendEntry &entry, const ModelId &model) const;
+    void stepLease(TimePoint now);
+    void startLoads(TimePoint now);
+    void stepLoad(const EngineId &id, Load &load, TimePoint now);
+    void reported(const EngineId &id, const std::optional<EngineReport> &report);
+    void giveOrder(const BackendEntry &engine, Load &load, std::uint64_t accepted);
+    void ordered(const EngineId &id, OrderEnd end);
+    void finish(const EngineId &id, bool succeeded);
+
+    std::string m_self;
+    OrderLease m_lease;
+    const BackendRoster &m_roster;
+    LeaseLog &m_log;
+    EngineOrders &m_orders;
+    WeightsNews m_news;
+    Duration m_patience;
+    std::map<ModelId, WeightsRollout> m_rollouts;
+    std::map<EngineId, Load> m_loads;
+    std::map<std::pair<EngineId, ModelId>, std::uint64_t> m_observed;
+    bool m_isReading = false;
+    TimePoint m_readAt;
+    TimePoint m_now;
+};
+
+} // namespace vanilladyke
--- /dev/null
+++ b/include/vanilladyke/policy/backend_book.hpp
@@ -0,0 +1,151 @@
+#pragma once
+
+#include "vanilladyke/base/time.hpp"
+#include "vanilladyke/model/routing.hpp"
+
+#include "vanilladyke/base/outcome.hpp"
+#include <cstdint>
+#include <memory>
+
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+/// Where a request goes: the backend server with the least predicted time to its first token.
+///
+/// Load patterns, and what answers each:
+/// - Long prompts share parts that cost an engine a tenth of a second to read. Each shared part has
+///   homes, the first few engines of its rendezvous order, which all nodes compute alike; a request
+///   leaves its home only when waiting there costs more than reading elsewhere.
+/// - Short requests behind long ones: the prompt tokens that wait at an engine count as waiting.
+/// - Many nodes that don't talk: what an engine reports of its load, less this node's own part in
+///   it, counts until the report is ReportLife old.
+/// - An engine that answers nothing while requests wait there is avoided after SilenceToAvoid; one
+///   that fails a part of its requests is charged FailureCost for the part.
+/// - New weights: engines on older ones are charged OldWeightsCost, the part of a request's worth
+///   that is lost there, and are closed when the platform's time for them is over.
+namespace vanilladyke {
+
+/// @brief Figures that depend on the deployment's engines.
+struct BackendRates
+{
+    double tokensPerMs = 112;     ///< prompt tokens that an engine reads
+    double keptTokensPerMs = 500; ///< tokens that it fetches from the kept-cache store
+    double stepMs = 0.4;          ///< each running request slows the others by this a token step
+    Duration weightsTime = std::chrono::milliseconds(15000); ///< until old weights are closed
+};
+
+/// @brief What a request needs.
+struct BackendQuery
+{
+    ServiceId service;
+    ModelId model;                  ///< empty for plain services
+    std::string sharedPart;         ///< the last part that other requests may share; may be empty
+    std::uint64_t sharedTokens = 0; ///< up to the end of that part
+    std::uint64_t ownTokens = 0;    ///< after it
+    std::vector<EngineId> exclude;  ///< servers that were tried already
+};
+
+/// @brief Where a request goes and why.
+struct BackendChoice
+{
+    BackendEntry backend;
+    std::uint64_t weights = 0; ///< version on which it will run; 0: none known
+    bool isHeld = false;       ///< the shared part is believed to be in the engine's memory
+    double costMs = 0;         ///< predicted, with charges
+    double readMs = 0;         ///< of it, reading the prompt
+    std::size_t candidates = 0;
+};
+
+/// @brief Why there is no choice.
+struct NoBackend
+{
+    bool isKnown = false; ///< the service has servers, but none is open
+    TimePoint retryAt;    ///< when one may be open again
+};
+
+/// @brief What one node knows of the backend servers from its own traffic. Pure.
+class BackendBook
+{
+public:
+    static constexpr Duration ReportLife = std::chrono::milliseconds(1000);
+    static constexpr Duration SilenceToAvoid = std::chrono::milliseconds(450);
+    static constexpr Duration HeldFor = std::chrono::seconds(8);
+    static constexpr Duration FailureHalfLife = std::chrono::seconds(3);
+    static constexpr Duration FirstClose = std::chrono::milliseconds(250);
+    static constexpr Duration LongestClose = std::chrono::seconds(2);
+    static constexpr double FailureCost = 1500;        ///< ms, for a server that fails everything
+    static constexpr double OldWeightsCost = 120;      ///< ms
+    static constexpr double OtherCentreCost = 3;       ///< ms there and back
+    static constexpr double SilenceCost = 3000;        ///< ms
+    static constexpr double RereadCostPerToken = 0.05; ///< ms: reading is charged beyond its time
+    static constexpr std::size_t Homes = 3;
+    static constexpr Duration OldWeightsGrace = std::chrono::milliseconds(1000);
+    static constexpr Duration OldWeightsMargin = std::chrono::milliseconds(1500);
+
+    BackendBook(DataCentreId here, BackendRates rates);
+
+    /// @brief Takes over the servers that may get requests.
+    void setBackends(const std::vector<BackendEntry> &serving);
+    /// @brief New weights were named. @param since when this node learned of them
+    void setGoal(const ModelId &model, std::uint64_t version, TimePoint since);
+
+    [[nodiscard]] tl::expected<BackendChoice, NoBackend> choose(const BackendQuery &query,
+                                                                TimePoint now) const;
+    /// @brief The request goes out to the chosen server.
+    void sent(const BackendChoice &choice, const BackendQuery &query, TimePoint now);
+    /// @brief The server began to answer: the prompt is read.
+    void began(const BackendChoice &choice, TimePoint now);
+    /// @brief The exchange is over. @param failed the server's fault
+    void ended(const BackendChoice &choice, bool hadBegun, bool failed, TimePoint now);
+    /// @brief No connection, or the server sheds: nothing goes there for a while.
+    void close(const EngineId &id, TimePoint now);
+    void closeUntil(const EngineId &id, TimePoint until);
+    void reported(const EngineId &id, int running, int waiting, TimePoint now);
+    /// @brief An answer showed the version of the server's weights.
+    void sawWeights(const EngineId &id, const ModelId &model, std::uint64_t version);
+    /// @brief The server refused the version that was believed to be there.
+    void doubtWeights(const EngineId &id, const ModelId &model, TimePoint now);
+    [[nodiscard]] int inFlight(const EngineId &id) const;
+    [[nodiscard]] std::size_t size() const { return m_states.size(); }
+    [[nodiscard]] bool knows(const EngineId &id) const { return m_states.contains(id); }
+
+private:
+    struct State
+    {
+        BackendEntry entry;
+        std::uint64_t hash = 0;
+        int inFlight = 0;
+        int unanswered = 0;
+        double waitingMs = 0;  ///< predicted reading time of own requests that have not begun
+        TimePoint silentSince; ///< when the oldest wait without any answer began
+        int running = 0;
+        int waiting = 0;
+        int ownAtReport = 0;
+        TimePoint reportedAt;
+        double failurePart = 0;
+        TimePoint failureAt;
+        TimePoint closedUntil;
+        Duration lastClose{};
+        std::unordered_map<std::string, TimePoint> held;
+    };
+    struct Goal
+    {
+        std::uint64_t version = 0;
+        TimePoint since;
+    };
+
+    [[nodiscard]] double waitOf(const State &state, TimePoint now) const;
+    [[nodiscard]] double chargesOf(const State &state, std::uint64_t weights, const Goal *goal,
+                                   TimePoint now) const;
+    [[nodiscard]] static std::uint64_t weightsOf(const State &state, const ModelId &model);
+
+    DataCentreId m_here;
+    BackendRates m_rates;
+    std::unordered_map<EngineId, State> m_states;
+    std::unordered_map<ServiceId, std::vector<EngineId>> m_byService;
+    std::unordered_map<ModelId, Goal> m_goals;
+};
+
+} // namespace vanilladyke
--- /dev/null
+++ b/include/vanilladyke/policy/backend_roster.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "vanilladyke/model/routing.hpp"
+
+#include <map>
+#include <unordered_map>
+
+/// Which backend servers may get requests, from the entries that they keep in the platform's store.
+///
+/// Load pattern: servers come, drain and crash all day, and the store that lists them is away for
+/// seconds. An entry that is gone normally means that its server is leaving. One that lapsed
+/// because servers could not write for a while means nothing: taking it at its word would empty the
+/// roster at the very moment at which the store returns. So an entry that goes away within
+/// TroubleMemory of a failed call to the store is kept for ReturnTime; servers that live write
+/// again within that time. A server that said that it drains never comes back.
+namespace vanilladyke {
+
+/// @brief The roster of one node. Pure.
+class BackendRoster
+{
+public:
+    /// The platform's word: entries are back within about two seconds of the store's return.
+    static constexpr Duration ReturnTime = std::chrono::milliseconds(2200);
+    /// Three heartbeats of silence remove an entry, so trouble may show that long after it ended.
+    static constexpr Duration TroubleMemory = std::chrono::seconds(4);
+
+    /// @brief Takes in an entry. One that is older than what is known changes nothing.
+    /// @return whether anything but the heartbeat changed
+    bool put(BackendEntry entry, TimePoint now);
+    /// @brief The entry is gone from the store. @return whether the server is out at once
+    bool remove(const EngineId &id, TimePoint now);
+    /// @brief A call to the store failed or was late.
+    void storeFailed(TimePoint now) { m_lastTrouble = now; }
+    /// @brief Drops the entries whose time to come back is over. @return whether any was
+    bool expire(TimePoint now);
+    /// @brief Removes all that are not in @p present: the store's whole list was read.
+    bool keepOnly(const std::map<EngineId, bool> &present, TimePoint now);
+
+    /// @brief Servers that may get requests: known and not draining.
+    [[nodiscard]] std::vector<BackendEntry> serving() const;
+    [[nodiscard]] const BackendEntry *find(const EngineId &id) const;
+    [[nodiscard]] std::size_t size() const { return m_entries.size(); }
+
+private:
+    struct Known
+    {
+        BackendEntry entry;
+        std::optional<TimePoint> goneAt; ///< lapsed; out for good at this time
+    };
+
+    std::map<EngineId, Known> m_entries;
+    std::unordered_map<EngineId, std::uint64_t> m_lastHeartbeat; ///< also of those that are out
+    TimePoint m_lastTrouble = TimePoint::min();
+};
+
+} // namespace vanilladyke
--- /dev/null
+++ b/include/vanilladyke/policy/route_table.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "vanilladyke/model/routing.hpp"
+
+#include <memory>
+#include <string_view>
+#include <unordered_map>
+
+/// Look-ups in one version of the routing configuration.
+namespace vanilladyke {
+
+/// @brief An index of a configuration; immutable, so that threads may share it.
+class RouteTable
+{
+public:
+    explicit RouteTable(RoutingConfig config);
+
+    [[nodiscard]] const RoutingConfig &config() const { return m_config; }
+    /// @brief The route of the host with the longest prefix that begins the path; null if none.
+    /// @param host as the caller sent it; a port and upper case are ignored
+    [[nodiscard]] const Route *find(std::string_view host, std::string_view path) const;
+    [[nodiscard]] const RoutedCustomer *customerOf(const std::string &key) const;
+    [[nodiscard]] const ServiceSpec *service(const ServiceId &id) const;
+    /// @brief The kept-cache store; null if the configuration names none.
+    [[nodiscard]] const ServiceSpec *keptCache() const;
+    [[nodiscard]] bool needsKeys() const { return !m_config.customers.empty(); }
+    /// @brief Takes one of the route's services by weight. @param draw in [0, 1)
+    [[nodiscard]] static ServiceId pickService(const Route &route, double draw);
+
+private:
+    RoutingConfig m_config;
+    std::unordered_map<std::string, std::vector<std::size_t>> m_byHost; ///< longest prefix first
+    std::unordered_map<std::string, std::size_t> m_byKey;
+    std::unordered_map<ServiceId, std::size_t> m_byService;
+};
+
+} // namespace vanilladyke
--- /dev/null
+++ b/include/vanilladyke/traffic/traffic_state.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "vanilladyke/base/metrics.hpp"
+#include "vanilladyke/base/random.hpp"
+#include "vanilladyke/policy/backend_book.hpp"
+#include "vanilladyke/policy/route_table.hpp"
+#include "vanilladyke/policy/second_send_budget.hpp"
+#include "vanilladyke/traffic/backend_pool.hpp"
+#include "vanilladyke/traffic/dialect.hpp"
+#include "vanilladyke/traffic/ticker.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+/// What all exchanges of a traffic thread share.
+namespace vanilladyke {
+
+/// @brief Fixed at start.
+struct TrafficSettings
+{
+    DataCentreId dataCentre;
+    BackendRates rates;
+    Duration keysValidFor = std::chrono::milliseconds(4500); ///< after they were last proved
+    bool failsClosed = true; ///< without proof of the keys' age no request with a key passes
+};
+
+/// @brief State of the traffic thread. Only that thread touches it.
+struct TrafficState
+{
+    TrafficState(asio::io_context &ioContext, Dialect wireDialect, TrafficSettings fixed,
+                 std::uint64_t seed)
+        : context(ioContext)
+        , ticker(ioContext)
+        , pool(ioContext, ticker)
+        , dialect(std::move(wireDialect))
+        , settings(std::move(fixed))
+        , book(settings.dataCentre, settings.rates)
+        , random(seed)
+    {}
+
+    /// @brief Whether the node can show that its configuration and keys are young enough.
+    [[nodiscard]] bool isFresh() const
+    {
+        return table != nullptr && configAge() <= settings.keysValidFor;
+    }
+
+    asio::io_context &context;
+    Ticker ticker;
+    BackendPool pool;
+    Dialect dialect;
+    TrafficSettings settings;
+    BackendBook book;
+    SecondSendBudget budget;
+    Random random;
+    Metrics metrics;
+    std::shared_ptr<const RouteTable> table; ///< null until a configuration is known
+    std::size_t nodes = 1;                   ///< that share the backend servers' connections
+    bool isStopping = false;
+    /// Age of the newest proof that the configuration is the newest, on a clock that counts
+    /// suspension.
+    std::function<Duration()> configAge = [] { return Duration::max(); };
+    std::size_t openExchanges = 0;
+};
+
+} // namespace vanilladyke
--- a/src/vanilladyke/app/command_line.cpp
+++ b/src/vanilladyke/app/command_line.cpp
@@ -2,6 +2,7 @@
 
 #include "vanilladyke/app/bundle_commands.hpp"
 #include "vanilladyke/app/explain_command.hpp"
+#include "vanilladyke/app/node_command.hpp"
 #include "vanilladyke/app/serve.hpp"
 #include "vanilladyke/model/json_reader.hpp"
 
@@ -22,6 +23,8 @@
 constexpr const char *Usage =
         "usage: vanilladyke COMMAND [--help]\n"
         "  serve --settings FILE     run a node\n"
+        "  node [--settings FILE] [--check]\n"
+        "                            run a node on the platform\n"
         "  settings check FILE       check host settings\n"
         "  keys new|show             secret keys of operators, nodes and customers\n"
         "  bundle check|sign|publish|status|history\n"
@@ -75,6 +78,9 @@
     if (command == "serve") {
         return runServe(arguments);
     }
+    if (command == "node") {
+        return runNode({argv + 2, argv + argc});
+    }
     const std::string verb = argc > 2 ? argv[2] : "";
     const std::vector<std::string> rest(argv + std::min(argc, 3), argv + argc);
     if (command == "keys") {
--- /dev/null
+++ b/src/vanilladyke/app/node_command.cpp
@@ -0,0 +1,166 @@
+#include "vanilladyke/app/node_command.hpp"
+
+#include "platform/dialect.hpp"
+#include "platform/engine_orders.hpp"
+#include "platform/lease_log.hpp"
+#include "platform/state_reader.hpp"
+#include "vanilladyke/app/command.hpp"
+#include "vanilladyke/app/node_settings.hpp"
+#include "vanilladyke/app/settings.hpp"
+#include "vanilladyke/base/log.hpp"
+#include "vanilladyke/model/json_reader.hpp"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <thread>
+
+namespace vanilladyke {
+
+namespace {
+
+constexpr const char *SettingsVariable = "VANILLADYKE_NODE_FILE";
+/// The balancer asks once a second and takes two misses; until then new connections come.
+constexpr Duration BalancerLag = std::chrono::milliseconds(2600);
+/// Ends of requests that take longer than the grace are told by a closed connection.
+constexpr Duration KillMargin = std::chrono::milliseconds(700);
+constexpr Duration StopStep = std::chrono::milliseconds(50);
+
+Severity severityOf(const std::string &level)
+{
+    if (level == "debug") {
+        return Severity::Debug;
+    }
+    if (level == "warning") {
+        return Severity::Warning;
+    }
+    return level == "error" ? Severity::Error : Severity::Info;
+}
+
+/// Both sides of a node, each on a thread of its own.
+class RoutingNode
+{
+public:
+    explicit RoutingNode(const NodeSettings &settings)
+        : m_settings(settings)
+        , m_traffic(m_trafficContext, platform::makeDialect(), settings.traffic, entropySeed())
+        , m_server(m_traffic, settings.listen)
+        , m_leaseLog(m_controlContext, settings.store)
+        , m_orders(m_controlContext)
+        , m_control(m_controlContext, m_traffic, settings.control, m_leaseLog, m_orders,
+                    entropySeed())
+        , m_reader(m_controlContext, settings.store, m_control, settings.control.self,
+                   entropySeed())
+        , m_signals(m_trafficContext, SIGTERM, SIGINT)
+        , m_stopTimer(m_trafficContext)
+    {
+        m_traffic.configAge = [this] { return m_control.proof().age(); };
+        m_traffic.budget.setTerms(settings.control.secondSends);
+    }
+
+    int run()
+    {
+        if (const auto error = m_server.listen()) {
+            LogEvent("listen_failed", Severity::Error).field("reason", *error);
+            return CommandFailed;
+        }
+        m_signals.async_wait([this](const ErrorCode &error, int signal) {
+            if (!error) {
+                stop(signal);
+            }
+        });
+        m_traffic.ticker.start();
+        m_control.start();
+        m_reader.start();
+        LogEvent("start")
+                .field("version", ProgramVersion)
+                .field("callers", m_settings.listen.callers.str())
+                .field("store", m_settings.store.str());
+        std::thread control([this] { m_controlContext.run(); });
+        m_trafficContext.run();
+        m_controlContext.stop();
+        control.join();
+        LogEvent("stop");
+        return CommandDone;
+    }
+
+private:
+    void stop(int signal)
+    {
+        LogEvent("stopping").field("signal", signal).field("open", m_traffic.openExchanges);
+        m_stopAt = MonotonicClock::now();
+        m_server.stopAccepting();
+        stepStop();
+    }
+
+    void stepStop()
+    {
+        const TimePoint now = MonotonicClock::now();
+        if (now - m_stopAt >= BalancerLag) {
+            m_server.closeIdle();
+        }
+        const bool isDone = now - m_stopAt >= BalancerLag && m_server.isIdle();
+        if (isDone || now - m_stopAt >= m_settings.grace - KillMargin) {
+            m_trafficContext.stop();
+            return;
+        }
+        m_stopTimer.expires_after(StopStep);
+        m_stopTimer.async_wait([this](const ErrorCode &error) {
+            if (!error) {
+                stepStop();
+            }
+        });
+    }
+
+    NodeSettings m_settings;
+    asio::io_context m_trafficContext{1};
+    asio::io_context m_controlContext{1};
+    TrafficState m_traffic;
+    TrafficServer m_server;
+    platform::StoreLeaseLog m_leaseLog;
+    platform::HttpEngineOrders m_orders;
+    ControlPlane m_control;
+    platform::StateReader m_reader;
+    asio::signal_set m_signals;
+    asio::steady_timer m_stopTimer;
+    TimePoint m_stopAt;
+};
+
+} // namespace
+
+int runNode(const std::vector<std::string> &arguments)
+{
+    TCLAP::CmdLine line("Runs a node on the platform.", ' ', ProgramVersion);
+    TCLAP::ValueArg<std::string> file("s", "settings",
+                                      "settings file; default: the path in VANILLADYKE_NODE_FILE",
+                                      false, "", "FILE", line);
+    TCLAP::SwitchArg check("c", "check", "only check the settings", line);
+    if (const auto code = parseArguments(line, "node", arguments)) {
+        return *code;
+    }
+    const char *fromEnvironment = std::getenv(SettingsVariable);
+    std::string path = file.getValue();
+    if (path.empty() && fromEnvironment != nullptr) {
+        path = fromEnvironment;
+    }
+    const auto text = readFile(path);
+    if (!text) {
+        std::cerr << path << ": " << text.error().reason << '\n';
+        return CommandFailed;
+    }
+    const auto settings = parseNodeSettings(*text);
+    if (!settings) {
+        std::cerr << describe(path, settings.error());
+        return CommandFailed;
+    }
+    if (check.getValue()) {
+        return CommandDone;
+    }
+    initializeLog(severityOf(settings->logLevel), settings->node);
+    auto node = std::make_unique<RoutingNode>(*settings);
+    return node->run();
+}
+
+} // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/app/node_settings.cpp
@@ -0,0 +1,69 @@
+#include "vanilladyke/app/node_settings.hpp"
+
+#include "vanilladyke/model/json_reader.hpp"
+
+namespace vanilladyke {
+
+namespace {
+
+constexpr Duration LeastSpan = std::chrono::milliseconds(1);
+constexpr Duration LongestSpan = std::chrono::hours(1);
+/// A key's proof has to be younger than the bound at the moment at which its request is sent on.
+constexpr Duration KeyMargin = std::chrono::milliseconds(300);
+constexpr std::uint64_t MostSecondSends = 1'000'000;
+
+void readSecondSends(JsonReader &reader, SecondSendTerms *terms)
+{
+    reader.allowOnly({"ratio", "extra", "window_ms"});
+    reader.number("ratio", &terms->ratio, 0, 1);
+    reader.number("extra", &terms->extra, 0, static_cast<double>(MostSecondSends));
+    reader.milliseconds("window_ms", &terms->window, LeastSpan, LongestSpan);
+}
+
+} // namespace
+
+Outcome<NodeSettings, std::vector<FieldError>> parseNodeSettings(std::string_view text)
+{
+    std::vector<FieldError> errors;
+    const nlohmann::json object = parseJsonObject(text, &errors);
+    if (!errors.empty()) {
+        return failure(std::move(errors));
+    }
+    NodeSettings settings;
+    JsonReader reader(object, "", &errors);
+    reader.allowOnly({"node", "address", "data_centre", "callers", "ready", "ready_path", "metrics",
+                      "store", "keys_valid_ms", "fails_closed", "weights_time_ms", "order_gap_ms",
+                      "grace_ms", "second_sends", "log_level"});
+    reader.text("node", &settings.node);
+    reader.text("address", &settings.address);
+    reader.id("data_centre", &settings.traffic.dataCentre);
+    reader.endpoint("callers", &settings.listen.callers);
+    reader.endpoint("ready", &settings.listen.ready);
+    settings.listen.readyPath = "/readiness";
+    reader.text("ready_path", &settings.listen.readyPath, false);
+    if (reader.has("metrics")) {
+        reader.endpoint("metrics", &settings.listen.metrics.emplace());
+    }
+    reader.endpoint("store", &settings.store);
+    Duration keysValid = settings.traffic.keysValidFor + KeyMargin;
+    reader.milliseconds("keys_valid_ms", &keysValid, KeyMargin + LeastSpan, LongestSpan);
+    settings.traffic.keysValidFor = keysValid - KeyMargin;
+    reader.boolean("fails_closed", &settings.traffic.failsClosed);
+    reader.milliseconds("weights_time_ms", &settings.traffic.rates.weightsTime, LeastSpan,
+                        LongestSpan);
+    reader.milliseconds("order_gap_ms", &settings.control.lease.gap, LeastSpan, LongestSpan);
+    reader.milliseconds("grace_ms", &settings.grace, LeastSpan, LongestSpan);
+    if (reader.has("second_sends")) {
+        reader.object("second_sends", [&settings](JsonReader &inner) {
+            readSecondSends(inner, &settings.control.secondSends);
+        });
+    }
+    reader.text("log_level", &settings.logLevel, false);
+    if (!errors.empty()) {
+        return failure(std::move(errors));
+    }
+    settings.control.self = settings.node + "@" + settings.address;
+    return settings;
+}
+
+} // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/node/control_plane.cpp
@@ -0,0 +1,179 @@
+#include "vanilladyke/node/control_plane.hpp"
+
+#include "vanilladyke/base/log.hpp"
+#include "vanilladyke/node/boot_clock.hpp"
+
+namespace vanilladyke {
+
+namespace {
+
+/// Orders are followed at this pace while there are any; without any, entries expire by it.
+constexpr Duration BusyStep = std::chrono::milliseconds(50);
+constexpr Duration IdleStep = std::chrono::milliseconds(250);
+
+} // namespace
+
+void ProofOfAge::prove(TimePoint at)
+{
+    m_provedAt = at.time_since_epoch().count();
+}
+
+Duration ProofOfAge::age() const
+{
+    const Duration::rep at = m_provedAt;
+    return at == Never ? Duration::max() : BootClock::now().time_since_epoch() - Duration(at);
+}
+
+ControlPlane::ControlPlane(asio::io_context &context, TrafficState &traffic,
+                           ControlSettings settings, LeaseLog &log, EngineOrders &orders,
+                           std::uint64_t seed)
+    : m_context(context)
+    , m_traffic(traffic)
+    , m_settings(std::move(settings))
+    , m_random(seed)
+    , m_weights(m_settings.self, seed, m_settings.lease, m_roster, log, orders, newsForTraffic(),
+                m_random)
+    , m_timer(context)
+{}
+
+WeightsNews ControlPlane::newsForTraffic()
+{
+    WeightsNews news;
+    news.loading = [this](const EngineId &id, Duration span) {
+        tell([id, span](TrafficState &traffic) {
+            traffic.book.closeUntil(id, MonotonicClock::now() + span);
+        });
+    };
+    news.loaded = [this](const EngineId &id, const ModelId &model, std::uint64_t version) {
+        tell([id, model, version](TrafficState &traffic) {
+            traffic.book.sawWeights(id, model, version);
+            traffic.book.closeUntil(id, MonotonicClock::now());
+        });
+    };
+    return news;
+}
+
+void ControlPlane::start()
+{
+    schedule();
+}
+
+void ControlPlane::stop()
+{
+    m_timer.cancel();
+}
+
+void ControlPlane::schedule()
+{
+    m_timer.expires_after(m_weights.isPending() ? BusyStep : IdleStep);
+    m_timer.async_wait([this](const ErrorCode &error) {
+        if (!error) {
+            step();
+            schedule();
+        }
+    });
+}
+
+void ControlPlane::step()
+{
+    const TimePoint now = BootClock::now();
+    if (m_roster.expire(now)) {
+        publishBackends();
+    }
+    m_weights.step(now);
+}
+
+void ControlPlane::configurationRead(RoutingConfig config)
+{
+    if (m_hasConfig && config.version <= m_version) {
+        return;
+    }
+    m_hasConfig = true;
+    m_version = config.version;
+    LogEvent("configuration")
+            .field("version", config.version)
+            .field("routes", config.routes.size())
+            .field("services", config.services.size())
+            .field("customers", config.customers.size());
+    auto table = std::make_shared<const RouteTable>(std::move(config));
+    tell([table](TrafficState &traffic) { traffic.table = table; });
+}
+
+void ControlPlane::weightsNamed(const ModelId &model, std::uint64_t version, bool isNews)
+{
+    m_weights.weightsNamed(model, version, BootClock::now());
+    // A node that has just started can't tell how long ago; half of the time allowed is a guess
+    // that neither closes all engines on older weights at once nor keeps them open too long.
+    const Duration age = isNews ? Duration::zero() : m_traffic.settings.rates.weightsTime / 2;
+    tell([model, version, age](TrafficState &traffic) {
+        traffic.book.setGoal(model, version, MonotonicClock::now() - age);
+    });
+}
+
+void ControlPlane::backendRead(BackendEntry entry)
+{
+    const EngineId id = entry.id;
+    const bool isDraining = entry.isDraining;
+    if (m_roster.put(std::move(entry), BootClock::now())) {
+        LogEvent("backend_changed")
+                .field("backend", id.str())
+                .field("draining", isDraining)
+                .field("known", m_roster.size());
+        publishBackends();
+    }
+}
+
+void ControlPlane::backendGone(const EngineId &id)
+{
+    const bool isOut = m_roster.remove(id, BootClock::now());
+    LogEvent("backend_gone").field("backend", id.str()).field("at_once", isOut);
+    if (isOut) {
+        publishBackends();
+    }
+}
+
+void ControlPlane::backendsListed(const std::map<EngineId, bool> &present)
+{
+    if (m_roster.keepOnly(present, BootClock::now())) {
+        publishBackends();
+    }
+}
+
+void ControlPlane::configurationProved(TimePoint sentAt)
+{
+    if (m_storeIsDown) {
+        m_storeIsDown = false;
+        LogEvent("store_regained").field("proof_age_ms", m_proof.age());
+    }
+    m_proof.prove(sentAt);
+}
+
+void ControlPlane::storeFailed()
+{
+    m_roster.storeFailed(BootClock::now());
+    if (!m_storeIsDown) {
+        m_storeIsDown = true;
+        LogEvent("store_lost", Severity::Warning).field("proof_age_ms", m_proof.age());
+    }
+}
+
+void ControlPlane::nodesCounted(std::size_t nodes)
+{
+    SecondSendTerms terms = m_settings.secondSends;
+    terms.nodes = nodes;
+    tell([terms](TrafficState &traffic) {
+        traffic.nodes = terms.nodes;
+        traffic.budget.setTerms(terms);
+    });
+}
+
+void ControlPlane::publishBackends()
+{
+    tell([serving = m_roster.serving()](TrafficState &traffic) {
+        traffic.book.setBackends(serving);
+        traffic.pool.tidy([&](const EngineId &id) { return traffic.book.knows(id); },
+                          MonotonicClock::now());
+    });
+}
+
+} // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/node/weights_controller.cpp
@@ -0,0 +1,245 @@
+#include "vanilladyke/node/weights_controller.hpp"
+
+#include "vanilladyke/base/log.hpp"
+
+#include <algorithm>
+
+namespace vanilladyke {
+
+namespace {
+
+/// Nodes that wait for the lease are spread over this span, so that they don't claim in step.
+constexpr double MostPatienceSeconds = 0.4;
+/// How soon a failed read of the lease's log is tried again.
+constexpr Duration ReadPause = std::chrono::milliseconds(200);
+
+} // namespace
+
+WeightsController::WeightsController(std::string self, std::uint64_t incarnation, LeaseTerms terms,
+                                     const BackendRoster &roster, LeaseLog &log,
+                                     EngineOrders &orders, WeightsNews news, Random &random)
+    : m_self(self)
+    , m_lease(std::move(self), incarnation, terms)
+    , m_roster(roster)
+    , m_log(log)
+    , m_orders(orders)
+    , m_news(std::move(news))
+    , m_patience(spanOfSeconds(uniform(random) * MostPatienceSeconds))
+{}
+
+void WeightsController::weightsNamed(const ModelId &model, std::uint64_t version, TimePoint now)
+{
+    WeightsRollout &rollout = m_rollouts[model];
+    if (version > rollout.goal()) {
+        LogEvent("weights_named").field("model", model.str()).field("version", version);
+    }
+    rollout.name(version, now);
+}
+
+std::uint64_t WeightsController::versionOf(const BackendEntry &entry, const ModelId &model) const
+{
+    const auto listed = entry.weights.find(model);
+    const auto observed = m_observed.find({entry.id, model});
+    return std::max(listed == entry.weights.end() ? 0 : listed->second,
+                    observed == m_observed.end() ? 0 : observed->second);
+}
+
+std::vector<RolloutEngine> WeightsController::enginesOf(const ModelId &model) const
+{
+    std::vector<RolloutEngine> result;
+    for (const BackendEntry &entry : m_roster.serving()) {
+        if (entry.weights.contains(model)) {
+            result.push_back({entry.id, versionOf(entry, model), 0});
+        }
+    }
+    return result;
+}
+
+bool WeightsController::isPending() const
+{
+    return std::any_of(m_rollouts.begin(), m_rollouts.end(), [this](const auto &item) {
+        return item.second.isPending(enginesOf(item.first));
+    });
+}
+
+void WeightsController::step(TimePoint now)
+{
+    m_now = now;
+    if (!isPending()) {
+        for (auto &[model, rollout] : m_rollouts) {
+            rollout.abandon();
+        }
+        m_loads.clear();
+        return;
+    }
+    stepLease(now);
+    if (m_lease.mayOrder(now)) {
+        startLoads(now);
+    } else if (!m_loads.empty() && m_lease.needsRead()) {
+        return; // a renewal is in doubt; loads that began go on by themselves
+    }
+    std::vector<EngineId> ids;
+    for (const auto &[id, load] : m_loads) {
+        ids.push_back(id);
+    }
+    for (const EngineId &id : ids) {
+        const auto found = m_loads.find(id);
+        if (found != m_loads.end()) {
+            stepLoad(id, found->second, now);
+        }
+    }
+}
+
+void WeightsController::stepLease(TimePoint now)
+{
+    if (const auto append = m_lease.nextAppend(m_patience, now)) {
+        m_log.append(*append, [this](AppendEnd end, std::uint64_t offset) {
+            if (end == AppendEnd::Taken) {
+                m_lease.appended(offset, m_now);
+                return;
+            }
+            LogEvent("lease_append_failed").field("known", end == AppendEnd::Refused);
+            m_lease.appendInDoubt();
+        });
+        return;
+    }
+    if (m_isReading || now < m_readAt || (!m_lease.needsRead() && m_lease.mayOrder(now))) {
+        return;
+    }
+    m_isReading = true;
+    std::optional<std::uint64_t> known;
+    if (!m_lease.needsRead()) {
+        known = m_lease.end();
+    }
+    m_log.read(known, [this](const std::optional<LeaseLogState> &state) {
+        m_isReading = false;
+        if (!state) {
+            m_readAt = m_now + ReadPause;
+            return;
+        }
+        m_lease.sawLog(state->end, state->last, m_now);
+    });
+}
+
+void WeightsController::startLoads(TimePoint now)
+{
+    for (auto &[model, rollout] : m_rollouts) {
+        for (const EngineId &id : rollout.next(enginesOf(model), now)) {
+            if (m_loads.contains(id)) {
+                continue;
+            }
+            rollout.started(id);
+            m_loads[id] = Load{model, rollout.goal(), now, now, false, false};
+        }
+    }
+}
+
+void WeightsController::stepLoad(const EngineId &id, Load &load, TimePoint now)
+{
+    const BackendEntry *engine = m_roster.find(id);
+    if (engine == nullptr || engine->isDraining || now - load.startedAt > OrderTimeout) {
+        finish(id, false);
+        return;
+    }
+    if (load.isAsking || now < load.askAt) {
+        return;
+    }
+    load.isAsking = true;
+    m_orders.report(*engine, [this, id](const std::optional<EngineReport> &report) {
+        reported(id, report);
+    });
+}
+
+void WeightsController::reported(const EngineId &id, const std::optional<EngineReport> &report)
+{
+    const auto found = m_loads.find(id);
+    if (found == m_loads.end()) {
+        return;
+    }
+    Load &load = found->second;
+    load.isAsking = false;
+    load.askAt = m_now + NextQuestion;
+    const BackendEntry *engine = m_roster.find(id);
+    if (!report || engine == nullptr) {
+        if (!load.wasOrdered) {
+            finish(id, false);
+        }
+        return;
+    }
+    const auto version = report->weights.find(load.model);
+    const std::uint64_t has = version == report->weights.end() ? 0 : version->second;
+    m_observed[{id, load.model}] = has;
+    if (has >= load.version) {
+        m_news.loaded(id, load.model, has);
+        finish(id, true);
+        return;
+    }
+    if (report->isBusy) {
+        return;
+    }
+    if (load.wasOrdered && m_now - load.startedAt < FirstQuestion) {
+        return; // the report is some hundred milliseconds old
+    }
+    giveOrder(*engine, load, report->ordersAccepted);
+}
+
+void WeightsController::giveOrder(const BackendEntry &engine, Load &load, std::uint64_t accepted)
+{
+    if (!m_lease.mayOrder(m_now)) {
+        finish(engine.id, false);
+        return;
+    }
+    load.wasOrdered = true;
+    load.isAsking = true;
+    load.startedAt = m_now;
+    m_news.loading(engine.id, FirstQuestion + NextQuestion);
+    const WeightsOrder order{load.model, load.version, m_self, m_lease.fence(), accepted};
+    LogEvent("weights_order")
+            .field("backend", engine.id.str())
+            .field("model", order.model.str())
+            .field("version", order.version)
+            .field("fence", order.fence)
+            .field("orders_accepted", accepted);
+    m_orders.order(engine, order, [this, id = engine.id](OrderEnd end) { ordered(id, end); });
+}
+
+void WeightsController::ordered(const EngineId &id, OrderEnd end)
+{
+    const auto found = m_loads.find(id);
+    if (found == m_loads.end()) {
+        return;
+    }
+    Load &load = found->second;
+    load.isAsking = false;
+    load.startedAt = m_now;
+    switch (end) {
+    case OrderEnd::Accepted:
+        load.askAt = m_now + FirstQuestion;
+        break;
+    case OrderEnd::Holds:
+    case OrderEnd::Unknown:
+    case OrderEnd::Refused:
+        load.askAt = m_now + NextQuestion;
+        break;
+    case OrderEnd::Gone:
+        finish(id, false);
+        break;
+    }
+    if (end != OrderEnd::Accepted) {
+        LogEvent("weights_order_failed")
+                .field("backend", id.str())
+                .field("end", static_cast<int>(end));
+    }
+}
+
+void WeightsController::finish(const EngineId &id, bool succeeded)
+{
+    const auto found = m_loads.find(id);
+    if (found == m_loads.end()) {
+        return;
+    }
+    m_rollouts[found->second.model].ended(id, succeeded, m_now);
+    m_loads.erase(found);
+}
+
+} // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/policy/backend_book.cpp
@@ -0,0 +1,300 @@
+#include "vanilladyke/policy/backend_book.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace vanilladyke {
+
+namespace {
+
+/// Of the finalizer of splitmix64, so that the order of one part says nothing about another's.
+std::uint64_t mix(std::uint64_t value)
+{
+    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebULL;
+    return value ^ (value >> 31U);
+}
+
+std::uint64_t hashOf(const std::string &text)
+{
+    return XXH3_64bits(text.data(), text.size());
+}
+
+/// Predicted reading time of a plain service's call; only its ratio to other waits matters.
+constexpr double PlainCallMs = 10;
+constexpr double EntriesBeforeCleaning = 512;
+/// What a request that no slot is free for waits, for each one ahead of it.
+constexpr double QueuedMs = 30;
+
+} // namespace
+
+BackendBook::BackendBook(DataCentreId here, BackendRates rates)
+    : m_here(std::move(here))
+    , m_rates(rates)
+{}
+
+void BackendBook::setBackends(const std::vector<BackendEntry> &serving)
+{
+    std::unordered_map<EngineId, State> next;
+    m_byService.clear();
+    for (const BackendEntry &entry : serving) {
+        State state;
+        const auto known = m_states.find(entry.id);
+        if (known != m_states.end()) {
+            state = std::move(known->second);
+        }
+        std::map<ModelId, std::uint64_t> seen = std::move(state.entry.weights);
+        state.entry = entry;
+        for (const auto &[model, version] : seen) {
+            std::uint64_t &now = state.entry.weights[model];
+            now = std::max(now, version);
+        }
+        state.hash = hashOf(entry.id.str());
+        m_byService[entry.service].push_back(entry.id);
+        next.emplace(entry.id, std::move(state));
+    }
+    m_states = std::move(next);
+}
+
+void BackendBook::setGoal(const ModelId &model, std::uint64_t version, TimePoint since)
+{
+    Goal &goal = m_goals[model];
+    if (version > goal.version) {
+        goal = {version, since};
+    }
+}
+
+std::uint64_t BackendBook::weightsOf(const State &state, const ModelId &model)
+{
+    const auto found = state.entry.weights.find(model);
+    return found == state.entry.weights.end() ? 0 : found->second;
+}
+
+double BackendBook::waitOf(const State &state, TimePoint now) const
+{
+    int others = 0;
+    int queued = 0;
+    if (now - state.reportedAt < ReportLife) {
+        others = std::max(0, state.running + state.waiting - state.ownAtReport);
+        queued = state.waiting;
+    }
+    const int busy = others + state.inFlight;
+    const int over = std::max(queued, busy + 1 - state.entry.slots);
+    const double slotsUsed = static_cast<double>(busy) / std::max(state.entry.slots, 1);
+    return state.waitingMs + busy * m_rates.stepMs + over * QueuedMs + slotsUsed * PlainCallMs;
+}
+
+double BackendBook::chargesOf(const State &state, std::uint64_t weights, const Goal *goal,
+                              TimePoint now) const
+{
+    double charges = state.entry.dataCentre == m_here ? 0 : OtherCentreCost;
+    if (state.failurePart > 0) {
+        const double age = secondsOf(now - state.failureAt) / secondsOf(FailureHalfLife);
+        charges += FailureCost * state.failurePart * std::exp2(-age);
+    }
+    if (state.unanswered > 0 && now - state.silentSince > SilenceToAvoid) {
+        charges += SilenceCost;
+    }
+    if (goal != nullptr && weights < goal->version && now - goal->since > OldWeightsGrace) {
+        charges += OldWeightsCost;
+    }
+    return charges;
+}
+
+tl::expected<BackendChoice, NoBackend> BackendBook::choose(const BackendQuery &query,
+                                                           TimePoint now) const
+{
+    const auto service = m_byService.find(query.service);
+    if (service == m_byService.end() || service->second.empty()) {
+        return tl::make_unexpected(NoBackend{false, now + LongestClose});
+    }
+    const auto goalFound = m_goals.find(query.model);
+    const Goal *goal =
+            query.model.empty() || goalFound == m_goals.end() ? nullptr : &goalFound->second;
+    const bool onlyNewest =
+            goal != nullptr && now - goal->since > m_rates.weightsTime - OldWeightsMargin;
+    struct Open
+    {
+        const State *state;
+        std::uint64_t order;
+        double cost; ///< without reading
+    };
+    std::vector<Open> open;
+    open.reserve(service->second.size());
+    NoBackend none{true, now + LongestClose};
+    const std::uint64_t partHash = query.sharedPart.empty() ? 0 : hashOf(query.sharedPart);
+    for (const EngineId &id : service->second) {
+        const State &state = m_states.at(id);
+        const std::uint64_t weights = weightsOf(state, query.model);
+        if (std::find(query.exclude.begin(), query.exclude.end(), id) != query.exclude.end()
+            || (onlyNewest && weights < goal->version)) {
+            continue;
+        }
+        if (state.closedUntil > now) {
+            none.retryAt = std::min(none.retryAt, state.closedUntil);
+            continue;
+        }
+        open.push_back({&state, mix(partHash ^ state.hash),
+                        waitOf(state, now) + chargesOf(state, weights, goal, now)});
+    }
+    if (open.empty()) {
+        return tl::make_unexpected(none);
+    }
+    const bool hasHomes = !query.sharedPart.empty();
+    const std::size_t homes = hasHomes ? std::min(Homes, open.size()) : open.size();
+    if (hasHomes) {
+        std::partial_sort(open.begin(), open.begin() + static_cast<std::ptrdiff_t>(homes),
+                          open.end(),
+                          [](const Open &a, const Open &b) { return a.order > b.order; });
+    }
+    BackendChoice best;
+    const State *chosen = nullptr;
+    for (std::size_t i = 0; i < open.size(); ++i) {
+        const State &state = *open[i].state;
+        const auto held = state.held.find(query.sharedPart);
+        const bool isHeld =
+                hasHomes && (i == 0 || (held != state.held.end() && now - held->second < HeldFor));
+        double read = static_cast<double>(query.ownTokens) / m_rates.tokensPerMs;
+        double reread = 0;
+        if (!isHeld) {
+            read += static_cast<double>(query.sharedTokens) / m_rates.keptTokensPerMs;
+            reread = RereadCostPerToken * static_cast<double>(query.sharedTokens);
+        }
+        const double cost = open[i].cost + read + reread;
+        if (chosen == nullptr || cost < best.costMs) {
+            chosen = &state;
+            best.isHeld = isHeld;
+            best.costMs = cost;
+            best.readMs = read;
+        }
+    }
+    best.backend = chosen->entry;
+    best.weights = weightsOf(*chosen, query.model);
+    best.candidates = open.size();
+    return best;
+}
+
+void BackendBook::sent(const BackendChoice &choice, const BackendQuery &query, TimePoint now)
+{
+    const auto found = m_states.find(choice.backend.id);
+    if (found == m_states.end()) {
+        return;
+    }
+    State &state = found->second;
+    ++state.inFlight;
+    if (state.unanswered++ == 0) {
+        state.silentSince = now;
+    }
+    state.waitingMs += choice.readMs;
+    if (!query.sharedPart.empty()) {
+        if (static_cast<double>(state.held.size()) > EntriesBeforeCleaning) {
+            std::erase_if(state.held,
+                          [now](const auto &item) { return now - item.second >= HeldFor; });
+        }
+        state.held[query.sharedPart] = now;
+    }
+}
+
+void BackendBook::began(const BackendChoice &choice, TimePoint now)
+{
+    const auto found = m_states.find(choice.backend.id);
+    if (found == m_states.end()) {
+        return;
+    }
+    State &state = found->second;
+    state.unanswered = std::max(0, state.unanswered - 1);
+    state.waitingMs = state.unanswered == 0 ? 0 : std::max(0.0, state.waitingMs - choice.readMs);
+    state.silentSince = now;
+}
+
+void BackendBook::ended(const BackendChoice &choice, bool hadBegun, bool failed, TimePoint now)
+{
+    const auto found = m_states.find(choice.backend.id);
+    if (found == m_states.end()) {
+        return;
+    }
+    State &state = found->second;
+    state.inFlight = std::max(0, state.inFlight - 1);
+    if (!hadBegun) {
+        state.unanswered = std::max(0, state.unanswered - 1);
+        state.waitingMs =
+                state.unanswered == 0 ? 0 : std::max(0.0, state.waitingMs - choice.readMs);
+    } else {
+        state.silentSince = now;
+    }
+    constexpr double Weight = 0.2;
+    const double age = secondsOf(now - state.failureAt) / secondsOf(FailureHalfLife);
+    const double before = state.failurePart > 0 ? state.failurePart * std::exp2(-age) : 0;
+    state.failurePart = before + Weight * ((failed ? 1.0 : 0.0) - before);
+    state.failureAt = now;
+    if (!failed && hadBegun) {
+        state.lastClose = Duration::zero();
+    }
+}
+
+void BackendBook::close(const EngineId &id, TimePoint now)
+{
+    const auto found = m_states.find(id);
+    if (found == m_states.end()) {
+        return;
+    }
+    State &state = found->second;
+    state.lastClose = std::clamp<Duration>(state.lastClose * 2, FirstClose, LongestClose);
+    state.closedUntil = std::max(state.closedUntil, now + state.lastClose);
+}
+
+void BackendBook::closeUntil(const EngineId &id, TimePoint until)
+{
+    const auto found = m_states.find(id);
+    if (found != m_states.end()) {
+        found->second.closedUntil = until;
+    }
+}
+
+void BackendBook::reported(const EngineId &id, int running, int waiting, TimePoint now)
+{
+    const auto found = m_states.find(id);
+    if (found == m_states.end()) {
+        return;
+    }
+    State &state = found->second;
+    state.running = running;
+    state.waiting = waiting;
+    state.ownAtReport = state.inFlight;
+    state.reportedAt = now;
+}
+
+void BackendBook::sawWeights(const EngineId &id, const ModelId &model, std::uint64_t version)
+{
+    const auto found = m_states.find(id);
+    if (found != m_states.end()) {
+        std::uint64_t &known = found->second.entry.weights[model];
+        known = std::max(known, version);
+    }
+}
+
+void BackendBook::doubtWeights(const EngineId &id, const ModelId &model, TimePoint now)
+{
+    const auto found = m_states.find(id);
+    if (found == m_states.end()) {
+        return;
+    }
+    const auto goal = m_goals.find(model);
+    std::uint64_t &known = found->second.entry.weights[model];
+    if (goal != m_goals.end() && known < goal->second.version) {
+        known = goal->second.version; // most likely it was brought to the newest meanwhile
+        found->second.held.clear();
+        return;
+    }
+    close(id, now);
+}
+
+int BackendBook::inFlight(const EngineId &id) const
+{
+    const auto found = m_states.find(id);
+    return found == m_states.end() ? 0 : found->second.inFlight;
+}
+
+} // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/policy/backend_roster.cpp
@@ -0,0 +1,87 @@
+#include "vanilladyke/policy/backend_roster.hpp"
+
+#include <algorithm>
+
+namespace vanilladyke {
+
+bool BackendRoster::put(BackendEntry entry, TimePoint now)
+{
+    std::uint64_t &last = m_lastHeartbeat[entry.id];
+    if (entry.heartbeat < last) {
+        return false;
+    }
+    last = entry.heartbeat;
+    static_cast<void>(now);
+    auto [place, isNew] = m_entries.try_emplace(entry.id);
+    Known &known = place->second;
+    const BackendEntry &old = known.entry;
+    // A server that drains does not return under the same id.
+    entry.isDraining = entry.isDraining || (!isNew && old.isDraining);
+    const bool changed = isNew || known.goneAt || old.isDraining != entry.isDraining
+                         || old.endpoint != entry.endpoint || old.service != entry.service
+                         || old.weights != entry.weights || old.slots != entry.slots;
+    known.entry = std::move(entry);
+    known.goneAt.reset();
+    return changed;
+}
+
+bool BackendRoster::remove(const EngineId &id, TimePoint now)
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end()) {
+        return false;
+    }
+    const bool storeWasAway =
+            m_lastTrouble != TimePoint::min() && now - m_lastTrouble < TroubleMemory;
+    if (storeWasAway && !found->second.entry.isDraining) {
+        if (!found->second.goneAt) {
+            found->second.goneAt = now + ReturnTime;
+        }
+        return false;
+    }
+    m_entries.erase(found);
+    return true;
+}
+
+bool BackendRoster::expire(TimePoint now)
+{
+    return std::erase_if(m_entries,
+                         [now](const auto &item) {
+                             return item.second.goneAt && now >= *item.second.goneAt;
+                         })
+           > 0;
+}
+
+bool BackendRoster::keepOnly(const std::map<EngineId, bool> &present, TimePoint now)
+{
+    std::vector<EngineId> missing;
+    for (const auto &[id, known] : m_entries) {
+        if (!present.contains(id)) {
+            missing.push_back(id);
+        }
+    }
+    bool changed = false;
+    for (const EngineId &id : missing) {
+        changed = remove(id, now) || changed;
+    }
+    return changed;
+}
+
+std::vector<BackendEntry> BackendRoster::serving() const
+{
+    std::vector<BackendEntry> result;
+    for (const auto &[id, known] : m_entries) {
+        if (!known.entry.isDraining) {
+            result.push_back(known.entry);
+        }
+    }
+    return result;
+}
+
+const BackendEntry *BackendRoster::find(const EngineId &id) const
+{
+    const auto found = m_entries.find(id);
+    return found == m_entries.end() ? nullptr : &found->second.entry;
+}
+
+} // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/traffic/backend_pool.cpp
@@ -0,0 +1,142 @@
+#include "vanilladyke/traffic/backend_pool.hpp"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+
+namespace vanilladyke {
+
+void setSilenceTimeout(tcp::socket &socket, Duration timeout)
+{
+    const auto millis = static_cast<unsigned>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count());
+    // Without effect where the option is unknown; the exchange's own deadline holds anyway.
+    static_cast<void>(setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &millis,
+                                 sizeof millis));
+}
+
+BackendConnection::~BackendConnection()
+{
+    close();
+}
+
+void BackendConnection::close()
+{
+    if (isOpen) {
+        isOpen = false;
+        --*openCountOwner;
+    }
+    ErrorCode ignored;
+    socket.close(ignored);
+}
+
+BackendPool::BackendPool(asio::io_context &context, Ticker &ticker)
+    : m_context(context)
+    , m_ticker(ticker)
+{}
+
+BackendConnectionPtr BackendPool::take(const EngineId &engine, TimePoint now)
+{
+    const auto found = m_engines.find(engine);
+    if (found == m_engines.end()) {
+        return nullptr;
+    }
+    std::vector<BackendConnectionPtr> &idle = found->second.idle;
+    while (!idle.empty()) {
+        BackendConnectionPtr connection = std::move(idle.back());
+        idle.pop_back();
+        if (connection->isOpen && connection->usableUntil && now < *connection->usableUntil) {
+            connection->isIdle = false;
+            connection->isReused = true;
+            ++connection->use;
+            ErrorCode ignored;
+            connection->socket.cancel(ignored);
+            return connection;
+        }
+        connection->close();
+    }
+    return nullptr;
+}
+
+asio::awaitable<BackendConnectionPtr> BackendPool::connect(EngineId engine, Endpoint endpoint)
+{
+    auto connection = std::make_shared<BackendConnection>(m_context, engine);
+    ErrorCode error;
+    const tcp::endpoint address = toAsio(endpoint, error);
+    if (error) {
+        co_return nullptr;
+    }
+    m_ticker.add(connection->timed);
+    std::weak_ptr<BackendConnection> weak = connection;
+    connection->timed->onDue = [weak] {
+        if (const auto due = weak.lock()) {
+            due->close();
+        }
+    };
+    connection->timed->dueAt = MonotonicClock::now() + ConnectTimeout;
+    connection->openCountOwner = m_engines[engine].open;
+    connection->isOpen = true;
+    ++*connection->openCountOwner;
+    ++m_opened;
+    co_await connection->socket.async_connect(address, into(error));
+    connection->timed->dueAt.reset();
+    if (error || !connection->isOpen) {
+        connection->close();
+        co_return nullptr;
+    }
+    ErrorCode ignored;
+    connection->socket.set_option(tcp::no_delay(true), ignored);
+    co_return connection;
+}
+
+void BackendPool::giveBack(const BackendConnectionPtr &connection,
+                           std::optional<Duration> keepAlive, TimePoint now)
+{
+    if (!connection->isOpen) {
+        return;
+    }
+    const Duration life = keepAlive.value_or(DefaultKeepAlive) - KeepAliveMargin;
+    connection->usableUntil = now + life;
+    connection->isIdle = true;
+    m_engines[connection->engine].idle.push_back(connection);
+    watch(connection);
+}
+
+void BackendPool::watch(const BackendConnectionPtr &connection)
+{
+    std::weak_ptr<BackendConnection> weak = connection;
+    connection->socket.async_wait(
+            tcp::socket::wait_read, [weak, use = connection->use](const ErrorCode &error) {
+                const auto idle = weak.lock();
+                if (idle && !error && idle->isIdle && idle->use == use) {
+                    idle->close(); // closed by the server, or bytes that belong to no request
+                }
+            });
+}
+
+int BackendPool::openTo(const EngineId &engine) const
+{
+    const auto found = m_engines.find(engine);
+    return found == m_engines.end() ? 0 : *found->second.open;
+}
+
+void BackendPool::tidy(const std::function<bool(const EngineId &)> &isKnown, TimePoint now)
+{
+    for (auto each = m_engines.begin(); each != m_engines.end();) {
+        const bool known = isKnown(each->first);
+        std::erase_if(each->second.idle, [&](const BackendConnectionPtr &connection) {
+            const bool over = !known || !connection->isOpen || now >= *connection->usableUntil;
+            if (over) {
+                connection->isIdle = false;
+                connection->close();
+            }
+            return over;
+        });
+        const bool forget = !known && *each->second.open == 0;
+        each = forget ? m_engines.erase(each) : std::next(each);
+    }
+}
+
+} // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/traffic/caller_session.cpp
@@ -0,0 +1,200 @@
+#include "vanilladyke/traffic/caller_session.hpp"
+
+#include "vanilladyke/base/log.hpp"
+
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <algorithm>
+
+namespace vanilladyke {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+/// A caller that takes no bytes for this long is gone; the deadline of its request is over by then.
+constexpr Duration WriteTimeout = std::chrono::seconds(10);
+/// For a body of the greatest size over a slow link.
+constexpr Duration BodyTimeout = std::chrono::seconds(10);
+constexpr std::size_t ReadBytes = 4096;
+constexpr std::size_t MostBuffered = 65536;
+
+int statusFor(const ErrorCode &error)
+{
+    if (error == http::error::header_limit) {
+        return 431;
+    }
+    if (error == http::error::body_limit) {
+        return 413;
+    }
+    const bool isSyntax =
+            error.category() == http::make_error_code(http::error::bad_method).category()
+            && error != http::error::end_of_stream && error != http::error::partial_message;
+    return isSyntax ? 400 : 0;
+}
+
+} // namespace
+
+CallerSession::CallerSession(TrafficState &state, tcp::socket socket)
+    : m_state(state)
+    , m_socket(std::move(socket))
+    , m_buffer(MostBuffered)
+    , m_timed(std::make_shared<Timed>())
+{}
+
+void CallerSession::start()
+{
+    m_state.ticker.add(m_timed);
+    m_timed->onDue = [this] { close(); };
+    asio::co_spawn(
+            m_state.context,
+            [self = shared_from_this()]() -> asio::awaitable<void> { co_await self->run(); },
+            asio::detached);
+}
+
+void CallerSession::finish()
+{
+    m_keepsOpen = false;
+    if (!isBusy() && !m_isReading) {
+        close();
+    }
+}
+
+void CallerSession::close()
+{
+    ErrorCode ignored;
+    m_socket.close(ignored);
+}
+
+asio::awaitable<void> CallerSession::run()
+{
+    while (m_keepsOpen && m_socket.is_open()) {
+        CallerRequest request;
+        const bool isThere = co_await readRequest(&request);
+        if (!isThere) {
+            break;
+        }
+        m_keepsOpen = m_keepsOpen && request.keepsConnection && !m_state.isStopping;
+        m_exchange = std::make_shared<Exchange>(m_state, std::move(request), *this);
+        watchForClose();
+        const std::shared_ptr<Exchange> exchange = m_exchange;
+        const ExchangeEnd end = co_await exchange->run();
+        m_exchange.reset();
+        m_timed->dueAt.reset();
+        if (end == ExchangeEnd::Broken) {
+            break;
+        }
+        ErrorCode ignored;
+        m_socket.cancel(ignored); // the watch for the caller's close
+    }
+    close();
+}
+
+asio::awaitable<bool> CallerSession::waitForBytes()
+{
+    const CallerLimits limits =
+            m_state.table == nullptr ? CallerLimits() : m_state.table->config().limits;
+    m_timed->dueAt = MonotonicClock::now() + limits.idleTimeout;
+    ErrorCode error;
+    if (m_buffer.size() == 0) {
+        const std::size_t got =
+                co_await m_socket.async_read_some(m_buffer.prepare(ReadBytes), into(error));
+        m_buffer.commit(got);
+    }
+    m_timed->dueAt = MonotonicClock::now() + limits.headerTimeout;
+    co_return !error && m_buffer.size() > 0;
+}
+
+asio::awaitable<bool> CallerSession::readRequest(CallerRequest *request)
+{
+    const bool hasBytes = co_await waitForBytes();
+    if (!hasBytes) {
+        co_return false;
+    }
+    m_isReading = true;
+    const CallerLimits limits =
+            m_state.table == nullptr ? CallerLimits() : m_state.table->config().limits;
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(limits.headerBytes);
+    parser.body_limit(limits.bodyBytes);
+    ErrorCode error;
+    co_await http::async_read_header(m_socket, m_buffer, parser, into(error));
+    if (!error && !parser.is_done()) {
+        m_timed->dueAt = MonotonicClock::now() + BodyTimeout;
+        if (parser.get()[http::field::expect] == "100-continue") {
+            const bool isThere = co_await write("HTTP/1.1 100 Continue\r\n\r\n");
+            if (!isThere) {
+                co_return false;
+            }
+        }
+        co_await http::async_read(m_socket, m_buffer, parser, into(error));
+    }
+    m_timed->dueAt.reset();
+    m_isReading = false;
+    if (error) {
+        const int status = statusFor(error);
+        if (status != 0) {
+            co_await rejectHead(status);
+        }
+        co_return false;
+    }
+    auto read = m_state.dialect.readCaller(parser.get().base(), MonotonicClock::now());
+    if (!read) {
+        LogEvent("bad_request", Severity::Warning).field("reason", read.error().reason);
+        co_await rejectHead(400);
+        co_return false;
+    }
+    *request = std::move(*read);
+    request->method = std::string(parser.get().method_string());
+    request->target = std::string(parser.get().target());
+    request->keepsConnection = parser.get().keep_alive() && parser.get().version() >= 11;
+    request->body = std::move(parser.get().body());
+    co_return true;
+}
+
+asio::awaitable<void> CallerSession::rejectHead(int status)
+{
+    m_keepsOpen = false;
+    std::string answer = "HTTP/1.1 " + std::to_string(status) + " "
+                         + std::string(http::obsolete_reason(static_cast<http::status>(status)))
+                         + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+    static_cast<void>(co_await write(std::move(answer)));
+}
+
+void CallerSession::watchForClose()
+{
+    if (m_buffer.size() > 0) {
+        return; // the next request is here already, so the caller is
+    }
+    m_socket.async_wait(tcp::socket::wait_read,
+                        [self = shared_from_this(),
+                         watched = std::weak_ptr(m_exchange)](const ErrorCode &error) {
+                            const auto exchange = watched.lock();
+                            if (error || exchange == nullptr || exchange != self->m_exchange) {
+                                return;
+                            }
+                            ErrorCode failed;
+                            if (self->m_socket.available(failed) == 0 || failed) {
+                                exchange->callerLeft();
+                                self->close();
+                            }
+                        });
+}
+
+asio::awaitable<bool> CallerSession::write(std::string bytes)
+{
+    m_timed->dueAt = MonotonicClock::now() + WriteTimeout;
+    ErrorCode error;
+    co_await asio::async_write(m_socket, asio::buffer(bytes), into(error));
+    m_timed->dueAt.reset();
+    co_return !error;
+}
+
+std::string CallerSession::connectionLine()
+{
+    m_keepsOpen = m_keepsOpen && !m_state.isStopping;
+    return m_keepsOpen ? std::string() : "Connection: close\r\n";
+}
+
+} // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/traffic/event_splitter.cpp
@@ -0,0 +1,62 @@
+#include "vanilladyke/traffic/event_splitter.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace vanilladyke {
+
+namespace {
+
+/// Where the last whole event ends; 0 if none does.
+std::size_t endOfEvents(std::string_view text)
+{
+    std::size_t end = 0;
+    for (const std::string_view blank : {std::string_view("\n\n"), std::string_view("\r\n\r\n")}) {
+        const std::size_t at = text.rfind(blank);
+        if (at != std::string_view::npos) {
+            end = std::max(end, at + blank.size());
+        }
+    }
+    return end;
+}
+
+} // namespace
+
+std::string EventSplitter::feed(std::string_view bytes)
+{
+    m_pending.append(bytes);
+    const std::size_t end = endOfEvents(m_pending);
+    std::string whole = m_pending.substr(0, end);
+    m_pending.erase(0, end);
+    readIds(whole);
+    return whole;
+}
+
+std::string EventSplitter::takePending()
+{
+    return std::exchange(m_pending, {});
+}
+
+void EventSplitter::readIds(std::string_view events)
+{
+    constexpr std::string_view Field = "id:";
+    std::size_t begin = 0;
+    while (begin < events.size()) {
+        const std::size_t end = std::min(events.find('\n', begin), events.size());
+        std::string_view line = events.substr(begin, end - begin);
+        begin = end + 1;
+        if (line.substr(0, Field.size()) != Field) {
+            continue;
+        }
+        line.remove_prefix(Field.size());
+        while (!line.empty() && line.front() == ' ') {
+            line.remove_prefix(1);
+        }
+        while (!line.empty() && line.back() == '\r') {
+            line.remove_suffix(1);
+        }
+        m_lastId = std::string(line);
+    }
+}
+
+} // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/traffic/exchange.cpp
@@ -0,0 +1,655 @@
+#include "vanilladyke/traffic/exchange.hpp"
+
+#include "vanilladyke/base/log.hpp"
+
+#include <boost/beast/http/read.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace vanilladyke {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::size_t PieceBytes = 16384;
+constexpr std::uint64_t LongestAnswer = 256ULL << 20U;
+constexpr std::size_t LongestHeldAnswer = 8U << 20U;
+/// A server that answered somebody else's request has at most so many stray answers queued.
+constexpr int MostStrayAnswers = 3;
+/// Servers that refuse before running cost little, but each is an arrival there.
+constexpr int MostSends = 4;
+constexpr int MostConnectFailures = 6;
+/// Less than this is not enough to connect, ask and answer.
+constexpr Duration LeastTimeForTry = std::chrono::milliseconds(30);
+/// A prompt this long goes behind short ones of the same rank: it takes many of their times.
+constexpr std::uint64_t LongPromptTokens = 2048;
+/// A repeatable request waits so many targets for its first byte, then tries another server.
+constexpr int TargetsToWait = 3;
+constexpr Duration LeastPatience = std::chrono::milliseconds(450);
+/// A resumable stream that pauses for so many of its longest good pauses is taken up elsewhere.
+constexpr int PausesToWait = 3;
+constexpr Duration LeastSilence = std::chrono::milliseconds(750);
+
+std::string chunk(const std::string &data)
+{
+    std::array<char, 24> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", data.size());
+    return size.data() + data + "\r\n";
+}
+
+bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+std::string statusLine(int status, std::string_view reason)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " " + std::string(reason) + "\r\n";
+}
+
+std::string reasonOf(int status)
+{
+    return std::string(http::obsolete_reason(static_cast<http::status>(status)));
+}
+
+} // namespace
+
+Exchange::Exchange(TrafficState &state, CallerRequest request, AnswerSink &sink)
+    : m_state(state)
+    , m_request(std::move(request))
+    , m_sink(sink)
+    , m_table(state.table)
+    , m_timed(std::make_shared<Timed>())
+    , m_wait(state.context)
+{
+    ++m_state.openExchanges;
+}
+
+Exchange::~Exchange()
+{
+    --m_state.openExchanges;
+}
+
+asio::awaitable<ExchangeEnd> Exchange::run()
+{
+    if (const std::optional<Refusal> refusal = admit()) {
+        std::optional<Duration> after;
+        if (refusal->retryAt) {
+            after = *refusal->retryAt - MonotonicClock::now();
+        }
+        co_return co_await refuse(httpStatus(refusal->reason), toString(refusal->reason), after);
+    }
+    m_state.budget.countRequest(m_service, m_request.arrived);
+    m_state.ticker.add(m_timed);
+    m_timed->onDue = [this] { due(); };
+    setDue(std::nullopt);
+    int connectFailures = 0;
+    for (;;) {
+        const TimePoint now = MonotonicClock::now();
+        if (m_callerLeft || m_timedOut || m_deadline - now < LeastTimeForTry) {
+            break;
+        }
+        const auto choice = m_state.book.choose(query(), now);
+        if (!choice) {
+            m_none = choice.error();
+            const bool mayOpen = co_await waitForBackend(choice.error());
+            if (!mayOpen) {
+                break;
+            }
+            continue;
+        }
+        const TryEnd end = co_await tryBackend(*choice);
+        if (end == TryEnd::Delivered) {
+            log(m_status, "answered");
+            co_return ExchangeEnd::Answered;
+        }
+        m_tried.push_back(choice->backend.id);
+        if (end == TryEnd::Unreached) {
+            if (++connectFailures >= MostConnectFailures) {
+                break;
+            }
+            continue;
+        }
+        if (m_callerLeft || m_timedOut || !maySendAgain(end)) {
+            break;
+        }
+    }
+    co_return co_await giveUp();
+}
+
+std::optional<Refusal> Exchange::admit()
+{
+    const TimePoint now = m_request.arrived;
+    // The next proof of the configuration's age is due within about a second.
+    const TimePoint nextProof = now + std::chrono::seconds(1);
+    if (m_table == nullptr) {
+        return Refusal{RefusalReason::NotReady, "no configuration yet", Ran::No, nextProof};
+    }
+    const bool isFresh = m_state.isFresh();
+    m_route = m_table->find(m_request.host, m_request.target);
+    if (m_route == nullptr) {
+        if (!isFresh) {
+            return Refusal{RefusalReason::NotReady, "configuration may be old", Ran::No, nextProof};
+        }
+        return Refusal{RefusalReason::UnknownService, "no such route", Ran::No, std::nullopt};
+    }
+    if (m_table->needsKeys() && !m_route->isPublic) {
+        if (!isFresh && m_state.settings.failsClosed) {
+            return Refusal{RefusalReason::NotReady, "keys may be old", Ran::No, nextProof};
+        }
+        m_customer = m_request.key ? m_table->customerOf(*m_request.key) : nullptr;
+        if (m_customer == nullptr) {
+            return Refusal{RefusalReason::UnknownCustomer, "unknown key", Ran::No, std::nullopt};
+        }
+    }
+    m_service = RouteTable::pickService(*m_route, uniform(m_state.random));
+    m_resumeAfter = m_request.lastEventId;
+    m_deadline = now + m_route->timeout;
+    if (m_request.deadline) {
+        m_deadline = std::min(m_deadline, *m_request.deadline);
+    }
+    return std::nullopt;
+}
+
+BackendQuery Exchange::query() const
+{
+    BackendQuery result;
+    result.service = m_service;
+    result.model = m_request.model;
+    result.exclude = m_tried;
+    result.ownTokens = m_request.promptTokens;
+    if (m_request.parts.size() > 1) {
+        std::uint64_t shared = 0;
+        for (std::size_t i = 0; i + 1 < m_request.parts.size(); ++i) {
+            shared += m_request.parts[i].tokens;
+        }
+        result.sharedPart = m_request.parts[m_request.parts.size() - 2].id;
+        if (m_customer != nullptr && m_customer->isIsolated) {
+            result.sharedPart += "/" + m_customer->id.str();
+        }
+        result.sharedTokens = shared;
+        result.ownTokens -= std::min(result.ownTokens, shared);
+    }
+    return result;
+}
+
+SendTerms Exchange::termsFor(const BackendChoice &choice) const
+{
+    SendTerms terms;
+    terms.deadline = m_deadline;
+    terms.expected = choice.backend.id;
+    terms.weights = choice.weights;
+    if (m_customer != nullptr) {
+        terms.customer = m_customer->id;
+    }
+    int rank = m_route->priority;
+    if (m_customer != nullptr && m_customer->priority) {
+        rank = *m_customer->priority;
+    }
+    const bool isLong = m_request.promptTokens > LongPromptTokens;
+    terms.urgency = std::clamp(1 + 2 * rank + (isLong ? 1 : 0), 0, 9);
+    terms.resumeAfter = m_resumeAfter;
+    if (m_request.parts.empty()) {
+        return terms;
+    }
+    if (choice.weights == 0) {
+        // Cached work must name its weights; without them the request shares with none.
+        terms.cacheSalt = "alone-" + m_request.id;
+        return terms;
+    }
+    terms.cacheSalt = m_request.model.str() + "." + std::to_string(choice.weights);
+    if (m_customer != nullptr && m_customer->isIsolated) {
+        terms.cacheSalt += "." + m_customer->id.str();
+    }
+    if (const ServiceSpec *kept = m_table->keptCache()) {
+        terms.fetchFrom = kept->keptCache;
+        terms.saveTo = kept->keptCache;
+    }
+    return terms;
+}
+
+asio::awaitable<bool> Exchange::waitForBackend(const NoBackend &none)
+{
+    const TimePoint now = MonotonicClock::now();
+    // Waiting longer than half the target helps nobody: the caller can try another node.
+    const TimePoint latest =
+            std::min(m_request.arrived + m_route->targetLatency / 2, m_deadline - LeastTimeForTry);
+    const bool triedAll = !m_tried.empty() && m_none.retryAt > latest;
+    if (!none.isKnown || triedAll || none.retryAt > latest || now >= latest) {
+        if (none.isKnown && !m_tried.empty() && now < latest) {
+            m_tried.clear(); // a server that refused a moment ago may have room again
+            constexpr Duration Pause = std::chrono::milliseconds(20);
+            m_wait.expires_after(Pause);
+            ErrorCode ignored;
+            co_await m_wait.async_wait(into(ignored));
+            co_return m_sends < MostSends;
+        }
+        co_return false;
+    }
+    m_wait.expires_after(std::max<Duration>(none.retryAt - now, std::chrono::milliseconds(5)));
+    ErrorCode ignored;
+    co_await m_wait.async_wait(into(ignored));
+    co_return true;
+}
+
+asio::awaitable<BackendConnectionPtr> Exchange::connectionTo(const BackendChoice &choice)
+{
+    BackendConnectionPtr connection = m_state.pool.take(choice.backend.id, MonotonicClock::now());
+    if (connection != nullptr) {
+        co_return connection;
+    }
+    co_return co_await m_state.pool.connect(choice.backend.id, choice.backend.endpoint);
+}
+
+asio::awaitable<Exchange::TryEnd> Exchange::tryBackend(const BackendChoice &choice)
+{
+    const BackendConnectionPtr connection = co_await connectionTo(choice);
+    if (connection == nullptr) {
+        m_state.book.close(choice.backend.id, MonotonicClock::now());
+        m_state.metrics.count("backend_unreached_total");
+        co_return TryEnd::Unreached;
+    }
+    if (m_callerLeft || m_timedOut) {
+        m_state.pool.giveBack(connection, std::nullopt, MonotonicClock::now());
+        co_return TryEnd::Unreached;
+    }
+    const TimePoint now = MonotonicClock::now();
+    if (m_sends > 0 && !m_state.budget.spend(m_service, now)) {
+        m_state.pool.giveBack(connection, std::nullopt, now);
+        m_budgetSpent = true;
+        co_return TryEnd::Lost;
+    }
+    ++m_sends;
+    ++m_runs;
+    m_stalled = false;
+    m_firstByteAt.reset();
+    m_connection = connection;
+    m_state.book.sent(choice, query(), now);
+    const TryEnd end = co_await converse(choice, connection);
+    m_connection.reset();
+    const bool begun = m_firstByteAt.has_value();
+    const bool failed = end == TryEnd::Failed
+                        || ((end == TryEnd::Lost || end == TryEnd::Interrupted) && !m_callerLeft);
+    m_state.book.ended(choice, begun, failed, MonotonicClock::now());
+    if (end == TryEnd::NotExecuted) {
+        --m_runs;
+        m_exchange.apply(ExchangeEvent::RefusalReceived);
+    } else if (end == TryEnd::Lost) {
+        m_exchange.apply(ExchangeEvent::ConnectionLost);
+    }
+    if (end == TryEnd::Lost && m_stalled) {
+        m_state.book.close(choice.backend.id, MonotonicClock::now());
+    }
+    if (end != TryEnd::Delivered) {
+        connection->close();
+        LogEvent("try_failed", Severity::Info)
+                .field("id", m_request.id)
+                .field("backend", choice.backend.id.str())
+                .field("weights", choice.weights)
+                .field("end", static_cast<int>(end))
+                .field("status", m_status)
+                .field("sends", m_sends)
+                .field("stalled", m_stalled)
+                .field("timed_out", m_timedOut)
+                .field("caller_left", m_callerLeft);
+    }
+    co_return end;
+}
+
+void Exchange::startWriting(const BackendChoice &choice, const BackendConnectionPtr &connection)
+{
+    const TimePoint now = MonotonicClock::now();
+    std::string &head = connection->head;
+    head = m_request.method + " " + m_request.target + " HTTP/1.1\r\nHost: " + m_request.host
+           + "\r\n" + m_request.passedOn;
+    m_state.dialect.writeTerms(termsFor(choice), now, &head);
+    const bool hasBody = !m_request.body.empty();
+    if (hasBody || (m_request.method != "GET" && m_request.method != "HEAD")) {
+        head += "Content-Length: " + std::to_string(m_request.body.size()) + "\r\n";
+    }
+    head += "\r\n";
+    m_exchange.apply(ExchangeEvent::SendStarted);
+    connection->isWriting = true;
+    const std::array<asio::const_buffer, 2> buffers{asio::buffer(head),
+                                                    asio::buffer(m_request.body)};
+    // The answer may come before the body is out; both go on side by side.
+    asio::async_write(connection->socket, buffers,
+                      [connection, self = shared_from_this()](const ErrorCode &error, std::size_t) {
+                          connection->isWriting = error.failed();
+                      });
+}
+
+asio::awaitable<Exchange::TryEnd> Exchange::converse(const BackendChoice &choice,
+                                                     const BackendConnectionPtr &connection)
+{
+    startWriting(choice, connection);
+    if (mayRepeat() && !m_headWritten) {
+        const Duration patience =
+                std::max<Duration>(m_route->targetLatency * TargetsToWait, LeastPatience);
+        setDue(MonotonicClock::now() + patience);
+    }
+    bool sawStray = false;
+    for (int answers = 0; answers <= MostStrayAnswers; ++answers) {
+        AnswerParser parser;
+        parser.body_limit(LongestAnswer);
+        parser.skip(m_request.method == "HEAD");
+        ErrorCode error;
+        co_await http::async_read_header(connection->socket, connection->buffer, parser,
+                                         into(error));
+        if (error) {
+            co_return TryEnd::Lost;
+        }
+        const AnswerHead head =
+                m_state.dialect.readAnswer(parser.get().result_int(), parser.get().base());
+        m_status = head.status;
+        if (head.status < 200) {
+            continue;
+        }
+        if (head.requestId != m_request.id && !head.requestId.empty()) {
+            // A second or late answer to another request; ours may still follow.
+            sawStray = true;
+            std::string ignored;
+            const bool isWhole = co_await readWhole(*connection, parser, &ignored);
+            if (!isWhole || parser.get().need_eof()) {
+                co_return TryEnd::Lost;
+            }
+            continue;
+        }
+        noteAnswer(choice, head);
+        if (head.isNotExecuted || head.status == 421) {
+            std::string ignored;
+            const bool isWhole = co_await readWhole(*connection, parser, &ignored);
+            if (isWhole && !sawStray) {
+                release(connection, parser, head);
+            }
+            co_return TryEnd::NotExecuted;
+        }
+        if (head.isEncoded || head.requestId.empty()
+            || (isSuccess(head.status) && !head.isStamped)) {
+            co_return TryEnd::Lost;
+        }
+        if (isSuccess(head.status) && m_route->kind == RequestKind::Stream) {
+            const TryEnd end = co_await relayEvents(choice, connection, parser, head);
+            if (end == TryEnd::Delivered && !sawStray) {
+                release(connection, parser, head);
+            }
+            co_return end;
+        }
+        if (m_headWritten) {
+            co_return TryEnd::Lost; // a stream can't go on with an answer of another kind
+        }
+        std::string body;
+        const bool isWhole = co_await readWhole(*connection, parser, &body);
+        if (!isWhole) {
+            co_return TryEnd::Lost;
+        }
+        m_firstByteAt = MonotonicClock::now();
+        m_state.book.began(choice, *m_firstByteAt);
+        m_exchange.apply(ExchangeEvent::AnswerReceived);
+        if (!sawStray) {
+            release(connection, parser, head);
+        }
+        if (head.status >= 500) {
+            m_failure = Failure{head, std::move(body)};
+            co_return TryEnd::Failed;
+        }
+        const bool delivered = co_await deliver(head, body);
+        co_return delivered ? TryEnd::Delivered : TryEnd::Interrupted;
+    }
+    co_return TryEnd::Lost;
+}
+
+void Exchange::noteAnswer(const BackendChoice &choice, const AnswerHead &head)
+{
+    const TimePoint now = MonotonicClock::now();
+    const EngineId &id = choice.backend.id;
+    if (head.load) {
+        m_state.book.reported(id, head.load->running, head.load->waiting, now);
+    }
+    if (head.weights && !m_request.model.empty()) {
+        m_state.book.sawWeights(id, m_request.model, *head.weights);
+    }
+    if (head.status == 421) {
+        if (choice.weights != 0) {
+            m_state.book.doubtWeights(id, m_request.model, now);
+        } else {
+            m_state.book.close(id, now);
+        }
+    } else if (head.isNotExecuted) {
+        m_state.book.close(id, now);
+    }
+}
+
+void Exchange::release(const BackendConnectionPtr &connection, const AnswerParser &parser,
+                       const AnswerHead &head)
+{
+    const bool isClean = !connection->isWriting && connection->buffer.size() == 0
+                         && parser.get().keep_alive() && !head.closes && !parser.get().need_eof();
+    if (isClean && connection->isOpen) {
+        m_state.pool.giveBack(connection, head.keepAlive, MonotonicClock::now());
+    } else {
+        connection->close();
+    }
+}
+
+asio::awaitable<bool> Exchange::readSome(BackendConnection &connection, AnswerParser &parser,
+                                         std::string *out)
+{
+    std::array<char, PieceBytes> piece; // NOLINT: filled by the parser
+    auto &body = parser.get().body();
+    body.data = piece.data();
+    body.size = piece.size();
+    body.more = true;
+    ErrorCode error;
+    co_await http::async_read_some(connection.socket, connection.buffer, parser, into(error));
+    if (error == http::error::need_buffer) {
+        error = {};
+    }
+    out->append(piece.data(), piece.size() - body.size);
+    co_return !error;
+}
+
+asio::awaitable<bool> Exchange::readWhole(BackendConnection &connection, AnswerParser &parser,
+                                          std::string *out)
+{
+    while (!parser.is_done()) {
+        const bool isGood = co_await readSome(connection, parser, out);
+        if (!isGood || out->size() > LongestHeldAnswer) {
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
+asio::awaitable<Exchange::TryEnd> Exchange::relayEvents(const BackendChoice &choice,
+                                                        const BackendConnectionPtr &connection,
+                                                        AnswerParser &parser,
+                                                        const AnswerHead &head)
+{
+    static_cast<void>(m_events.takePending());
+    const Duration silence = std::max<Duration>(m_route->longestPause * PausesToWait, LeastSilence);
+    while (!parser.is_done()) {
+        std::string bytes;
+        const bool isGood = co_await readSome(*connection, parser, &bytes);
+        if (!bytes.empty() && !m_firstByteAt) {
+            m_firstByteAt = MonotonicClock::now();
+            m_state.book.began(choice, *m_firstByteAt);
+            m_exchange.apply(ExchangeEvent::AnswerReceived);
+        }
+        std::string whole = m_events.feed(bytes);
+        const bool isLast = isGood && parser.is_done();
+        if (isLast && m_events.isInside()) {
+            if (parser.get().need_eof()) {
+                co_return m_headWritten ? TryEnd::Interrupted : TryEnd::Lost;
+            }
+            whole += m_events.takePending();
+        }
+        std::string out;
+        if (!whole.empty() || isLast) {
+            if (!m_headWritten) {
+                out = statusLine(head.status, head.reason) + head.passedOn + m_sink.connectionLine()
+                      + "Transfer-Encoding: chunked\r\n\r\n";
+                m_headWritten = true;
+            }
+            if (!whole.empty()) {
+                out += chunk(whole);
+            }
+            if (isLast) {
+                out += "0\r\n\r\n";
+            }
+            const bool isThere = co_await m_sink.write(std::move(out));
+            if (!isThere) {
+                m_callerLeft = true;
+                co_return TryEnd::Interrupted;
+            }
+            if (mayRepeat()) {
+                setDue(MonotonicClock::now() + silence);
+            }
+        }
+        if (!isGood) {
+            co_return m_headWritten ? TryEnd::Interrupted : TryEnd::Lost;
+        }
+    }
+    co_return TryEnd::Delivered;
+}
+
+bool Exchange::mayRepeat() const
+{
+    return m_route->kind == RequestKind::Safe
+           || (m_route->kind == RequestKind::Stream && m_route->isResumable);
+}
+
+bool Exchange::maySendAgain(TryEnd end) const
+{
+    if (m_budgetSpent || m_sends >= MostSends) {
+        return false;
+    }
+    if (end == TryEnd::NotExecuted) {
+        return true;
+    }
+    if (end == TryEnd::Interrupted && m_events.lastId().empty()) {
+        return false;
+    }
+    return mayRepeat() && m_runs < m_route->mostBackends;
+}
+
+asio::awaitable<bool> Exchange::deliver(const AnswerHead &head, const std::string &body)
+{
+    const bool hasNoBody = head.status == 204 || head.status == 304;
+    std::string out =
+            statusLine(head.status, head.reason) + head.passedOn + m_sink.connectionLine();
+    if (!hasNoBody) {
+        out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    }
+    out += "\r\n";
+    if (m_request.method != "HEAD") {
+        out += body;
+    }
+    m_headWritten = true;
+    m_status = head.status;
+    co_return co_await m_sink.write(std::move(out));
+}
+
+asio::awaitable<ExchangeEnd> Exchange::giveUp()
+{
+    if (m_callerLeft) {
+        log(0, "caller_left");
+        co_return ExchangeEnd::Broken;
+    }
+    if (m_headWritten) {
+        log(m_status, "stream_broken");
+        co_return ExchangeEnd::Broken;
+    }
+    if (m_failure) {
+        const bool delivered = co_await deliver(m_failure->head, m_failure->body);
+        log(m_status, "backend_failed");
+        co_return delivered ? ExchangeEnd::Answered : ExchangeEnd::Broken;
+    }
+    const TimePoint now = MonotonicClock::now();
+    if (m_exchange.ran() == Ran::No) {
+        constexpr Duration LeastRetryAfter = std::chrono::milliseconds(100);
+        const Duration after = std::max<Duration>(m_none.retryAt - now, LeastRetryAfter);
+        const std::string_view reason = m_timedOut || m_deadline - now < LeastTimeForTry
+                                                ? toString(RefusalReason::TooLate)
+                                        : m_budgetSpent ? toString(RefusalReason::RetryBudgetSpent)
+                                                        : toString(RefusalReason::NoBackend);
+        co_return co_await refuse(503, reason, std::min<Duration>(after, std::chrono::seconds(2)));
+    }
+    const int status = m_timedOut ? 504 : 502;
+    co_return co_await refuse(status, toString(RefusalReason::OutcomeUnknown), std::nullopt);
+}
+
+asio::awaitable<ExchangeEnd> Exchange::refuse(int status, std::string_view reason,
+                                              std::optional<Duration> retryAfter)
+{
+    std::string body = R"({"error":")" + std::string(reason) + R"(","ran":")"
+                       + std::string(toString(m_exchange.ran())) + "\"}";
+    std::string out = statusLine(status, reasonOf(status)) + "Content-Type: application/json\r\n"
+                      + m_sink.connectionLine();
+    if (retryAfter) {
+        std::array<char, 32> text{};
+        std::snprintf(text.data(), text.size(), "%.2f", secondsOf(*retryAfter));
+        out += "Retry-After: " + std::string(text.data()) + "\r\n";
+    }
+    out += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    m_status = status;
+    const bool isThere = co_await m_sink.write(std::move(out));
+    log(status, reason);
+    co_return isThere ? ExchangeEnd::Answered : ExchangeEnd::Broken;
+}
+
+void Exchange::setDue(std::optional<TimePoint> stall)
+{
+    m_timed->dueAt = stall ? std::min(*stall, m_deadline) : m_deadline;
+}
+
+void Exchange::due()
+{
+    if (MonotonicClock::now() >= m_deadline) {
+        m_timedOut = true;
+    } else {
+        m_stalled = true;
+        m_timed->dueAt = m_deadline;
+    }
+    abortTry();
+}
+
+void Exchange::abortTry()
+{
+    m_wait.cancel();
+    if (m_connection != nullptr) {
+        m_connection->close();
+    }
+}
+
+void Exchange::callerLeft()
+{
+    m_callerLeft = true;
+    abortTry();
+}
+
+void Exchange::log(int status, std::string_view outcome)
+{
+    const TimePoint now = MonotonicClock::now();
+    const std::string route = m_route == nullptr ? "none" : m_route->name;
+    m_state.metrics.count("requests_total{outcome=\"" + std::string(outcome) + "\"}");
+    m_state.metrics.observe("request_seconds", now - m_request.arrived);
+    LogEvent("request")
+            .field("id", m_request.id)
+            .field("route", route)
+            .field("customer", m_customer == nullptr ? "none" : m_customer->id.str())
+            .field("config", m_table == nullptr ? 0 : m_table->config().version)
+            .field("backend", m_tried.empty() ? "" : m_tried.back().str())
+            .field("status", status)
+            .field("outcome", outcome)
+            .field("ran", toString(m_exchange.ran()))
+            .field("sends", m_sends)
+            .field("first_ms",
+                   m_firstByteAt ? *m_firstByteAt - m_request.arrived : Duration::zero())
+            .field("total_ms", now - m_request.arrived);
+}
+
+} // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/traffic/traffic_server.cpp
@@ -0,0 +1,168 @@
+#include "vanilladyke/traffic/traffic_server.hpp"
+
+#include "vanilladyke/base/log.hpp"
+
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/read.hpp>
+
+namespace vanilladyke {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+/// After an accept failed for want of descriptors, others may end meanwhile.
+constexpr Duration AcceptPause = std::chrono::milliseconds(50);
+constexpr Duration PlainTimeout = std::chrono::seconds(5);
+constexpr std::size_t AcceptsBetweenSweeps = 256;
+
+} // namespace
+
+TrafficServer::TrafficServer(TrafficState &state, ListenSettings settings)
+    : m_state(state)
+    , m_settings(std::move(settings))
+    , m_callers(state.context)
+    , m_ready(state.context)
+    , m_metrics(state.context)
+{}
+
+bool TrafficServer::open(tcp::acceptor &acceptor, const Endpoint &endpoint, std::string *error)
+{
+    ErrorCode failed;
+    const tcp::endpoint address = toAsio(endpoint, failed);
+    if (!failed) {
+        acceptor.open(address.protocol(), failed);
+    }
+    if (!failed) {
+        acceptor.set_option(tcp::acceptor::reuse_address(true), failed);
+        acceptor.bind(address, failed);
+    }
+    if (!failed) {
+        acceptor.listen(tcp::acceptor::max_listen_connections, failed);
+    }
+    if (failed) {
+        *error = endpoint.str() + ": " + failed.message();
+    }
+    return !failed;
+}
+
+std::optional<std::string> TrafficServer::listen()
+{
+    std::string error;
+    if (!open(m_callers, m_settings.callers, &error) || !open(m_ready, m_settings.ready, &error)
+        || (m_settings.metrics && !open(m_metrics, *m_settings.metrics, &error))) {
+        return error;
+    }
+    asio::co_spawn(m_state.context, acceptCallers(), asio::detached);
+    asio::co_spawn(m_state.context, acceptPlain(m_ready), asio::detached);
+    if (m_settings.metrics) {
+        asio::co_spawn(m_state.context, acceptPlain(m_metrics), asio::detached);
+    }
+    return std::nullopt;
+}
+
+bool TrafficServer::isReady() const
+{
+    if (m_state.isStopping || m_state.table == nullptr || m_state.book.size() == 0) {
+        return false;
+    }
+    return !m_state.table->needsKeys() || m_state.isFresh();
+}
+
+asio::awaitable<void> TrafficServer::acceptCallers()
+{
+    for (;;) {
+        tcp::socket socket(m_state.context);
+        ErrorCode error;
+        co_await m_callers.async_accept(socket, into(error));
+        if (!m_callers.is_open()) {
+            co_return;
+        }
+        if (error) {
+            asio::steady_timer pause(m_state.context, AcceptPause);
+            co_await pause.async_wait(into(error));
+            continue;
+        }
+        ErrorCode ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        const auto session = std::make_shared<CallerSession>(m_state, std::move(socket));
+        m_sessions.emplace_back(session);
+        if (++m_accepted % AcceptsBetweenSweeps == 0) {
+            m_sessions.remove_if([](const auto &each) { return each.expired(); });
+        }
+        session->start();
+    }
+}
+
+asio::awaitable<void> TrafficServer::acceptPlain(tcp::acceptor &acceptor)
+{
+    for (;;) {
+        tcp::socket socket(m_state.context);
+        ErrorCode error;
+        co_await acceptor.async_accept(socket, into(error));
+        if (!acceptor.is_open()) {
+            co_return;
+        }
+        if (error) {
+            asio::steady_timer pause(m_state.context, AcceptPause);
+            co_await pause.async_wait(into(error));
+            continue;
+        }
+        asio::co_spawn(m_state.context, servePlain(std::move(socket)), asio::detached);
+    }
+}
+
+asio::awaitable<void> TrafficServer::servePlain(tcp::socket socket)
+{
+    const auto timed = std::make_shared<Timed>();
+    m_state.ticker.add(timed);
+    timed->onDue = [&socket] {
+        ErrorCode ignored;
+        socket.close(ignored);
+    };
+    boost::beast::flat_buffer buffer;
+    bool keepsOpen = true;
+    while (keepsOpen) {
+        timed->dueAt = MonotonicClock::now() + PlainTimeout;
+        http::request<http::empty_body> request;
+        ErrorCode error;
+        co_await http::async_read(socket, buffer, request, into(error));
+        if (error) {
+            break;
+        }
+        keepsOpen = request.keep_alive();
+        const std::string target(request.target());
+        std::string body;
+        int status = 404;
+        if (target == m_settings.readyPath) {
+            status = isReady() ? 200 : 503;
+        } else if (m_settings.metrics && target == "/metrics") {
+            status = 200;
+            body = m_state.metrics.text() + (metricsText ? metricsText() : std::string());
+        }
+        std::string answer = "HTTP/1.1 " + std::to_string(status) + " "
+                             + std::string(http::obsolete_reason(static_cast<http::status>(status)))
+                             + "\r\nContent-Type: text/plain\r\nContent-Length: "
+                             + std::to_string(body.size()) + "\r\n\r\n" + body;
+        co_await asio::async_write(socket, asio::buffer(answer), into(error));
+        if (error) {
+            break;
+        }
+    }
+}
+
+void TrafficServer::stopAccepting()
+{
+    m_state.isStopping = true;
+}
+
+void TrafficServer::closeIdle()
+{
+    for (const auto &each : m_sessions) {
+        if (const auto session = each.lock()) {
+            session->finish();
+        }
+    }
+}
+
+} // namespace vanilladyke
