Resume streams behind their last event; stop before the grace runs out

Change: the exchange resumes behind the last whole event; after the balancer's lag the node closes its listener and refuses what still comes with 'not run'.

--- a/include/vanilladyke/traffic/traffic_server.hpp
+++ b/include/vanilladyke/traffic/traffic_server.hpp
@@ -25,9 +25,9 @@
     /// @brief Opens the ports. @return what failed, or none
     [[nodiscard]] std::optional<std::string> listen();
     /// @brief Not ready from now on; connections end with their next answer.
-    void stopAccepting();
-    /// @brief Closes connections on which no request is under way.
-    void closeIdle();
+    void announceStop();
+    /// @brief Takes no connection any more and closes those on which no request is under way.
+    void leave();
     [[nodiscard]] bool isIdle() const { return m_state.openExchanges == 0; }
     /// @brief Whether the node is ready for new connections.
     [[nodiscard]] bool isReady() const;
--- a/include/vanilladyke/traffic/traffic_state.hpp
+++ b/include/vanilladyke/traffic/traffic_state.hpp
@@ -56,7 +56,8 @@
     Metrics metrics;
     std::shared_ptr<const RouteTable> table; ///< null until a configuration is known
     std::size_t nodes = 1;                   ///< that share the backend servers' connections
-    bool isStopping = false;
+    bool isStopping = false;                 ///< not ready any more; requests are still served
+    bool isLeaving = false; ///< no new request is begun: it might not end before the process does
     /// Age of the newest proof that the configuration is the newest, on a clock that counts
     /// suspension.
     std::function<Duration()> configAge = [] { return Duration::max(); };
--- a/src/vanilladyke/app/node_command.cpp
+++ b/src/vanilladyke/app/node_command.cpp
@@ -91,7 +91,7 @@
     {
         LogEvent("stopping").field("signal", signal).field("open", m_traffic.openExchanges);
         m_stopAt = MonotonicClock::now();
-        m_server.stopAccepting();
+        m_server.announceStop();
         stepStop();
     }
 
@@ -99,7 +99,7 @@
     {
         const TimePoint now = MonotonicClock::now();
         if (now - m_stopAt >= BalancerLag) {
-            m_server.closeIdle();
+            m_server.leave();
         }
         const bool isDone = now - m_stopAt >= BalancerLag && m_server.isIdle();
         if (isDone || now - m_stopAt >= m_settings.grace - KillMargin) {
--- a/src/vanilladyke/traffic/exchange.cpp
+++ b/src/vanilladyke/traffic/exchange.cpp
@@ -116,6 +116,9 @@
         if (m_callerLeft || m_timedOut || !maySendAgain(end)) {
             break;
         }
+        if (end == TryEnd::Interrupted) {
+            m_resumeAfter = m_events.lastId();
+        }
     }
     co_return co_await giveUp();
 }
@@ -123,6 +126,9 @@
 std::optional<Refusal> Exchange::admit()
 {
     const TimePoint now = m_request.arrived;
+    if (m_state.isLeaving) {
+        return Refusal{RefusalReason::ShuttingDown, "node is stopping", Ran::No, now};
+    }
     // The next proof of the configuration's age is due within about a second.
     const TimePoint nextProof = now + std::chrono::seconds(1);
     if (m_table == nullptr) {
--- a/src/vanilladyke/traffic/traffic_server.cpp
+++ b/src/vanilladyke/traffic/traffic_server.cpp
@@ -151,13 +151,16 @@
     }
 }
 
-void TrafficServer::stopAccepting()
+void TrafficServer::announceStop()
 {
     m_state.isStopping = true;
 }
 
-void TrafficServer::closeIdle()
+void TrafficServer::leave()
 {
+    m_state.isLeaving = true;
+    ErrorCode ignored;
+    m_callers.close(ignored);
     for (const auto &each : m_sessions) {
         if (const auto session = each.lock()) {
             session->finish();
