--- a/include/vanilladyke/node/weights_controller.hpp
+++ b/include/vanilladyke/node/weights_controller.hpp
@@ -25,6 +25,8 @@
     static constexpr Duration FirstQuestion = std::chrono::milliseconds(1750);
     static constexpr Duration NextQuestion = std::chrono::milliseconds(150);
     /// An order that shows no effect for so long is given again.
+    /// An engine that stays silent for so many questions is down and holds up others no longer.
+    static constexpr int MostSilentAnswers = 2;
     static constexpr Duration OrderTimeout = std::chrono::seconds(8);
 
     WeightsController(std::string self, std::uint64_t incarnation, LeaseTerms terms,
@@ -46,6 +48,7 @@
         TimePoint askAt;
         bool isAsking = false;
         bool wasOrdered = false;
+        int silentAnswers = 0; ///< questions in a row that were not answered
     };
 
     [[nodiscard]] std::vector<RolloutEngine> enginesOf(const ModelId &model) const;
--- a/include/vanilladyke/policy/backend_book.hpp
+++ b/include/vanilladyke/policy/backend_book.hpp
@@ -82,7 +82,7 @@
     static constexpr double RereadCostPerToken = 0.05; ///< ms: reading is charged beyond its time
     static constexpr std::size_t Homes = 3;
     static constexpr Duration OldWeightsGrace = std::chrono::milliseconds(1000);
-    static constexpr Duration OldWeightsMargin = std::chrono::milliseconds(1500);
+    static constexpr Duration OldWeightsMargin = std::chrono::milliseconds(2000);
 
     BackendBook(DataCentreId here, BackendRates rates);
 
@@ -130,22 +130,26 @@
         Duration lastClose{};
         std::unordered_map<std::string, TimePoint> held;
     };
+    /// Weights that were named for a model, oldest first. Each closes what is older than itself
+    /// when its own time is over, however many were named after it.
     struct Goal
     {
         std::uint64_t version = 0;
         TimePoint since;
     };
+    using Goals = std::vector<Goal>;
 
     [[nodiscard]] double waitOf(const State &state, TimePoint now) const;
-    [[nodiscard]] double chargesOf(const State &state, std::uint64_t weights, const Goal *goal,
+    [[nodiscard]] double chargesOf(const State &state, std::uint64_t weights, const Goals *goals,
                                    TimePoint now) const;
+    [[nodiscard]] std::uint64_t leastWeights(const Goals *goals, TimePoint now) const;
     [[nodiscard]] static std::uint64_t weightsOf(const State &state, const ModelId &model);
 
     DataCentreId m_here;
     BackendRates m_rates;
     std::unordered_map<EngineId, State> m_states;
     std::unordered_map<ServiceId, std::vector<EngineId>> m_byService;
-    std::unordered_map<ModelId, Goal> m_goals;
+    std::unordered_map<ModelId, Goals> m_goals;
 };
 
 } // namespace vanilladyke
--- a/src/vanilladyke/node/weights_controller.cpp
+++ b/src/vanilladyke/node/weights_controller.cpp
@@ -129,7 +129,7 @@
                 continue;
             }
             rollout.started(id);
-            m_loads[id] = Load{model, rollout.goal(), now, now, false, false};
+            m_loads[id] = Load{model, rollout.goal(), now, now, false, false, 0};
         }
     }
 }
@@ -161,11 +161,12 @@
     load.askAt = m_now + NextQuestion;
     const BackendEntry *engine = m_roster.find(id);
     if (!report || engine == nullptr) {
-        if (!load.wasOrdered) {
+        if (!load.wasOrdered || ++load.silentAnswers >= MostSilentAnswers) {
             finish(id, false);
         }
         return;
     }
+    load.silentAnswers = 0;
     const auto version = report->weights.find(load.model);
     const std::uint64_t has = version == report->weights.end() ? 0 : version->second;
     m_observed[{id, load.model}] = has;
@@ -238,6 +239,11 @@
     if (found == m_loads.end()) {
         return;
     }
+    LogEvent("weights_load_ended")
+            .field("backend", id.str())
+            .field("version", found->second.version)
+            .field("succeeded", succeeded)
+            .field("took_ms", m_now - found->second.startedAt);
     m_rollouts[found->second.model].ended(id, succeeded, m_now);
     m_loads.erase(found);
 }
--- a/src/vanilladyke/policy/backend_book.cpp
+++ b/src/vanilladyke/policy/backend_book.cpp
@@ -60,10 +60,26 @@
 
 void BackendBook::setGoal(const ModelId &model, std::uint64_t version, TimePoint since)
 {
-    Goal &goal = m_goals[model];
-    if (version > goal.version) {
-        goal = {version, since};
+    Goals &goals = m_goals[model];
+    if (goals.empty() || version > goals.back().version) {
+        goals.push_back({version, since});
     }
+    // What is older than one whose time is over decides nothing any more.
+    while (goals.size() > 1 && since - goals[1].since > m_rates.weightsTime) {
+        goals.erase(goals.begin());
+    }
+}
+
+std::uint64_t BackendBook::leastWeights(const Goals *goals, TimePoint now) const
+{
+    std::uint64_t least = 0;
+    if (goals != nullptr) {
+        for (const Goal &goal : *goals) {
+            const bool isOver = now - goal.since > m_rates.weightsTime - OldWeightsMargin;
+            least = isOver ? goal.version : least;
+        }
+    }
+    return least;
 }
 
 std::uint64_t BackendBook::weightsOf(const State &state, const ModelId &model)
@@ -86,7 +102,7 @@
     return state.waitingMs + busy * m_rates.stepMs + over * QueuedMs + slotsUsed * PlainCallMs;
 }
 
-double BackendBook::chargesOf(const State &state, std::uint64_t weights, const Goal *goal,
+double BackendBook::chargesOf(const State &state, std::uint64_t weights, const Goals *goals,
                               TimePoint now) const
 {
     double charges = state.entry.dataCentre == m_here ? 0 : OtherCentreCost;
@@ -97,7 +113,11 @@
     if (state.unanswered > 0 && now - state.silentSince > SilenceToAvoid) {
         charges += SilenceCost;
     }
-    if (goal != nullptr && weights < goal->version && now - goal->since > OldWeightsGrace) {
+    const bool isOld =
+            goals != nullptr && std::any_of(goals->begin(), goals->end(), [&](const Goal &goal) {
+                return weights < goal.version && now - goal.since > OldWeightsGrace;
+            });
+    if (isOld) {
         charges += OldWeightsCost;
     }
     return charges;
@@ -111,10 +131,9 @@
         return tl::make_unexpected(NoBackend{false, now + LongestClose});
     }
     const auto goalFound = m_goals.find(query.model);
-    const Goal *goal =
-            query.model.empty() || goalFound == m_goals.end() ? nullptr : &goalFound->second;
-    const bool onlyNewest =
-            goal != nullptr && now - goal->since > m_rates.weightsTime - OldWeightsMargin;
+    const bool hasGoals = !query.model.empty() && goalFound != m_goals.end();
+    const Goals *goals = hasGoals ? &goalFound->second : nullptr;
+    const std::uint64_t least = leastWeights(goals, now);
     struct Open
     {
         const State *state;
@@ -129,7 +148,7 @@
         const State &state = m_states.at(id);
         const std::uint64_t weights = weightsOf(state, query.model);
         if (std::find(query.exclude.begin(), query.exclude.end(), id) != query.exclude.end()
-            || (onlyNewest && weights < goal->version)) {
+            || weights < least) {
             continue;
         }
         if (state.closedUntil > now) {
@@ -137,7 +156,7 @@
             continue;
         }
         open.push_back({&state, mix(partHash ^ state.hash),
-                        waitOf(state, now) + chargesOf(state, weights, goal, now)});
+                        waitOf(state, now) + chargesOf(state, weights, goals, now)});
     }
     if (open.empty()) {
         return tl::make_unexpected(none);
@@ -283,8 +302,8 @@
     }
     const auto goal = m_goals.find(model);
     std::uint64_t &known = found->second.entry.weights[model];
-    if (goal != m_goals.end() && known < goal->second.version) {
-        known = goal->second.version; // most likely it was brought to the newest meanwhile
+    if (goal != m_goals.end() && known < goal->second.back().version) {
+        known = goal->second.back().version; // most likely it was brought to the newest meanwhile
         found->second.held.clear();
         return;
     }
