Hand the lease of orders over when a holder stops or is done

Answers to reports were judged by the time of the last step, which may be old after a pause. Change: the last record of a holder releases the lease and names the engines ordered within the gap; it also tells how long weights have been named, for nodes that started later; the clock is read where an order is sent.

--- a/include/vanilladyke/node/control_plane.hpp
+++ b/include/vanilladyke/node/control_plane.hpp
@@ -36,7 +36,8 @@
                  LeaseLog &log, EngineOrders &orders, std::uint64_t seed);
 
     void start();
-    void stop();
+    /// @brief The node will stop: another one is to give the orders from now on.
+    void handOver();
     [[nodiscard]] const ProofOfAge &proof() const { return m_proof; }
 
     void configurationRead(RoutingConfig config) override;
--- a/include/vanilladyke/node/weights_controller.hpp
+++ b/include/vanilladyke/node/weights_controller.hpp
@@ -15,6 +15,7 @@
 {
     std::function<void(const EngineId &, Duration)> loading; ///< no requests there for so long
     std::function<void(const EngineId &, const ModelId &, std::uint64_t)> loaded;
+    std::function<void(const WeightsAge &)> aged; ///< another node has known the weights longer
 };
 
 /// @brief Lease, pacing and orders of one node. Runs on the control thread; the clock comes in.
@@ -29,14 +30,20 @@
     static constexpr int MostSilentAnswers = 2;
     static constexpr Duration OrderTimeout = std::chrono::seconds(8);
 
+    /// @brief A clock that counts suspension. Answers come between steps and after pauses, so that
+    /// the time of the last step would be too old to tell whether the lease still holds.
+    using Clock = std::function<TimePoint()>;
+
     WeightsController(std::string self, std::uint64_t incarnation, LeaseTerms terms,
                       const BackendRoster &roster, LeaseLog &log, EngineOrders &orders,
-                      WeightsNews news, Random &random);
+                      WeightsNews news, Clock clock, Random &random);
 
     void weightsNamed(const ModelId &model, std::uint64_t version, TimePoint now);
     /// @brief Does what is due. Called every few dozen milliseconds.
     void step(TimePoint now);
     [[nodiscard]] bool isPending() const;
+    /// @brief Gives no orders any more and hands the lease on.
+    void stop();
     [[nodiscard]] const OrderLease &lease() const { return m_lease; }
 
 private:
@@ -53,7 +60,10 @@
 
     [[nodiscard]] std::vector<RolloutEngine> enginesOf(const ModelId &model) const;
     [[nodiscard]] std::uint64_t versionOf(const BackendEntry &entry, const ModelId &model) const;
-    void stepLease(TimePoint now);
+    void stepLease(bool wantsToOrder, TimePoint now);
+    void readLease(TimePoint now);
+    void sawLease(const LeaseLogState &state);
+    [[nodiscard]] LeaseNews leaseNews(TimePoint now) const;
     void startLoads(TimePoint now);
     void stepLoad(const EngineId &id, Load &load, TimePoint now);
     void reported(const EngineId &id, const std::optional<EngineReport> &report);
@@ -67,13 +77,17 @@
     LeaseLog &m_log;
     EngineOrders &m_orders;
     WeightsNews m_news;
+    Clock m_clock;
     Duration m_patience;
     std::map<ModelId, WeightsRollout> m_rollouts;
     std::map<EngineId, Load> m_loads;
     std::map<std::pair<EngineId, ModelId>, std::uint64_t> m_observed;
+    std::map<EngineId, TimePoint> m_orderedAt; ///< last order of this node to the engine
+    Duration m_gap;
+    int m_openOrders = 0; ///< not answered yet
+    bool m_stopping = false;
     bool m_isReading = false;
     TimePoint m_readAt;
-    TimePoint m_now;
 };
 
 } // namespace vanilladyke
--- a/include/vanilladyke/policy/order_lease.hpp
+++ b/include/vanilladyke/policy/order_lease.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "vanilladyke/base/time.hpp"
+#include "vanilladyke/model/ids.hpp"
 
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 /// The right to give orders to engines: one node at a time, agreed on through a log with
 /// conditional appends.
@@ -18,14 +20,39 @@
 /// it. A record is seen after it was appended, and appended after it was sent; so the first order
 /// of the new holder comes at least gap + margin after the last one of the old holder, whatever
 /// answers were lost or late. Points in time must come from a clock that counts suspension.
+///
+/// A holder that is done, or stops by plan, releases the lease, so that its successor need not
+/// wait: it orders no more, and its last record names the engines that it ordered within the gap;
+/// only those have to rest for the gap after the release was seen.
 namespace vanilladyke {
 
+/// @brief How long ago new weights were named, at the least.
+struct WeightsAge
+{
+    ModelId model;
+    std::uint64_t version = 0;
+    Duration age{};
+
+    bool operator==(const WeightsAge &) const = default;
+};
+
+/// @brief What a holder tells with each of its records.
+struct LeaseNews
+{
+    std::vector<EngineId> ordered;   ///< engines that got an order within the gap
+    std::vector<WeightsAge> weights; ///< for nodes that started later and can't know
+
+    bool operator==(const LeaseNews &) const = default;
+};
+
 /// @brief A record of the lease's log.
 struct LeaseRecord
 {
     std::string holder; ///< machine; its restarts are the same holder
     std::uint64_t incarnation = 0;
     std::uint64_t attempt = 0; ///< tells one append of an incarnation from the next
+    bool isRelease = false;    ///< the holder gives no orders from now on
+    LeaseNews news;
 
     bool operator==(const LeaseRecord &) const = default;
 };
@@ -55,8 +82,15 @@
     /// @brief The log was read. @param end offset behind the last record @param last that record
     void sawLog(std::uint64_t end, const std::optional<LeaseRecord> &last, TimePoint now);
     /// @brief What to append now, if anything; none while an append is under way.
+    /// @param wantsToOrder else a lease that is held is released; no order may be under way then
     /// @param patience longer wait before a claim, so that nodes don't claim all at once
-    [[nodiscard]] std::optional<LeaseAppend> nextAppend(Duration patience, TimePoint now);
+    /// @param news what a record that is appended now is to tell
+    [[nodiscard]] std::optional<LeaseAppend> nextAppend(bool wantsToOrder, Duration patience,
+                                                        const LeaseNews &news, TimePoint now);
+    /// @brief Whether a former holder's last order to the engine may be less than the gap ago.
+    [[nodiscard]] bool isResting(const EngineId &engine, TimePoint now) const;
+    /// @brief The last record that is known.
+    [[nodiscard]] const std::optional<LeaseRecord> &last() const { return m_last; }
     /// @brief The log took the append that is under way.
     void appended(std::uint64_t end, TimePoint now);
     /// @brief The log refused it, or nobody knows: the log has to be read again.
@@ -83,6 +117,8 @@
     TimePoint m_sentAt; ///< of the newest append
     std::optional<TimePoint> m_holdsUntil;
     std::uint64_t m_fence = 0;
+    std::vector<EngineId> m_resting; ///< of a former holder that released the lease
+    TimePoint m_restUntil;
 };
 
 } // namespace vanilladyke
--- a/include/vanilladyke/policy/weights_rollout.hpp
+++ b/include/vanilladyke/policy/weights_rollout.hpp
@@ -36,6 +36,8 @@
     /// @brief Names the version to bring about. A lower one than before changes nothing.
     void name(std::uint64_t version, TimePoint now);
     [[nodiscard]] std::uint64_t goal() const { return m_goal; }
+    /// @brief The goal was named earlier than was thought.
+    void date(TimePoint namedAt) { m_namedAt = namedAt; }
     [[nodiscard]] TimePoint namedAt() const { return m_namedAt; }
     [[nodiscard]] bool isPending(const std::vector<RolloutEngine> &engines) const;
     /// @brief Engines to order now.
--- a/src/vanilladyke/app/node_command.cpp
+++ b/src/vanilladyke/app/node_command.cpp
@@ -92,6 +92,7 @@
         LogEvent("stopping").field("signal", signal).field("open", m_traffic.openExchanges);
         m_stopAt = MonotonicClock::now();
         m_server.announceStop();
+        asio::post(m_controlContext, [this] { m_control.handOver(); });
         stepStop();
     }
 
--- a/src/vanilladyke/node/control_plane.cpp
+++ b/src/vanilladyke/node/control_plane.cpp
@@ -32,7 +32,7 @@
     , m_settings(std::move(settings))
     , m_random(seed)
     , m_weights(m_settings.self, seed, m_settings.lease, m_roster, log, orders, newsForTraffic(),
-                m_random)
+                &BootClock::now, m_random)
     , m_timer(context)
 {}
 
@@ -50,6 +50,12 @@
             traffic.book.closeUntil(id, MonotonicClock::now());
         });
     };
+    news.aged = [this](const WeightsAge &weights) {
+        tell([weights](TrafficState &traffic) {
+            traffic.book.setGoal(weights.model, weights.version,
+                                 MonotonicClock::now() - weights.age);
+        });
+    };
     return news;
 }
 
@@ -58,9 +64,9 @@
     schedule();
 }
 
-void ControlPlane::stop()
+void ControlPlane::handOver()
 {
-    m_timer.cancel();
+    m_weights.stop();
 }
 
 void ControlPlane::schedule()
--- a/src/vanilladyke/node/weights_controller.cpp
+++ b/src/vanilladyke/node/weights_controller.cpp
@@ -17,16 +17,40 @@
 
 WeightsController::WeightsController(std::string self, std::uint64_t incarnation, LeaseTerms terms,
                                      const BackendRoster &roster, LeaseLog &log,
-                                     EngineOrders &orders, WeightsNews news, Random &random)
+                                     EngineOrders &orders, WeightsNews news, Clock clock,
+                                     Random &random)
     : m_self(self)
     , m_lease(std::move(self), incarnation, terms)
     , m_roster(roster)
     , m_log(log)
     , m_orders(orders)
     , m_news(std::move(news))
+    , m_clock(std::move(clock))
     , m_patience(spanOfSeconds(uniform(random) * MostPatienceSeconds))
+    , m_gap(terms.gap + terms.margin)
 {}
 
+void WeightsController::stop()
+{
+    m_stopping = true;
+}
+
+LeaseNews WeightsController::leaseNews(TimePoint now) const
+{
+    LeaseNews news;
+    for (const auto &[engine, at] : m_orderedAt) {
+        if (now - at < m_gap) {
+            news.ordered.push_back(engine);
+        }
+    }
+    for (const auto &[model, rollout] : m_rollouts) {
+        if (rollout.goal() > 0) {
+            news.weights.push_back({model, rollout.goal(), now - rollout.namedAt()});
+        }
+    }
+    return news;
+}
+
 void WeightsController::weightsNamed(const ModelId &model, std::uint64_t version, TimePoint now)
 {
     WeightsRollout &rollout = m_rollouts[model];
@@ -64,15 +88,17 @@
 
 void WeightsController::step(TimePoint now)
 {
-    m_now = now;
-    if (!isPending()) {
+    const bool wantsToOrder = !m_stopping && isPending();
+    if (!wantsToOrder) {
         for (auto &[model, rollout] : m_rollouts) {
             rollout.abandon();
         }
         m_loads.clear();
+    }
+    stepLease(wantsToOrder, now);
+    if (!wantsToOrder) {
         return;
     }
-    stepLease(now);
     if (m_lease.mayOrder(now)) {
         startLoads(now);
     } else if (!m_loads.empty() && m_lease.needsRead()) {
@@ -90,12 +116,15 @@
     }
 }
 
-void WeightsController::stepLease(TimePoint now)
+void WeightsController::stepLease(bool wantsToOrder, TimePoint now)
 {
-    if (const auto append = m_lease.nextAppend(m_patience, now)) {
+    if (!wantsToOrder && m_openOrders > 0) {
+        return; // the release says that no order is under way
+    }
+    if (const auto append = m_lease.nextAppend(wantsToOrder, m_patience, leaseNews(now), now)) {
         m_log.append(*append, [this](AppendEnd end, std::uint64_t offset) {
             if (end == AppendEnd::Taken) {
-                m_lease.appended(offset, m_now);
+                m_lease.appended(offset, m_clock());
                 return;
             }
             LogEvent("lease_append_failed").field("known", end == AppendEnd::Refused);
@@ -103,6 +132,13 @@
         });
         return;
     }
+    if (wantsToOrder) {
+        readLease(now);
+    }
+}
+
+void WeightsController::readLease(TimePoint now)
+{
     if (m_isReading || now < m_readAt || (!m_lease.needsRead() && m_lease.mayOrder(now))) {
         return;
     }
@@ -114,18 +150,38 @@
     m_log.read(known, [this](const std::optional<LeaseLogState> &state) {
         m_isReading = false;
         if (!state) {
-            m_readAt = m_now + ReadPause;
+            m_readAt = m_clock() + ReadPause;
             return;
         }
-        m_lease.sawLog(state->end, state->last, m_now);
+        sawLease(*state);
     });
 }
 
+void WeightsController::sawLease(const LeaseLogState &state)
+{
+    m_lease.sawLog(state.end, state.last, m_clock());
+    if (!state.last || state.last->holder == m_self) {
+        return;
+    }
+    for (auto &[model, rollout] : m_rollouts) {
+        rollout.abandon();
+    }
+    m_loads.clear();
+    for (const WeightsAge &each : state.last->news.weights) {
+        const auto rollout = m_rollouts.find(each.model);
+        if (rollout != m_rollouts.end() && rollout->second.goal() == each.version
+            && rollout->second.namedAt() > m_clock() - each.age) {
+            rollout->second.date(m_clock() - each.age);
+            m_news.aged(each);
+        }
+    }
+}
+
 void WeightsController::startLoads(TimePoint now)
 {
     for (auto &[model, rollout] : m_rollouts) {
         for (const EngineId &id : rollout.next(enginesOf(model), now)) {
-            if (m_loads.contains(id)) {
+            if (m_loads.contains(id) || m_lease.isResting(id, now)) {
                 continue;
             }
             rollout.started(id);
@@ -158,7 +214,7 @@
     }
     Load &load = found->second;
     load.isAsking = false;
-    load.askAt = m_now + NextQuestion;
+    load.askAt = m_clock() + NextQuestion;
     const BackendEntry *engine = m_roster.find(id);
     if (!report || engine == nullptr) {
         if (!load.wasOrdered || ++load.silentAnswers >= MostSilentAnswers) {
@@ -178,7 +234,7 @@
     if (report->isBusy) {
         return;
     }
-    if (load.wasOrdered && m_now - load.startedAt < FirstQuestion) {
+    if (load.wasOrdered && m_clock() - load.startedAt < FirstQuestion) {
         return; // the report is some hundred milliseconds old
     }
     giveOrder(*engine, load, report->ordersAccepted);
@@ -186,14 +242,16 @@
 
 void WeightsController::giveOrder(const BackendEntry &engine, Load &load, std::uint64_t accepted)
 {
-    if (!m_lease.mayOrder(m_now)) {
+    if (!m_lease.mayOrder(m_clock())) {
         finish(engine.id, false);
         return;
     }
     load.wasOrdered = true;
     load.isAsking = true;
-    load.startedAt = m_now;
+    load.startedAt = m_clock();
     m_news.loading(engine.id, FirstQuestion + NextQuestion);
+    m_orderedAt[engine.id] = m_clock();
+    ++m_openOrders;
     const WeightsOrder order{load.model, load.version, m_self, m_lease.fence(), accepted};
     LogEvent("weights_order")
             .field("backend", engine.id.str())
@@ -206,21 +264,23 @@
 
 void WeightsController::ordered(const EngineId &id, OrderEnd end)
 {
+    --m_openOrders;
+    m_orderedAt[id] = m_clock();
     const auto found = m_loads.find(id);
     if (found == m_loads.end()) {
         return;
     }
     Load &load = found->second;
     load.isAsking = false;
-    load.startedAt = m_now;
+    load.startedAt = m_clock();
     switch (end) {
     case OrderEnd::Accepted:
-        load.askAt = m_now + FirstQuestion;
+        load.askAt = m_clock() + FirstQuestion;
         break;
     case OrderEnd::Holds:
     case OrderEnd::Unknown:
     case OrderEnd::Refused:
-        load.askAt = m_now + NextQuestion;
+        load.askAt = m_clock() + NextQuestion;
         break;
     case OrderEnd::Gone:
         finish(id, false);
@@ -243,8 +303,8 @@
             .field("backend", id.str())
             .field("version", found->second.version)
             .field("succeeded", succeeded)
-            .field("took_ms", m_now - found->second.startedAt);
-    m_rollouts[found->second.model].ended(id, succeeded, m_now);
+            .field("took_ms", m_clock() - found->second.startedAt);
+    m_rollouts[found->second.model].ended(id, succeeded, m_clock());
     m_loads.erase(found);
 }
 
--- a/src/vanilladyke/policy/backend_book.cpp
+++ b/src/vanilladyke/policy/backend_book.cpp
@@ -63,6 +63,8 @@
     Goals &goals = m_goals[model];
     if (goals.empty() || version > goals.back().version) {
         goals.push_back({version, since});
+    } else if (version == goals.back().version) {
+        goals.back().since = std::min(goals.back().since, since);
     }
     // What is older than one whose time is over decides nothing any more.
     while (goals.size() > 1 && since - goals[1].since > m_rates.weightsTime) {
