--- /dev/null
+++ b/src/vanilladyke/policy/backend_roster_test.cpp
@@ -0,0 +1,82 @@
+#include "vanilladyke/policy/backend_roster.hpp"
+
+#include <gtest/gtest.h>
+
+namespace vanilladyke {
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint at(int millis)
+{
+    return TimePoint(std::chrono::hours(1) + milliseconds(millis));
+}
+
+BackendEntry entry(const std::string &id, std::uint64_t heartbeat, bool isDraining = false)
+{
+    BackendEntry result;
+    result.id = EngineId(id);
+    result.endpoint = {"10.0.0.1", 80};
+    result.heartbeat = heartbeat;
+    result.isDraining = isDraining;
+    return result;
+}
+
+TEST(BackendRoster, LeavesOutServersThatDrain)
+{
+    BackendRoster roster;
+    EXPECT_TRUE(roster.put(entry("a", 1), at(0)));
+    EXPECT_FALSE(roster.put(entry("a", 2), at(1)));
+    EXPECT_TRUE(roster.put(entry("a", 3, true), at(2)));
+    EXPECT_TRUE(roster.serving().empty());
+}
+
+// A server says that it drains, and an entry that it wrote before reaches the node afterwards,
+// because the store executed a delayed write. Requests would go on to a server that is leaving.
+TEST(BackendRoster, AnOlderEntryDoesNotBringADrainingServerBack)
+{
+    BackendRoster roster;
+    roster.put(entry("a", 5, true), at(0));
+    EXPECT_FALSE(roster.put(entry("a", 4), at(1)));
+    EXPECT_FALSE(roster.put(entry("a", 6), at(2))) << "a server that drains stays out";
+    EXPECT_TRUE(roster.serving().empty());
+}
+
+TEST(BackendRoster, AnEntryThatGoesAwayWhileTheStoreIsSoundIsOutAtOnce)
+{
+    BackendRoster roster;
+    roster.put(entry("a", 1), at(0));
+    EXPECT_TRUE(roster.remove(EngineId("a"), at(10)));
+    EXPECT_TRUE(roster.serving().empty());
+}
+
+// The store was away for longer than three heartbeats, and all entries lapsed there. When it is
+// back a node reads that every server is gone; callers would hear that nobody serves them.
+TEST(BackendRoster, EntriesThatLapsedWithTheStoreAreKeptUntilTheirServersCanWriteAgain)
+{
+    BackendRoster roster;
+    roster.put(entry("a", 1), at(0));
+    roster.put(entry("b", 1), at(0));
+    roster.storeFailed(at(1000));
+    EXPECT_FALSE(roster.remove(EngineId("a"), at(3000)));
+    EXPECT_FALSE(roster.remove(EngineId("b"), at(3000)));
+    EXPECT_EQ(roster.serving().size(), 2U);
+    roster.put(entry("a", 2), at(4000));
+    EXPECT_FALSE(roster.expire(at(5000)));
+    EXPECT_TRUE(roster.expire(at(5300)));
+    ASSERT_EQ(roster.serving().size(), 1U);
+    EXPECT_EQ(roster.serving()[0].id, EngineId("a"));
+}
+
+TEST(BackendRoster, AWholeListTakesOutWhatItLacks)
+{
+    BackendRoster roster;
+    roster.put(entry("a", 1), at(0));
+    roster.put(entry("b", 1), at(0));
+    EXPECT_TRUE(roster.keepOnly({{EngineId("b"), true}}, at(10)));
+    ASSERT_EQ(roster.serving().size(), 1U);
+    EXPECT_EQ(roster.serving()[0].id, EngineId("b"));
+}
+
+} // namespace
+} // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/policy/order_lease_test.cpp
@@ -0,0 +1,242 @@
+#include "vanilladyke/policy/order_lease.hpp"
+
+#include "vanilladyke/base/random.hpp"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+namespace vanilladyke {
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint at(int millis)
+{
+    return TimePoint(std::chrono::hours(1) + milliseconds(millis));
+}
+
+const EngineId Engine("e"); ///< gets all orders of the walks
+
+LeaseRecord record(const std::string &holder, std::uint64_t attempt, bool isRelease = false)
+{
+    return {holder, 1, attempt, isRelease, {}};
+}
+
+TEST(OrderLease, AnEmptyLogIsClaimedAfterPatience)
+{
+    OrderLease lease("a", 1);
+    EXPECT_FALSE(lease.nextAppend(true, milliseconds(100), {}, at(0))) << "the log was not read";
+    lease.sawLog(0, std::nullopt, at(0));
+    EXPECT_FALSE(lease.nextAppend(true, milliseconds(100), {}, at(50)));
+    const auto append = lease.nextAppend(true, milliseconds(100), {}, at(100));
+    ASSERT_TRUE(append);
+    EXPECT_EQ(append->at, 0U);
+    EXPECT_FALSE(lease.mayOrder(at(110)));
+    lease.appended(1, at(110));
+    EXPECT_TRUE(lease.mayOrder(at(120)));
+    EXPECT_EQ(lease.fence(), 1U);
+    EXPECT_FALSE(lease.mayOrder(at(1600))) << "counted from when the append was sent";
+}
+
+// A holder pauses, or its renewals are lost. Another node must not order before the first one has
+// stopped for as long as the platform asks.
+TEST(OrderLease, ANodeWaitsUntilASilentHolderCanNotOrderAnyMore)
+{
+    OrderLease lease("b", 1);
+    lease.sawLog(3, record("a", 1), at(0));
+    EXPECT_FALSE(lease.nextAppend(true, milliseconds(0), {}, at(5000)));
+    EXPECT_TRUE(lease.nextAppend(true, milliseconds(0), {}, at(5100)));
+}
+
+TEST(OrderLease, AReleaseIsTakenUpAtOnceButItsLastEnginesRest)
+{
+    OrderLease lease("b", 1);
+    LeaseRecord last = record("a", 4, true);
+    last.news.ordered = {EngineId("e")};
+    lease.sawLog(5, last, at(0));
+    ASSERT_TRUE(lease.nextAppend(true, milliseconds(0), {}, at(10)));
+    lease.appended(6, at(15));
+    EXPECT_TRUE(lease.mayOrder(at(20)));
+    EXPECT_TRUE(lease.isResting(EngineId("e"), at(3000)));
+    EXPECT_FALSE(lease.isResting(EngineId("f"), at(20)));
+    EXPECT_FALSE(lease.isResting(EngineId("e"), at(3700)));
+}
+
+TEST(OrderLease, ARestartedHolderGoesOnAtOnce)
+{
+    OrderLease lease("a", 2);
+    lease.sawLog(3, record("a", 9), at(0));
+    EXPECT_TRUE(lease.nextAppend(true, milliseconds(0), {}, at(1)));
+}
+
+// The store takes a renewal and the answer is lost. The holder must neither order on as if it knew,
+// nor give the lease away that it has.
+TEST(OrderLease, AnAppendInDoubtIsSettledByTheLog)
+{
+    OrderLease lease("a", 1);
+    lease.sawLog(0, std::nullopt, at(0));
+    const auto append = lease.nextAppend(true, milliseconds(0), {}, at(0));
+    ASSERT_TRUE(append);
+    lease.appendInDoubt();
+    EXPECT_FALSE(lease.mayOrder(at(10)));
+    EXPECT_TRUE(lease.needsRead());
+    lease.sawLog(1, append->record, at(20));
+    EXPECT_TRUE(lease.mayOrder(at(30)));
+    EXPECT_EQ(lease.fence(), 1U);
+}
+
+/// A few nodes that use the product's lease over a log whose appends and answers are delayed, lost
+/// and overtaken, and that pause between their check and their order. One walk takes seeded
+/// choices.
+class LeaseWalk
+{
+public:
+    explicit LeaseWalk(std::uint64_t seed)
+        : m_random(seed)
+    {
+        for (const char *name : {"a", "b", "c"}) {
+            m_nodes.push_back({name, OrderLease(name, 1), {}, {}, at(0)});
+        }
+    }
+
+    int orders = 0;
+    int turns = 0;
+
+    void run(int steps)
+    {
+        for (int i = 0; i < steps; ++i) {
+            m_now += milliseconds(20 + uniformBelow(m_random, 400));
+            if (uniform(m_random) < 0.02) {
+                m_storeDownUntil = m_now + milliseconds(uniformBelow(m_random, 6000));
+            }
+            executeLate();
+            step(m_nodes[uniformBelow(m_random, m_nodes.size())]);
+        }
+    }
+
+private:
+    struct Node
+    {
+        std::string name;
+        OrderLease lease;
+        std::optional<LeaseAppend> sent;
+        std::optional<TimePoint> answeredAt; ///< the append took effect; the answer is on its way
+        TimePoint pausedUntil;
+    };
+    struct Late
+    {
+        LeaseAppend append;
+        TimePoint at;
+    };
+
+    bool take(const LeaseAppend &append)
+    {
+        if (append.at != m_log.size()) {
+            return false;
+        }
+        m_log.push_back(append.record);
+        return true;
+    }
+
+    void executeLate()
+    {
+        std::erase_if(m_late, [this](const Late &late) {
+            if (late.at <= m_now) {
+                take(late.append);
+                return true;
+            }
+            return false;
+        });
+    }
+
+    void step(Node &node)
+    {
+        if (m_now < node.pausedUntil) {
+            return;
+        }
+        if (uniform(m_random) < 0.03) {
+            node.pausedUntil = m_now + milliseconds(uniformBelow(m_random, 9000));
+            return;
+        }
+        if (node.lease.mayOrder(m_now) && !node.lease.isResting(Engine, m_now)) {
+            order(node);
+        }
+        if (m_now < m_storeDownUntil) {
+            return;
+        }
+        const bool wants = uniform(m_random) < 0.97;
+        if (const auto append =
+                    node.lease.nextAppend(wants, milliseconds(0), {{Engine}, {}}, m_now)) {
+            exchange(node, *append);
+        } else if (node.lease.needsRead() || !node.lease.mayOrder(m_now)) {
+            node.lease.sawLog(m_log.size(),
+                              m_log.empty() ? std::nullopt : std::optional(m_log.back()), m_now);
+        }
+    }
+
+    void exchange(Node &node, const LeaseAppend &append)
+    {
+        const double fate = uniform(m_random);
+        if (fate < 0.1) { // the answer is lost
+            take(append);
+            node.lease.appendInDoubt();
+        } else if (fate < 0.2) { // carried out later
+            m_late.push_back({append, m_now + milliseconds(uniformBelow(m_random, 6000))});
+            node.lease.appendInDoubt();
+        } else if (take(append)) {
+            m_now += milliseconds(uniformBelow(m_random, 400));
+            node.lease.appended(m_log.size(), m_now);
+        } else {
+            node.lease.appendInDoubt();
+        }
+    }
+
+    /// All orders go to one engine. One that left in time arrives within the margin.
+    void order(Node &node)
+    {
+        const TimePoint arrives = m_now + milliseconds(uniformBelow(m_random, 500));
+        ++orders;
+        if (!m_lastHolder.empty() && m_lastHolder != node.name) {
+            ++turns;
+            EXPECT_GE(m_now - m_lastArrival, milliseconds(3000))
+                    << m_lastHolder << " then " << node.name;
+            EXPECT_GT(node.lease.fence(), m_lastFence);
+        }
+        EXPECT_GE(node.lease.fence(), m_lastFence);
+        m_lastHolder = node.name;
+        m_lastArrival = std::max(m_lastArrival, arrives);
+        m_lastFence = node.lease.fence();
+    }
+
+    Random m_random;
+    TimePoint m_now = at(0);
+    TimePoint m_storeDownUntil = at(0);
+    std::vector<Node> m_nodes;
+    std::vector<LeaseRecord> m_log;
+    std::vector<Late> m_late;
+    std::string m_lastHolder;
+    TimePoint m_lastArrival = at(0);
+    std::uint64_t m_lastFence = 0;
+};
+
+// Nodes pause, the store is away, answers are lost and appends are carried out seconds later, in
+// any order. Two nodes that order within the gap could leave an engine on weights that nobody named
+// last.
+TEST(OrderLease, NoTwoHoldersTakeTurnsWithinTheGapHoweverTheLogBehaves)
+{
+    int orders = 0;
+    int turns = 0;
+    for (std::uint64_t seed = 1; seed <= 400; ++seed) {
+        LeaseWalk walk(seed);
+        walk.run(600);
+        orders += walk.orders;
+        turns += walk.turns;
+        ASSERT_FALSE(::testing::Test::HasFailure()) << "seed " << seed;
+    }
+    EXPECT_GT(orders, 1000);
+    EXPECT_GT(turns, 100) << "the walks must reach the case that they are for";
+}
+
+} // namespace
+} // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/policy/second_send_budget_test.cpp
@@ -0,0 +1,71 @@
+#include "vanilladyke/policy/second_send_budget.hpp"
+
+#include "vanilladyke/base/random.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <vector>
+
+namespace vanilladyke {
+namespace {
+
+using std::chrono::milliseconds;
+
+const ServiceId Service("s");
+
+TimePoint at(int millis)
+{
+    return TimePoint(std::chrono::hours(1) + milliseconds(millis));
+}
+
+// All servers of a service refuse, and every node sends every request again as often as it may.
+// Without a bound over all nodes the service gets twice its load just when it is weak.
+TEST(SecondSendBudget, NodesTogetherStayBelowTheBoundInEveryWindow)
+{
+    constexpr int Nodes = 6;
+    const SecondSendTerms terms{0.2, 52, std::chrono::seconds(10), Nodes};
+    std::vector<SecondSendBudget> nodes(Nodes);
+    Random random(7);
+    std::vector<int> requests;
+    std::vector<int> seconds;
+    for (auto &node : nodes) {
+        node.setTerms(terms);
+    }
+    for (int ms = 0; ms < 60'000; ++ms) {
+        const bool isBurst = ms > 20'000 && ms < 23'000;
+        if (uniform(random) < (isBurst ? 0.6 : 0.2)) {
+            // The balancer's hash is uneven: the first node gets half of all.
+            const std::size_t i = uniform(random) < 0.5 ? 0 : uniformBelow(random, Nodes);
+            nodes[i].countRequest(Service, at(ms));
+            requests.push_back(ms);
+            while (nodes[i].spend(Service, at(ms))) {
+                seconds.push_back(ms);
+            }
+        }
+    }
+    EXPECT_GT(seconds.size(), 100U);
+    for (int from = 0; from + 10'000 <= 60'000; from += 250) {
+        const auto count = [from](const std::vector<int> &times) {
+            return std::count_if(times.begin(), times.end(),
+                                 [from](int ms) { return ms >= from && ms < from + 10'000; });
+        };
+        EXPECT_LE(count(seconds), 0.2 * count(requests) + 52) << "window from " << from;
+    }
+}
+
+TEST(SecondSendBudget, AQuietServiceMayUseTheExtra)
+{
+    SecondSendBudget budget;
+    budget.setTerms({0.2, 30, std::chrono::seconds(10), 3});
+    budget.countRequest(Service, at(0));
+    int spent = 0;
+    while (budget.spend(Service, at(1))) {
+        ++spent;
+    }
+    EXPECT_EQ(spent, 8); // four fifths of a third of 30, and of a fifth of one request
+    EXPECT_TRUE(budget.spend(Service, at(11'000))) << "the window has passed";
+}
+
+} // namespace
+} // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/policy/weights_rollout_test.cpp
@@ -0,0 +1,80 @@
+#include "vanilladyke/policy/weights_rollout.hpp"
+
+#include <gtest/gtest.h>
+
+namespace vanilladyke {
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint at(int millis)
+{
+    return TimePoint(std::chrono::hours(1) + milliseconds(millis));
+}
+
+std::vector<RolloutEngine> fleet(std::size_t size, std::uint64_t version)
+{
+    std::vector<RolloutEngine> engines;
+    for (std::size_t i = 0; i < size; ++i) {
+        engines.push_back({EngineId("e" + std::to_string(i)), version, static_cast<int>(i)});
+    }
+    return engines;
+}
+
+// New weights are named under load. With every engine loading at once nobody would serve, and each
+// load would take as many times longer.
+TEST(WeightsRollout, OnlyAPartOfTheFleetLoadsAtOnce)
+{
+    WeightsRollout rollout;
+    rollout.name(2, at(0));
+    auto engines = fleet(18, 1);
+    const auto first = rollout.next(engines, at(0));
+    ASSERT_EQ(first.size(), 3U);
+    for (const EngineId &id : first) {
+        rollout.started(id);
+    }
+    EXPECT_TRUE(rollout.next(engines, at(100)).empty());
+    rollout.ended(first[0], true, at(2000));
+    engines[0].version = 2;
+    const auto next = rollout.next(engines, at(2000));
+    ASSERT_EQ(next.size(), 1U);
+    EXPECT_EQ(next[0], EngineId("e3"));
+}
+
+TEST(WeightsRollout, EnginesOnTheOldestWeightsGoFirst)
+{
+    WeightsRollout rollout;
+    rollout.name(3, at(0));
+    auto engines = fleet(3, 2);
+    engines[2].version = 1;
+    EXPECT_EQ(rollout.next(engines, at(0)).front(), EngineId("e2"));
+}
+
+// An engine that crashed keeps refusing its order. It must not hold a place that others need.
+TEST(WeightsRollout, AnEngineThatDidNotTakeItsOrderGoesBehindTheOthers)
+{
+    WeightsRollout rollout;
+    rollout.name(2, at(0));
+    const auto engines = fleet(4, 1);
+    const auto first = rollout.next(engines, at(0));
+    ASSERT_EQ(first.size(), 2U);
+    rollout.started(first[0]);
+    rollout.ended(first[0], false, at(10));
+    const auto next = rollout.next(engines, at(20));
+    ASSERT_EQ(next.size(), 2U);
+    EXPECT_EQ(next[0], EngineId("e1"));
+    EXPECT_EQ(rollout.next(engines, at(500)).front(), EngineId("e0"));
+}
+
+TEST(WeightsRollout, OlderWeightsAreNeverBroughtBack)
+{
+    WeightsRollout rollout;
+    rollout.name(3, at(0));
+    rollout.name(2, at(10));
+    EXPECT_EQ(rollout.goal(), 3U);
+    EXPECT_FALSE(rollout.isPending(fleet(2, 3)));
+    EXPECT_TRUE(rollout.isPending(fleet(2, 2)));
+}
+
+} // namespace
+} // namespace vanilladyke
