--- /dev/null
+++ b/tests/integration/platform_fleet.py
@@ -0,0 +1,340 @@
+"""The users' platform on loopback, by its published protocol: the metadata store with its log, and
+engines that run requests and take orders. In threads of the test, so that a test can look inside."""
+
+import base64
+import contextlib
+import json
+import os
+import random
+import signal
+import struct
+import threading
+import time
+import urllib.parse
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+import harness
+
+DRAIN_SECONDS = 0.4
+
+
+class Server(ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 256
+
+    def handle_error(self, request, client_address):
+        pass  # a peer that leaves is no fault of the test
+
+
+class Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+
+    def log_message(self, *_):
+        pass
+
+    def body(self):
+        return self.rfile.read(int(self.headers.get("Content-Length") or 0))
+
+    def answer(self, status, body=b"", headers=None):
+        if isinstance(body, (dict, list)):
+            body = json.dumps(body).encode()
+        self.send_response(status)
+        for name, value in (headers or {}).items():
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def do_GET(self):
+        self.server.owner.handle(self)
+
+    do_POST = do_GET
+
+
+class Store:
+    """The log: topics with one partition, appends under a condition, reads that wait, newest of keys."""
+
+    def __init__(self):
+        self.topics = {}
+        self.first = {}
+        self.changed = threading.Condition()
+        self.down = False
+        self.calls = 0
+        self.lose_answers = 0
+        self.server = Server(("127.0.0.1", 0), Handler)
+        self.server.owner = self
+        self.port = self.server.server_address[1]
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def close(self):
+        self.server.shutdown()
+        self.server.server_close()
+
+    def append(self, topic, record):
+        with self.changed:
+            self.topics.setdefault(topic, []).append(record)
+            self.changed.notify_all()
+
+    def put(self, topic, key, value):
+        text = b"" if value is None else json.dumps(value).encode()
+        self.append(topic, bytes([len(key)]) + key.encode() + text)
+
+    def newest(self, topic):
+        latest = {}
+        for offset, record in enumerate(self.topics.get(topic, [])):
+            length = record[0]
+            key, value = record[1:1 + length].decode(), record[1 + length:]
+            latest.pop(key, None)
+            if value:
+                latest[key] = (value, offset)
+        return latest
+
+    def forget(self, topic):
+        """The history is dropped; only the newest record of each key is left."""
+        with self.changed:
+            self.first[topic] = len(self.topics.get(topic, []))
+
+    def handle(self, call):
+        self.calls += 1
+        if self.down:
+            call.body()
+            call.answer(503)
+            return
+        url = urllib.parse.urlsplit(call.path)
+        query = dict(urllib.parse.parse_qsl(url.query))
+        {"/log-newest": self.on_newest, "/log-read": self.on_read, "/log-append": self.on_append}[url.path](call, query)
+
+    def on_newest(self, call, query):
+        with self.changed:
+            items = [{"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+                     for key, (value, offset) in self.newest(query["topic"]).items()]
+            end = len(self.topics.get(query["topic"], []))
+        call.answer(200, {"items": items, "hasMore": False, "end": end})
+
+    def on_read(self, call, query):
+        topic, start = query["topic"], int(query["from"])
+        deadline = time.monotonic() + int(query.get("waitMs", 0)) / 1000
+        with self.changed:
+            if start < self.first.get(topic, 0):
+                call.answer(410, {"first": self.first[topic]})
+                return
+            while len(self.topics.get(topic, [])) <= start and time.monotonic() < deadline and not self.down:
+                self.changed.wait(max(deadline - time.monotonic(), 0.001))
+            records = self.topics.get(topic, [])[start:]
+            end = len(self.topics.get(topic, []))
+        body = struct.pack(">QQ", end, self.first.get(topic, 0))
+        call.answer(200, body + b"".join(struct.pack(">I", len(each)) + each for each in records))
+
+    def on_append(self, call, query):
+        body = call.body()
+        with self.changed:
+            records = self.topics.setdefault(query["topic"], [])
+            if "at" in query and int(query["at"]) != len(records):
+                call.answer(412, {"end": len(records)})
+                return
+            offset = len(records)
+            while body:
+                length = struct.unpack(">I", body[:4])[0]
+                records.append(body[4:4 + length])
+                body = body[4 + length:]
+            self.changed.notify_all()
+            lost = self.lose_answers > 0
+            self.lose_answers -= lost
+        if lost:
+            call.close_connection = True
+            return
+        call.answer(200, {"offset": offset, "end": len(records)})
+
+
+class Engine:
+    """Runs requests one at a time for each connection, keeps what ran, and takes orders of weights."""
+
+    def __init__(self, name, service="llm", model="m", load_seconds=0.3):
+        self.name, self.service, self.model, self.load_seconds = name, service, model, load_seconds
+        self.version, self.busy, self.sequence, self.beats = 1, False, 0, 0
+        self.state = "ready"
+        self.lock = threading.Lock()
+        self.requests, self.runs, self.orders = [], [], []
+        self.seconds = 0.0  # that a request runs
+        self.full = False
+        self.server = Server(("127.0.0.1", 0), Handler)
+        self.server.owner = self
+        self.port = self.server.server_address[1]
+        self.entry_port = self.port  # where the entry says that it listens: a proxy, perhaps
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def close(self):
+        self.server.shutdown()
+        self.server.server_close()
+
+    def entry(self):
+        self.beats += 1
+        models = [{"name": self.model, "version": self.version, "adapters": []}] if self.service == "llm" else []
+        return {"service": self.service, "address": f"127.0.0.1:{self.entry_port}", "zone": "z", "slots": 8,
+                "state": self.state, "coldRemainingMs": 0, "models": models, "sequence": self.beats}
+
+    def handle(self, call):
+        body = call.body()
+        if call.headers.get("X-Vanilladyke-Expect-Instance") not in (None, self.name):
+            call.answer(421)
+        elif call.path == "/report":
+            call.answer(200, {"models": [{"name": self.model, "version": self.version}], "busy": self.busy,
+                              "sequence": self.sequence})
+        elif call.path == "/order":
+            self.on_order(call, json.loads(body))
+        else:
+            self.on_request(call, body)
+
+    def on_order(self, call, order):
+        with self.lock:
+            self.orders.append((time.monotonic(), order))
+            if self.busy or order["precondition"] != self.sequence:
+                call.answer(409)
+                return
+            self.busy, self.sequence = True, self.sequence + 1
+
+        def load():
+            time.sleep(self.load_seconds)
+            self.version, self.busy = order["version"], False
+
+        threading.Thread(target=load, daemon=True).start()
+        call.answer(202)
+
+    def on_request(self, call, body):
+        identity = call.headers["X-Vanilladyke-Attempt-Id"]
+        common = {"X-Vanilladyke-Attempt-Id": identity, "X-Vanilladyke-Weight-Versions": str(self.version)}
+        with self.lock:
+            self.requests.append((time.monotonic(), dict(call.headers)))
+        wanted = call.headers.get("X-Vanilladyke-Expect-Version")
+        if wanted and int(wanted) != self.version:
+            call.answer(421, headers=common)
+        elif self.full or (self.busy and self.service == "llm"):
+            call.answer(503, headers={**common, "X-Vanilladyke-Not-Executed": "1"})
+        else:
+            with self.lock:
+                self.runs.append(identity)
+            time.sleep(self.seconds)
+            common["X-Vanilladyke-Response-Stamp"] = "stamp-" + identity
+            if "stream" in call.path:
+                self.stream(call, identity, common)
+            else:
+                call.answer(200, f"{identity}:{len(body)}".encode(), common)
+
+    @staticmethod
+    def stream(call, identity, headers):
+        call.send_response(200)
+        for name, value in {**headers, "Transfer-Encoding": "chunked"}.items():
+            call.send_header(name, value)
+        call.end_headers()
+        for number in range(int(call.headers.get("Last-Event-Id") or 0) + 1, 6):
+            event = f"id: {number}\ndata: {identity}.{number}\n\n".encode()
+            call.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+            time.sleep(0.01)
+        call.wfile.write(b"0\r\n\r\n")
+
+
+def route(name, kind, service, **more):
+    return {"name": name, "host": "h.example", "pathPrefix": f"/{name}/", "kind": kind, "timeoutMs": 4000,
+            "targetLatencyMs": 500, "priority": 1, "service": service, "maxAttempts": 2, "public": False, **more}
+
+
+class Fleet:
+    """Store, engines and nodes of one test."""
+
+    def __init__(self, cluster):
+        self.cluster, self.store, self.engines, self.nodes = cluster, Store(), [], []
+        self.beating = True
+        self.config = {
+            "version": 5,
+            "routes": [route("call", "unsafe", "app"), route("fetch", "safe", "app"),
+                       route("open", "safe", "app", public=True),
+                       route("stream", "stream", "llm", sticky=True, resumable=True, gapAimMs=250)],
+            "services": [{"name": "llm", "healthPath": "/health", "maxConnections": 100},
+                         {"name": "app", "healthPath": "/health", "maxConnections": 100},
+                         {"name": "keep", "kvStoreAddr": "127.0.0.1:9", "zone": "z"}],
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 100000, "headerTimeoutMs": 3000,
+                       "idleTimeoutMs": 15000},
+            "tenants": [{"name": "brand", "apiKeys": ["brand-key", "second-key"]},
+                        {"name": "walled", "apiKeys": ["walled-key"], "isolated": True}]}
+        self.publish()
+        threading.Thread(target=self.beat, daemon=True).start()
+
+    def close(self):
+        self.beating = False
+        for each in [*self.engines, self.store]:
+            each.close()
+
+    def publish(self):
+        self.config["version"] += 3
+        self.store.put("keyed.op", "config", self.config)
+
+    def name_weights(self, version):
+        self.store.put("keyed.op", "version/m", {"model": "m", "version": version})
+
+    def engine(self, name, **options):
+        engine = Engine(name, **options)
+        self.engines.append(engine)
+        return engine
+
+    def beat(self):
+        while self.beating:
+            for engine in list(self.engines):
+                if not self.store.down and engine.state != "gone":
+                    self.store.put("keyed.servers", engine.name, engine.entry())
+            time.sleep(0.3)
+
+    def node(self, name, store_port=None):
+        callers, ready, metrics = (harness.free_port() for _ in range(3))
+        settings = {"node": name, "address": "127.0.0.1", "data_centre": "z", "callers": f"127.0.0.1:{callers}",
+                    "ready": f"127.0.0.1:{ready}", "metrics": f"127.0.0.1:{metrics}",
+                    "store": f"127.0.0.1:{store_port or self.store.port}", "keys_valid_ms": 2500,
+                    "fails_closed": True, "weights_time_ms": 15000, "order_gap_ms": 1000, "grace_ms": 8000,
+                    "second_sends": {"ratio": 0.2, "extra": 500, "window_ms": 10000}}
+        path = self.cluster.write(name + ".jsonc", settings)
+        node = self.cluster.start(name, [f"{self.cluster.build}/vanilladyke", "node", "--settings", path])
+        node.name, node.port, node.ready_port, node.metrics_port, node.settings = name, callers, ready, metrics, path
+        self.nodes.append(node)
+        return node
+
+    def ready_node(self, name):
+        node = self.node(name)
+        harness.wait_until(lambda: self.is_ready(node) and self.knows_all(node), name + " ready")
+        return node
+
+    def restart(self, node):
+        """A new process of a node that has ended."""
+        process = self.cluster.start(node.name + f"-{random.getrandbits(24)}",
+                                     [f"{self.cluster.build}/vanilladyke", "node", "--settings", node.settings])
+        process.name, process.port, process.ready_port = node.name, node.port, node.ready_port
+        process.metrics_port, process.settings = node.metrics_port, node.settings
+        self.nodes[self.nodes.index(node)] = process
+        return process
+
+    @staticmethod
+    def is_ready(node):
+        return harness.http_call(node.ready_port, "GET", "/readiness")[0] == 200
+
+    def knows_all(self, node):
+        text = node.log_text()
+        return all(f"backend={each.name} " in text for each in self.engines)
+
+    @staticmethod
+    def ask(node, path, identity, key="brand-key", headers=None, method="POST", body="hello", timeout=10):
+        fields = {"Host": "h.example", "X-Vanilladyke-Attempt-Id": identity, "X-Vanilladyke-Deadline-Ms": "4000",
+                  **(headers or {})}
+        if key:
+            fields["Authorization"] = "Token " + key
+        return harness.http_call(node.port, method, path, body, fields, timeout=timeout)
+
+    @staticmethod
+    def prompt(part="5c1e07a2"):
+        return {"X-Vanilladyke-Model": "m", "X-Vanilladyke-Token-Usage": "1460,80",
+                "X-Vanilladyke-Prompt-Prefix": f"{part}:800,91bd3f06:660"}
+
+
+class FleetTest(harness.ClusterTest):
+    def setUp(self):
+        super().setUp()
+        self.fleet = Fleet(self.cluster)
+        self.addCleanup(self.fleet.close)
