--- a/include/vanilladyke/traffic/asio.hpp
+++ b/include/vanilladyke/traffic/asio.hpp
@@ -21,7 +21,7 @@
 namespace vanilladyke {
 
 namespace asio = boost::asio;
-using tcp = boost::asio::ip::tcp;
+using Tcp = boost::asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
 
 /// @brief Completes a coroutine's wait with the error in @p error instead of an exception.
@@ -31,7 +31,7 @@
 }
 
 /// @brief The address in Asio's form; none if the host is no IP number.
-[[nodiscard]] inline tcp::endpoint toAsio(const Endpoint &endpoint, ErrorCode &error)
+[[nodiscard]] inline Tcp::endpoint toAsio(const Endpoint &endpoint, ErrorCode &error)
 {
     return {asio::ip::make_address(endpoint.host, error), endpoint.port};
 }
--- a/include/vanilladyke/traffic/backend_pool.hpp
+++ b/include/vanilladyke/traffic/backend_pool.hpp
@@ -32,7 +32,7 @@
 
     void close();
 
-    tcp::socket socket;
+    Tcp::socket socket;
     boost::beast::flat_buffer buffer;
     EngineId engine;
     std::shared_ptr<Timed> timed;
@@ -89,6 +89,6 @@
 };
 
 /// @brief Detects a path that went silent while data or a probe is unacknowledged.
-void setSilenceTimeout(tcp::socket &socket, Duration timeout);
+void setSilenceTimeout(Tcp::socket &socket, Duration timeout);
 
 } // namespace vanilladyke
--- a/include/vanilladyke/traffic/caller_session.hpp
+++ b/include/vanilladyke/traffic/caller_session.hpp
@@ -9,7 +9,7 @@
 class CallerSession : public std::enable_shared_from_this<CallerSession>, public AnswerSink
 {
 public:
-    CallerSession(TrafficState &state, tcp::socket socket);
+    CallerSession(TrafficState &state, Tcp::socket socket);
 
     void start();
     /// @brief Closes the connection if no request is under way; else after its answer.
@@ -28,7 +28,7 @@
     void close();
 
     TrafficState &m_state;
-    tcp::socket m_socket;
+    Tcp::socket m_socket;
     boost::beast::flat_buffer m_buffer;
     std::shared_ptr<Timed> m_timed;
     std::shared_ptr<Exchange> m_exchange;
--- a/include/vanilladyke/traffic/traffic_server.hpp
+++ b/include/vanilladyke/traffic/traffic_server.hpp
@@ -35,16 +35,16 @@
     std::function<std::string()> metricsText;
 
 private:
-    [[nodiscard]] bool open(tcp::acceptor &acceptor, const Endpoint &endpoint, std::string *error);
+    [[nodiscard]] bool open(Tcp::acceptor &acceptor, const Endpoint &endpoint, std::string *error);
     [[nodiscard]] asio::awaitable<void> acceptCallers();
-    [[nodiscard]] asio::awaitable<void> acceptPlain(tcp::acceptor &acceptor);
-    [[nodiscard]] asio::awaitable<void> servePlain(tcp::socket socket);
+    [[nodiscard]] asio::awaitable<void> acceptPlain(Tcp::acceptor &acceptor);
+    [[nodiscard]] asio::awaitable<void> servePlain(Tcp::socket socket);
 
     TrafficState &m_state;
     ListenSettings m_settings;
-    tcp::acceptor m_callers;
-    tcp::acceptor m_ready;
-    tcp::acceptor m_metrics;
+    Tcp::acceptor m_callers;
+    Tcp::acceptor m_ready;
+    Tcp::acceptor m_metrics;
     std::list<std::weak_ptr<CallerSession>> m_sessions;
     std::size_t m_accepted = 0;
 };
--- a/src/vanilladyke/app/node_command.cpp
+++ b/src/vanilladyke/app/node_command.cpp
@@ -160,8 +160,14 @@
         return CommandDone;
     }
     initializeLog(severityOf(settings->logLevel), settings->node);
-    auto node = std::make_unique<RoutingNode>(*settings);
-    return node->run();
+    RoutingNode node(*settings);
+    const int code = node.run();
+    // Requests that were cut off stand in coroutines that refer to each other and to the node;
+    // taking them down in order brings nothing, since nothing lasts here, and has kept processes
+    // from ending.
+    std::cout.flush();
+    std::cerr.flush();
+    std::_Exit(code);
 }
 
 } // namespace vanilladyke
--- a/src/vanilladyke/traffic/backend_pool.cpp
+++ b/src/vanilladyke/traffic/backend_pool.cpp
@@ -8,7 +8,7 @@
 
 namespace vanilladyke {
 
-void setSilenceTimeout(tcp::socket &socket, Duration timeout)
+void setSilenceTimeout(Tcp::socket &socket, Duration timeout)
 {
     const auto millis = static_cast<unsigned>(
             std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count());
@@ -64,7 +64,7 @@
 {
     auto connection = std::make_shared<BackendConnection>(m_context, engine);
     ErrorCode error;
-    const tcp::endpoint address = toAsio(endpoint, error);
+    const Tcp::endpoint address = toAsio(endpoint, error);
     if (error) {
         co_return nullptr;
     }
@@ -87,7 +87,7 @@
         co_return nullptr;
     }
     ErrorCode ignored;
-    connection->socket.set_option(tcp::no_delay(true), ignored);
+    connection->socket.set_option(Tcp::no_delay(true), ignored);
     co_return connection;
 }
 
@@ -108,7 +108,7 @@
 {
     std::weak_ptr<BackendConnection> weak = connection;
     connection->socket.async_wait(
-            tcp::socket::wait_read, [weak, use = connection->use](const ErrorCode &error) {
+            Tcp::socket::wait_read, [weak, use = connection->use](const ErrorCode &error) {
                 const auto idle = weak.lock();
                 if (idle && !error && idle->isIdle && idle->use == use) {
                     idle->close(); // closed by the server, or bytes that belong to no request
--- a/src/vanilladyke/traffic/caller_session.cpp
+++ b/src/vanilladyke/traffic/caller_session.cpp
@@ -36,7 +36,7 @@
 
 } // namespace
 
-CallerSession::CallerSession(TrafficState &state, tcp::socket socket)
+CallerSession::CallerSession(TrafficState &state, Tcp::socket socket)
     : m_state(state)
     , m_socket(std::move(socket))
     , m_buffer(MostBuffered)
@@ -167,7 +167,7 @@
     if (m_buffer.size() > 0) {
         return; // the next request is here already, so the caller is
     }
-    m_socket.async_wait(tcp::socket::wait_read,
+    m_socket.async_wait(Tcp::socket::wait_read,
                         [self = shared_from_this(),
                          watched = std::weak_ptr(m_exchange)](const ErrorCode &error) {
                             const auto exchange = watched.lock();
--- a/src/vanilladyke/traffic/exchange.cpp
+++ b/src/vanilladyke/traffic/exchange.cpp
@@ -348,8 +348,8 @@
         if (error) {
             co_return TryEnd::Lost;
         }
-        const AnswerHead head =
-                m_state.dialect.readAnswer(parser.get().result_int(), parser.get().base());
+        const AnswerHead head = m_state.dialect.readAnswer(
+                static_cast<int>(parser.get().result_int()), parser.get().base());
         m_status = head.status;
         if (head.status < 200) {
             continue;
--- a/src/vanilladyke/traffic/exchange_test.cpp
+++ b/src/vanilladyke/traffic/exchange_test.cpp
@@ -13,7 +13,7 @@
 
 ScriptedBackend::ScriptedBackend(asio::io_context &context, Script script)
     : m_context(context)
-    , m_acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    , m_acceptor(context, Tcp::endpoint(asio::ip::address_v4::loopback(), 0))
     , m_script(std::move(script))
 {
     asio::co_spawn(m_context, accept(), asio::detached);
@@ -28,7 +28,7 @@
 {
     for (;;) {
         ErrorCode error;
-        tcp::socket socket(m_context);
+        Tcp::socket socket(m_context);
         co_await m_acceptor.async_accept(socket, into(error));
         if (error) {
             co_return;
@@ -37,7 +37,7 @@
     }
 }
 
-asio::awaitable<void> ScriptedBackend::serve(tcp::socket socket, int number)
+asio::awaitable<void> ScriptedBackend::serve(Tcp::socket socket, int number)
 {
     boost::beast::flat_buffer buffer;
     for (;;) {
@@ -137,7 +137,7 @@
 protected:
     ExchangeTest()
         : m_state(m_context, plainDialect(), settings(), 1)
-        , m_acceptor(m_context, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+        , m_acceptor(m_context, Tcp::endpoint(asio::ip::address_v4::loopback(), 0))
     {
         m_state.configAge = [this] { return m_age; };
         m_state.budget.setTerms({0.2, 1000, std::chrono::seconds(10), 1});
@@ -194,7 +194,7 @@
 
     void connect()
     {
-        m_caller = std::make_unique<tcp::socket>(m_context);
+        m_caller = std::make_unique<Tcp::socket>(m_context);
         m_caller->connect(m_acceptor.local_endpoint());
         std::make_shared<CallerSession>(m_state, m_acceptor.accept())->start();
     }
@@ -235,11 +235,11 @@
 
     asio::io_context m_context;
     TrafficState m_state;
-    tcp::acceptor m_acceptor;
+    Tcp::acceptor m_acceptor;
     Duration m_age{};
     std::vector<std::unique_ptr<ScriptedBackend>> m_backends;
     std::vector<BackendEntry> m_entries;
-    std::unique_ptr<tcp::socket> m_caller;
+    std::unique_ptr<Tcp::socket> m_caller;
     boost::beast::flat_buffer m_buffer;
     std::string m_body;
 };
@@ -434,7 +434,7 @@
     BackendEntry gone;
     gone.id = EngineId("gone");
     gone.service = ServiceId("s");
-    tcp::acceptor closed(m_context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    Tcp::acceptor closed(m_context, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
     gone.endpoint = {"127.0.0.1", closed.local_endpoint().port()};
     closed.close();
     m_state.book.setBackends({gone});
--- a/src/vanilladyke/traffic/scripted_backend.hpp
+++ b/src/vanilladyke/traffic/scripted_backend.hpp
@@ -40,10 +40,10 @@
 
 private:
     [[nodiscard]] asio::awaitable<void> accept();
-    [[nodiscard]] asio::awaitable<void> serve(tcp::socket socket, int number);
+    [[nodiscard]] asio::awaitable<void> serve(Tcp::socket socket, int number);
 
     asio::io_context &m_context;
-    tcp::acceptor m_acceptor;
+    Tcp::acceptor m_acceptor;
     Script m_script;
     int m_connections = 0;
 };
--- a/src/vanilladyke/traffic/traffic_server.cpp
+++ b/src/vanilladyke/traffic/traffic_server.cpp
@@ -26,19 +26,19 @@
     , m_metrics(state.context)
 {}
 
-bool TrafficServer::open(tcp::acceptor &acceptor, const Endpoint &endpoint, std::string *error)
+bool TrafficServer::open(Tcp::acceptor &acceptor, const Endpoint &endpoint, std::string *error)
 {
     ErrorCode failed;
-    const tcp::endpoint address = toAsio(endpoint, failed);
+    const Tcp::endpoint address = toAsio(endpoint, failed);
     if (!failed) {
         acceptor.open(address.protocol(), failed);
     }
     if (!failed) {
-        acceptor.set_option(tcp::acceptor::reuse_address(true), failed);
+        acceptor.set_option(Tcp::acceptor::reuse_address(true), failed);
         acceptor.bind(address, failed);
     }
     if (!failed) {
-        acceptor.listen(tcp::acceptor::max_listen_connections, failed);
+        acceptor.listen(Tcp::acceptor::max_listen_connections, failed);
     }
     if (failed) {
         *error = endpoint.str() + ": " + failed.message();
@@ -72,7 +72,7 @@
 asio::awaitable<void> TrafficServer::acceptCallers()
 {
     for (;;) {
-        tcp::socket socket(m_state.context);
+        Tcp::socket socket(m_state.context);
         ErrorCode error;
         co_await m_callers.async_accept(socket, into(error));
         if (!m_callers.is_open()) {
@@ -84,7 +84,7 @@
             continue;
         }
         ErrorCode ignored;
-        socket.set_option(tcp::no_delay(true), ignored);
+        socket.set_option(Tcp::no_delay(true), ignored);
         const auto session = std::make_shared<CallerSession>(m_state, std::move(socket));
         m_sessions.emplace_back(session);
         if (++m_accepted % AcceptsBetweenSweeps == 0) {
@@ -94,10 +94,10 @@
     }
 }
 
-asio::awaitable<void> TrafficServer::acceptPlain(tcp::acceptor &acceptor)
+asio::awaitable<void> TrafficServer::acceptPlain(Tcp::acceptor &acceptor)
 {
     for (;;) {
-        tcp::socket socket(m_state.context);
+        Tcp::socket socket(m_state.context);
         ErrorCode error;
         co_await acceptor.async_accept(socket, into(error));
         if (!acceptor.is_open()) {
@@ -112,7 +112,7 @@
     }
 }
 
-asio::awaitable<void> TrafficServer::servePlain(tcp::socket socket)
+asio::awaitable<void> TrafficServer::servePlain(Tcp::socket socket)
 {
     const auto timed = std::make_shared<Timed>();
     m_state.ticker.add(timed);
