Follow the kept-cache store's events: fetch what it has, save what it lacks; log each choice

Cause: every long prompt was saved whole, so that parts of single requests pushed shared ones out of the store, and engines read them again. Change: KeptCacheView from the store's events; a request saves only if its shared part is missing. The line of a request names the server, its weights, the predicted cost and the candidates.

--- a/include/vanilladyke/node/control_plane.hpp
+++ b/include/vanilladyke/node/control_plane.hpp
@@ -33,7 +33,8 @@
 {
 public:
     ControlPlane(asio::io_context &context, TrafficState &traffic, ControlSettings settings,
-                 LeaseLog &log, EngineOrders &orders, std::uint64_t seed);
+                 LeaseLog &log, EngineOrders &orders, KeptCacheFollower &keptCache,
+                 std::uint64_t seed);
 
     void start();
     /// @brief The node will stop: another one is to give the orders from now on.
@@ -48,6 +49,8 @@
     void configurationProved(TimePoint sentAt) override;
     void storeFailed() override;
     void nodesCounted(std::size_t nodes) override;
+    void keptCacheReset(bool isFollowed) override;
+    void keptCacheChanged(std::vector<KeptPart> parts) override;
 
 private:
     void step();
@@ -66,6 +69,7 @@
     Random m_random;
     BackendRoster m_roster;
     WeightsController m_weights;
+    KeptCacheFollower &m_keptCache;
     ProofOfAge m_proof;
     asio::steady_timer m_timer;
     std::uint64_t m_version = 0;
--- a/include/vanilladyke/node/ports.hpp
+++ b/include/vanilladyke/node/ports.hpp
@@ -13,6 +13,14 @@
 /// the control thread.
 namespace vanilladyke {
 
+/// @brief A part that the kept-cache store holds now, or no longer.
+struct KeptPart
+{
+    std::string salt;
+    std::string part;
+    std::uint64_t tokens = 0; ///< 0: it is gone, or only its beginning is left
+};
+
 /// @brief What the platform's store tells a node.
 class StateListener
 {
@@ -30,6 +38,18 @@
     virtual void storeFailed() = 0;
     /// @brief How many nodes are registered.
     virtual void nodesCounted(std::size_t nodes) = 0;
+    /// @brief Nothing is known of the kept-cache store any more. @param isFollowed news will come
+    virtual void keptCacheReset(bool isFollowed) = 0;
+    virtual void keptCacheChanged(std::vector<KeptPart> parts) = 0;
+};
+
+/// @brief Follows what the kept-cache store holds.
+class KeptCacheFollower
+{
+public:
+    virtual ~KeptCacheFollower() = default;
+    /// @brief Follows this store from now on; none: follows nothing.
+    virtual void follow(std::optional<Endpoint> store, StateListener &listener) = 0;
 };
 
 /// @brief How an append to the lease's log ended.
--- a/include/vanilladyke/policy/backend_book.hpp
+++ b/include/vanilladyke/policy/backend_book.hpp
@@ -2,6 +2,7 @@
 
 #include "vanilladyke/base/time.hpp"
 #include "vanilladyke/model/routing.hpp"
+#include "vanilladyke/policy/kept_cache_view.hpp"
 
 #include "vanilladyke/base/outcome.hpp"
 #include <cstdint>
@@ -23,7 +24,8 @@
 ///   it, counts until the report is ReportLife old.
 /// - An engine that answers nothing while requests wait there is avoided after SilenceToAvoid; one
 ///   that fails a part of its requests is charged FailureCost for the part.
-/// - New weights: engines on older ones are charged OldWeightsCost, the part of a request's worth
+/// - New weights: engines on older ones are charged BackendRates::oldWeightsMs, the part of a
+/// request's worth
 ///   that is lost there, and are closed when the platform's time for them is over.
 namespace vanilladyke {
 
@@ -32,7 +34,11 @@
 {
     double tokensPerMs = 112;     ///< prompt tokens that an engine reads
     double keptTokensPerMs = 500; ///< tokens that it fetches from the kept-cache store
-    double stepMs = 0.4;          ///< each running request slows the others by this a token step
+    double stepMs = 0.4;          ///< each running request slows the others by this
+    /// Charge for shared tokens that another engine has, beyond the time that they take: reading
+    /// them takes from all others.
+    double rereadMsPerToken = 0.05;
+    double oldWeightsMs = 120; ///< charge for weights that were replaced
     Duration weightsTime = std::chrono::milliseconds(15000); ///< until old weights are closed
 };
 
@@ -41,10 +47,15 @@
 {
     ServiceId service;
     ModelId model;                  ///< empty for plain services
+    CustomerId isolated;            ///< set if the customer shares cached work with none
     std::string sharedPart;         ///< the last part that other requests may share; may be empty
     std::uint64_t sharedTokens = 0; ///< up to the end of that part
     std::uint64_t ownTokens = 0;    ///< after it
     std::vector<EngineId> exclude;  ///< servers that were tried already
+    const KeptCacheView *kept = nullptr; ///< what can be fetched instead of read; null: not known
+
+    /// @brief Names the shared part and who shares it; its homes follow from it.
+    [[nodiscard]] std::string homeKey() const;
 };
 
 /// @brief Where a request goes and why.
@@ -75,11 +86,9 @@
     static constexpr Duration FailureHalfLife = std::chrono::seconds(3);
     static constexpr Duration FirstClose = std::chrono::milliseconds(250);
     static constexpr Duration LongestClose = std::chrono::seconds(2);
-    static constexpr double FailureCost = 1500;        ///< ms, for a server that fails everything
-    static constexpr double OldWeightsCost = 120;      ///< ms
-    static constexpr double OtherCentreCost = 3;       ///< ms there and back
-    static constexpr double SilenceCost = 3000;        ///< ms
-    static constexpr double RereadCostPerToken = 0.05; ///< ms: reading is charged beyond its time
+    static constexpr double FailureCost = 1500;  ///< ms, for a server that fails everything
+    static constexpr double OtherCentreCost = 3; ///< ms there and back
+    static constexpr double SilenceCost = 3000;  ///< ms
     static constexpr std::size_t Homes = 3;
     static constexpr Duration OldWeightsGrace = std::chrono::milliseconds(1000);
     static constexpr Duration OldWeightsMargin = std::chrono::milliseconds(2000);
@@ -143,6 +152,8 @@
     [[nodiscard]] double chargesOf(const State &state, std::uint64_t weights, const Goals *goals,
                                    TimePoint now) const;
     [[nodiscard]] std::uint64_t leastWeights(const Goals *goals, TimePoint now) const;
+    [[nodiscard]] static bool isKept(const BackendQuery &query, std::uint64_t weights);
+    static void learnWeights(State &state, const ModelId &model, std::uint64_t version);
     [[nodiscard]] static std::uint64_t weightsOf(const State &state, const ModelId &model);
 
     DataCentreId m_here;
--- a/include/vanilladyke/traffic/exchange.hpp
+++ b/include/vanilladyke/traffic/exchange.hpp
@@ -108,8 +108,9 @@
     std::string m_resumeAfter;
     std::optional<TimePoint> m_firstByteAt;
     NoBackend m_none;
-    int m_sends = 0; ///< requests that reached a server
-    int m_runs = 0;  ///< of them, those that may have run
+    std::optional<BackendChoice> m_choice; ///< of the last try
+    int m_sends = 0;                       ///< requests that reached a server
+    int m_runs = 0;                        ///< of them, those that may have run
     int m_status = 0;
     bool m_callerLeft = false;
     bool m_timedOut = false;
--- a/include/vanilladyke/traffic/traffic_state.hpp
+++ b/include/vanilladyke/traffic/traffic_state.hpp
@@ -3,6 +3,7 @@
 #include "vanilladyke/base/metrics.hpp"
 #include "vanilladyke/base/random.hpp"
 #include "vanilladyke/policy/backend_book.hpp"
+#include "vanilladyke/policy/kept_cache_view.hpp"
 #include "vanilladyke/policy/route_table.hpp"
 #include "vanilladyke/policy/second_send_budget.hpp"
 #include "vanilladyke/traffic/backend_pool.hpp"
@@ -51,6 +52,7 @@
     Dialect dialect;
     TrafficSettings settings;
     BackendBook book;
+    KeptCacheView kept;
     SecondSendBudget budget;
     Random random;
     Metrics metrics;
--- a/src/vanilladyke/app/node_command.cpp
+++ b/src/vanilladyke/app/node_command.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/dialect.hpp"
 #include "platform/engine_orders.hpp"
+#include "platform/kv_events.hpp"
 #include "platform/lease_log.hpp"
 #include "platform/state_reader.hpp"
 #include "vanilladyke/app/command.hpp"
@@ -49,8 +50,9 @@
         , m_server(m_traffic, settings.listen)
         , m_leaseLog(m_controlContext, settings.store)
         , m_orders(m_controlContext)
+        , m_keptCache(m_controlContext, entropySeed())
         , m_control(m_controlContext, m_traffic, settings.control, m_leaseLog, m_orders,
-                    entropySeed())
+                    m_keptCache, entropySeed())
         , m_reader(m_controlContext, settings.store, m_control, settings.control.self,
                    entropySeed())
         , m_signals(m_trafficContext, SIGTERM, SIGINT)
@@ -122,6 +124,7 @@
     TrafficServer m_server;
     platform::StoreLeaseLog m_leaseLog;
     platform::HttpEngineOrders m_orders;
+    platform::KvEvents m_keptCache;
     ControlPlane m_control;
     platform::StateReader m_reader;
     asio::signal_set m_signals;
--- a/src/vanilladyke/app/node_settings.cpp
+++ b/src/vanilladyke/app/node_settings.cpp
@@ -20,6 +20,18 @@
     reader.milliseconds("window_ms", &terms->window, LeastSpan, LongestSpan);
 }
 
+void readPlacement(JsonReader &reader, BackendRates *rates)
+{
+    constexpr double MostRate = 1e6;
+    reader.allowOnly({"tokens_per_ms", "kept_tokens_per_ms", "step_ms", "reread_ms_per_token",
+                      "old_weights_ms"});
+    reader.number("tokens_per_ms", &rates->tokensPerMs, 0.001, MostRate);
+    reader.number("kept_tokens_per_ms", &rates->keptTokensPerMs, 0.001, MostRate);
+    reader.number("step_ms", &rates->stepMs, 0, MostRate);
+    reader.number("reread_ms_per_token", &rates->rereadMsPerToken, 0, MostRate);
+    reader.number("old_weights_ms", &rates->oldWeightsMs, 0, MostRate);
+}
+
 } // namespace
 
 Outcome<NodeSettings, std::vector<FieldError>> parseNodeSettings(std::string_view text)
@@ -33,7 +45,7 @@
     JsonReader reader(object, "", &errors);
     reader.allowOnly({"node", "address", "data_centre", "callers", "ready", "ready_path", "metrics",
                       "store", "keys_valid_ms", "fails_closed", "weights_time_ms", "order_gap_ms",
-                      "grace_ms", "second_sends", "log_level"});
+                      "grace_ms", "second_sends", "placement", "log_level"});
     reader.text("node", &settings.node);
     reader.text("address", &settings.address);
     reader.id("data_centre", &settings.traffic.dataCentre);
@@ -58,6 +70,11 @@
             readSecondSends(inner, &settings.control.secondSends);
         });
     }
+    if (reader.has("placement")) {
+        reader.object("placement", [&settings](JsonReader &inner) {
+            readPlacement(inner, &settings.traffic.rates);
+        });
+    }
     reader.text("log_level", &settings.logLevel, false);
     if (!errors.empty()) {
         return failure(std::move(errors));
--- a/src/vanilladyke/node/control_plane.cpp
+++ b/src/vanilladyke/node/control_plane.cpp
@@ -26,13 +26,14 @@
 
 ControlPlane::ControlPlane(asio::io_context &context, TrafficState &traffic,
                            ControlSettings settings, LeaseLog &log, EngineOrders &orders,
-                           std::uint64_t seed)
+                           KeptCacheFollower &keptCache, std::uint64_t seed)
     : m_context(context)
     , m_traffic(traffic)
     , m_settings(std::move(settings))
     , m_random(seed)
     , m_weights(m_settings.self, seed, m_settings.lease, m_roster, log, orders, newsForTraffic(),
                 &BootClock::now, m_random)
+    , m_keptCache(keptCache)
     , m_timer(context)
 {}
 
@@ -103,6 +104,8 @@
             .field("customers", config.customers.size());
     auto table = std::make_shared<const RouteTable>(std::move(config));
     tell([table](TrafficState &traffic) { traffic.table = table; });
+    const ServiceSpec *kept = table->keptCache();
+    m_keptCache.follow(kept == nullptr ? std::nullopt : kept->keptCache, *this);
 }
 
 void ControlPlane::weightsNamed(const ModelId &model, std::uint64_t version, bool isNews)
@@ -173,6 +176,20 @@
     });
 }
 
+void ControlPlane::keptCacheReset(bool isFollowed)
+{
+    tell([isFollowed](TrafficState &traffic) { traffic.kept.reset(isFollowed); });
+}
+
+void ControlPlane::keptCacheChanged(std::vector<KeptPart> parts)
+{
+    tell([parts = std::move(parts)](TrafficState &traffic) {
+        for (const KeptPart &each : parts) {
+            traffic.kept.changed(each.salt, each.part, each.tokens);
+        }
+    });
+}
+
 void ControlPlane::publishBackends()
 {
     tell([serving = m_roster.serving()](TrafficState &traffic) {
--- a/src/vanilladyke/policy/backend_book.cpp
+++ b/src/vanilladyke/policy/backend_book.cpp
@@ -30,6 +30,11 @@
 
 } // namespace
 
+std::string BackendQuery::homeKey() const
+{
+    return sharedPart.empty() || isolated.empty() ? sharedPart : sharedPart + "/" + isolated.str();
+}
+
 BackendBook::BackendBook(DataCentreId here, BackendRates rates)
     : m_here(std::move(here))
     , m_rates(rates)
@@ -45,11 +50,11 @@
         if (known != m_states.end()) {
             state = std::move(known->second);
         }
-        std::map<ModelId, std::uint64_t> seen = std::move(state.entry.weights);
+        const std::map<ModelId, std::uint64_t> seen = std::move(state.entry.weights);
         state.entry = entry;
-        for (const auto &[model, version] : seen) {
-            std::uint64_t &now = state.entry.weights[model];
-            now = std::max(now, version);
+        state.entry.weights = seen;
+        for (const auto &[model, version] : entry.weights) {
+            learnWeights(state, model, version);
         }
         state.hash = hashOf(entry.id.str());
         m_byService[entry.service].push_back(entry.id);
@@ -90,6 +95,21 @@
     return found == state.entry.weights.end() ? 0 : found->second;
 }
 
+bool BackendBook::isKept(const BackendQuery &query, std::uint64_t weights)
+{
+    return query.kept == nullptr || !query.kept->isFollowed()
+           || query.kept->holds(cacheSalt(query.model, weights, query.isolated), query.sharedPart);
+}
+
+void BackendBook::learnWeights(State &state, const ModelId &model, std::uint64_t version)
+{
+    std::uint64_t &known = state.entry.weights[model];
+    if (version > known) {
+        known = version;
+        state.held.clear(); // new weights discard what the engine had
+    }
+}
+
 double BackendBook::waitOf(const State &state, TimePoint now) const
 {
     int others = 0;
@@ -120,7 +140,7 @@
                 return weights < goal.version && now - goal.since > OldWeightsGrace;
             });
     if (isOld) {
-        charges += OldWeightsCost;
+        charges += m_rates.oldWeightsMs;
     }
     return charges;
 }
@@ -145,7 +165,8 @@
     std::vector<Open> open;
     open.reserve(service->second.size());
     NoBackend none{true, now + LongestClose};
-    const std::uint64_t partHash = query.sharedPart.empty() ? 0 : hashOf(query.sharedPart);
+    const std::string homeKey = query.homeKey();
+    const std::uint64_t partHash = homeKey.empty() ? 0 : hashOf(homeKey);
     for (const EngineId &id : service->second) {
         const State &state = m_states.at(id);
         const std::uint64_t weights = weightsOf(state, query.model);
@@ -163,7 +184,7 @@
     if (open.empty()) {
         return tl::make_unexpected(none);
     }
-    const bool hasHomes = !query.sharedPart.empty();
+    const bool hasHomes = !homeKey.empty();
     const std::size_t homes = hasHomes ? std::min(Homes, open.size()) : open.size();
     if (hasHomes) {
         std::partial_sort(open.begin(), open.begin() + static_cast<std::ptrdiff_t>(homes),
@@ -174,14 +195,16 @@
     const State *chosen = nullptr;
     for (std::size_t i = 0; i < open.size(); ++i) {
         const State &state = *open[i].state;
-        const auto held = state.held.find(query.sharedPart);
+        const auto held = state.held.find(homeKey);
         const bool isHeld =
                 hasHomes && (i == 0 || (held != state.held.end() && now - held->second < HeldFor));
         double read = static_cast<double>(query.ownTokens) / m_rates.tokensPerMs;
         double reread = 0;
         if (!isHeld) {
-            read += static_cast<double>(query.sharedTokens) / m_rates.keptTokensPerMs;
-            reread = RereadCostPerToken * static_cast<double>(query.sharedTokens);
+            const bool canFetch = isKept(query, weightsOf(state, query.model));
+            const auto shared = static_cast<double>(query.sharedTokens);
+            read += shared / (canFetch ? m_rates.keptTokensPerMs : m_rates.tokensPerMs);
+            reread = canFetch ? 0 : m_rates.rereadMsPerToken * shared;
         }
         const double cost = open[i].cost + read + reread;
         if (chosen == nullptr || cost < best.costMs) {
@@ -214,7 +237,7 @@
             std::erase_if(state.held,
                           [now](const auto &item) { return now - item.second >= HeldFor; });
         }
-        state.held[query.sharedPart] = now;
+        state.held[query.homeKey()] = now;
     }
 }
 
@@ -291,8 +314,7 @@
 {
     const auto found = m_states.find(id);
     if (found != m_states.end()) {
-        std::uint64_t &known = found->second.entry.weights[model];
-        known = std::max(known, version);
+        learnWeights(found->second, model, version);
     }
 }
 
@@ -303,10 +325,9 @@
         return;
     }
     const auto goal = m_goals.find(model);
-    std::uint64_t &known = found->second.entry.weights[model];
-    if (goal != m_goals.end() && known < goal->second.back().version) {
-        known = goal->second.back().version; // most likely it was brought to the newest meanwhile
-        found->second.held.clear();
+    if (goal != m_goals.end() && weightsOf(found->second, model) < goal->second.back().version) {
+        // Most likely the engine was brought to the newest weights meanwhile.
+        learnWeights(found->second, model, goal->second.back().version);
         return;
     }
     close(id, now);
--- a/src/vanilladyke/policy/backend_book_test.cpp
+++ b/src/vanilladyke/policy/backend_book_test.cpp
@@ -187,8 +187,9 @@
     EXPECT_TRUE(none.error().isKnown);
     EXPECT_EQ(none.error().retryAt, at(250));
     EXPECT_TRUE(book.choose(shortPrompt(1), at(250)));
-    EXPECT_FALSE(
-            book.choose(BackendQuery{ServiceId("other"), {}, {}, 0, 0, {}}, at(0)).error().isKnown);
+    BackendQuery unknown;
+    unknown.service = ServiceId("other");
+    EXPECT_FALSE(book.choose(unknown, at(0)).error().isKnown);
 }
 
 // An engine took new weights, and this node hears of it by a refusal before its entry says so.
--- a/src/vanilladyke/traffic/exchange.cpp
+++ b/src/vanilladyke/traffic/exchange.cpp
@@ -101,6 +101,7 @@
             }
             continue;
         }
+        m_choice = *choice;
         const TryEnd end = co_await tryBackend(*choice);
         if (end == TryEnd::Delivered) {
             log(m_status, "answered");
@@ -166,6 +167,7 @@
     result.service = m_service;
     result.model = m_request.model;
     result.exclude = m_tried;
+    result.kept = &m_state.kept;
     result.ownTokens = m_request.promptTokens;
     if (m_request.parts.size() > 1) {
         std::uint64_t shared = 0;
@@ -174,7 +176,7 @@
         }
         result.sharedPart = m_request.parts[m_request.parts.size() - 2].id;
         if (m_customer != nullptr && m_customer->isIsolated) {
-            result.sharedPart += "/" + m_customer->id.str();
+            result.isolated = m_customer->id;
         }
         result.sharedTokens = shared;
         result.ownTokens -= std::min(result.ownTokens, shared);
@@ -206,12 +208,20 @@
         terms.cacheSalt = "alone-" + m_request.id;
         return terms;
     }
-    terms.cacheSalt = m_request.model.str() + "." + std::to_string(choice.weights);
-    if (m_customer != nullptr && m_customer->isIsolated) {
-        terms.cacheSalt += "." + m_customer->id.str();
+    const bool isIsolated = m_customer != nullptr && m_customer->isIsolated;
+    terms.cacheSalt =
+            cacheSalt(m_request.model, choice.weights, isIsolated ? m_customer->id : CustomerId());
+    const ServiceSpec *kept = m_table->keptCache();
+    if (kept == nullptr || m_request.parts.size() < 2) {
+        return terms;
     }
-    if (const ServiceSpec *kept = m_table->keptCache()) {
+    const std::string &shared = m_request.parts[m_request.parts.size() - 2].id;
+    const bool isKept = m_state.kept.isFollowed() && m_state.kept.holds(terms.cacheSalt, shared);
+    if (isKept || !m_state.kept.isFollowed()) {
         terms.fetchFrom = kept->keptCache;
+    }
+    // What the store has is not saved again: the request's own part would push shared ones out.
+    if (!isKept) {
         terms.saveTo = kept->keptCache;
     }
     return terms;
@@ -648,7 +658,12 @@
             .field("route", route)
             .field("customer", m_customer == nullptr ? "none" : m_customer->id.str())
             .field("config", m_table == nullptr ? 0 : m_table->config().version)
-            .field("backend", m_tried.empty() ? "" : m_tried.back().str())
+            .field("backend", m_choice ? m_choice->backend.id.str() : "none")
+            .field("weights", m_choice ? m_choice->weights : 0)
+            .field("held", m_choice && m_choice->isHeld)
+            .field("cost_ms", m_choice ? m_choice->costMs : 0)
+            .field("read_ms", m_choice ? m_choice->readMs : 0)
+            .field("candidates", m_choice ? m_choice->candidates : 0)
             .field("status", status)
             .field("outcome", outcome)
             .field("ran", toString(m_exchange.ran()))
