--- a/include/vanilladyke/app/node_settings.hpp
+++ b/include/vanilladyke/app/node_settings.hpp
@@ -17,6 +17,7 @@
     std::string node;
     std::string address; ///< IP number; with the name it tells one machine from its successor
     Endpoint store;
+    Endpoint peers; ///< where this node hears from others, by datagrams
     ListenSettings listen;
     TrafficSettings traffic;
     ControlSettings control;
--- a/include/vanilladyke/model/routing.hpp
+++ b/include/vanilladyke/model/routing.hpp
@@ -49,6 +49,7 @@
 {
     ServiceId id;
     int mostConnections = 0;           ///< that one backend server accepts from all nodes together
+    double transferTokensPerMs = 0;    ///< KV cache that an engine or store hands out; 0: not known
     std::uint64_t cacheTokens = 0;     ///< memory of an engine; 0 for plain services
     std::optional<Endpoint> keptCache; ///< set if this is the kept-cache store
     std::optional<DataCentreId> dataCentre; ///< of the kept-cache store
--- a/include/vanilladyke/node/control_plane.hpp
+++ b/include/vanilladyke/node/control_plane.hpp
@@ -48,8 +48,8 @@
     void backendsListed(const std::map<EngineId, bool> &present) override;
     void configurationProved(TimePoint sentAt) override;
     void storeFailed() override;
-    void nodesCounted(std::size_t nodes) override;
-    void keptCacheReset(bool isFollowed) override;
+    void nodesListed(std::vector<Endpoint> peers) override;
+    void keptCacheReset(KeptCacheState state) override;
     void keptCacheChanged(std::vector<KeptPart> parts) override;
 
 private:
--- /dev/null
+++ b/include/vanilladyke/node/load_sharing.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "vanilladyke/traffic/traffic_state.hpp"
+
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+#include <set>
+
+/// Tells other nodes what this one has waiting at each backend server, and hears it from them.
+///
+/// Load pattern: each of six nodes sends a sixth of the long prompts. From its own requests a node
+/// knows a sixth of what waits at an engine, and servers tell theirs only with answers; nodes then
+/// agree by chance on an engine that is busy already. Datagrams, since old news is worth nothing:
+/// one that is lost is made up for by the next. They only steer; no promise rests on them.
+namespace vanilladyke {
+
+/// @brief One node's part. Lives on the traffic thread.
+class LoadSharing
+{
+public:
+    /// Between two tellings, for up to NodesAtFullRate nodes; more nodes tell in proportion less
+    /// often, so that what a node sends and hears in a second stays the same.
+    static constexpr Duration Interval = std::chrono::milliseconds(80);
+    static constexpr std::size_t NodesAtFullRate = 9;
+
+    LoadSharing(TrafficState &state, Endpoint listen, std::string_view node);
+
+    /// @brief Opens the port. @return what failed, or none
+    [[nodiscard]] std::optional<std::string> open();
+    void setPeers(const std::vector<Endpoint> &peers);
+    /// @brief Sends if it is time to.
+    void step(TimePoint now);
+
+private:
+    using Udp = asio::ip::udp;
+
+    [[nodiscard]] asio::awaitable<void> receive();
+    void take(std::string_view datagram);
+
+    TrafficState &m_state;
+    Endpoint m_listen;
+    std::uint64_t m_self;
+    std::uint64_t m_sequence; ///< begins with the time of start, so that a restart goes on above it
+    Udp::socket m_socket;
+    std::vector<Udp::endpoint> m_peers;
+    std::unordered_map<std::uint64_t, std::uint64_t> m_heard; ///< newest sequence of each node
+    std::array<char, 65536> m_buffer{};
+    TimePoint m_nextAt;
+};
+
+} // namespace vanilladyke
--- a/include/vanilladyke/node/ports.hpp
+++ b/include/vanilladyke/node/ports.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "vanilladyke/model/routing.hpp"
+#include "vanilladyke/policy/kept_cache_view.hpp"
 #include "vanilladyke/policy/order_lease.hpp"
 
 #include <functional>
@@ -36,10 +37,10 @@
     /// @brief All that the operator wrote before @p sentAt is known now.
     virtual void configurationProved(TimePoint sentAt) = 0;
     virtual void storeFailed() = 0;
-    /// @brief How many nodes are registered.
-    virtual void nodesCounted(std::size_t nodes) = 0;
-    /// @brief Nothing is known of the kept-cache store any more. @param isFollowed news will come
-    virtual void keptCacheReset(bool isFollowed) = 0;
+    /// @brief Where the registered nodes, this one too, hear from each other.
+    virtual void nodesListed(std::vector<Endpoint> peers) = 0;
+    /// @brief Nothing is known of the kept-cache store's parts any more.
+    virtual void keptCacheReset(KeptCacheState state) = 0;
     virtual void keptCacheChanged(std::vector<KeptPart> parts) = 0;
 };
 
--- a/include/vanilladyke/policy/kept_cache_view.hpp
+++ b/include/vanilladyke/policy/kept_cache_view.hpp
@@ -20,6 +20,13 @@
 [[nodiscard]] std::string cacheSalt(const ModelId &model, std::uint64_t weights,
                                     const CustomerId &isolated);
 
+/// @brief What is known of the store itself.
+enum class KeptCacheState {
+    Down,     ///< it doesn't answer; asking it costs engines time
+    Unknown,  ///< it is there, and this node can't follow its events
+    Followed, ///< what is not in the view is not in the store
+};
+
 /// @brief A view of one store. Pure; entries that the store's lost events should have removed age
 /// out only by a new beginning, and a wrong one costs a vain fetch of a millisecond.
 class KeptCacheView
@@ -28,18 +35,18 @@
     /// About a hundred bytes each; beyond it nothing is learned until the store begins anew.
     static constexpr std::size_t MostParts = 65536;
 
-    /// @brief The store began anew, or nothing is known of it any more.
-    void reset(bool isFollowed);
+    /// @brief The store began anew, or nothing is known of its parts any more.
+    void reset(KeptCacheState state);
     /// @param tokens of the part that the store holds now; 0 if none
     void changed(const std::string &salt, const std::string &part, std::uint64_t tokens);
-    /// @brief Whether the store's events are followed, so that what is not held here is not held
-    /// there.
-    [[nodiscard]] bool isFollowed() const { return m_isFollowed; }
+    [[nodiscard]] KeptCacheState state() const { return m_state; }
+    /// @brief Whether it is worth asking the store for the part.
+    [[nodiscard]] bool mayHold(const std::string &salt, const std::string &part) const;
     [[nodiscard]] bool holds(const std::string &salt, const std::string &part) const;
     [[nodiscard]] std::size_t size() const { return m_tokens.size(); }
 
 private:
-    bool m_isFollowed = false;
+    KeptCacheState m_state = KeptCacheState::Unknown;
     std::unordered_map<std::uint64_t, std::uint32_t> m_tokens; ///< by a hash of salt and part
 };
 
--- a/include/vanilladyke/policy/route_table.hpp
+++ b/include/vanilladyke/policy/route_table.hpp
@@ -9,6 +9,13 @@
 /// Look-ups in one version of the routing configuration.
 namespace vanilladyke {
 
+/// @brief Tokens of KV cache a millisecond; 0 where the configuration doesn't tell.
+struct TransferRates
+{
+    double engine = 0;
+    double kept = 0;
+};
+
 /// @brief An index of a configuration; immutable, so that threads may share it.
 class RouteTable
 {
@@ -23,6 +30,8 @@
     [[nodiscard]] const ServiceSpec *service(const ServiceId &id) const;
     /// @brief The kept-cache store; null if the configuration names none.
     [[nodiscard]] const ServiceSpec *keptCache() const;
+    /// @brief How fast engines and the kept-cache store hand out KV cache, in tokens a millisecond.
+    [[nodiscard]] TransferRates transferRates() const;
     [[nodiscard]] bool needsKeys() const { return !m_config.customers.empty(); }
     /// @brief Takes one of the route's services by weight. @param draw in [0, 1)
     [[nodiscard]] static ServiceId pickService(const Route &route, double draw);
--- a/include/vanilladyke/traffic/traffic_state.hpp
+++ b/include/vanilladyke/traffic/traffic_state.hpp
@@ -64,6 +64,7 @@
     /// suspension.
     std::function<Duration()> configAge = [] { return Duration::max(); };
     std::size_t openExchanges = 0;
+    std::function<void(const std::vector<Endpoint> &)> peersChanged; ///< nodes came or went
 };
 
 } // namespace vanilladyke
--- a/src/vanilladyke/app/node_command.cpp
+++ b/src/vanilladyke/app/node_command.cpp
@@ -10,6 +10,7 @@
 #include "vanilladyke/app/settings.hpp"
 #include "vanilladyke/base/log.hpp"
 #include "vanilladyke/model/json_reader.hpp"
+#include "vanilladyke/node/load_sharing.hpp"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -54,7 +55,8 @@
         , m_control(m_controlContext, m_traffic, settings.control, m_leaseLog, m_orders,
                     m_keptCache, entropySeed())
         , m_reader(m_controlContext, settings.store, m_control, settings.control.self,
-                   entropySeed())
+                   settings.peers, entropySeed())
+        , m_sharing(m_traffic, settings.peers, settings.control.self)
         , m_signals(m_trafficContext, SIGTERM, SIGINT)
         , m_stopTimer(m_trafficContext)
     {
@@ -68,6 +70,14 @@
             LogEvent("listen_failed", Severity::Error).field("reason", *error);
             return CommandFailed;
         }
+        if (const auto error = m_sharing.open()) {
+            LogEvent("listen_failed", Severity::Error).field("reason", *error);
+            return CommandFailed;
+        }
+        m_traffic.peersChanged = [this](const std::vector<Endpoint> &peers) {
+            m_sharing.setPeers(peers);
+        };
+        m_traffic.ticker.onStep = [this](TimePoint now) { m_sharing.step(now); };
         m_signals.async_wait([this](const ErrorCode &error, int signal) {
             if (!error) {
                 stop(signal);
@@ -127,6 +137,7 @@
     platform::KvEvents m_keptCache;
     ControlPlane m_control;
     platform::StateReader m_reader;
+    LoadSharing m_sharing;
     asio::signal_set m_signals;
     asio::steady_timer m_stopTimer;
     TimePoint m_stopAt;
--- a/src/vanilladyke/app/node_settings.cpp
+++ b/src/vanilladyke/app/node_settings.cpp
@@ -24,11 +24,12 @@
 {
     constexpr double MostRate = 1e6;
     reader.allowOnly({"tokens_per_ms", "kept_tokens_per_ms", "step_ms", "reread_ms_per_token",
-                      "old_weights_ms"});
+                      "copy_ms_per_token", "old_weights_ms"});
     reader.number("tokens_per_ms", &rates->tokensPerMs, 0.001, MostRate);
     reader.number("kept_tokens_per_ms", &rates->keptTokensPerMs, 0.001, MostRate);
     reader.number("step_ms", &rates->stepMs, 0, MostRate);
     reader.number("reread_ms_per_token", &rates->rereadMsPerToken, 0, MostRate);
+    reader.number("copy_ms_per_token", &rates->copyMsPerToken, 0, MostRate);
     reader.number("old_weights_ms", &rates->oldWeightsMs, 0, MostRate);
 }
 
@@ -44,8 +45,8 @@
     NodeSettings settings;
     JsonReader reader(object, "", &errors);
     reader.allowOnly({"node", "address", "data_centre", "callers", "ready", "ready_path", "metrics",
-                      "store", "keys_valid_ms", "fails_closed", "weights_time_ms", "order_gap_ms",
-                      "grace_ms", "second_sends", "placement", "log_level"});
+                      "peers", "store", "keys_valid_ms", "fails_closed", "weights_time_ms",
+                      "order_gap_ms", "grace_ms", "second_sends", "placement", "log_level"});
     reader.text("node", &settings.node);
     reader.text("address", &settings.address);
     reader.id("data_centre", &settings.traffic.dataCentre);
@@ -57,6 +58,7 @@
         reader.endpoint("metrics", &settings.listen.metrics.emplace());
     }
     reader.endpoint("store", &settings.store);
+    reader.endpoint("peers", &settings.peers);
     Duration keysValid = settings.traffic.keysValidFor + KeyMargin;
     reader.milliseconds("keys_valid_ms", &keysValid, KeyMargin + LeastSpan, LongestSpan);
     settings.traffic.keysValidFor = keysValid - KeyMargin;
--- a/src/vanilladyke/node/control_plane.cpp
+++ b/src/vanilladyke/node/control_plane.cpp
@@ -42,13 +42,13 @@
     WeightsNews news;
     news.loading = [this](const EngineId &id, Duration span) {
         tell([id, span](TrafficState &traffic) {
-            traffic.book.closeUntil(id, MonotonicClock::now() + span);
+            traffic.book.loading(id, MonotonicClock::now() + span);
         });
     };
     news.loaded = [this](const EngineId &id, const ModelId &model, std::uint64_t version) {
         tell([id, model, version](TrafficState &traffic) {
             traffic.book.sawWeights(id, model, version);
-            traffic.book.closeUntil(id, MonotonicClock::now());
+            traffic.book.loading(id, MonotonicClock::now());
         });
     };
     news.aged = [this](const WeightsAge &weights) {
@@ -103,7 +103,10 @@
             .field("services", config.services.size())
             .field("customers", config.customers.size());
     auto table = std::make_shared<const RouteTable>(std::move(config));
-    tell([table](TrafficState &traffic) { traffic.table = table; });
+    tell([table](TrafficState &traffic) {
+        traffic.table = table;
+        traffic.book.setTransferRates(table->transferRates());
+    });
     const ServiceSpec *kept = table->keptCache();
     m_keptCache.follow(kept == nullptr ? std::nullopt : kept->keptCache, *this);
 }
@@ -166,19 +169,22 @@
     }
 }
 
-void ControlPlane::nodesCounted(std::size_t nodes)
+void ControlPlane::nodesListed(std::vector<Endpoint> peers)
 {
     SecondSendTerms terms = m_settings.secondSends;
-    terms.nodes = nodes;
-    tell([terms](TrafficState &traffic) {
+    terms.nodes = std::max<std::size_t>(peers.size(), 1);
+    tell([terms, peers = std::move(peers)](TrafficState &traffic) {
         traffic.nodes = terms.nodes;
         traffic.budget.setTerms(terms);
+        if (traffic.peersChanged) {
+            traffic.peersChanged(peers);
+        }
     });
 }
 
-void ControlPlane::keptCacheReset(bool isFollowed)
+void ControlPlane::keptCacheReset(KeptCacheState state)
 {
-    tell([isFollowed](TrafficState &traffic) { traffic.kept.reset(isFollowed); });
+    tell([state](TrafficState &traffic) { traffic.kept.reset(state); });
 }
 
 void ControlPlane::keptCacheChanged(std::vector<KeptPart> parts)
--- /dev/null
+++ b/src/vanilladyke/node/load_sharing.cpp
@@ -0,0 +1,130 @@
+#include "vanilladyke/node/load_sharing.hpp"
+
+#include "node_load.pb.h"
+#include "vanilladyke/base/log.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace vanilladyke {
+
+namespace {
+
+/// A datagram holds so many servers at most; with more, the busiest are told.
+constexpr std::size_t MostBackends = 1000;
+
+std::uint32_t millis(Duration span)
+{
+    const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(count, 0));
+}
+
+} // namespace
+
+LoadSharing::LoadSharing(TrafficState &state, Endpoint listen, std::string_view node)
+    : m_state(state)
+    , m_listen(std::move(listen))
+    , m_self(XXH3_64bits(node.data(), node.size()))
+    , m_sequence(static_cast<std::uint64_t>(
+              std::chrono::system_clock::now().time_since_epoch().count()))
+    , m_socket(state.context)
+{}
+
+std::optional<std::string> LoadSharing::open()
+{
+    ErrorCode error;
+    const auto address = asio::ip::make_address(m_listen.host, error);
+    const Udp::endpoint endpoint(address, m_listen.port);
+    if (!error) {
+        m_socket.open(endpoint.protocol(), error);
+    }
+    if (!error) {
+        m_socket.bind(endpoint, error);
+    }
+    if (error) {
+        return m_listen.str() + ": " + error.message();
+    }
+    m_socket.non_blocking(true, error);
+    asio::co_spawn(m_state.context, receive(), asio::detached);
+    return std::nullopt;
+}
+
+void LoadSharing::setPeers(const std::vector<Endpoint> &peers)
+{
+    m_peers.clear();
+    for (const Endpoint &peer : peers) {
+        ErrorCode error;
+        const auto address = asio::ip::make_address(peer.host, error);
+        if (!error && peer != m_listen) {
+            m_peers.emplace_back(address, peer.port);
+        }
+    }
+}
+
+void LoadSharing::step(TimePoint now)
+{
+    if (now < m_nextAt || m_peers.empty()) {
+        return;
+    }
+    const std::size_t stretch = std::max<std::size_t>(1, (m_peers.size() + 1) / NodesAtFullRate);
+    m_nextAt = now + Interval * stretch;
+    m_state.book.forgetSilentPeers(now);
+    wire::NodeLoad message;
+    message.set_node(m_self);
+    message.set_sequence(++m_sequence);
+    for (const BackendLoadNews &each : m_state.book.ownLoad(MostBackends, now)) {
+        wire::BackendLoad *load = message.add_backends();
+        load->set_backend(each.backend);
+        load->set_waiting_ms(static_cast<std::uint32_t>(each.waitingMs));
+        load->set_in_flight(static_cast<std::uint32_t>(each.inFlight));
+        load->set_loading_ms(millis(each.loading));
+        load->set_weights(each.weights);
+    }
+    const std::string bytes = message.SerializeAsString();
+    for (const Udp::endpoint &peer : m_peers) {
+        ErrorCode
+                ignored; // a peer that is gone, or a full buffer: the next telling makes up for it
+        m_socket.send_to(asio::buffer(bytes), peer, 0, ignored);
+    }
+}
+
+asio::awaitable<void> LoadSharing::receive()
+{
+    for (;;) {
+        ErrorCode error;
+        Udp::endpoint from;
+        const std::size_t size =
+                co_await m_socket.async_receive_from(asio::buffer(m_buffer), from, into(error));
+        if (!m_socket.is_open()) {
+            co_return;
+        }
+        if (!error) {
+            take({m_buffer.data(), size});
+        }
+    }
+}
+
+void LoadSharing::take(std::string_view datagram)
+{
+    wire::NodeLoad message;
+    if (!message.ParseFromArray(datagram.data(), static_cast<int>(datagram.size()))) {
+        m_state.metrics.count("peer_datagrams_unreadable_total");
+        return;
+    }
+    std::uint64_t &newest = m_heard[message.node()];
+    if (message.node() == m_self || message.sequence() <= newest) {
+        return;
+    }
+    newest = message.sequence();
+    std::vector<BackendLoadNews> news;
+    news.reserve(static_cast<std::size_t>(message.backends_size()));
+    for (const wire::BackendLoad &load : message.backends()) {
+        news.push_back({load.backend(), static_cast<double>(load.waiting_ms()),
+                        static_cast<int>(load.in_flight()),
+                        std::chrono::milliseconds(load.loading_ms()), load.weights()});
+    }
+    m_state.book.heardLoad(message.node(), news, MonotonicClock::now());
+}
+
+} // namespace vanilladyke
--- a/src/vanilladyke/policy/backend_book.cpp
+++ b/src/vanilladyke/policy/backend_book.cpp
@@ -61,6 +61,82 @@
         next.emplace(entry.id, std::move(state));
     }
     m_states = std::move(next);
+    m_byHash.clear();
+    for (const auto &[id, state] : m_states) {
+        m_byHash.emplace(state.hash, id);
+    }
+}
+
+void BackendBook::loading(const EngineId &id, TimePoint until)
+{
+    const auto found = m_states.find(id);
+    if (found != m_states.end()) {
+        found->second.loadingUntil = until;
+    }
+}
+
+std::vector<BackendLoadNews> BackendBook::ownLoad(std::size_t most, TimePoint now) const
+{
+    std::vector<BackendLoadNews> news;
+    for (const auto &[id, state] : m_states) {
+        const auto &weights = state.entry.weights;
+        const bool hasOneModel = weights.size() == 1;
+        const Duration loads = std::max<Duration>(state.loadingUntil - now, Duration::zero());
+        if (state.inFlight > 0 || loads > Duration::zero()) {
+            news.push_back({state.hash, state.waitingMs, state.inFlight, loads,
+                            hasOneModel ? weights.begin()->second : 0});
+        }
+    }
+    std::sort(news.begin(), news.end(), [](const BackendLoadNews &a, const BackendLoadNews &b) {
+        return a.waitingMs > b.waitingMs;
+    });
+    news.resize(std::min(news.size(), most));
+    return news;
+}
+
+void BackendBook::subtract(const Peer &peer)
+{
+    for (const PeerPart &part : peer.parts) {
+        const auto found = m_states.find(part.engine);
+        if (found != m_states.end()) {
+            found->second.peersWaitingMs -= part.waitingMs;
+            found->second.peersInFlight -= part.inFlight;
+        }
+    }
+}
+
+void BackendBook::heardLoad(std::uint64_t node, const std::vector<BackendLoadNews> &news,
+                            TimePoint now)
+{
+    Peer &peer = m_peers[node];
+    subtract(peer);
+    peer.heardAt = now;
+    peer.parts.clear();
+    for (const BackendLoadNews &each : news) {
+        const auto id = m_byHash.find(each.backend);
+        if (id == m_byHash.end()) {
+            continue;
+        }
+        State &state = m_states.at(id->second);
+        state.peersWaitingMs += each.waitingMs;
+        state.peersInFlight += each.inFlight;
+        state.loadingUntil = std::max(state.loadingUntil, now + each.loading);
+        if (state.entry.weights.size() == 1 && each.weights > 0) {
+            learnWeights(state, state.entry.weights.begin()->first, each.weights);
+        }
+        peer.parts.push_back({id->second, each.waitingMs, each.inFlight});
+    }
+}
+
+void BackendBook::forgetSilentPeers(TimePoint now)
+{
+    std::erase_if(m_peers, [&](const auto &item) {
+        const bool isSilent = now - item.second.heardAt > PeerLife;
+        if (isSilent) {
+            subtract(item.second);
+        }
+        return isSilent;
+    });
 }
 
 void BackendBook::setGoal(const ModelId &model, std::uint64_t version, TimePoint since)
@@ -95,10 +171,10 @@
     return found == state.entry.weights.end() ? 0 : found->second;
 }
 
-bool BackendBook::isKept(const BackendQuery &query, std::uint64_t weights)
+void BackendBook::setTransferRates(const TransferRates &rates)
 {
-    return query.kept == nullptr || !query.kept->isFollowed()
-           || query.kept->holds(cacheSalt(query.model, weights, query.isolated), query.sharedPart);
+    m_rates.engineTokensPerMs = rates.engine > 0 ? rates.engine : m_rates.engineTokensPerMs;
+    m_rates.keptTokensPerMs = rates.kept > 0 ? rates.kept : m_rates.keptTokensPerMs;
 }
 
 void BackendBook::learnWeights(State &state, const ModelId &model, std::uint64_t version)
@@ -115,13 +191,15 @@
     int others = 0;
     int queued = 0;
     if (now - state.reportedAt < ReportLife) {
-        others = std::max(0, state.running + state.waiting - state.ownAtReport);
+        const int told = state.running + state.waiting - state.ownAtReport;
+        others = std::max(0, told - state.peersInFlight);
         queued = state.waiting;
     }
-    const int busy = others + state.inFlight;
+    const int busy = others + state.inFlight + state.peersInFlight;
     const int over = std::max(queued, busy + 1 - state.entry.slots);
     const double slotsUsed = static_cast<double>(busy) / std::max(state.entry.slots, 1);
-    return state.waitingMs + busy * m_rates.stepMs + over * QueuedMs + slotsUsed * PlainCallMs;
+    return state.waitingMs + state.peersWaitingMs + busy * m_rates.stepMs + over * QueuedMs
+           + slotsUsed * PlainCallMs;
 }
 
 double BackendBook::chargesOf(const State &state, std::uint64_t weights, const Goals *goals,
@@ -145,6 +223,62 @@
     return charges;
 }
 
+/// A server that may get the request.
+struct BackendBook::Open
+{
+    const State *state;
+    std::uint64_t order; ///< of the shared part's homes; the highest is the first home
+    double cost;         ///< without reading
+};
+
+/// How the request's prompt would come into an engine's memory.
+struct BackendBook::Reading
+{
+    double ms = 0;
+    double charge = 0;
+    bool isHeld = false;
+    std::optional<Endpoint> fetchFrom;
+    bool savesShared = false;
+};
+
+BackendBook::Reading BackendBook::readingAt(const Open &engine, const Open &home,
+                                            const BackendQuery &query, const std::string &homeKey,
+                                            TimePoint now) const
+{
+    const auto isRecent = [&](const State &state) {
+        const auto held = state.held.find(homeKey);
+        return held != state.held.end() && now - held->second < HeldFor;
+    };
+    const std::uint64_t weights = weightsOf(*engine.state, query.model);
+    const std::string salt = cacheSalt(query.model, weights, query.isolated);
+    const bool isKept = query.kept != nullptr && query.kept->mayHold(salt, query.sharedPart);
+    const bool isHome = engine.state == home.state;
+    const auto shared = static_cast<double>(query.sharedTokens);
+    Reading reading;
+    reading.ms = static_cast<double>(query.ownTokens) / m_rates.tokensPerMs;
+    reading.isHeld = isHome || isRecent(*engine.state);
+    reading.savesShared = query.kept != nullptr && !query.kept->holds(salt, query.sharedPart);
+    if (isKept) {
+        reading.fetchFrom = query.keptCache;
+    }
+    if (reading.isHeld) {
+        return reading;
+    }
+    reading.charge = m_rates.copyMsPerToken * shared;
+    // Engines hand out faster than the store, whose one link all engines share.
+    const bool homeHasIt = isRecent(*home.state) && weightsOf(*home.state, query.model) == weights;
+    if (homeHasIt) {
+        reading.fetchFrom = home.state->entry.endpoint;
+        reading.ms += shared / m_rates.engineTokensPerMs;
+    } else if (isKept) {
+        reading.ms += shared / m_rates.keptTokensPerMs;
+    } else {
+        reading.ms += shared / m_rates.tokensPerMs;
+        reading.charge = m_rates.rereadMsPerToken * shared;
+    }
+    return reading;
+}
+
 tl::expected<BackendChoice, NoBackend> BackendBook::choose(const BackendQuery &query,
                                                            TimePoint now) const
 {
@@ -156,12 +290,6 @@
     const bool hasGoals = !query.model.empty() && goalFound != m_goals.end();
     const Goals *goals = hasGoals ? &goalFound->second : nullptr;
     const std::uint64_t least = leastWeights(goals, now);
-    struct Open
-    {
-        const State *state;
-        std::uint64_t order;
-        double cost; ///< without reading
-    };
     std::vector<Open> open;
     open.reserve(service->second.size());
     NoBackend none{true, now + LongestClose};
@@ -174,8 +302,9 @@
             || weights < least) {
             continue;
         }
-        if (state.closedUntil > now) {
-            none.retryAt = std::min(none.retryAt, state.closedUntil);
+        const TimePoint closedUntil = std::max(state.closedUntil, state.loadingUntil);
+        if (closedUntil > now) {
+            none.retryAt = std::min(none.retryAt, closedUntil);
             continue;
         }
         open.push_back({&state, mix(partHash ^ state.hash),
@@ -185,33 +314,24 @@
         return tl::make_unexpected(none);
     }
     const bool hasHomes = !homeKey.empty();
-    const std::size_t homes = hasHomes ? std::min(Homes, open.size()) : open.size();
-    if (hasHomes) {
-        std::partial_sort(open.begin(), open.begin() + static_cast<std::ptrdiff_t>(homes),
-                          open.end(),
-                          [](const Open &a, const Open &b) { return a.order > b.order; });
-    }
+    const Open home = *std::max_element(open.begin(), open.end(), [](const Open &a, const Open &b) {
+        return a.order < b.order;
+    });
     BackendChoice best;
     const State *chosen = nullptr;
-    for (std::size_t i = 0; i < open.size(); ++i) {
-        const State &state = *open[i].state;
-        const auto held = state.held.find(homeKey);
-        const bool isHeld =
-                hasHomes && (i == 0 || (held != state.held.end() && now - held->second < HeldFor));
-        double read = static_cast<double>(query.ownTokens) / m_rates.tokensPerMs;
-        double reread = 0;
-        if (!isHeld) {
-            const bool canFetch = isKept(query, weightsOf(state, query.model));
-            const auto shared = static_cast<double>(query.sharedTokens);
-            read += shared / (canFetch ? m_rates.keptTokensPerMs : m_rates.tokensPerMs);
-            reread = canFetch ? 0 : m_rates.rereadMsPerToken * shared;
+    for (const Open &engine : open) {
+        Reading reading;
+        if (hasHomes) {
+            reading = readingAt(engine, home, query, homeKey, now);
         }
-        const double cost = open[i].cost + read + reread;
+        const double cost = engine.cost + reading.ms + reading.charge;
         if (chosen == nullptr || cost < best.costMs) {
-            chosen = &state;
-            best.isHeld = isHeld;
+            chosen = engine.state;
+            best.isHeld = reading.isHeld;
+            best.fetchFrom = reading.fetchFrom;
+            best.savesShared = reading.savesShared;
             best.costMs = cost;
-            best.readMs = read;
+            best.readMs = reading.ms;
         }
     }
     best.backend = chosen->entry;
--- a/src/vanilladyke/policy/kept_cache_view.cpp
+++ b/src/vanilladyke/policy/kept_cache_view.cpp
@@ -19,9 +19,9 @@
     return isolated.empty() ? salt : salt + "." + isolated.str();
 }
 
-void KeptCacheView::reset(bool isFollowed)
+void KeptCacheView::reset(KeptCacheState state)
 {
-    m_isFollowed = isFollowed;
+    m_state = state;
     m_tokens.clear();
 }
 
@@ -35,6 +35,12 @@
     }
 }
 
+bool KeptCacheView::mayHold(const std::string &salt, const std::string &part) const
+{
+    return m_state == KeptCacheState::Unknown
+           || (m_state == KeptCacheState::Followed && holds(salt, part));
+}
+
 bool KeptCacheView::holds(const std::string &salt, const std::string &part) const
 {
     return m_tokens.contains(keyOf(salt, part));
--- a/src/vanilladyke/policy/kept_cache_view_test.cpp
+++ b/src/vanilladyke/policy/kept_cache_view_test.cpp
@@ -8,7 +8,7 @@
 TEST(KeptCacheView, KnowsPartsUnderTheirSaltOnly)
 {
     KeptCacheView view;
-    view.reset(true);
+    view.reset(KeptCacheState::Followed);
     const std::string first = cacheSalt(ModelId("m"), 1, {});
     view.changed(first, "p", 800);
     EXPECT_TRUE(view.holds(first, "p"));
@@ -22,13 +22,14 @@
 TEST(KeptCacheView, AStoreThatBeginsAnewHoldsNothing)
 {
     KeptCacheView view;
-    view.reset(true);
+    view.reset(KeptCacheState::Followed);
     view.changed("s", "p", 800);
-    view.reset(true);
-    EXPECT_FALSE(view.holds("s", "p"));
-    EXPECT_TRUE(view.isFollowed());
-    view.reset(false);
-    EXPECT_FALSE(view.isFollowed());
+    view.reset(KeptCacheState::Followed);
+    EXPECT_FALSE(view.mayHold("s", "p"));
+    view.reset(KeptCacheState::Unknown);
+    EXPECT_TRUE(view.mayHold("s", "p")) << "asking a store that is there costs a millisecond";
+    view.reset(KeptCacheState::Down);
+    EXPECT_FALSE(view.mayHold("s", "p")) << "asking one that is down costs hundreds";
 }
 
 TEST(KeptCacheView, ItsSizeIsBounded)
--- a/src/vanilladyke/policy/route_table.cpp
+++ b/src/vanilladyke/policy/route_table.cpp
@@ -74,6 +74,16 @@
     return found == m_config.services.end() ? nullptr : &*found;
 }
 
+TransferRates RouteTable::transferRates() const
+{
+    TransferRates rates;
+    for (const ServiceSpec &service : m_config.services) {
+        double &rate = service.keptCache ? rates.kept : rates.engine;
+        rate = std::max(rate, service.transferTokensPerMs);
+    }
+    return rates;
+}
+
 ServiceId RouteTable::pickService(const Route &route, double draw)
 {
     const double total =
--- a/src/vanilladyke/traffic/exchange.cpp
+++ b/src/vanilladyke/traffic/exchange.cpp
@@ -167,7 +167,10 @@
     result.service = m_service;
     result.model = m_request.model;
     result.exclude = m_tried;
-    result.kept = &m_state.kept;
+    if (const ServiceSpec *kept = m_table->keptCache()) {
+        result.kept = &m_state.kept;
+        result.keptCache = kept->keptCache;
+    }
     result.ownTokens = m_request.promptTokens;
     if (m_request.parts.size() > 1) {
         std::uint64_t shared = 0;
@@ -211,17 +214,10 @@
     const bool isIsolated = m_customer != nullptr && m_customer->isIsolated;
     terms.cacheSalt =
             cacheSalt(m_request.model, choice.weights, isIsolated ? m_customer->id : CustomerId());
+    terms.fetchFrom = choice.fetchFrom;
     const ServiceSpec *kept = m_table->keptCache();
-    if (kept == nullptr || m_request.parts.size() < 2) {
-        return terms;
-    }
-    const std::string &shared = m_request.parts[m_request.parts.size() - 2].id;
-    const bool isKept = m_state.kept.isFollowed() && m_state.kept.holds(terms.cacheSalt, shared);
-    if (isKept || !m_state.kept.isFollowed()) {
-        terms.fetchFrom = kept->keptCache;
-    }
     // What the store has is not saved again: the request's own part would push shared ones out.
-    if (!isKept) {
+    if (kept != nullptr && choice.savesShared && m_state.kept.state() != KeptCacheState::Down) {
         terms.saveTo = kept->keptCache;
     }
     return terms;
