--- a/include/vanilladyke/app/node_settings.hpp
+++ b/include/vanilladyke/app/node_settings.hpp
@@ -21,6 +21,8 @@
     ListenSettings listen;
     TrafficSettings traffic;
     ControlSettings control;
+    Duration drain =
+            std::chrono::seconds(2); ///< within which a leaving server gets no more requests
     Duration grace = std::chrono::seconds(8); ///< from SIGTERM until the process is killed
     std::string logLevel = "info";
 };
--- a/include/vanilladyke/policy/backend_book.hpp
+++ b/include/vanilladyke/policy/backend_book.hpp
@@ -43,6 +43,7 @@
     /// Charge for shared tokens that come to stand in a second engine's memory: they push out
     /// others.
     double copyMsPerToken = 0.03;
+    double otherCentreMs = 6;  ///< there and back, and a charge for bytes between data centres
     double oldWeightsMs = 120; ///< charge for weights that were replaced
     Duration weightsTime = std::chrono::milliseconds(15000); ///< until old weights are closed
 };
@@ -105,9 +106,8 @@
     static constexpr Duration FailureHalfLife = std::chrono::seconds(3);
     static constexpr Duration FirstClose = std::chrono::milliseconds(250);
     static constexpr Duration LongestClose = std::chrono::seconds(2);
-    static constexpr double FailureCost = 1500;  ///< ms, for a server that fails everything
-    static constexpr double OtherCentreCost = 3; ///< ms there and back
-    static constexpr double SilenceCost = 3000;  ///< ms
+    static constexpr double FailureCost = 1500; ///< ms, for a server that fails everything
+    static constexpr double SilenceCost = 3000; ///< ms
     static constexpr Duration OldWeightsGrace = std::chrono::milliseconds(1000);
     static constexpr Duration OldWeightsMargin = std::chrono::milliseconds(2000);
 
--- a/src/vanilladyke/app/node_command.cpp
+++ b/src/vanilladyke/app/node_command.cpp
@@ -55,7 +55,7 @@
         , m_control(m_controlContext, m_traffic, settings.control, m_leaseLog, m_orders,
                     m_keptCache, entropySeed())
         , m_reader(m_controlContext, settings.store, m_control, settings.control.self,
-                   settings.peers, entropySeed())
+                   settings.peers, settings.drain, entropySeed())
         , m_sharing(m_traffic, settings.peers, settings.control.self)
         , m_signals(m_trafficContext, SIGTERM, SIGINT)
         , m_stopTimer(m_trafficContext)
--- a/src/vanilladyke/app/node_settings.cpp
+++ b/src/vanilladyke/app/node_settings.cpp
@@ -24,12 +24,13 @@
 {
     constexpr double MostRate = 1e6;
     reader.allowOnly({"tokens_per_ms", "kept_tokens_per_ms", "step_ms", "reread_ms_per_token",
-                      "copy_ms_per_token", "old_weights_ms"});
+                      "copy_ms_per_token", "old_weights_ms", "other_centre_ms"});
     reader.number("tokens_per_ms", &rates->tokensPerMs, 0.001, MostRate);
     reader.number("kept_tokens_per_ms", &rates->keptTokensPerMs, 0.001, MostRate);
     reader.number("step_ms", &rates->stepMs, 0, MostRate);
     reader.number("reread_ms_per_token", &rates->rereadMsPerToken, 0, MostRate);
     reader.number("copy_ms_per_token", &rates->copyMsPerToken, 0, MostRate);
+    reader.number("other_centre_ms", &rates->otherCentreMs, 0, MostRate);
     reader.number("old_weights_ms", &rates->oldWeightsMs, 0, MostRate);
 }
 
@@ -46,7 +47,8 @@
     JsonReader reader(object, "", &errors);
     reader.allowOnly({"node", "address", "data_centre", "callers", "ready", "ready_path", "metrics",
                       "peers", "store", "keys_valid_ms", "fails_closed", "weights_time_ms",
-                      "order_gap_ms", "grace_ms", "second_sends", "placement", "log_level"});
+                      "order_gap_ms", "drain_ms", "grace_ms", "second_sends", "placement",
+                      "log_level"});
     reader.text("node", &settings.node);
     reader.text("address", &settings.address);
     reader.id("data_centre", &settings.traffic.dataCentre);
@@ -66,6 +68,7 @@
     reader.milliseconds("weights_time_ms", &settings.traffic.rates.weightsTime, LeastSpan,
                         LongestSpan);
     reader.milliseconds("order_gap_ms", &settings.control.lease.gap, LeastSpan, LongestSpan);
+    reader.milliseconds("drain_ms", &settings.drain, LeastSpan, LongestSpan);
     reader.milliseconds("grace_ms", &settings.grace, LeastSpan, LongestSpan);
     if (reader.has("second_sends")) {
         reader.object("second_sends", [&settings](JsonReader &inner) {
--- a/src/vanilladyke/policy/backend_book.cpp
+++ b/src/vanilladyke/policy/backend_book.cpp
@@ -205,7 +205,7 @@
 double BackendBook::chargesOf(const State &state, std::uint64_t weights, const Goals *goals,
                               TimePoint now) const
 {
-    double charges = state.entry.dataCentre == m_here ? 0 : OtherCentreCost;
+    double charges = state.entry.dataCentre == m_here ? 0 : m_rates.otherCentreMs;
     if (state.failurePart > 0) {
         const double age = secondsOf(now - state.failureAt) / secondsOf(FailureHalfLife);
         charges += FailureCost * state.failurePart * std::exp2(-age);
