Take a server out at once that leaves after trouble with the store

Ruled out: the longer pause between reads (the entry was read 0.6 s after the leave). Change: entries are kept only when most of them go within two seconds after trouble. Copies from a home are only sought within 2 s of use, else from the store.

--- a/include/vanilladyke/policy/backend_book.hpp
+++ b/include/vanilladyke/policy/backend_book.hpp
@@ -102,7 +102,9 @@
     static constexpr Duration ReportLife = std::chrono::milliseconds(1000);
     static constexpr Duration PeerLife = std::chrono::seconds(2);
     static constexpr Duration SilenceToAvoid = std::chrono::milliseconds(450);
+    /// How long an engine keeps a part that was just used: usually, and even when it is crowded.
     static constexpr Duration HeldFor = std::chrono::seconds(8);
+    static constexpr Duration SurelyHeldFor = std::chrono::seconds(2);
     static constexpr Duration FailureHalfLife = std::chrono::seconds(3);
     static constexpr Duration FirstClose = std::chrono::milliseconds(250);
     static constexpr Duration LongestClose = std::chrono::seconds(2);
--- a/include/vanilladyke/policy/backend_roster.hpp
+++ b/include/vanilladyke/policy/backend_roster.hpp
@@ -8,11 +8,13 @@
 /// Which backend servers may get requests, from the entries that they keep in the platform's store.
 ///
 /// Load pattern: servers come, drain and crash all day, and the store that lists them is away for
-/// seconds. An entry that is gone normally means that its server is leaving. One that lapsed
-/// because servers could not write for a while means nothing: taking it at its word would empty the
-/// roster at the very moment at which the store returns. So an entry that goes away within
-/// TroubleMemory of a failed call to the store is kept for ReturnTime; servers that live write
-/// again within that time. A server that said that it drains never comes back.
+/// seconds. An entry that is gone normally means that its server is leaving. Entries that lapsed
+/// because servers could not write for a while mean nothing: taking them at their word would empty
+/// the roster at the very moment at which the store returns. What tells the two apart is that a
+/// lapse takes most entries at once: when most of them go within LapseWindow, soon after a failed
+/// call to the store, all of these are kept for ReturnTime, in which servers that live write again.
+/// A few that go are taken out at once, also after trouble, which may have been this node's alone.
+/// A server that said that it drains never comes back.
 namespace vanilladyke {
 
 /// @brief The roster of one node. Pure.
@@ -23,6 +25,8 @@
     static constexpr Duration ReturnTime = std::chrono::milliseconds(2200);
     /// Three heartbeats of silence remove an entry, so trouble may show that long after it ended.
     static constexpr Duration TroubleMemory = std::chrono::seconds(4);
+    /// Entries that lapse together are read by two or three calls.
+    static constexpr Duration LapseWindow = std::chrono::seconds(2);
 
     /// @brief Takes in an entry. One that is older than what is known changes nothing.
     /// @return whether anything but the heartbeat changed
@@ -48,7 +52,11 @@
         std::optional<TimePoint> goneAt; ///< lapsed; out for good at this time
     };
 
+    [[nodiscard]] bool isLapse(TimePoint now) const;
+    void revive(TimePoint now);
+
     std::map<EngineId, Known> m_entries;
+    std::map<EngineId, std::pair<BackendEntry, TimePoint>> m_removed; ///< within LapseWindow
     std::unordered_map<EngineId, std::uint64_t> m_lastHeartbeat; ///< also of those that are out
     TimePoint m_lastTrouble = TimePoint::min();
 };
--- a/src/vanilladyke/policy/backend_book.cpp
+++ b/src/vanilladyke/policy/backend_book.cpp
@@ -245,9 +245,9 @@
                                             const BackendQuery &query, const std::string &homeKey,
                                             TimePoint now) const
 {
-    const auto isRecent = [&](const State &state) {
+    const auto wasThere = [&](const State &state, Duration ago) {
         const auto held = state.held.find(homeKey);
-        return held != state.held.end() && now - held->second < HeldFor;
+        return held != state.held.end() && now - held->second < ago;
     };
     const std::uint64_t weights = weightsOf(*engine.state, query.model);
     const std::string salt = cacheSalt(query.model, weights, query.isolated);
@@ -256,7 +256,7 @@
     const auto shared = static_cast<double>(query.sharedTokens);
     Reading reading;
     reading.ms = static_cast<double>(query.ownTokens) / m_rates.tokensPerMs;
-    reading.isHeld = isHome || isRecent(*engine.state);
+    reading.isHeld = isHome || wasThere(*engine.state, HeldFor);
     reading.savesShared = query.kept != nullptr && !query.kept->holds(salt, query.sharedPart);
     if (isKept) {
         reading.fetchFrom = query.keptCache;
@@ -266,8 +266,8 @@
     }
     reading.charge = m_rates.copyMsPerToken * shared;
     // Engines hand out faster than the store, whose one link all engines share.
-    const bool homeHasIt = isRecent(*home.state) && weightsOf(*home.state, query.model) == weights;
-    if (homeHasIt) {
+    const bool sameWeights = weightsOf(*home.state, query.model) == weights;
+    if (sameWeights && wasThere(*home.state, isKept ? SurelyHeldFor : HeldFor)) {
         reading.fetchFrom = home.state->entry.endpoint;
         reading.ms += shared / m_rates.engineTokensPerMs;
     } else if (isKept) {
--- a/src/vanilladyke/policy/backend_roster.cpp
+++ b/src/vanilladyke/policy/backend_roster.cpp
@@ -31,18 +31,35 @@
     if (found == m_entries.end()) {
         return false;
     }
-    const bool storeWasAway =
-            m_lastTrouble != TimePoint::min() && now - m_lastTrouble < TroubleMemory;
-    if (storeWasAway && !found->second.entry.isDraining) {
-        if (!found->second.goneAt) {
-            found->second.goneAt = now + ReturnTime;
-        }
-        return false;
+    if (!found->second.entry.isDraining) {
+        m_removed[id] = {found->second.entry, now};
     }
     m_entries.erase(found);
+    std::erase_if(m_removed,
+                  [now](const auto &item) { return now - item.second.second >= LapseWindow; });
+    if (isLapse(now)) {
+        revive(now);
+    }
     return true;
 }
 
+bool BackendRoster::isLapse(TimePoint now) const
+{
+    const bool storeWasAway =
+            m_lastTrouble != TimePoint::min() && now - m_lastTrouble < TroubleMemory;
+    constexpr std::size_t LeastLapsed = 2;
+    const std::size_t lapsed = m_removed.size();
+    return storeWasAway && lapsed >= LeastLapsed && 2 * lapsed > m_entries.size() + lapsed;
+}
+
+void BackendRoster::revive(TimePoint now)
+{
+    for (auto &[id, removed] : m_removed) {
+        m_entries[id] = {removed.first, now + ReturnTime};
+    }
+    m_removed.clear();
+}
+
 bool BackendRoster::expire(TimePoint now)
 {
     return std::erase_if(m_entries,
