--- a/include/vanilladyke/policy/backend_book.hpp
+++ b/include/vanilladyke/policy/backend_book.hpp
@@ -132,7 +132,6 @@
     void ended(const BackendChoice &choice, bool hadBegun, bool failed, TimePoint now);
     /// @brief No connection, or the server sheds: nothing goes there for a while.
     void close(const EngineId &id, TimePoint now);
-    void closeUntil(const EngineId &id, TimePoint until);
     void reported(const EngineId &id, int running, int waiting, TimePoint now);
     /// @brief An answer showed the version of the server's weights.
     void sawWeights(const EngineId &id, const ModelId &model, std::uint64_t version);
@@ -146,6 +145,8 @@
     void heardLoad(std::uint64_t node, const std::vector<BackendLoadNews> &news, TimePoint now);
     /// @brief Drops the load of nodes that were not heard of for PeerLife.
     void forgetSilentPeers(TimePoint now);
+    /// @brief The name under which nodes tell each other of the server.
+    [[nodiscard]] static std::uint64_t hashOf(const EngineId &id);
     [[nodiscard]] int inFlight(const EngineId &id) const;
     [[nodiscard]] std::size_t size() const { return m_states.size(); }
     [[nodiscard]] bool knows(const EngineId &id) const { return m_states.contains(id); }
--- a/src/vanilladyke/policy/backend_book.cpp
+++ b/src/vanilladyke/policy/backend_book.cpp
@@ -17,7 +17,7 @@
     return value ^ (value >> 31U);
 }
 
-std::uint64_t hashOf(const std::string &text)
+std::uint64_t hashOfText(const std::string &text)
 {
     return XXH3_64bits(text.data(), text.size());
 }
@@ -56,7 +56,7 @@
         for (const auto &[model, version] : entry.weights) {
             learnWeights(state, model, version);
         }
-        state.hash = hashOf(entry.id.str());
+        state.hash = hashOf(entry.id);
         m_byService[entry.service].push_back(entry.id);
         next.emplace(entry.id, std::move(state));
     }
@@ -294,7 +294,7 @@
     open.reserve(service->second.size());
     NoBackend none{true, now + LongestClose};
     const std::string homeKey = query.homeKey();
-    const std::uint64_t partHash = homeKey.empty() ? 0 : hashOf(homeKey);
+    const std::uint64_t partHash = homeKey.empty() ? 0 : hashOfText(homeKey);
     for (const EngineId &id : service->second) {
         const State &state = m_states.at(id);
         const std::uint64_t weights = weightsOf(state, query.model);
@@ -409,14 +409,6 @@
     state.closedUntil = std::max(state.closedUntil, now + state.lastClose);
 }
 
-void BackendBook::closeUntil(const EngineId &id, TimePoint until)
-{
-    const auto found = m_states.find(id);
-    if (found != m_states.end()) {
-        found->second.closedUntil = until;
-    }
-}
-
 void BackendBook::reported(const EngineId &id, int running, int waiting, TimePoint now)
 {
     const auto found = m_states.find(id);
@@ -453,6 +445,11 @@
     close(id, now);
 }
 
+std::uint64_t BackendBook::hashOf(const EngineId &id)
+{
+    return hashOfText(id.str());
+}
+
 int BackendBook::inFlight(const EngineId &id) const
 {
     const auto found = m_states.find(id);
--- a/src/vanilladyke/policy/backend_book_test.cpp
+++ b/src/vanilladyke/policy/backend_book_test.cpp
@@ -1,5 +1,7 @@
 #include "vanilladyke/policy/backend_book.hpp"
 
+#include "vanilladyke/base/random.hpp"
+
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -202,5 +204,122 @@
     EXPECT_EQ(book.choose(shortPrompt(1), at(20))->weights, 2U);
 }
 
+BackendLoadNews newsOf(const BackendBook &book, const EngineId &id, TimePoint now)
+{
+    for (const BackendLoadNews &each : book.ownLoad(100, now)) {
+        if (book.hashOf(id) == each.backend) {
+            return each;
+        }
+    }
+    return {};
+}
+
+// Six nodes each send a sixth of the long prompts. What the others have waiting at an engine is not
+// in a node's own books, and all of them pick an engine that is busy already.
+TEST(BackendBook, WhatOtherNodesHaveWaitingCountsAsOwn)
+{
+    BackendBook here(Here, {});
+    BackendBook there(Here, {});
+    here.setBackends(fleet(6));
+    there.setBackends(fleet(6));
+    const auto home = there.choose(longPrompt(1), at(0));
+    for (int i = 0; i < 30; ++i) {
+        there.sent(*home, longPrompt(1), at(0));
+    }
+    EXPECT_EQ(here.choose(longPrompt(1), at(1))->backend.id, home->backend.id);
+    here.heardLoad(7, there.ownLoad(100, at(1)), at(1));
+    EXPECT_NE(here.choose(longPrompt(1), at(2))->backend.id, home->backend.id);
+    here.heardLoad(7, {}, at(3));
+    EXPECT_EQ(here.choose(longPrompt(1), at(4))->backend.id, home->backend.id);
+}
+
+TEST(BackendBook, TheLoadOfANodeThatFellSilentIsForgotten)
+{
+    BackendBook book(Here, {});
+    book.setBackends(fleet(1));
+    book.heardLoad(7, {{book.hashOf(EngineId("e0")), 500, 9, {}, 0}}, at(0));
+    EXPECT_GT(book.choose(shortPrompt(1), at(1))->costMs, 500);
+    book.forgetSilentPeers(at(2500));
+    EXPECT_LT(book.choose(shortPrompt(1), at(2501))->costMs, 50);
+}
+
+// The node that gives the orders tells the others that an engine loads new weights, before the
+// engine has refused anything.
+TEST(BackendBook, AnEngineThatAnotherNodeOrderedIsLeftOutUntilItHasLoaded)
+{
+    BackendBook here(Here, {});
+    BackendBook orderer(Here, {});
+    here.setBackends(fleet(1));
+    orderer.setBackends(fleet(1));
+    orderer.loading(EngineId("e0"), at(2000));
+    here.heardLoad(7, {newsOf(orderer, EngineId("e0"), at(500))}, at(500));
+    const auto none = here.choose(shortPrompt(1), at(600));
+    ASSERT_FALSE(none);
+    EXPECT_EQ(none.error().retryAt, at(2000));
+    here.heardLoad(7, {{here.hashOf(EngineId("e0")), 0, 1, {}, 2}}, at(2000));
+    EXPECT_EQ(here.choose(shortPrompt(1), at(2001))->weights, 2U);
+}
+
+/// The part of fifty long prompts a second over six nodes that go to their homes.
+double partAtHome(const BackendRates &rates)
+{
+    constexpr int Nodes = 6;
+    struct Running
+    {
+        std::size_t node;
+        BackendChoice choice;
+        TimePoint endsAt;
+    };
+    const KeptCacheView kept; // may hold everything, so that copies are cheap to come by
+    std::vector<BackendBook> nodes;
+    for (int i = 0; i < Nodes; ++i) {
+        nodes.emplace_back(Here, rates);
+        nodes.back().setBackends(fleet(18));
+    }
+    BackendBook idle(Here, rates);
+    idle.setBackends(fleet(18));
+    Random random(3);
+    std::vector<Running> running;
+    int atHome = 0;
+    int all = 0;
+    for (int ms = 0; ms < 20'000; ms += 20) {
+        std::erase_if(running, [&](const Running &each) {
+            if (each.endsAt > at(ms)) {
+                return false;
+            }
+            nodes[each.node].began(each.choice, at(ms));
+            nodes[each.node].ended(each.choice, true, false, at(ms));
+            return true;
+        });
+        for (std::size_t from = 0; ms % 80 == 0 && from < nodes.size(); ++from) {
+            for (std::size_t to = 0; to < nodes.size(); ++to) {
+                if (to != from) {
+                    nodes[to].heardLoad(from, nodes[from].ownLoad(100, at(ms)), at(ms));
+                }
+            }
+        }
+        const std::size_t node = uniformBelow(random, Nodes);
+        BackendQuery query = longPrompt(static_cast<int>(uniformBelow(random, 269)));
+        query.kept = &kept;
+        const auto choice = nodes[node].choose(query, at(ms));
+        atHome += choice->backend.id == idle.choose(query, at(ms))->backend.id ? 1 : 0;
+        ++all;
+        nodes[node].sent(*choice, query, at(ms));
+        running.push_back({node, *choice, at(ms + 200)});
+    }
+    return static_cast<double>(atHome) / all;
+}
+
+// With loads shared, every difference of a few milliseconds would draw requests away from their
+// homes; engines would hold copies of everything and push each other's parts out until all read
+// everything again. Under an even load most requests of a part must stay at its home.
+TEST(BackendBook, AnEvenLoadStaysAtItsHomesThoughLoadsAreShared)
+{
+    BackendRates free;
+    free.copyMsPerToken = 0;
+    EXPECT_GT(partAtHome(BackendRates{}), 0.95);
+    EXPECT_LT(partAtHome(free), 0.85) << "the load must be one that the charge is needed for";
+}
+
 } // namespace
 } // namespace vanilladyke
