--- a/include/vanilladyke/node/control_plane.hpp
+++ b/include/vanilladyke/node/control_plane.hpp
@@ -63,7 +63,6 @@
         asio::post(m_traffic.context, [this, change = std::move(change)] { change(m_traffic); });
     }
 
-    asio::io_context &m_context;
     TrafficState &m_traffic;
     ControlSettings m_settings;
     Random m_random;
--- a/src/vanilladyke/app/node_command.cpp
+++ b/src/vanilladyke/app/node_command.cpp
@@ -94,7 +94,7 @@
         m_trafficContext.run();
         m_controlContext.stop();
         control.join();
-        LogEvent("stop");
+        LogEvent("stop").field("after_ms", MonotonicClock::now() - m_stopAt);
         return CommandDone;
     }
 
--- a/src/vanilladyke/node/control_plane.cpp
+++ b/src/vanilladyke/node/control_plane.cpp
@@ -27,8 +27,7 @@
 ControlPlane::ControlPlane(asio::io_context &context, TrafficState &traffic,
                            ControlSettings settings, LeaseLog &log, EngineOrders &orders,
                            KeptCacheFollower &keptCache, std::uint64_t seed)
-    : m_context(context)
-    , m_traffic(traffic)
+    : m_traffic(traffic)
     , m_settings(std::move(settings))
     , m_random(seed)
     , m_weights(m_settings.self, seed, m_settings.lease, m_roster, log, orders, newsForTraffic(),
--- a/src/vanilladyke/policy/backend_book_test.cpp
+++ b/src/vanilladyke/policy/backend_book_test.cpp
@@ -12,9 +12,9 @@
 
 using std::chrono::milliseconds;
 
-const ServiceId Service("llm");
-const ModelId Model("m");
-const DataCentreId Here("here");
+const ServiceId llmService("llm");
+const ModelId llmModel("m");
+const DataCentreId hereCentre("here");
 
 TimePoint at(int millis)
 {
@@ -27,10 +27,10 @@
     for (int i = 0; i < size; ++i) {
         BackendEntry entry;
         entry.id = EngineId("e" + std::to_string(i));
-        entry.service = Service;
-        entry.dataCentre = Here;
+        entry.service = llmService;
+        entry.dataCentre = hereCentre;
         entry.slots = 24;
-        entry.weights[Model] = version;
+        entry.weights[llmModel] = version;
         entries.push_back(entry);
     }
     return entries;
@@ -39,8 +39,8 @@
 BackendQuery longPrompt(int part)
 {
     BackendQuery query;
-    query.service = Service;
-    query.model = Model;
+    query.service = llmService;
+    query.model = llmModel;
     query.sharedPart = "part" + std::to_string(part);
     query.sharedTokens = 13'300;
     query.ownTokens = 3'720;
@@ -59,8 +59,8 @@
 // brand guide, the guide would be read once by each.
 TEST(BackendBook, NodesThatDoNotTalkSendASharedPartToTheSameEngine)
 {
-    BackendBook one(Here, {});
-    BackendBook two(Here, {});
+    BackendBook one(hereCentre, {});
+    BackendBook two(hereCentre, {});
     one.setBackends(fleet(18));
     auto reversed = fleet(18);
     std::reverse(reversed.begin(), reversed.end());
@@ -83,7 +83,7 @@
 // them late while other engines idle.
 TEST(BackendBook, AHotPartSpreadsWhenWaitingCostsMoreThanReading)
 {
-    BackendBook book(Here, {});
+    BackendBook book(hereCentre, {});
     book.setBackends(fleet(18));
     std::map<EngineId, int> perEngine;
     for (int i = 0; i < 120; ++i) {
@@ -102,7 +102,7 @@
 // check waits half a second, while an engine next to it is idle.
 TEST(BackendBook, AShortRequestAvoidsAnEngineWhereLongPromptsWait)
 {
-    BackendBook book(Here, {});
+    BackendBook book(hereCentre, {});
     book.setBackends(fleet(6));
     const auto home = book.choose(shortPrompt(3), at(0));
     ASSERT_TRUE(home);
@@ -121,7 +121,7 @@
 // are only answered at their deadlines.
 TEST(BackendBook, AnEngineThatGoesSilentIsAvoided)
 {
-    BackendBook book(Here, {});
+    BackendBook book(hereCentre, {});
     book.setBackends(fleet(3));
     const auto home = book.choose(longPrompt(1), at(0));
     ASSERT_TRUE(home);
@@ -137,10 +137,10 @@
 // it would draw more and more of them.
 TEST(BackendBook, AnEngineThatFailsRequestsIsAvoidedForAWhile)
 {
-    BackendBook book(Here, {});
+    BackendBook book(hereCentre, {});
     book.setBackends(fleet(3));
     BackendQuery plain;
-    plain.service = Service;
+    plain.service = llmService;
     const auto first = book.choose(plain, at(0));
     ASSERT_TRUE(first);
     for (int i = 0; i < 4; ++i) {
@@ -155,12 +155,12 @@
 // its own time; counted from the last one, an engine two versions behind would go on serving.
 TEST(BackendBook, EachNamedVersionClosesOlderEnginesInItsOwnTime)
 {
-    BackendBook book(Here, {});
+    BackendBook book(hereCentre, {});
     auto entries = fleet(2, 1);
-    entries[1].weights[Model] = 2;
+    entries[1].weights[llmModel] = 2;
     book.setBackends(entries);
-    book.setGoal(Model, 2, at(0));
-    book.setGoal(Model, 3, at(8000));
+    book.setGoal(llmModel, 2, at(0));
+    book.setGoal(llmModel, 3, at(8000));
     for (int part = 0; part < 20; ++part) {
         const auto choice = book.choose(longPrompt(part), at(13'500));
         ASSERT_TRUE(choice);
@@ -171,17 +171,17 @@
 
 TEST(BackendBook, ANodeThatLearnsThatWeightsAreOlderClosesSooner)
 {
-    BackendBook book(Here, {});
+    BackendBook book(hereCentre, {});
     book.setBackends(fleet(1, 1));
-    book.setGoal(Model, 2, at(0));
+    book.setGoal(llmModel, 2, at(0));
     EXPECT_TRUE(book.choose(longPrompt(1), at(5000)));
-    book.setGoal(Model, 2, at(-9000));
+    book.setGoal(llmModel, 2, at(-9000));
     EXPECT_FALSE(book.choose(longPrompt(1), at(5000)));
 }
 
 TEST(BackendBook, TellsWhenAClosedServerOpensAgain)
 {
-    BackendBook book(Here, {});
+    BackendBook book(hereCentre, {});
     book.setBackends(fleet(1));
     book.close(EngineId("e0"), at(0));
     const auto none = book.choose(shortPrompt(1), at(10));
@@ -197,10 +197,10 @@
 // An engine took new weights, and this node hears of it by a refusal before its entry says so.
 TEST(BackendBook, ARefusedVersionMeansThatTheNewestIsThere)
 {
-    BackendBook book(Here, {});
+    BackendBook book(hereCentre, {});
     book.setBackends(fleet(1, 1));
-    book.setGoal(Model, 2, at(0));
-    book.doubtWeights(EngineId("e0"), Model, at(10));
+    book.setGoal(llmModel, 2, at(0));
+    book.doubtWeights(EngineId("e0"), llmModel, at(10));
     EXPECT_EQ(book.choose(shortPrompt(1), at(20))->weights, 2U);
 }
 
@@ -218,8 +218,8 @@
 // in a node's own books, and all of them pick an engine that is busy already.
 TEST(BackendBook, WhatOtherNodesHaveWaitingCountsAsOwn)
 {
-    BackendBook here(Here, {});
-    BackendBook there(Here, {});
+    BackendBook here(hereCentre, {});
+    BackendBook there(hereCentre, {});
     here.setBackends(fleet(6));
     there.setBackends(fleet(6));
     const auto home = there.choose(longPrompt(1), at(0));
@@ -235,7 +235,7 @@
 
 TEST(BackendBook, TheLoadOfANodeThatFellSilentIsForgotten)
 {
-    BackendBook book(Here, {});
+    BackendBook book(hereCentre, {});
     book.setBackends(fleet(1));
     book.heardLoad(7, {{book.hashOf(EngineId("e0")), 500, 9, {}, 0}}, at(0));
     EXPECT_GT(book.choose(shortPrompt(1), at(1))->costMs, 500);
@@ -247,8 +247,8 @@
 // engine has refused anything.
 TEST(BackendBook, AnEngineThatAnotherNodeOrderedIsLeftOutUntilItHasLoaded)
 {
-    BackendBook here(Here, {});
-    BackendBook orderer(Here, {});
+    BackendBook here(hereCentre, {});
+    BackendBook orderer(hereCentre, {});
     here.setBackends(fleet(1));
     orderer.setBackends(fleet(1));
     orderer.loading(EngineId("e0"), at(2000));
@@ -273,10 +273,10 @@
     const KeptCacheView kept; // may hold everything, so that copies are cheap to come by
     std::vector<BackendBook> nodes;
     for (int i = 0; i < Nodes; ++i) {
-        nodes.emplace_back(Here, rates);
+        nodes.emplace_back(hereCentre, rates);
         nodes.back().setBackends(fleet(18));
     }
-    BackendBook idle(Here, rates);
+    BackendBook idle(hereCentre, rates);
     idle.setBackends(fleet(18));
     Random random(3);
     std::vector<Running> running;
--- a/src/vanilladyke/policy/order_lease_test.cpp
+++ b/src/vanilladyke/policy/order_lease_test.cpp
@@ -16,7 +16,7 @@
     return TimePoint(std::chrono::hours(1) + milliseconds(millis));
 }
 
-const EngineId Engine("e"); ///< gets all orders of the walks
+const EngineId theEngine("e"); ///< gets all orders of the walks
 
 LeaseRecord record(const std::string &holder, std::uint64_t attempt, bool isRelease = false)
 {
@@ -159,7 +159,7 @@
             node.pausedUntil = m_now + milliseconds(uniformBelow(m_random, 9000));
             return;
         }
-        if (node.lease.mayOrder(m_now) && !node.lease.isResting(Engine, m_now)) {
+        if (node.lease.mayOrder(m_now) && !node.lease.isResting(theEngine, m_now)) {
             order(node);
         }
         if (m_now < m_storeDownUntil) {
@@ -167,7 +167,7 @@
         }
         const bool wants = uniform(m_random) < 0.97;
         if (const auto append =
-                    node.lease.nextAppend(wants, milliseconds(0), {{Engine}, {}}, m_now)) {
+                    node.lease.nextAppend(wants, milliseconds(0), {{theEngine}, {}}, m_now)) {
             exchange(node, *append);
         } else if (node.lease.needsRead() || !node.lease.mayOrder(m_now)) {
             node.lease.sawLog(m_log.size(),
--- a/src/vanilladyke/policy/second_send_budget_test.cpp
+++ b/src/vanilladyke/policy/second_send_budget_test.cpp
@@ -12,7 +12,7 @@
 
 using std::chrono::milliseconds;
 
-const ServiceId Service("s");
+const ServiceId theService("s");
 
 TimePoint at(int millis)
 {
@@ -37,9 +37,9 @@
         if (uniform(random) < (isBurst ? 0.6 : 0.2)) {
             // The balancer's hash is uneven: the first node gets half of all.
             const std::size_t i = uniform(random) < 0.5 ? 0 : uniformBelow(random, Nodes);
-            nodes[i].countRequest(Service, at(ms));
+            nodes[i].countRequest(theService, at(ms));
             requests.push_back(ms);
-            while (nodes[i].spend(Service, at(ms))) {
+            while (nodes[i].spend(theService, at(ms))) {
                 seconds.push_back(ms);
             }
         }
@@ -58,13 +58,13 @@
 {
     SecondSendBudget budget;
     budget.setTerms({0.2, 30, std::chrono::seconds(10), 3});
-    budget.countRequest(Service, at(0));
+    budget.countRequest(theService, at(0));
     int spent = 0;
-    while (budget.spend(Service, at(1))) {
+    while (budget.spend(theService, at(1))) {
         ++spent;
     }
     EXPECT_EQ(spent, 8); // four fifths of a third of 30, and of a fifth of one request
-    EXPECT_TRUE(budget.spend(Service, at(11'000))) << "the window has passed";
+    EXPECT_TRUE(budget.spend(theService, at(11'000))) << "the window has passed";
 }
 
 } // namespace
