--- a/include/vanilladyke/base/log.hpp
+++ b/include/vanilladyke/base/log.hpp
@@ -12,10 +12,22 @@
 /// @brief How much an event matters to a reader of the log.
 enum class Severity { Debug, Info, Warning, Error };
 
-/// @brief Sends all log lines to standard error from now on. Call once at start.
+/// @brief Where lines go.
+enum class LogTarget {
+    StandardError,
+    /// Bounded for each kind of event, and a line that the reader has no room for is dropped and
+    /// counted: a stuck reader must not stop the node.
+    StandardOutput,
+};
+
+/// @brief Sends all log lines there from now on. Call once at start.
 /// @param least events below this are left out
 /// @param node stands in each line as node=…; empty leaves it out
-void initializeLog(Severity least, std::string_view node);
+void initializeLog(Severity least, std::string_view node,
+                   LogTarget target = LogTarget::StandardError);
+
+/// @brief Lines that were dropped since standard output had no room.
+[[nodiscard]] std::uint64_t droppedLogLines();
 
 /// @brief One event under construction; the line is written when the object ends.
 ///
@@ -47,6 +59,7 @@
 
     Severity m_severity;
     bool m_enabled;
+    std::uint32_t m_omitted = 0; ///< lines of this kind that were left out before
     std::string m_line;
 };
 
--- a/src/vanilladyke/app/node_command.cpp
+++ b/src/vanilladyke/app/node_command.cpp
@@ -74,6 +74,9 @@
             LogEvent("listen_failed", Severity::Error).field("reason", *error);
             return CommandFailed;
         }
+        m_server.metricsText = [] {
+            return "log_lines_dropped_total " + std::to_string(droppedLogLines()) + "\n";
+        };
         m_traffic.peersChanged = [this](const std::vector<Endpoint> &peers) {
             m_sharing.setPeers(peers);
         };
@@ -173,7 +176,7 @@
     if (check.getValue()) {
         return CommandDone;
     }
-    initializeLog(severityOf(settings->logLevel), settings->node);
+    initializeLog(severityOf(settings->logLevel), settings->node, LogTarget::StandardOutput);
     RoutingNode node(*settings);
     const int code = node.run();
     // Requests that were cut off stand in coroutines that refer to each other and to the node;
--- a/src/vanilladyke/base/log.cpp
+++ b/src/vanilladyke/base/log.cpp
@@ -1,13 +1,21 @@
 #include "vanilladyke/base/log.hpp"
 
+#include "vanilladyke/base/log_budget.hpp"
+
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 
+#include <poll.h>
+#include <unistd.h>
+
 #include <array>
+#include <atomic>
+#include <climits>
 #include <cstdio>
 #include <memory>
+#include <mutex>
 
 namespace vanilladyke {
 
@@ -64,13 +72,63 @@
     return instance;
 }
 
+std::atomic<std::uint64_t> dropped = 0;
+std::atomic<bool> isBounded = false;
+
+/// The budget of all threads.
+LogBudget::Verdict takeLine(std::string_view event)
+{
+    static std::mutex mutex;
+    static LogBudget budget;
+    const std::lock_guard lock(mutex);
+    return budget.take(event, MonotonicClock::now());
+}
+
+/// Writes lines to standard output and never waits for its reader. A pipe that is writable has room
+/// for a line of up to PIPE_BUF bytes, so that asking first keeps the write from blocking.
+class OutputAppender : public log4cplus::Appender
+{
+public:
+    ~OutputAppender() override { destructorImpl(); }
+    void close() override { closed = true; }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent &event) override
+    {
+        log4cplus::tostringstream text;
+        layout->formatAndAppend(text, event);
+        std::string line = text.str();
+        if (line.size() > PIPE_BUF) {
+            line.resize(PIPE_BUF - 1);
+            line += '\n';
+        }
+        pollfd output{STDOUT_FILENO, POLLOUT, 0};
+        const bool hasRoom = poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+        if (!hasRoom || write(STDOUT_FILENO, line.data(), line.size()) < 0) {
+            ++dropped;
+        }
+    }
+};
+
 } // namespace
 
-void initializeLog(Severity least, std::string_view node)
+std::uint64_t droppedLogLines()
+{
+    return dropped;
+}
+
+void initializeLog(Severity least, std::string_view node, LogTarget target)
 {
     log4cplus::Logger &root = logger();
     root.removeAllAppenders();
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+    const bool isOutput = target == LogTarget::StandardOutput;
+    isBounded = isOutput;
+    log4cplus::SharedAppenderPtr appender;
+    if (isOutput) {
+        appender = new OutputAppender;
+    } else {
+        appender = new log4cplus::ConsoleAppender(true, true);
+    }
     std::string pattern = "time=%D{%Y-%m-%dT%H:%M:%S.%q}Z level=%p";
     if (!node.empty()) {
         pattern += " node=" + std::string(node);
@@ -85,6 +143,11 @@
     : m_severity(severity)
     , m_enabled(logger().isEnabledFor(levelOf(severity)))
 {
+    if (m_enabled && isBounded) {
+        const LogBudget::Verdict verdict = takeLine(event);
+        m_enabled = verdict.isWritten;
+        m_omitted = verdict.omitted;
+    }
     if (m_enabled) {
         m_line = "event=" + std::string(event);
     }
@@ -92,6 +155,9 @@
 
 LogEvent::~LogEvent()
 {
+    if (m_omitted > 0) {
+        field("omitted_before", m_omitted);
+    }
     if (m_enabled) {
         logger().log(levelOf(m_severity), m_line);
     }
