Wait a moment for the list of servers after a start; name how tries ended

Change: an unknown list is waited for like a closed server, up to half the target. The request's line tells the age of the proof of its keys. Test first: 503 before, 200 after.

--- a/include/vanilladyke/policy/backend_book.hpp
+++ b/include/vanilladyke/policy/backend_book.hpp
@@ -100,6 +100,8 @@
 {
 public:
     static constexpr Duration ReportLife = std::chrono::milliseconds(1000);
+    /// A node that has just started reads the list of servers within some tens of milliseconds.
+    static constexpr Duration UnknownPause = std::chrono::milliseconds(25);
     static constexpr Duration PeerLife = std::chrono::seconds(2);
     static constexpr Duration SilenceToAvoid = std::chrono::milliseconds(450);
     /// How long an engine keeps a part that was just used: usually, and even when it is crowded.
--- a/include/vanilladyke/traffic/exchange.hpp
+++ b/include/vanilladyke/traffic/exchange.hpp
@@ -53,6 +53,8 @@
         Interrupted, ///< the answer broke off after the caller had a part of it
     };
 
+    [[nodiscard]] static std::string_view nameOf(TryEnd end);
+
     /// An answer that failed, kept in case no other server does better.
     struct Failure
     {
--- a/src/vanilladyke/policy/backend_book.cpp
+++ b/src/vanilladyke/policy/backend_book.cpp
@@ -284,7 +284,7 @@
 {
     const auto service = m_byService.find(query.service);
     if (service == m_byService.end() || service->second.empty()) {
-        return tl::make_unexpected(NoBackend{false, now + LongestClose});
+        return tl::make_unexpected(NoBackend{false, now + UnknownPause});
     }
     const auto goalFound = m_goals.find(query.model);
     const bool hasGoals = !query.model.empty() && goalFound != m_goals.end();
--- a/src/vanilladyke/traffic/exchange.cpp
+++ b/src/vanilladyke/traffic/exchange.cpp
@@ -73,6 +73,25 @@
     --m_state.openExchanges;
 }
 
+std::string_view Exchange::nameOf(TryEnd end)
+{
+    switch (end) {
+    case TryEnd::Delivered:
+        return "delivered";
+    case TryEnd::NotExecuted:
+        return "not_executed";
+    case TryEnd::Unreached:
+        return "unreached";
+    case TryEnd::Failed:
+        return "failed";
+    case TryEnd::Lost:
+        return "lost";
+    case TryEnd::Interrupted:
+        return "interrupted";
+    }
+    return "unknown";
+}
+
 asio::awaitable<ExchangeEnd> Exchange::run()
 {
     if (const std::optional<Refusal> refusal = admit()) {
@@ -230,7 +249,7 @@
     const TimePoint latest =
             std::min(m_request.arrived + m_route->targetLatency / 2, m_deadline - LeastTimeForTry);
     const bool triedAll = !m_tried.empty() && m_none.retryAt > latest;
-    if (!none.isKnown || triedAll || none.retryAt > latest || now >= latest) {
+    if (triedAll || none.retryAt > latest || now >= latest) {
         if (none.isKnown && !m_tried.empty() && now < latest) {
             m_tried.clear(); // a server that refused a moment ago may have room again
             constexpr Duration Pause = std::chrono::milliseconds(20);
@@ -301,7 +320,7 @@
                 .field("id", m_request.id)
                 .field("backend", choice.backend.id.str())
                 .field("weights", choice.weights)
-                .field("end", static_cast<int>(end))
+                .field("end", nameOf(end))
                 .field("status", m_status)
                 .field("sends", m_sends)
                 .field("stalled", m_stalled)
@@ -654,6 +673,7 @@
             .field("route", route)
             .field("customer", m_customer == nullptr ? "none" : m_customer->id.str())
             .field("config", m_table == nullptr ? 0 : m_table->config().version)
+            .field("proof_age_ms", m_state.configAge())
             .field("backend", m_choice ? m_choice->backend.id.str() : "none")
             .field("weights", m_choice ? m_choice->weights : 0)
             .field("held", m_choice && m_choice->isHeld)
--- a/src/vanilladyke/traffic/exchange_test.cpp
+++ b/src/vanilladyke/traffic/exchange_test.cpp
@@ -485,6 +485,17 @@
     EXPECT_EQ(receive(), 431);
 }
 
+// All processes were killed, and clients reach a node that has its configuration and not yet the
+// list of servers. It comes some milliseconds later.
+TEST_F(ExchangeTest, ANodeThatJustStartedWaitsForItsListOfServers)
+{
+    connect();
+    send(request("1"));
+    asio::steady_timer later(m_context, milliseconds(60));
+    later.async_wait([this](const ErrorCode &) { serve(good); });
+    EXPECT_EQ(receive(), 200);
+}
+
 TEST_F(ExchangeTest, SecondSendsStayWithinTheBudget)
 {
     m_state.budget.setTerms({0, 0, std::chrono::seconds(10), 1});
