--- a/src/vanilladyke/app/node_command.cpp
+++ b/src/vanilladyke/app/node_command.cpp
@@ -45,8 +45,9 @@
 class RoutingNode
 {
 public:
-    explicit RoutingNode(const NodeSettings &settings)
+    RoutingNode(const NodeSettings &settings, std::string path)
         : m_settings(settings)
+        , m_path(std::move(path))
         , m_traffic(m_trafficContext, platform::makeDialect(), settings.traffic, entropySeed())
         , m_server(m_traffic, settings.listen)
         , m_leaseLog(m_controlContext, settings.store)
@@ -58,6 +59,7 @@
                    settings.peers, settings.drain, entropySeed())
         , m_sharing(m_traffic, settings.peers, settings.control.self)
         , m_signals(m_trafficContext, SIGTERM, SIGINT)
+        , m_hangup(m_trafficContext, SIGHUP)
         , m_stopTimer(m_trafficContext)
     {
         m_traffic.configAge = [this] { return m_control.proof().age(); };
@@ -86,6 +88,7 @@
                 stop(signal);
             }
         });
+        awaitHangup();
         m_traffic.ticker.start();
         m_control.start();
         m_reader.start();
@@ -111,6 +114,41 @@
         stepStop();
     }
 
+    void awaitHangup()
+    {
+        m_hangup.async_wait([this](const ErrorCode &error, int /*signal*/) {
+            if (!error) {
+                reload();
+                awaitHangup();
+            }
+        });
+    }
+
+    /// Takes over what may change while a node runs; addresses and names need a start.
+    void reload()
+    {
+        const auto text = readFile(m_path);
+        const auto settings =
+                text ? parseNodeSettings(*text) : failure(std::vector<FieldError>{text.error()});
+        if (!settings) {
+            LogEvent("reload_failed", Severity::Error)
+                    .field("path", m_path)
+                    .field("errors", settings.error().size())
+                    .field("first", describe(m_path, settings.error()));
+            return;
+        }
+        const bool needsStart = settings->listen.callers != m_settings.listen.callers
+                                || settings->store != m_settings.store
+                                || settings->peers != m_settings.peers
+                                || settings->control.self != m_settings.control.self;
+        m_traffic.settings.keysValidFor = settings->traffic.keysValidFor;
+        m_traffic.settings.failsClosed = settings->traffic.failsClosed;
+        SecondSendTerms terms = settings->control.secondSends;
+        terms.nodes = m_traffic.nodes;
+        m_traffic.budget.setTerms(terms);
+        LogEvent("reload").field("path", m_path).field("needs_start", needsStart);
+    }
+
     void stepStop()
     {
         const TimePoint now = MonotonicClock::now();
@@ -131,6 +169,7 @@
     }
 
     NodeSettings m_settings;
+    std::string m_path; ///< of the settings file
     asio::io_context m_trafficContext{1};
     asio::io_context m_controlContext{1};
     TrafficState m_traffic;
@@ -142,6 +181,7 @@
     platform::StateReader m_reader;
     LoadSharing m_sharing;
     asio::signal_set m_signals;
+    asio::signal_set m_hangup; ///< the settings file has changed
     asio::steady_timer m_stopTimer;
     TimePoint m_stopAt;
 };
@@ -177,7 +217,8 @@
         return CommandDone;
     }
     initializeLog(severityOf(settings->logLevel), settings->node, LogTarget::StandardOutput);
-    RoutingNode node(*settings);
+    std::signal(SIGPIPE, SIG_IGN); // a reader of the log that goes away must not end the node
+    RoutingNode node(*settings, path);
     const int code = node.run();
     // Requests that were cut off stand in coroutines that refer to each other and to the node;
     // taking them down in order brings nothing, since nothing lasts here, and has kept processes
--- a/tests/integration/platform_path.py
+++ b/tests/integration/platform_path.py
@@ -165,6 +165,25 @@
         self.assertEqual(results, [200])
         self.assertEqual(node.stop(), 0)
 
+    def test_a_hangup_takes_new_settings_over_and_cuts_nothing(self):
+        """The platform changes the settings file and says so with SIGHUP, whose default is to end the process:
+        every request that the node had taken would be lost."""
+        node = self.fleet.ready_node("n1")
+        self.app.seconds = 0.5
+        results = []
+        asking = threading.Thread(target=lambda: results.append(self.fleet.ask(node, "/call/x", "i1")[0]))
+        asking.start()
+        harness.wait_until(lambda: "i1" in self.app.runs, "the request runs")
+        node.popen.send_signal(signal.SIGHUP)
+        harness.wait_until(lambda: "event=reload " in node.log_text(), "the settings are read again")
+        with open(node.settings, "w", encoding="utf-8") as out:
+            out.write("{")
+        node.popen.send_signal(signal.SIGHUP)
+        harness.wait_until(lambda: "event=reload_failed" in node.log_text(), "bad settings are left out")
+        asking.join()
+        self.assertEqual(results, [200])
+        self.assertEqual(self.fleet.ask(node, "/call/x", "i2")[0], 200)
+
     def test_settings_are_checked_whole(self):
         path = self.cluster.write("bad.jsonc", {"node": "n", "callers": "nowhere", "surplus": 1})
         process = self.cluster.start("check", [f"{self.build}/vanilladyke", "node", "--check", "--settings", path])
