--- a/include/vanilladyke/traffic/exchange.hpp
+++ b/include/vanilladyke/traffic/exchange.hpp
@@ -81,6 +81,7 @@
     void noteAnswer(const BackendChoice &choice, const AnswerHead &head);
     void release(const BackendConnectionPtr &connection, const AnswerParser &parser,
                  const AnswerHead &head);
+    [[nodiscard]] int mostSends() const;
     [[nodiscard]] bool mayRepeat() const;
     [[nodiscard]] bool maySendAgain(TryEnd end) const;
     [[nodiscard]] asio::awaitable<ExchangeEnd> giveUp();
@@ -100,6 +101,7 @@
     const RoutedCustomer *m_customer = nullptr;
     ServiceId m_service;
     TimePoint m_deadline;
+    TimePoint m_waitUntil; ///< latest time at which a closed server is waited for
     std::shared_ptr<Timed> m_timed;
     BackendConnectionPtr m_connection; ///< of the try under way
     asio::steady_timer m_wait;
--- a/src/vanilladyke/traffic/exchange.cpp
+++ b/src/vanilladyke/traffic/exchange.cpp
@@ -31,7 +31,11 @@
 constexpr Duration LeastPatience = std::chrono::milliseconds(450);
 /// A resumable stream that pauses for so many of its longest good pauses is taken up elsewhere.
 constexpr int PausesToWait = 3;
-constexpr Duration LeastSilence = std::chrono::milliseconds(750);
+/// Callers give up after two seconds or more; a crowded engine may pause a stream for a second.
+constexpr Duration LeastSilence = std::chrono::milliseconds(1500);
+/// A stream that broke off is worth more tries than a request that nobody has begun to answer.
+constexpr int MostResumes = 12;
+constexpr Duration ResumeTime = std::chrono::milliseconds(900);
 
 std::string chunk(const std::string &data)
 {
@@ -138,6 +142,7 @@
         }
         if (end == TryEnd::Interrupted) {
             m_resumeAfter = m_events.lastId();
+            m_waitUntil = MonotonicClock::now() + ResumeTime;
         }
     }
     co_return co_await giveUp();
@@ -173,6 +178,8 @@
     }
     m_service = RouteTable::pickService(*m_route, uniform(m_state.random));
     m_resumeAfter = m_request.lastEventId;
+    // Waiting longer than half the target helps nobody: the caller can try another node.
+    m_waitUntil = now + m_route->targetLatency / 2;
     m_deadline = now + m_route->timeout;
     if (m_request.deadline) {
         m_deadline = std::min(m_deadline, *m_request.deadline);
@@ -245,9 +252,7 @@
 asio::awaitable<bool> Exchange::waitForBackend(const NoBackend &none)
 {
     const TimePoint now = MonotonicClock::now();
-    // Waiting longer than half the target helps nobody: the caller can try another node.
-    const TimePoint latest =
-            std::min(m_request.arrived + m_route->targetLatency / 2, m_deadline - LeastTimeForTry);
+    const TimePoint latest = std::min(m_waitUntil, m_deadline - LeastTimeForTry);
     const bool triedAll = !m_tried.empty() && m_none.retryAt > latest;
     if (triedAll || none.retryAt > latest || now >= latest) {
         if (none.isKnown && !m_tried.empty() && now < latest) {
@@ -256,7 +261,7 @@
             m_wait.expires_after(Pause);
             ErrorCode ignored;
             co_await m_wait.async_wait(into(ignored));
-            co_return m_sends < MostSends;
+            co_return m_sends < mostSends();
         }
         co_return false;
     }
@@ -510,6 +515,11 @@
             m_state.book.began(choice, *m_firstByteAt);
             m_exchange.apply(ExchangeEvent::AnswerReceived);
         }
+        if (!bytes.empty() && mayRepeat()) {
+            // Before the event is written on: the patience for the first one must not end while it
+            // is.
+            setDue(MonotonicClock::now() + silence);
+        }
         std::string whole = m_events.feed(bytes);
         const bool isLast = isGood && parser.is_done();
         if (isLast && m_events.isInside()) {
@@ -536,9 +546,6 @@
                 m_callerLeft = true;
                 co_return TryEnd::Interrupted;
             }
-            if (mayRepeat()) {
-                setDue(MonotonicClock::now() + silence);
-            }
         }
         if (!isGood) {
             co_return m_headWritten ? TryEnd::Interrupted : TryEnd::Lost;
@@ -547,6 +554,11 @@
     co_return TryEnd::Delivered;
 }
 
+int Exchange::mostSends() const
+{
+    return m_headWritten ? MostResumes : MostSends;
+}
+
 bool Exchange::mayRepeat() const
 {
     return m_route->kind == RequestKind::Safe
@@ -555,7 +567,7 @@
 
 bool Exchange::maySendAgain(TryEnd end) const
 {
-    if (m_budgetSpent || m_sends >= MostSends) {
+    if (m_budgetSpent || m_sends >= mostSends()) {
         return false;
     }
     if (end == TryEnd::NotExecuted) {
--- a/src/vanilladyke/traffic/exchange_test.cpp
+++ b/src/vanilladyke/traffic/exchange_test.cpp
@@ -337,6 +337,28 @@
     EXPECT_EQ(second.seen[0].fields.at("Resume"), "2");
 }
 
+// An engine is lost under overload, and the others refuse what comes: the caller has half of an
+// answer and would lose it although an engine has room some milliseconds later.
+TEST_F(ExchangeTest, ABrokenStreamIsTakenUpByAnEngineThatRefusedAtFirst)
+{
+    put(RequestKind::Stream, true);
+    serve([](const SeenRequest &seen) {
+        const bool isFirst = !seen.fields.contains("Resume");
+        return isFirst ? ScriptedAnswer{streamHead(seen.fields.at("Id")) + eventChunk(1),
+                                        Then::Reset}
+                       : refused(seen);
+    });
+    int asked = 0;
+    serve([&asked](const SeenRequest &seen) {
+        return ++asked <= 2 ? refused(seen)
+                            : ScriptedAnswer{streamHead(seen.fields.at("Id")) + eventChunk(2)
+                                                     + "0\r\n\r\n",
+                                             Then::KeepOpen};
+    });
+    EXPECT_EQ(ask("1"), 200);
+    EXPECT_EQ(m_body, "id: 1\ndata: d\n\nid: 2\ndata: d\n\n");
+}
+
 // The stream's engine is gone and the stream may not run twice. An end that looks complete would
 // give the caller half a campaign text as the whole.
 TEST_F(ExchangeTest, ABrokenStreamThatMayNotRepeatDoesNotLookWhole)
