Leave a silent server only for another one that may be asked

Cause: a stream's patience ended at its first event although the budget, the route's number of servers or the roster allowed no other try, so the node itself broke an answer that the engine was about to give.

Ruled out: the engine's own cut (it ran on until our close), the route's timeout (4 s).

Change: the second send is taken from the budget before the first try is given up, and only if another server is open; bytes that have come and were not read yet count as an answer; what was read while the try was given up is not begun to be passed on.

--- a/include/vanilladyke/traffic/exchange.hpp
+++ b/include/vanilladyke/traffic/exchange.hpp
@@ -90,6 +90,9 @@
     [[nodiscard]] asio::awaitable<bool> deliver(const AnswerHead &head, const std::string &body);
     void setDue(std::optional<TimePoint> stall);
     void due();
+    /// A silent server is left only for another one that may be asked, with its share of the budget
+    /// taken before the answer that may still come is given up.
+    [[nodiscard]] bool reserveSecondSend(TimePoint now);
     void abortTry();
     void log(int status, std::string_view outcome);
 
@@ -121,6 +124,7 @@
     bool m_stalled = false;
     bool m_headWritten = false;
     bool m_budgetSpent = false;
+    bool m_hasSecondSend = false; ///< taken from the budget and not used yet
 };
 
 } // namespace vanilladyke
--- a/src/vanilladyke/traffic/exchange.cpp
+++ b/src/vanilladyke/traffic/exchange.cpp
@@ -36,6 +36,8 @@
 /// A stream that broke off is worth more tries than a request that nobody has begun to answer.
 constexpr int MostResumes = 12;
 constexpr Duration ResumeTime = std::chrono::milliseconds(900);
+/// Bytes that have come and were not read yet are read within a few rounds of the event loop.
+constexpr Duration UnreadPatience = std::chrono::milliseconds(100);
 
 std::string chunk(const std::string &data)
 {
@@ -293,11 +295,12 @@
         co_return TryEnd::Unreached;
     }
     const TimePoint now = MonotonicClock::now();
-    if (m_sends > 0 && !m_state.budget.spend(m_service, now)) {
+    if (m_sends > 0 && !m_hasSecondSend && !m_state.budget.spend(m_service, now)) {
         m_state.pool.giveBack(connection, std::nullopt, now);
         m_budgetSpent = true;
         co_return TryEnd::Lost;
     }
+    m_hasSecondSend = false;
     ++m_sends;
     ++m_runs;
     m_stalled = false;
@@ -510,6 +513,9 @@
     while (!parser.is_done()) {
         std::string bytes;
         const bool isGood = co_await readSome(*connection, parser, &bytes);
+        if (m_stalled && !m_headWritten) {
+            co_return TryEnd::Lost; // given up while it was read; the rest will not come
+        }
         if (!bytes.empty() && !m_firstByteAt) {
             m_firstByteAt = MonotonicClock::now();
             m_state.book.began(choice, *m_firstByteAt);
@@ -651,13 +657,38 @@
 
 void Exchange::due()
 {
-    if (MonotonicClock::now() >= m_deadline) {
+    const TimePoint now = MonotonicClock::now();
+    if (now >= m_deadline) {
         m_timedOut = true;
-    } else {
+        abortTry();
+        return;
+    }
+    ErrorCode ignored;
+    if (m_connection != nullptr && m_connection->socket.available(ignored) > 0) {
+        setDue(now + UnreadPatience); // the answer is here and only this node is behind
+        return;
+    }
+    setDue(std::nullopt);
+    if (reserveSecondSend(now)) {
         m_stalled = true;
-        m_timed->dueAt = m_deadline;
+        abortTry();
     }
-    abortTry();
+}
+
+bool Exchange::reserveSecondSend(TimePoint now)
+{
+    if (m_sends >= mostSends() || m_runs >= m_route->mostBackends) {
+        return false;
+    }
+    BackendQuery elsewhere = query();
+    if (m_choice) {
+        elsewhere.exclude.push_back(m_choice->backend.id);
+    }
+    if (!m_state.book.choose(elsewhere, now)) {
+        return false;
+    }
+    m_hasSecondSend = m_hasSecondSend || m_state.budget.spend(m_service, now);
+    return m_hasSecondSend;
 }
 
 void Exchange::abortTry()
--- a/src/vanilladyke/traffic/exchange_test.cpp
+++ b/src/vanilladyke/traffic/exchange_test.cpp
@@ -53,6 +53,10 @@
         }
         seen.push_back(read);
         const ScriptedAnswer answer = m_script(read);
+        if (answer.after > Duration::zero()) {
+            asio::steady_timer timer(m_context, answer.after);
+            co_await timer.async_wait(into(error));
+        }
         co_await asio::async_write(socket, asio::buffer(answer.bytes), into(error));
         if (answer.then == ScriptedAnswer::Then::Reset) {
             socket.set_option(asio::socket_base::linger(true, 0), error);
@@ -152,7 +156,8 @@
         return result;
     }
 
-    void put(RequestKind kind, bool isResumable, Duration timeout = std::chrono::seconds(5))
+    void put(RequestKind kind, bool isResumable, Duration timeout = std::chrono::seconds(5),
+             Duration target = std::chrono::seconds(2))
     {
         RoutingConfig config;
         Route route;
@@ -162,7 +167,7 @@
         route.kind = kind;
         route.isResumable = isResumable;
         route.timeout = timeout;
-        route.targetLatency = std::chrono::seconds(2);
+        route.targetLatency = target;
         route.longestPause = std::chrono::seconds(1);
         route.mostBackends = 2;
         route.split = {{ServiceId("s"), 1}};
@@ -518,6 +523,46 @@
     EXPECT_EQ(receive(), 200);
 }
 
+// Beside a change of the configuration engines were crowded, and a stream's first event came after
+// nine tenths of a second. The node had broken off by then, although the budget allowed no second
+// send: the caller got half of an answer that the engine was about to give as a whole.
+TEST_F(ExchangeTest, ASlowServerIsWaitedForIfNoOtherOneMayBeAsked)
+{
+    put(RequestKind::Stream, true, std::chrono::seconds(5), milliseconds(20));
+    m_state.budget.setTerms({0, 0, std::chrono::seconds(10), 1});
+    auto &slow = serve([](const SeenRequest &seen) {
+        return ScriptedAnswer{streamHead(seen.fields.at("Id")) + eventChunk(1) + "0\r\n\r\n",
+                              Then::KeepOpen, milliseconds(600)};
+    });
+    serve(good);
+    EXPECT_EQ(ask("1"), 200);
+    EXPECT_EQ(m_body, "id: 1\ndata: d\n\n");
+    EXPECT_EQ(slow.seen.size(), 1U);
+}
+
+// The first engine crashed and the second one is slow; the route allows no third.
+TEST_F(ExchangeTest, TheLastServerThatTheRouteAllowsIsWaitedFor)
+{
+    put(RequestKind::Safe, false, std::chrono::seconds(5), milliseconds(20));
+    serve([](const SeenRequest &) { return ScriptedAnswer{"", Then::Reset}; });
+    serve([](const SeenRequest &seen) {
+        return ScriptedAnswer{answer(seen.fields.at("Id"), "late"), Then::KeepOpen,
+                              milliseconds(600)};
+    });
+    serve(good);
+    EXPECT_EQ(ask("1"), 200);
+    EXPECT_EQ(m_body, "late");
+}
+
+TEST_F(ExchangeTest, ASlowServerIsLeftIfAnotherOneMayBeAsked)
+{
+    put(RequestKind::Safe, false, std::chrono::seconds(5), milliseconds(20));
+    serve([](const SeenRequest &) { return ScriptedAnswer{"", Then::Silence}; });
+    serve(good);
+    EXPECT_EQ(ask("1"), 200);
+    EXPECT_EQ(m_body, "body");
+}
+
 TEST_F(ExchangeTest, SecondSendsStayWithinTheBudget)
 {
     m_state.budget.setTerms({0, 0, std::chrono::seconds(10), 1});
--- a/src/vanilladyke/traffic/scripted_backend.hpp
+++ b/src/vanilladyke/traffic/scripted_backend.hpp
@@ -24,6 +24,7 @@
 {
     std::string bytes;
     enum class Then { KeepOpen, Close, Reset, Silence } then = Then::KeepOpen;
+    Duration after{}; ///< the bytes are written so much later
 };
 
 /// @brief Listens on a free loopback port; lives on the test's context.
