--- a/include/vanilladyke/node/control_plane.hpp
+++ b/include/vanilladyke/node/control_plane.hpp
@@ -49,8 +49,8 @@
     void configurationProved(TimePoint sentAt) override;
     void storeFailed() override;
     void nodesListed(std::vector<Endpoint> peers) override;
-    void keptCacheReset(KeptCacheState state) override;
-    void keptCacheChanged(std::vector<KeptPart> parts) override;
+    void keptCacheReset(const Endpoint &store, KeptCacheState state) override;
+    void keptCacheChanged(const Endpoint &store, std::vector<KeptPart> parts) override;
 
 private:
     void step();
--- a/include/vanilladyke/node/load_sharing.hpp
+++ b/include/vanilladyke/node/load_sharing.hpp
@@ -23,6 +23,8 @@
     /// often, so that what a node sends and hears in a second stays the same.
     static constexpr Duration Interval = std::chrono::milliseconds(80);
     static constexpr std::size_t NodesAtFullRate = 9;
+    /// A prompt that takes an engine a tenth of a second is told at once, as far as this allows.
+    static constexpr std::int64_t MostSendsPerSecond = 900;
 
     LoadSharing(TrafficState &state, Endpoint listen, std::string_view node);
 
@@ -31,6 +33,8 @@
     void setPeers(const std::vector<Endpoint> &peers);
     /// @brief Sends if it is time to.
     void step(TimePoint now);
+    /// @brief Sends at once, for news that must not wait.
+    void tell(TimePoint now);
 
 private:
     using Udp = asio::ip::udp;
@@ -47,6 +51,7 @@
     std::unordered_map<std::uint64_t, std::uint64_t> m_heard; ///< newest sequence of each node
     std::array<char, 65536> m_buffer{};
     TimePoint m_nextAt;
+    TimePoint m_toldAt;
 };
 
 } // namespace vanilladyke
--- a/include/vanilladyke/node/ports.hpp
+++ b/include/vanilladyke/node/ports.hpp
@@ -39,18 +39,18 @@
     virtual void storeFailed() = 0;
     /// @brief Where the registered nodes, this one too, hear from each other.
     virtual void nodesListed(std::vector<Endpoint> peers) = 0;
-    /// @brief Nothing is known of the kept-cache store's parts any more.
-    virtual void keptCacheReset(KeptCacheState state) = 0;
-    virtual void keptCacheChanged(std::vector<KeptPart> parts) = 0;
+    /// @brief Nothing is known of the parts of a kept-cache store any more.
+    virtual void keptCacheReset(const Endpoint &store, KeptCacheState state) = 0;
+    virtual void keptCacheChanged(const Endpoint &store, std::vector<KeptPart> parts) = 0;
 };
 
-/// @brief Follows what the kept-cache store holds.
+/// @brief Follows what the kept-cache stores hold.
 class KeptCacheFollower
 {
 public:
     virtual ~KeptCacheFollower() = default;
-    /// @brief Follows this store from now on; none: follows nothing.
-    virtual void follow(std::optional<Endpoint> store, StateListener &listener) = 0;
+    /// @brief Follows these stores from now on and no others.
+    virtual void follow(const std::vector<Endpoint> &stores, StateListener &listener) = 0;
 };
 
 /// @brief How an append to the lease's log ended.
--- a/include/vanilladyke/node/weights_controller.hpp
+++ b/include/vanilladyke/node/weights_controller.hpp
@@ -25,9 +25,11 @@
     /// A load takes about two seconds; asking earlier costs calls and brings nothing.
     static constexpr Duration FirstQuestion = std::chrono::milliseconds(1750);
     static constexpr Duration NextQuestion = std::chrono::milliseconds(150);
-    /// An order that shows no effect for so long is given again.
+    /// An engine that is asked whether it may be given an order is left alone for so long.
+    static constexpr Duration Announcement = std::chrono::milliseconds(400);
     /// An engine that stays silent for so many questions is down and holds up others no longer.
     static constexpr int MostSilentAnswers = 2;
+    /// An order that shows no effect for so long is given again.
     static constexpr Duration OrderTimeout = std::chrono::seconds(8);
 
     /// @brief A clock that counts suspension. Answers come between steps and after pauses, so that
--- a/include/vanilladyke/policy/backend_book.hpp
+++ b/include/vanilladyke/policy/backend_book.hpp
@@ -1,18 +1,12 @@
 #pragma once
 
-#include "vanilladyke/base/time.hpp"
-#include "vanilladyke/model/routing.hpp"
-#include "vanilladyke/policy/kept_cache_view.hpp"
-#include "vanilladyke/policy/route_table.hpp"
-
 #include "vanilladyke/base/outcome.hpp"
-#include <cstdint>
-#include <memory>
+#include "vanilladyke/policy/backend_choice.hpp"
+#include "vanilladyke/policy/fetch_share.hpp"
+#include "vanilladyke/policy/part_holders.hpp"
+#include "vanilladyke/policy/route_table.hpp"
 
-#include <optional>
-#include <string>
 #include <unordered_map>
-#include <vector>
 
 /// Where a request goes: the backend server with the least predicted time to its first token.
 ///
@@ -20,81 +14,21 @@
 /// - Long prompts share parts that cost an engine a tenth of a second to read. Each shared part has
 ///   a home, the first engine of its rendezvous order, which all nodes compute alike; a request
 ///   leaves it only when waiting there costs more than fetching or reading elsewhere.
+/// - A home is crowded or gone: the next of the order takes over, and fetches the part from an
+///   engine that some node sent it to lately, or from the kept-cache store, as far as the
+///   store's link carries.
 /// - Short requests behind long ones: the prompt tokens that wait at an engine count as waiting.
 /// - Many nodes with a part of the load each: what others tell of theirs counts as this node's own;
 ///   what an engine reports beyond that counts until the report is ReportLife old.
+/// - So many nodes that news is half a second old: were all to weigh all servers, all would take
+/// the
+///   same few that were idle then. Each node weighs the first servers of an order of its own.
 /// - An engine that answers nothing while requests wait there is avoided after SilenceToAvoid; one
 ///   that fails a part of its requests is charged FailureCost for the part.
-/// - New weights: engines on older ones are charged BackendRates::oldWeightsMs, the part of a
-/// request's worth
-///   that is lost there, and are closed when the platform's time for them is over.
+/// - New weights: engines on older ones are charged BackendRates::oldWeights, the part of a
+///   request's worth that is lost there, and are closed when the platform's time for them is over.
 namespace vanilladyke {
 
-/// @brief Figures that depend on the deployment's engines.
-struct BackendRates
-{
-    double tokensPerMs = 112;        ///< prompt tokens that an engine reads
-    double engineTokensPerMs = 2000; ///< tokens that it fetches from another engine
-    double keptTokensPerMs = 500;    ///< tokens that it fetches from the kept-cache store
-    double stepMs = 0.4;             ///< each running request slows the others by this
-    /// Charge for shared tokens that another engine has, beyond the time that they take: reading
-    /// them takes from all others.
-    double rereadMsPerToken = 0.05;
-    /// Charge for shared tokens that come to stand in a second engine's memory: they push out
-    /// others.
-    double copyMsPerToken = 0.03;
-    double otherCentreMs = 6;  ///< there and back, and a charge for bytes between data centres
-    double oldWeightsMs = 120; ///< charge for weights that were replaced
-    Duration weightsTime = std::chrono::milliseconds(15000); ///< until old weights are closed
-};
-
-/// @brief What a request needs.
-struct BackendQuery
-{
-    ServiceId service;
-    ModelId model;                  ///< empty for plain services
-    CustomerId isolated;            ///< set if the customer shares cached work with none
-    std::string sharedPart;         ///< the last part that other requests may share; may be empty
-    std::uint64_t sharedTokens = 0; ///< up to the end of that part
-    std::uint64_t ownTokens = 0;    ///< after it
-    std::vector<EngineId> exclude;  ///< servers that were tried already
-    const KeptCacheView *kept = nullptr; ///< null: there is no kept-cache store
-    std::optional<Endpoint> keptCache;   ///< where it is
-
-    /// @brief Names the shared part and who shares it; its homes follow from it.
-    [[nodiscard]] std::string homeKey() const;
-};
-
-/// @brief Where a request goes and why.
-struct BackendChoice
-{
-    BackendEntry backend;
-    std::uint64_t weights = 0;         ///< version on which it will run; 0: none known
-    bool isHeld = false;               ///< the shared part is believed to be in the engine's memory
-    std::optional<Endpoint> fetchFrom; ///< engine or store that is believed to have the shared part
-    bool savesShared = false;          ///< the kept-cache store lacks the shared part
-    double costMs = 0;                 ///< predicted, with charges
-    double readMs = 0;                 ///< of it, reading the prompt
-    std::size_t candidates = 0;
-};
-
-/// @brief What one node tells others of a backend server.
-struct BackendLoadNews
-{
-    std::uint64_t backend = 0; ///< hash of its id
-    double waitingMs = 0; ///< predicted reading time of the node's requests that have not begun
-    int inFlight = 0;     ///< the node's requests there
-    Duration loading{};   ///< how much longer it loads new weights
-    std::uint64_t weights = 0; ///< version that the node knows of; 0: none
-};
-
-/// @brief Why there is no choice.
-struct NoBackend
-{
-    bool isKnown = false; ///< the service has servers, but none is open
-    TimePoint retryAt;    ///< when one may be open again
-};
-
 /// @brief What one node knows of the backend servers from its own traffic. Pure.
 class BackendBook
 {
@@ -104,18 +38,22 @@
     static constexpr Duration UnknownPause = std::chrono::milliseconds(25);
     static constexpr Duration PeerLife = std::chrono::seconds(2);
     static constexpr Duration SilenceToAvoid = std::chrono::milliseconds(450);
-    /// How long an engine keeps a part that was just used: usually, and even when it is crowded.
-    static constexpr Duration HeldFor = std::chrono::seconds(8);
-    static constexpr Duration SurelyHeldFor = std::chrono::seconds(2);
+    /// What a transfer of cached work takes beside its bytes.
+    static constexpr Millis FetchSetup{6};
     static constexpr Duration FailureHalfLife = std::chrono::seconds(3);
     static constexpr Duration FirstClose = std::chrono::milliseconds(250);
     static constexpr Duration LongestClose = std::chrono::seconds(2);
-    static constexpr double FailureCost = 1500; ///< ms, for a server that fails everything
-    static constexpr double SilenceCost = 3000; ///< ms
+    static constexpr Millis FailureCost{1500}; ///< for a server that fails everything
+    static constexpr Millis SilenceCost{3000};
     static constexpr Duration OldWeightsGrace = std::chrono::milliseconds(1000);
     static constexpr Duration OldWeightsMargin = std::chrono::milliseconds(2000);
+    static constexpr std::size_t WholeUpTo = 24; ///< servers of a service that are all weighed
+    static constexpr std::size_t MostPlacementsTold = 400;
+    /// How long a node tells of weights that it brought: a datagram may be lost.
+    static constexpr Duration TellWeightsFor = std::chrono::seconds(3);
 
-    BackendBook(DataCentreId here, BackendRates rates);
+    /// @param self tells this node's order of servers from other nodes' orders
+    BackendBook(DataCentreId here, BackendRates rates, std::uint64_t self = 0);
 
     /// @brief Takes over the servers that may get requests.
     void setBackends(const std::vector<BackendEntry> &serving);
@@ -139,16 +77,25 @@
     void sawWeights(const EngineId &id, const ModelId &model, std::uint64_t version);
     /// @brief The server refused the version that was believed to be there.
     void doubtWeights(const EngineId &id, const ModelId &model, TimePoint now);
-    /// @brief The engine loads new weights until then.
+    /// @brief This node has the engine load new weights, most likely until then.
     void loading(const EngineId &id, TimePoint until);
+    /// @brief The load that this node ordered has ended.
+    void loaded(const EngineId &id, const ModelId &model, std::uint64_t version, TimePoint now);
+
     /// @brief What this node has to tell of servers, the busiest first.
     [[nodiscard]] std::vector<BackendLoadNews> ownLoad(std::size_t most, TimePoint now) const;
-    /// @brief Another node's news; they replace its former ones.
+    /// @brief Where this node sent expensive shared parts since it was asked last.
+    [[nodiscard]] std::vector<PlacementNews> takePlacements();
+    [[nodiscard]] bool hasPlacements() const { return !m_placements.empty(); }
+    /// @brief Another node's load; it replaces what that node told before.
     void heardLoad(std::uint64_t node, const std::vector<BackendLoadNews> &news, TimePoint now);
+    void heardPlacements(const std::vector<PlacementNews> &news, TimePoint now);
     /// @brief Drops the load of nodes that were not heard of for PeerLife.
     void forgetSilentPeers(TimePoint now);
     /// @brief The name under which nodes tell each other of the server.
     [[nodiscard]] static std::uint64_t hashOf(const EngineId &id);
+    [[nodiscard]] static std::uint64_t hashOf(const Endpoint &store);
+
     [[nodiscard]] int inFlight(const EngineId &id) const;
     [[nodiscard]] std::size_t size() const { return m_states.size(); }
     [[nodiscard]] bool knows(const EngineId &id) const { return m_states.contains(id); }
@@ -160,28 +107,27 @@
         std::uint64_t hash = 0;
         int inFlight = 0;
         int unanswered = 0;
-        double waitingMs = 0;  ///< predicted reading time of own requests that have not begun
+        Millis waiting{};      ///< predicted reading time of own requests that have not begun
         TimePoint silentSince; ///< when the oldest wait without any answer began
-        int running = 0;
-        int waiting = 0;
+        int reportedRunning = 0;
+        int reportedWaiting = 0;
         int ownAtReport = 0;
         TimePoint reportedAt;
-        double peersWaitingMs = 0;
+        Millis peersWaiting{};
         int peersInFlight = 0;
         TimePoint loadingUntil;
+        TimePoint orderedUntil; ///< by this node; others only hear of its own orders
+        TimePoint tellUntil;    ///< news of weights that this node brought
         double failurePart = 0;
         TimePoint failureAt;
         TimePoint closedUntil;
         Duration lastClose{};
-        std::unordered_map<std::string, TimePoint> held;
     };
-    /// Weights that were named for a model, oldest first. Each closes what is older than itself
-    /// when its own time is over, however many were named after it.
     /// What another node has at a server.
     struct PeerPart
     {
-        EngineId engine;
-        double waitingMs = 0;
+        std::uint64_t backend = 0;
+        Millis waiting{};
         int inFlight = 0;
     };
     struct Peer
@@ -189,33 +135,73 @@
         TimePoint heardAt;
         std::vector<PeerPart> parts;
     };
+    /// Weights that were named for a model, oldest first. Each closes what is older than itself
+    /// when its own time is over, however many were named after it.
     struct Goal
     {
         std::uint64_t version = 0;
         TimePoint since;
     };
     using Goals = std::vector<Goal>;
+    /// A server that is weighed for a request.
+    struct Candidate
+    {
+        const State *state = nullptr;
+        std::uint64_t order = 0; ///< in the order of the shared part; the highest is the first home
+        Millis cost{};           ///< without reading
+    };
+    /// How the request's prompt would come into an engine's memory.
+    struct Reading
+    {
+        Millis time{};
+        Millis charge{};
+        bool isHeld = false;
+        std::optional<Endpoint> fetchFrom;
+        std::optional<Endpoint> saveTo;
+        std::uint64_t store = 0;
+    };
+    /// The servers that are weighed for a request.
+    struct Weighed
+    {
+        std::vector<Candidate> open;
+        DataCentreId homeCentre; ///< of the shared part's first home, open or not
+    };
 
-    [[nodiscard]] double waitOf(const State &state, TimePoint now) const;
-    [[nodiscard]] double chargesOf(const State &state, std::uint64_t weights, const Goals *goals,
+    [[nodiscard]] Weighed weigh(const BackendQuery &query, const Goals *goals, TimePoint now,
+                                NoBackend *none) const;
+    [[nodiscard]] DataCentreId homeCentre(const std::vector<const State *> &all,
+                                          std::uint64_t part) const;
+    [[nodiscard]] Millis waitOf(const State &state, TimePoint now) const;
+    [[nodiscard]] Millis chargesOf(const State &state, std::uint64_t weights, const Goals *goals,
                                    TimePoint now) const;
+    [[nodiscard]] bool isSilent(const State &state, TimePoint now) const;
     [[nodiscard]] std::uint64_t leastWeights(const Goals *goals, TimePoint now) const;
-    struct Open;
-    struct Reading;
-    [[nodiscard]] Reading readingAt(const Open &engine, const Open &home, const BackendQuery &query,
-                                    const std::string &homeKey, TimePoint now) const;
+    /// A number in [0, 1) that differs between requests for the same part.
+    [[nodiscard]] static double drawFor(std::uint64_t part, TimePoint now);
+    [[nodiscard]] Reading readingAt(const State &engine, const State &home,
+                                    const BackendQuery &query, const KeptStore *store,
+                                    TimePoint now) const;
+    [[nodiscard]] const State *holderBeside(const State &engine,
+                                            const PartHolders::Question &question,
+                                            const BackendQuery &query, TimePoint now) const;
+    void apply(const PlacementNews &news, TimePoint now);
+    [[nodiscard]] State *find(const EngineId &id);
     static void learnWeights(State &state, const ModelId &model, std::uint64_t version);
     [[nodiscard]] static std::uint64_t weightsOf(const State &state, const ModelId &model);
-
     void subtract(const Peer &peer);
 
     DataCentreId m_here;
     BackendRates m_rates;
+    std::uint64_t m_self;
     std::unordered_map<EngineId, State> m_states;
-    std::unordered_map<ServiceId, std::vector<EngineId>> m_byService;
+    /// Servers of each service in this node's own order. They stand in m_states.
+    std::unordered_map<ServiceId, std::vector<const State *>> m_byService;
+    std::unordered_map<std::uint64_t, State *> m_byHash;
     std::unordered_map<ModelId, Goals> m_goals;
-    std::unordered_map<std::uint64_t, EngineId> m_byHash;
     std::unordered_map<std::uint64_t, Peer> m_peers;
+    PartHolders m_holders;
+    FetchShare m_fetches;
+    std::vector<PlacementNews> m_placements; ///< not yet told
 };
 
 } // namespace vanilladyke
--- a/include/vanilladyke/policy/route_table.hpp
+++ b/include/vanilladyke/policy/route_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "vanilladyke/model/routing.hpp"
+#include "vanilladyke/policy/kept_cache_view.hpp"
 
 #include <memory>
 #include <string_view>
@@ -28,8 +29,8 @@
     [[nodiscard]] const Route *find(std::string_view host, std::string_view path) const;
     [[nodiscard]] const RoutedCustomer *customerOf(const std::string &key) const;
     [[nodiscard]] const ServiceSpec *service(const ServiceId &id) const;
-    /// @brief The kept-cache store; null if the configuration names none.
-    [[nodiscard]] const ServiceSpec *keptCache() const;
+    /// @brief The kept-cache stores that the configuration names.
+    [[nodiscard]] std::vector<KeptStore> keptStores() const;
     /// @brief How fast engines and the kept-cache store hand out KV cache, in tokens a millisecond.
     [[nodiscard]] TransferRates transferRates() const;
     [[nodiscard]] bool needsKeys() const { return !m_config.customers.empty(); }
--- a/include/vanilladyke/traffic/traffic_state.hpp
+++ b/include/vanilladyke/traffic/traffic_state.hpp
@@ -20,6 +20,7 @@
 /// @brief Fixed at start.
 struct TrafficSettings
 {
+    std::uint64_t self = 0; ///< hash of the node's name
     DataCentreId dataCentre;
     BackendRates rates;
     Duration keysValidFor = std::chrono::milliseconds(4500); ///< after they were last proved
@@ -36,7 +37,7 @@
         , pool(ioContext, ticker)
         , dialect(std::move(wireDialect))
         , settings(std::move(fixed))
-        , book(settings.dataCentre, settings.rates)
+        , book(settings.dataCentre, settings.rates, settings.self)
         , random(seed)
     {}
 
@@ -65,6 +66,7 @@
     std::function<Duration()> configAge = [] { return Duration::max(); };
     std::size_t openExchanges = 0;
     std::function<void(const std::vector<Endpoint> &)> peersChanged; ///< nodes came or went
+    std::function<void()> tellPeers = [] {}; ///< news of servers that others should have at once
 };
 
 } // namespace vanilladyke
--- a/src/vanilladyke/app/node_command.cpp
+++ b/src/vanilladyke/app/node_command.cpp
@@ -82,6 +82,7 @@
         m_traffic.peersChanged = [this](const std::vector<Endpoint> &peers) {
             m_sharing.setPeers(peers);
         };
+        m_traffic.tellPeers = [this] { m_sharing.tell(MonotonicClock::now()); };
         m_traffic.ticker.onStep = [this](TimePoint now) { m_sharing.step(now); };
         m_signals.async_wait([this](const ErrorCode &error, int signal) {
             if (!error) {
--- a/src/vanilladyke/app/node_settings.cpp
+++ b/src/vanilladyke/app/node_settings.cpp
@@ -2,6 +2,8 @@
 
 #include "vanilladyke/model/json_reader.hpp"
 
+#include <xxhash.h>
+
 namespace vanilladyke {
 
 namespace {
@@ -20,18 +22,29 @@
     reader.milliseconds("window_ms", &terms->window, LeastSpan, LongestSpan);
 }
 
+void readCharge(JsonReader &reader, const char *name, Millis *charge)
+{
+    constexpr double MostMillis = 1e6;
+    double value = charge->count();
+    reader.number(name, &value, 0, MostMillis);
+    *charge = Millis(value);
+}
+
 void readPlacement(JsonReader &reader, BackendRates *rates)
 {
     constexpr double MostRate = 1e6;
-    reader.allowOnly({"tokens_per_ms", "kept_tokens_per_ms", "step_ms", "reread_ms_per_token",
-                      "copy_ms_per_token", "old_weights_ms", "other_centre_ms"});
+    constexpr std::uint64_t MostWeighed = 10'000;
+    reader.allowOnly({"tokens_per_ms", "kept_tokens_per_ms", "step_ms", "copy_ms_per_token",
+                      "away_from_home_ms", "old_weights_ms", "other_centre_ms", "reach", "homes"});
     reader.number("tokens_per_ms", &rates->tokensPerMs, 0.001, MostRate);
     reader.number("kept_tokens_per_ms", &rates->keptTokensPerMs, 0.001, MostRate);
-    reader.number("step_ms", &rates->stepMs, 0, MostRate);
-    reader.number("reread_ms_per_token", &rates->rereadMsPerToken, 0, MostRate);
-    reader.number("copy_ms_per_token", &rates->copyMsPerToken, 0, MostRate);
-    reader.number("other_centre_ms", &rates->otherCentreMs, 0, MostRate);
-    reader.number("old_weights_ms", &rates->oldWeightsMs, 0, MostRate);
+    readCharge(reader, "step_ms", &rates->step);
+    readCharge(reader, "away_from_home_ms", &rates->awayFromHome);
+    readCharge(reader, "copy_ms_per_token", &rates->copyPerToken);
+    readCharge(reader, "other_centre_ms", &rates->otherCentre);
+    readCharge(reader, "old_weights_ms", &rates->oldWeights);
+    reader.integer("reach", &rates->reach, 1, MostWeighed);
+    reader.integer("homes", &rates->homes, 1, MostWeighed);
 }
 
 } // namespace
@@ -85,6 +98,7 @@
         return failure(std::move(errors));
     }
     settings.control.self = settings.node + "@" + settings.address;
+    settings.traffic.self = XXH3_64bits(settings.control.self.data(), settings.control.self.size());
     return settings;
 }
 
--- a/src/vanilladyke/node/control_plane.cpp
+++ b/src/vanilladyke/node/control_plane.cpp
@@ -42,12 +42,13 @@
     news.loading = [this](const EngineId &id, Duration span) {
         tell([id, span](TrafficState &traffic) {
             traffic.book.loading(id, MonotonicClock::now() + span);
+            traffic.tellPeers();
         });
     };
     news.loaded = [this](const EngineId &id, const ModelId &model, std::uint64_t version) {
         tell([id, model, version](TrafficState &traffic) {
-            traffic.book.sawWeights(id, model, version);
-            traffic.book.loading(id, MonotonicClock::now());
+            traffic.book.loaded(id, model, version, MonotonicClock::now());
+            traffic.tellPeers();
         });
     };
     news.aged = [this](const WeightsAge &weights) {
@@ -105,9 +106,13 @@
     tell([table](TrafficState &traffic) {
         traffic.table = table;
         traffic.book.setTransferRates(table->transferRates());
+        traffic.kept.setStores(table->keptStores());
     });
-    const ServiceSpec *kept = table->keptCache();
-    m_keptCache.follow(kept == nullptr ? std::nullopt : kept->keptCache, *this);
+    std::vector<Endpoint> stores;
+    for (const KeptStore &store : table->keptStores()) {
+        stores.push_back(store.endpoint);
+    }
+    m_keptCache.follow(stores, *this);
 }
 
 void ControlPlane::weightsNamed(const ModelId &model, std::uint64_t version, bool isNews)
@@ -181,16 +186,16 @@
     });
 }
 
-void ControlPlane::keptCacheReset(KeptCacheState state)
+void ControlPlane::keptCacheReset(const Endpoint &store, KeptCacheState state)
 {
-    tell([state](TrafficState &traffic) { traffic.kept.reset(state); });
+    tell([store, state](TrafficState &traffic) { traffic.kept.reset(store, state); });
 }
 
-void ControlPlane::keptCacheChanged(std::vector<KeptPart> parts)
+void ControlPlane::keptCacheChanged(const Endpoint &store, std::vector<KeptPart> parts)
 {
-    tell([parts = std::move(parts)](TrafficState &traffic) {
+    tell([store, parts = std::move(parts)](TrafficState &traffic) {
         for (const KeptPart &each : parts) {
-            traffic.kept.changed(each.salt, each.part, each.tokens);
+            traffic.kept.changed(store, each.salt, each.part, each.tokens);
         }
     });
 }
--- a/src/vanilladyke/node/load_sharing.cpp
+++ b/src/vanilladyke/node/load_sharing.cpp
@@ -64,23 +64,45 @@
 
 void LoadSharing::step(TimePoint now)
 {
-    if (now < m_nextAt || m_peers.empty()) {
+    if (m_peers.empty()) {
+        return;
+    }
+    const Duration spacing =
+            std::max<Duration>(Interval, std::chrono::seconds(m_peers.size()) / MostSendsPerSecond);
+    const bool isUrgent = m_state.book.hasPlacements() && now - m_toldAt >= spacing;
+    if (now < m_nextAt && !isUrgent) {
         return;
     }
     const std::size_t stretch = std::max<std::size_t>(1, (m_peers.size() + 1) / NodesAtFullRate);
     m_nextAt = now + Interval * stretch;
     m_state.book.forgetSilentPeers(now);
+    tell(now);
+}
+
+void LoadSharing::tell(TimePoint now)
+{
+    m_toldAt = now;
     wire::NodeLoad message;
     message.set_node(m_self);
     message.set_sequence(++m_sequence);
     for (const BackendLoadNews &each : m_state.book.ownLoad(MostBackends, now)) {
         wire::BackendLoad *load = message.add_backends();
         load->set_backend(each.backend);
-        load->set_waiting_ms(static_cast<std::uint32_t>(each.waitingMs));
+        load->set_waiting_ms(static_cast<std::uint32_t>(each.waiting.count()));
         load->set_in_flight(static_cast<std::uint32_t>(each.inFlight));
         load->set_loading_ms(millis(each.loading));
         load->set_weights(each.weights);
     }
+    for (const PlacementNews &each : m_state.book.takePlacements()) {
+        wire::Placement *placement = message.add_placements();
+        placement->set_part(each.part);
+        placement->set_backend(each.backend);
+        placement->set_weights(each.weights);
+        placement->set_saved(each.saved);
+        placement->set_written(each.written);
+        placement->set_store(each.store);
+        placement->set_wanted(each.wanted);
+    }
     const std::string bytes = message.SerializeAsString();
     for (const Udp::endpoint &peer : m_peers) {
         ErrorCode
@@ -120,11 +142,22 @@
     std::vector<BackendLoadNews> news;
     news.reserve(static_cast<std::size_t>(message.backends_size()));
     for (const wire::BackendLoad &load : message.backends()) {
-        news.push_back({load.backend(), static_cast<double>(load.waiting_ms()),
+        news.push_back({load.backend(), Millis(load.waiting_ms()),
                         static_cast<int>(load.in_flight()),
                         std::chrono::milliseconds(load.loading_ms()), load.weights()});
     }
-    m_state.book.heardLoad(message.node(), news, MonotonicClock::now());
+    const TimePoint now = MonotonicClock::now();
+    m_state.book.heardLoad(message.node(), news, now);
+    std::vector<PlacementNews> placements;
+    placements.reserve(static_cast<std::size_t>(message.placements_size()));
+    for (const wire::Placement &each : message.placements()) {
+        placements.push_back({each.part(), each.backend(), each.weights(), each.saved(),
+                              each.written(), each.store(), each.wanted()});
+        if (each.saved() != 0) {
+            m_state.kept.toldSaved(each.saved(), now);
+        }
+    }
+    m_state.book.heardPlacements(placements, now);
 }
 
 } // namespace vanilladyke
--- a/src/vanilladyke/node/weights_controller.cpp
+++ b/src/vanilladyke/node/weights_controller.cpp
@@ -201,6 +201,11 @@
         return;
     }
     load.isAsking = true;
+    if (!load.wasOrdered) {
+        // Other nodes hear of it while the question is under way, and have sent their last request
+        // there before the order comes.
+        m_news.loading(id, Announcement);
+    }
     m_orders.report(*engine, [this, id](const std::optional<EngineReport> &report) {
         reported(id, report);
     });
--- a/src/vanilladyke/policy/backend_book_test.cpp
+++ b/src/vanilladyke/policy/backend_book_test.cpp
@@ -28,6 +28,7 @@
         BackendEntry entry;
         entry.id = EngineId("e" + std::to_string(i));
         entry.service = llmService;
+        entry.endpoint = {"10.0.0.1", static_cast<std::uint16_t>(1000 + i)};
         entry.dataCentre = hereCentre;
         entry.slots = 24;
         entry.weights[llmModel] = version;
@@ -110,7 +111,7 @@
         book.sent(*home, longPrompt(1), at(i));
     }
     BackendChoice reading = *home;
-    reading.readMs = 150;
+    reading.reading = Millis(150);
     book.sent(reading, longPrompt(1), at(4));
     const auto next = book.choose(shortPrompt(3), at(5));
     ASSERT_TRUE(next);
@@ -237,10 +238,102 @@
 {
     BackendBook book(hereCentre, {});
     book.setBackends(fleet(1));
-    book.heardLoad(7, {{book.hashOf(EngineId("e0")), 500, 9, {}, 0}}, at(0));
-    EXPECT_GT(book.choose(shortPrompt(1), at(1))->costMs, 500);
+    book.heardLoad(7, {{book.hashOf(EngineId("e0")), Millis(500), 9, {}, 0}}, at(0));
+    EXPECT_GT(book.choose(shortPrompt(1), at(1))->cost, Millis(500));
     book.forgetSilentPeers(at(2500));
-    EXPECT_LT(book.choose(shortPrompt(1), at(2501))->costMs, 50);
+    EXPECT_LT(book.choose(shortPrompt(1), at(2501))->cost, Millis(50));
+}
+
+// 72 nodes that each passed on what they had heard kept an engine closed for as long as they told
+// each other that it was: with every hop the end moved by the hop's delay.
+TEST(BackendBook, ALoadThatNodesOnlyHeardOfIsNotPassedOn)
+{
+    const EngineId engine("e0");
+    BackendBook orderer(hereCentre, {});
+    std::vector<BackendBook> others(6, BackendBook(hereCentre, {}));
+    orderer.setBackends(fleet(1));
+    orderer.loading(engine, at(2000));
+    for (BackendBook &each : others) {
+        each.setBackends(fleet(1));
+        each.heardLoad(100, orderer.ownLoad(10, at(0)), at(5));
+    }
+    for (int ms = 10; ms < 2500; ms += 5) {
+        const auto from = static_cast<std::size_t>(ms / 5) % others.size();
+        const auto news = others[from].ownLoad(10, at(ms));
+        for (std::size_t to = 0; to < others.size(); ++to) {
+            if (to != from) {
+                others[to].heardLoad(from, news, at(ms + 5));
+            }
+        }
+    }
+    for (const BackendBook &each : others) {
+        EXPECT_TRUE(each.choose(shortPrompt(1), at(2500)));
+    }
+}
+
+// The node that gave the order has no request at the engine when its load ends, and told others
+// only of servers at which it had some: they sent requests for the old weights until refused.
+TEST(BackendBook, NewWeightsAreToldThoughTheNodeHasNoRequestThere)
+{
+    BackendBook orderer(hereCentre, {});
+    BackendBook other(hereCentre, {});
+    orderer.setBackends(fleet(1, 1));
+    other.setBackends(fleet(1, 1));
+    orderer.loaded(EngineId("e0"), llmModel, 2, at(0));
+    other.heardLoad(7, orderer.ownLoad(10, at(1)), at(1));
+    EXPECT_EQ(other.choose(shortPrompt(1), at(2))->weights, 2U);
+    EXPECT_TRUE(other.ownLoad(10, at(3)).empty()) << "hearsay";
+}
+
+// A load ended sooner than it was said to take: the engine is open again as soon as that is heard.
+TEST(BackendBook, AnEngineIsOpenAgainWhenItsNewWeightsAreHeardOf)
+{
+    BackendBook book(hereCentre, {});
+    book.setBackends(fleet(1));
+    const std::uint64_t engine = BackendBook::hashOf(EngineId("e0"));
+    book.heardLoad(7, {{engine, {}, 0, milliseconds(2000), 1}}, at(0));
+    EXPECT_FALSE(book.choose(shortPrompt(1), at(1000)));
+    book.heardLoad(7, {{engine, {}, 0, {}, 2}}, at(1001));
+    const auto choice = book.choose(shortPrompt(1), at(1002));
+    ASSERT_TRUE(choice);
+    EXPECT_EQ(choice->weights, 2U);
+}
+
+// Each of many nodes sends a guide too seldom to know where it is. Its home is away, and the next
+// engine would read it again although a third one has it.
+TEST(BackendBook, APartIsFetchedFromWhereAnotherNodeSentIt)
+{
+    BackendBook here(hereCentre, {});
+    BackendBook there(hereCentre, {});
+    here.setBackends(fleet(30));
+    there.setBackends(fleet(30));
+    const auto home = there.choose(longPrompt(1), at(0));
+    ASSERT_TRUE(home);
+    there.sent(*home, longPrompt(1), at(0));
+    here.heardPlacements(there.takePlacements(), at(1));
+    EXPECT_TRUE(there.takePlacements().empty());
+    BackendQuery query = longPrompt(1);
+    query.exclude = {home->backend.id};
+    const auto next = here.choose(query, at(2));
+    ASSERT_TRUE(next);
+    EXPECT_EQ(next->fetchFrom, home->backend.endpoint);
+    EXPECT_LT(next->reading, Millis(50));
+}
+
+// A prompt that shares fifty tokens with a fifth of all others would crowd one engine for what
+// every engine reads in half a millisecond.
+TEST(BackendBook, APartThatIsCheapToReadHasNoHome)
+{
+    BackendBook book(hereCentre, {});
+    book.setBackends(fleet(18));
+    std::map<EngineId, int> perEngine;
+    for (int i = 0; i < 36; ++i) {
+        const auto choice = book.choose(shortPrompt(1), at(i));
+        ASSERT_TRUE(choice);
+        book.sent(*choice, shortPrompt(1), at(i));
+        ++perEngine[choice->backend.id];
+    }
+    EXPECT_EQ(perEngine.size(), 18U);
 }
 
 // The node that gives the orders tells the others that an engine loads new weights, before the
@@ -256,7 +349,7 @@
     const auto none = here.choose(shortPrompt(1), at(600));
     ASSERT_FALSE(none);
     EXPECT_EQ(none.error().retryAt, at(2000));
-    here.heardLoad(7, {{here.hashOf(EngineId("e0")), 0, 1, {}, 2}}, at(2000));
+    here.heardLoad(7, {{here.hashOf(EngineId("e0")), {}, 1, {}, 2}}, at(2000));
     EXPECT_EQ(here.choose(shortPrompt(1), at(2001))->weights, 2U);
 }
 
@@ -270,7 +363,14 @@
         BackendChoice choice;
         TimePoint endsAt;
     };
-    const KeptCacheView kept; // may hold everything, so that copies are cheap to come by
+    // The store has every part, so that copies are cheap to come by.
+    KeptCacheView kept;
+    const Endpoint store{"10.0.0.9", 80};
+    kept.setStores({{store, hereCentre}});
+    kept.reset(store, KeptCacheState::Followed);
+    for (int part = 0; part < 269; ++part) {
+        kept.changed(store, cacheSalt(llmModel, 1, {}), longPrompt(part).sharedPart, 13'300);
+    }
     std::vector<BackendBook> nodes;
     for (int i = 0; i < Nodes; ++i) {
         nodes.emplace_back(hereCentre, rates);
@@ -316,7 +416,8 @@
 TEST(BackendBook, AnEvenLoadStaysAtItsHomesThoughLoadsAreShared)
 {
     BackendRates free;
-    free.copyMsPerToken = 0;
+    free.copyPerToken = Millis::zero();
+    free.awayFromHome = Millis::zero();
     EXPECT_GT(partAtHome(BackendRates{}), 0.95);
     EXPECT_LT(partAtHome(free), 0.85) << "the load must be one that the charge is needed for";
 }
--- /dev/null
+++ b/src/vanilladyke/policy/backend_choice.cpp
@@ -0,0 +1,280 @@
+#include "vanilladyke/policy/backend_choice.hpp"
+
+#include "vanilladyke/model/fleet_index.hpp"
+#include "vanilladyke/policy/backend_book.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace vanilladyke {
+
+namespace {
+
+/// Predicted reading time of a plain service's call; only its ratio to other waits matters.
+constexpr Millis PlainCall{10};
+/// What a request that no slot is free for waits, for each one ahead of it.
+constexpr Millis Queued{30};
+
+} // namespace
+
+bool BackendQuery::hasHome() const
+{
+    return !sharedPart.empty() && sharedTokens >= LeastHomeTokens;
+}
+
+std::uint64_t BackendQuery::partKey() const
+{
+    const std::string name = isolated.empty() ? sharedPart : sharedPart + "/" + isolated.str();
+    return XXH3_64bits(name.data(), name.size());
+}
+
+std::uint64_t BackendBook::leastWeights(const Goals *goals, TimePoint now) const
+{
+    std::uint64_t least = 0;
+    if (goals != nullptr) {
+        for (const Goal &goal : *goals) {
+            const bool isOver = now - goal.since > m_rates.weightsTime - OldWeightsMargin;
+            least = isOver ? goal.version : least;
+        }
+    }
+    return least;
+}
+
+bool BackendBook::isSilent(const State &state, TimePoint now) const
+{
+    return state.unanswered > 0 && now - state.silentSince > SilenceToAvoid;
+}
+
+Millis BackendBook::waitOf(const State &state, TimePoint now) const
+{
+    int others = 0;
+    int queued = 0;
+    if (now - state.reportedAt < ReportLife) {
+        const int told = state.reportedRunning + state.reportedWaiting - state.ownAtReport;
+        others = std::max(0, told - state.peersInFlight);
+        queued = state.reportedWaiting;
+    }
+    const int busy = others + state.inFlight + state.peersInFlight;
+    const int over = std::max(queued, busy + 1 - state.entry.slots);
+    const double slotsUsed = static_cast<double>(busy) / std::max(state.entry.slots, 1);
+    return state.waiting + state.peersWaiting + busy * m_rates.step + over * Queued
+           + slotsUsed * PlainCall;
+}
+
+Millis BackendBook::chargesOf(const State &state, std::uint64_t weights, const Goals *goals,
+                              TimePoint now) const
+{
+    Millis charges = state.entry.dataCentre == m_here ? Millis::zero() : m_rates.otherCentre;
+    if (state.failurePart > 0) {
+        const double age = secondsOf(now - state.failureAt) / secondsOf(FailureHalfLife);
+        charges += FailureCost * state.failurePart * std::exp2(-age);
+    }
+    if (isSilent(state, now)) {
+        charges += SilenceCost;
+    }
+    const bool isOld =
+            goals != nullptr && std::any_of(goals->begin(), goals->end(), [&](const Goal &goal) {
+                return weights < goal.version && now - goal.since > OldWeightsGrace;
+            });
+    if (isOld) {
+        charges += m_rates.oldWeights;
+    }
+    return charges;
+}
+
+DataCentreId BackendBook::homeCentre(const std::vector<const State *> &all,
+                                     std::uint64_t part) const
+{
+    const auto home =
+            std::max_element(all.begin(), all.end(), [part](const State *a, const State *b) {
+                return mixBits(part ^ a->hash) < mixBits(part ^ b->hash);
+            });
+    return home == all.end() ? DataCentreId() : (*home)->entry.dataCentre;
+}
+
+BackendBook::Weighed BackendBook::weigh(const BackendQuery &query, const Goals *goals,
+                                        TimePoint now, NoBackend *none) const
+{
+    const std::vector<const State *> &all = m_byService.at(query.service);
+    const bool hasHome = query.hasHome();
+    const std::uint64_t part = hasHome ? query.partKey() : 0;
+    const std::uint64_t least = leastWeights(goals, now);
+    const bool isWhole = all.size() <= WholeUpTo;
+    const std::size_t most = isWhole ? all.size() : (hasHome ? m_rates.homes : m_rates.reach);
+    // With a store in each data centre, the homes that follow the first one stay beside its store.
+    constexpr std::uint64_t Beside = 1ULL << 63U;
+    const bool hasStores = query.kept != nullptr && query.kept->stores() > 1;
+    Weighed result;
+    if (hasHome) {
+        result.homeCentre = homeCentre(all, part);
+    }
+    std::size_t good = 0;
+    for (const State *state : all) {
+        if (!hasHome && good >= most) {
+            break;
+        }
+        const std::uint64_t weights = weightsOf(*state, query.model);
+        const bool isTried = std::find(query.exclude.begin(), query.exclude.end(), state->entry.id)
+                             != query.exclude.end();
+        if (isTried || weights < least) {
+            continue;
+        }
+        const TimePoint closedUntil = std::max(state->closedUntil, state->loadingUntil);
+        if (closedUntil > now) {
+            none->retryAt = std::min(none->retryAt, closedUntil);
+            continue;
+        }
+        good += isSilent(*state, now) ? 0 : 1;
+        std::uint64_t order = mixBits(part ^ state->hash) & ~Beside;
+        if (!hasStores || state->entry.dataCentre == result.homeCentre) {
+            order |= Beside;
+        }
+        result.open.push_back({state, order, {}});
+    }
+    if (hasHome && result.open.size() > most) {
+        std::sort(result.open.begin(), result.open.end(),
+                  [](const Candidate &a, const Candidate &b) { return a.order > b.order; });
+        const std::vector<std::uint64_t> holders = m_holders.backends(part);
+        const auto rest = result.open.begin() + static_cast<std::ptrdiff_t>(most);
+        result.open.erase(std::remove_if(rest, result.open.end(),
+                                         [&](const Candidate &each) {
+                                             return std::find(holders.begin(), holders.end(),
+                                                              each.state->hash)
+                                                    == holders.end();
+                                         }),
+                          result.open.end());
+    }
+    for (Candidate &each : result.open) {
+        each.cost = waitOf(*each.state, now)
+                    + chargesOf(*each.state, weightsOf(*each.state, query.model), goals, now);
+    }
+    return result;
+}
+
+const BackendBook::State *BackendBook::holderBeside(const State &engine,
+                                                    const PartHolders::Question &question,
+                                                    const BackendQuery &query, TimePoint now) const
+{
+    const State *best = nullptr;
+    for (const std::uint64_t backend : m_holders.holders(question, now)) {
+        const auto known = m_byHash.find(backend);
+        if (known == m_byHash.end() || known->second == &engine) {
+            continue;
+        }
+        const State &state = *known->second;
+        const bool isSound = state.closedUntil <= now && state.loadingUntil <= now
+                             && !isSilent(state, now)
+                             && weightsOf(state, query.model) == question.weights;
+        best = isSound ? &state : best; // the last used comes last
+    }
+    return best;
+}
+
+double BackendBook::drawFor(std::uint64_t part, TimePoint now)
+{
+    constexpr double Scale = 1.0 / 9007199254740992.0; // 2^-53
+    const auto nanos = static_cast<std::uint64_t>(now.time_since_epoch().count());
+    return static_cast<double>(mixBits(part ^ mixBits(nanos)) >> 11U) * Scale;
+}
+
+BackendBook::Reading BackendBook::readingAt(const State &engine, const State &home,
+                                            const BackendQuery &query, const KeptStore *store,
+                                            TimePoint now) const
+{
+    const PartHolders::Question question{query.partKey(), weightsOf(engine, query.model),
+                                         query.sharedTokens, query.memoryTokens};
+    const std::string salt = cacheSalt(query.model, question.weights, query.isolated);
+    const bool isKept =
+            store != nullptr && query.kept->holds(store->endpoint, salt, query.sharedPart, now);
+    const bool isHome = &engine == &home;
+    const auto shared = static_cast<double>(query.sharedTokens);
+    Reading reading;
+    reading.time = Millis(static_cast<double>(query.ownTokens) / m_rates.tokensPerMs);
+    reading.isHeld = m_holders.holds(question, engine.hash, now);
+    if (store != nullptr && !isKept && query.kept->state(store->endpoint) != KeptCacheState::Down) {
+        reading.saveTo = store->endpoint;
+    }
+    // Engines hand out faster than a store, whose one link many engines share.
+    const State *holder = holderBeside(engine, question, query, now);
+    const std::uint64_t storeName = store == nullptr ? 0 : hashOf(store->endpoint);
+    const bool mayFetch = isKept
+                          && m_fetches.allows(storeName, m_rates.keptTokensPerMs,
+                                              drawFor(question.part, now), now);
+    if (holder != nullptr) {
+        reading.fetchFrom = holder->entry.endpoint;
+    } else if (mayFetch) {
+        reading.fetchFrom = store->endpoint;
+    }
+    if (reading.isHeld) {
+        return reading; // what is fetched is only what was pushed out meanwhile
+    }
+    reading.store = isKept && holder == nullptr ? storeName : 0;
+    if (holder != nullptr) {
+        reading.charge = m_rates.copyPerToken * shared;
+        reading.time += FetchSetup + Millis(shared / m_rates.engineTokensPerMs);
+        return reading;
+    }
+    reading.charge = isHome ? Millis::zero() : m_rates.awayFromHome;
+    if (mayFetch) {
+        constexpr double AcrossCentres = 2;
+        const double far = store->dataCentre == engine.entry.dataCentre ? 1 : AcrossCentres;
+        reading.time += FetchSetup + Millis(far * shared / m_rates.keptTokensPerMs);
+    } else {
+        reading.time += Millis(shared / m_rates.tokensPerMs);
+    }
+    return reading;
+}
+
+tl::expected<BackendChoice, NoBackend> BackendBook::choose(const BackendQuery &query,
+                                                           TimePoint now) const
+{
+    const auto service = m_byService.find(query.service);
+    if (service == m_byService.end() || service->second.empty()) {
+        return tl::make_unexpected(NoBackend{false, now + UnknownPause});
+    }
+    const auto goalFound = m_goals.find(query.model);
+    const bool hasGoals = !query.model.empty() && goalFound != m_goals.end();
+    const Goals *goals = hasGoals ? &goalFound->second : nullptr;
+    NoBackend none{true, now + LongestClose};
+    const Weighed weighed = weigh(query, goals, now, &none);
+    const std::vector<Candidate> &open = weighed.open;
+    if (open.empty()) {
+        return tl::make_unexpected(none);
+    }
+    const bool hasHome = query.hasHome();
+    const KeptStore *store =
+            hasHome && query.kept != nullptr ? query.kept->storeOf(weighed.homeCentre) : nullptr;
+    const auto home =
+            std::max_element(open.begin(), open.end(), [](const Candidate &a, const Candidate &b) {
+                return a.order < b.order;
+            });
+    BackendChoice best;
+    const State *chosen = nullptr;
+    for (const Candidate &engine : open) {
+        Reading reading;
+        if (hasHome) {
+            reading = readingAt(*engine.state, *home->state, query, store, now);
+        } else {
+            const auto tokens = static_cast<double>(query.sharedTokens + query.ownTokens);
+            reading.time = Millis(tokens / m_rates.tokensPerMs);
+        }
+        const Millis cost = engine.cost + reading.time + reading.charge;
+        if (chosen == nullptr || cost < best.cost) {
+            chosen = engine.state;
+            best.isHeld = reading.isHeld;
+            best.fetchFrom = reading.fetchFrom;
+            best.saveTo = reading.saveTo;
+            best.store = reading.store;
+            best.cost = cost;
+            best.reading = reading.time;
+        }
+    }
+    best.backend = chosen->entry;
+    best.weights = weightsOf(*chosen, query.model);
+    best.candidates = open.size();
+    return best;
+}
+
+} // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/policy/backend_fleet_test.cpp
@@ -0,0 +1,387 @@
+#include "vanilladyke/base/random.hpp"
+#include "vanilladyke/policy/backend_book.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <queue>
+#include <set>
+
+/// Replays the load of a whole fleet against the books of all its nodes, without a network: engines
+/// that read prompts one after the other, and nodes that hear from each other now and then.
+namespace vanilladyke {
+namespace {
+
+using std::chrono::milliseconds;
+
+const ServiceId llmService("llm");
+const ModelId llmModel("m");
+
+struct Load
+{
+    int nodes = 72;
+    int engines = 72;
+    double longPerMs = 0.235;
+    double shortPerMs = 0.797;
+    int parts = 4000;
+    int tellEvery = 640;   ///< ms between two tellings of a node
+    int leastBetween = 80; ///< ms, for news of long prompts
+    int runMs = 20'000;
+    int stores = 3;
+};
+
+struct Result
+{
+    double shortP99 = 0; ///< ms to the first token
+    double longP99 = 0;
+    double longMean = 0;
+    int shed = 0;
+    int sharedReads = 0; ///< times that a shared part was read through
+    int longs = 0;
+};
+
+/// A link over which transfers go one after the other.
+class TrialLink
+{
+public:
+    explicit TrialLink(double tokensPerMs)
+        : m_tokensPerMs(tokensPerMs)
+    {}
+
+    /// @return when the transfer is done
+    double take(double now, double tokens)
+    {
+        m_until = std::max(now, m_until) + tokens / m_tokensPerMs;
+        return m_until;
+    }
+
+private:
+    double m_tokensPerMs;
+    double m_until = 0;
+};
+
+/// One engine: it reads prompts in the order of their coming, and forgets what was used longest
+/// ago.
+class TrialEngine
+{
+public:
+    static constexpr double TokensPerMs = 112;
+    static constexpr double FirstTokenMs = 31;
+    static constexpr double MemoryTokens = 186'200;
+    static constexpr std::size_t Slots = 16;
+    static constexpr std::size_t Queue = 48;
+
+    [[nodiscard]] bool holds(int part) const
+    {
+        return std::any_of(m_parts.begin(), m_parts.end(),
+                           [part](const auto &each) { return each.first == part; });
+    }
+
+    void keep(int part, double tokens)
+    {
+        std::erase_if(m_parts, [part](const auto &each) { return each.first == part; });
+        m_parts.emplace_back(part, tokens);
+        double all = 0;
+        for (const auto &[id, size] : m_parts) {
+            all += size;
+        }
+        while (all > MemoryTokens) {
+            all -= m_parts.front().second;
+            m_parts.pop_front();
+        }
+    }
+
+    /// @param from when what is fetched is here; others are read meanwhile
+    /// @return when the first token comes
+    double read(double now, double from, double tokens)
+    {
+        m_readUntil = std::max(now, m_readUntil) + tokens / TokensPerMs;
+        return std::max(from + tokens / TokensPerMs, m_readUntil) + FirstTokenMs;
+    }
+
+    int open = 0; ///< requests that are here
+    TrialLink link{2500};
+
+private:
+    std::deque<std::pair<int, double>> m_parts; ///< last used last, with their tokens
+    double m_readUntil = 0;
+};
+
+class FleetTrial
+{
+public:
+    FleetTrial(const Load &load, const BackendRates &rates)
+        : m_load(load)
+        , m_random(11)
+        , m_engines(static_cast<std::size_t>(load.engines))
+    {
+        std::vector<BackendEntry> entries;
+        for (int i = 0; i < load.engines; ++i) {
+            BackendEntry entry;
+            entry.id = EngineId("e" + std::to_string(i));
+            entry.service = llmService;
+            entry.endpoint = {"10.0.0.1", static_cast<std::uint16_t>(1000 + i)};
+            entry.dataCentre = DataCentreId("dc" + std::to_string(i % 3));
+            entry.slots = static_cast<int>(TrialEngine::Slots);
+            entry.weights[llmModel] = 1;
+            entries.push_back(entry);
+        }
+        for (int i = 0; i < load.nodes; ++i) {
+            m_nodes.emplace_back(DataCentreId("dc" + std::to_string(i % 3)), rates,
+                                 0x9e3779b97f4a7c15ULL * static_cast<std::uint64_t>(i + 1));
+            m_nodes.back().setBackends(entries);
+            m_kept.emplace_back();
+            std::vector<KeptStore> stores;
+            for (int j = 0; j < load.stores; ++j) {
+                stores.push_back({{"10.0.1.1", static_cast<std::uint16_t>(j)},
+                                  DataCentreId("dc" + std::to_string(j))});
+            }
+            m_kept.back().setStores(stores);
+        }
+        m_toldAt.resize(m_nodes.size());
+        m_stores.resize(static_cast<std::size_t>(load.stores), TrialLink(660));
+        m_inStore.resize(static_cast<std::size_t>(load.stores));
+    }
+
+    Result run()
+    {
+        for (int ms = 0; ms < m_load.runMs; ++ms) {
+            finish(ms);
+            tell(ms);
+            for (int i = arrivals(m_load.longPerMs); i > 0; --i) {
+                send(ms, true);
+            }
+            for (int i = arrivals(m_load.shortPerMs); i > 0; --i) {
+                send(ms, false);
+            }
+        }
+        m_result.shortP99 = percentile(m_shorts);
+        m_result.longP99 = percentile(m_longs);
+        for (const double each : m_longs) {
+            m_result.longMean += each / static_cast<double>(m_longs.size());
+        }
+        return m_result;
+    }
+
+private:
+    struct Running
+    {
+        double at = 0;
+        std::size_t node = 0;
+        std::size_t engine = 0;
+        BackendChoice choice;
+        bool isEnd = false; ///< else its first token
+
+        bool operator>(const Running &other) const { return at > other.at; }
+    };
+
+    static TimePoint at(double ms)
+    {
+        return TimePoint(std::chrono::hours(1) + milliseconds(static_cast<int>(ms)));
+    }
+
+    int arrivals(double perMs) { return std::poisson_distribution<int>(perMs)(m_random); }
+
+    static double percentile(std::vector<double> &times)
+    {
+        std::sort(times.begin(), times.end());
+        return times.empty() ? 0 : times[times.size() * 99 / 100];
+    }
+
+    void finish(int ms)
+    {
+        while (!m_running.empty() && m_running.top().at <= ms) {
+            const Running now = m_running.top();
+            m_running.pop();
+            BackendBook &book = m_nodes[now.node];
+            TrialEngine &engine = m_engines[now.engine];
+            if (now.isEnd) {
+                --engine.open;
+                book.ended(now.choice, true, false, at(ms));
+                continue;
+            }
+            const int running = std::min<int>(engine.open, TrialEngine::Slots);
+            book.reported(now.choice.backend.id, running, engine.open - running, at(ms));
+            book.began(now.choice, at(ms));
+            constexpr double StepMs = 6;
+            constexpr double Tokens = 8;
+            m_running.push({ms + StepMs * Tokens, now.node, now.engine, now.choice, true});
+        }
+    }
+
+    void tell(int ms)
+    {
+        for (std::size_t from = 0; from < m_nodes.size(); ++from) {
+            const bool isUrgent =
+                    m_nodes[from].hasPlacements() && ms - m_toldAt[from] >= m_load.leastBetween;
+            if ((ms + static_cast<int>(from) * 17) % m_load.tellEvery != 0 && !isUrgent) {
+                continue;
+            }
+            m_toldAt[from] = ms;
+            const auto news = m_nodes[from].ownLoad(1000, at(ms));
+            const auto placements = m_nodes[from].takePlacements();
+            for (std::size_t to = 0; to < m_nodes.size(); ++to) {
+                if (to != from) {
+                    m_nodes[to].heardLoad(from, news, at(ms));
+                    m_nodes[to].heardPlacements(placements, at(ms));
+                    for (const PlacementNews &each : placements) {
+                        if (each.saved != 0) {
+                            m_kept[to].toldSaved(each.saved, at(ms));
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    void send(int ms, bool isLong)
+    {
+        const std::size_t node = uniformBelow(m_random, m_nodes.size());
+        const auto part = static_cast<int>(
+                uniformBelow(m_random, isLong ? static_cast<std::uint64_t>(m_load.parts) : 40));
+        BackendQuery query;
+        query.service = llmService;
+        query.model = llmModel;
+        query.sharedPart = (isLong ? "l" : "s") + std::to_string(part);
+        query.sharedTokens = isLong ? 13'300 : 55;
+        query.ownTokens = isLong ? 3'720 : 328;
+        query.memoryTokens = static_cast<std::uint64_t>(TrialEngine::MemoryTokens);
+        query.kept = m_load.stores > 0 ? &m_kept[node] : nullptr;
+        constexpr int MostTries = 4;
+        for (int i = 0; i < MostTries; ++i) {
+            const auto choice = m_nodes[node].choose(query, at(ms));
+            if (!choice) {
+                return;
+            }
+            const auto index = static_cast<std::size_t>(choice->backend.endpoint.port - 1000);
+            TrialEngine &engine = m_engines[index];
+            if (engine.open >= static_cast<int>(TrialEngine::Slots + TrialEngine::Queue)) {
+                ++m_result.shed;
+                m_nodes[node].close(choice->backend.id, at(ms));
+                query.exclude.push_back(choice->backend.id);
+                continue;
+            }
+            m_nodes[node].sent(*choice, query, at(ms));
+            begin(ms, node, index, *choice, query, part, isLong);
+            return;
+        }
+    }
+
+    void begin(int ms, std::size_t node, std::size_t index, const BackendChoice &choice,
+               const BackendQuery &query, int part, bool isLong)
+    {
+        TrialEngine &engine = m_engines[index];
+        auto tokens = static_cast<double>(query.ownTokens);
+        double from = ms;
+        if (isLong) {
+            ++m_result.longs;
+            const auto shared = static_cast<double>(query.sharedTokens);
+            if (!engine.holds(part)) {
+                const std::optional<double> fetched = fetch(ms, choice, part, shared);
+                from = fetched.value_or(ms);
+                tokens += fetched ? 0 : shared;
+                m_result.sharedReads += fetched ? 0 : 1;
+            }
+            engine.keep(part, shared);
+            engine.keep(--m_ownPart, tokens);
+            if (choice.saveTo) {
+                m_kept[node].toldSaved(
+                        KeptCacheView::keyOf(cacheSalt(llmModel, 1, {}), query.sharedPart), at(ms));
+                m_inStore[choice.saveTo->port].insert(part);
+            }
+        }
+        ++engine.open;
+        const double first = engine.read(ms, from, tokens);
+        (isLong ? m_longs : m_shorts).push_back(first - ms);
+        m_running.push({first, node, index, choice, false});
+    }
+
+    /// @return when the part is there; none if its source has it not
+    std::optional<double> fetch(double now, const BackendChoice &choice, int part, double tokens)
+    {
+        if (!choice.fetchFrom) {
+            return std::nullopt;
+        }
+        const std::uint16_t port = choice.fetchFrom->port;
+        if (port < m_stores.size()) {
+            const bool isThere = m_inStore[port].contains(part);
+            return isThere ? std::optional(m_stores[port].take(now, tokens)) : std::nullopt;
+        }
+        TrialEngine &source = m_engines[static_cast<std::size_t>(port - 1000)];
+        return source.holds(part) ? std::optional(source.link.take(now, tokens)) : std::nullopt;
+    }
+
+    Load m_load;
+    Random m_random;
+    std::vector<BackendBook> m_nodes;
+    std::vector<KeptCacheView> m_kept; ///< of each node
+    std::vector<int> m_toldAt;         ///< ms, of each node
+    std::vector<TrialLink> m_stores;
+    std::vector<std::set<int>> m_inStore;
+    int m_ownPart = 0; ///< parts that no other request has are numbered downwards
+    std::vector<TrialEngine> m_engines;
+    std::priority_queue<Running, std::vector<Running>, std::greater<>> m_running;
+    std::vector<double> m_shorts;
+    std::vector<double> m_longs;
+    Result m_result;
+};
+
+Result play(const Load &load)
+{
+    BackendRates rates;
+    rates.keptTokensPerMs = 660;
+    rates.engineTokensPerMs = 2500;
+    return FleetTrial(load, rates).run();
+}
+
+Load scaled(double factor)
+{
+    Load load;
+    load.longPerMs *= factor;
+    load.shortPerMs *= factor;
+    return load;
+}
+
+// 72 nodes, 72 engines, one and a half times the usual load; more parts than all engines hold. With
+// news of long prompts half a second late every node takes the engines that were idle then.
+TEST(BackendFleet, LongPromptsThatAreToldAtOnceDoNotMeet)
+{
+    const Result now = play(scaled(1.5));
+    Load late = scaled(1.5);
+    late.leastBetween = late.runMs;
+    const Result before = play(late);
+    RecordProperty("short_p99_ms", static_cast<int>(now.shortP99));
+    RecordProperty("long_p99_ms", static_cast<int>(now.longP99));
+    EXPECT_EQ(now.shed, 0);
+    EXPECT_LT(now.shortP99, 230);
+    EXPECT_LT(now.longP99, 450);
+    EXPECT_GT(before.shortP99, 1.5 * now.shortP99);
+    EXPECT_GT(before.longP99, 1.3 * now.longP99);
+}
+
+// Half of the long prompts would be fetched from the one store of the fleet, whose link carries a
+// fifth of them. Queued there, they wait for seconds.
+TEST(BackendFleet, OneStoreForAllIsNotQueuedAt)
+{
+    Load load = scaled(1.0);
+    load.stores = 1;
+    load.parts = 1023;
+    const Result result = play(load);
+    EXPECT_LT(result.longMean, 220);
+    EXPECT_LT(result.longP99, 900);
+}
+
+// With a store beside the homes in each of three data centres, nearly all that an engine has pushed
+// out is fetched.
+TEST(BackendFleet, AStoreInEachDataCentreSavesNearlyAllSecondReads)
+{
+    Load load = scaled(1.0);
+    load.parts = 1023;
+    const Result result = play(load);
+    EXPECT_LT(result.sharedReads, 1.15 * load.parts);
+    EXPECT_LT(result.longP99, 450);
+}
+
+} // namespace
+} // namespace vanilladyke
--- a/src/vanilladyke/policy/kept_cache_view.cpp
+++ b/src/vanilladyke/policy/kept_cache_view.cpp
@@ -2,48 +2,119 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+
 namespace vanilladyke {
 
-namespace {
+std::string cacheSalt(const ModelId &model, std::uint64_t weights, const CustomerId &isolated)
+{
+    std::string salt = model.str() + "." + std::to_string(weights);
+    return isolated.empty() ? salt : salt + "." + isolated.str();
+}
 
-std::uint64_t keyOf(const std::string &salt, const std::string &part)
+std::uint64_t KeptCacheView::keyOf(const std::string &salt, const std::string &part)
 {
     return XXH3_64bits_withSeed(part.data(), part.size(), XXH3_64bits(salt.data(), salt.size()));
 }
 
-} // namespace
+const KeptCacheView::Known *KeptCacheView::find(const Endpoint &store) const
+{
+    const auto found = std::find_if(m_stores.begin(), m_stores.end(), [&](const Known &each) {
+        return each.store.endpoint == store;
+    });
+    return found == m_stores.end() ? nullptr : &*found;
+}
 
-std::string cacheSalt(const ModelId &model, std::uint64_t weights, const CustomerId &isolated)
+void KeptCacheView::setStores(const std::vector<KeptStore> &stores)
 {
-    std::string salt = model.str() + "." + std::to_string(weights);
-    return isolated.empty() ? salt : salt + "." + isolated.str();
+    std::vector<Known> next;
+    for (const KeptStore &store : stores) {
+        const Known *known = find(store.endpoint);
+        next.push_back(known == nullptr ? Known{store, KeptCacheState::Unknown, {}} : *known);
+        next.back().store = store;
+    }
+    m_stores = std::move(next);
+}
+
+const KeptStore *KeptCacheView::storeOf(const DataCentreId &home) const
+{
+    if (m_stores.empty()) {
+        return nullptr;
+    }
+    const auto beside = std::find_if(m_stores.begin(), m_stores.end(), [&](const Known &each) {
+        return each.store.dataCentre == home;
+    });
+    if (beside != m_stores.end()) {
+        return &beside->store;
+    }
+    const std::string &name = home.str();
+    return &m_stores[XXH3_64bits(name.data(), name.size()) % m_stores.size()].store;
 }
 
-void KeptCacheView::reset(KeptCacheState state)
+void KeptCacheView::reset(const Endpoint &store, KeptCacheState state)
 {
-    m_state = state;
-    m_tokens.clear();
+    for (Known &each : m_stores) {
+        if (each.store.endpoint == store) {
+            each.state = state;
+            each.tokens.clear();
+        }
+    }
 }
 
-void KeptCacheView::changed(const std::string &salt, const std::string &part, std::uint64_t tokens)
+void KeptCacheView::changed(const Endpoint &store, const std::string &salt, const std::string &part,
+                            std::uint64_t tokens)
 {
     const std::uint64_t key = keyOf(salt, part);
-    if (tokens == 0) {
-        m_tokens.erase(key);
-    } else if (m_tokens.size() < MostParts || m_tokens.contains(key)) {
-        m_tokens[key] = static_cast<std::uint32_t>(tokens);
+    for (Known &each : m_stores) {
+        if (each.store.endpoint != store) {
+            continue;
+        }
+        if (tokens == 0) {
+            each.tokens.erase(key);
+        } else if (each.tokens.size() < MostParts || each.tokens.contains(key)) {
+            each.tokens[key] = static_cast<std::uint32_t>(tokens);
+        }
+    }
+}
+
+void KeptCacheView::toldSaved(std::uint64_t key, TimePoint now)
+{
+    if (m_told.size() >= MostParts) {
+        std::erase_if(m_told, [now](const auto &item) { return now - item.second >= ToldLife; });
+    }
+    if (m_told.size() < MostParts) {
+        m_told[key] = now;
     }
 }
 
-bool KeptCacheView::mayHold(const std::string &salt, const std::string &part) const
+KeptCacheState KeptCacheView::state(const Endpoint &store) const
 {
-    return m_state == KeptCacheState::Unknown
-           || (m_state == KeptCacheState::Followed && holds(salt, part));
+    const Known *known = find(store);
+    return known == nullptr ? KeptCacheState::Down : known->state;
 }
 
-bool KeptCacheView::holds(const std::string &salt, const std::string &part) const
+bool KeptCacheView::holds(const Endpoint &store, const std::string &salt, const std::string &part,
+                          TimePoint now) const
 {
-    return m_tokens.contains(keyOf(salt, part));
+    const Known *known = find(store);
+    if (known == nullptr || known->state == KeptCacheState::Down) {
+        return false;
+    }
+    const std::uint64_t key = keyOf(salt, part);
+    if (known->state == KeptCacheState::Followed) {
+        return known->tokens.contains(key);
+    }
+    const auto told = m_told.find(key);
+    return told != m_told.end() && now - told->second < ToldLife;
+}
+
+std::size_t KeptCacheView::size() const
+{
+    std::size_t all = m_told.size();
+    for (const Known &each : m_stores) {
+        all += each.tokens.size();
+    }
+    return all;
 }
 
 } // namespace vanilladyke
--- a/src/vanilladyke/policy/kept_cache_view_test.cpp
+++ b/src/vanilladyke/policy/kept_cache_view_test.cpp
@@ -5,38 +5,93 @@
 namespace vanilladyke {
 namespace {
 
-TEST(KeptCacheView, KnowsPartsUnderTheirSaltOnly)
+const Endpoint storeHere{"10.0.0.1", 80};
+const Endpoint storeThere{"10.0.0.2", 80};
+const TimePoint start(std::chrono::hours(1));
+
+KeptCacheView viewOf(KeptCacheState state)
 {
     KeptCacheView view;
-    view.reset(KeptCacheState::Followed);
+    view.setStores({{storeHere, DataCentreId("here")}});
+    view.reset(storeHere, state);
+    return view;
+}
+
+TEST(KeptCacheView, KnowsPartsUnderTheirSaltOnly)
+{
+    KeptCacheView view = viewOf(KeptCacheState::Followed);
     const std::string first = cacheSalt(ModelId("m"), 1, {});
-    view.changed(first, "p", 800);
-    EXPECT_TRUE(view.holds(first, "p"));
-    EXPECT_FALSE(view.holds(cacheSalt(ModelId("m"), 2, {}), "p"));
-    EXPECT_FALSE(view.holds(cacheSalt(ModelId("m"), 1, CustomerId("walled")), "p"));
-    view.changed(first, "p", 0);
-    EXPECT_FALSE(view.holds(first, "p"));
+    view.changed(storeHere, first, "p", 800);
+    EXPECT_TRUE(view.holds(storeHere, first, "p", start));
+    EXPECT_FALSE(view.holds(storeHere, cacheSalt(ModelId("m"), 2, {}), "p", start));
+    EXPECT_FALSE(
+            view.holds(storeHere, cacheSalt(ModelId("m"), 1, CustomerId("walled")), "p", start));
+    view.changed(storeHere, first, "p", 0);
+    EXPECT_FALSE(view.holds(storeHere, first, "p", start));
 }
 
 // The store restarts and comes back empty. Requests sent there for their parts would wait in vain.
 TEST(KeptCacheView, AStoreThatBeginsAnewHoldsNothing)
+{
+    KeptCacheView view = viewOf(KeptCacheState::Followed);
+    view.changed(storeHere, "s", "p", 800);
+    view.reset(storeHere, KeptCacheState::Followed);
+    EXPECT_FALSE(view.holds(storeHere, "s", "p", start));
+}
+
+TEST(KeptCacheView, AStoreThatIsDownIsNotAsked)
+{
+    KeptCacheView view = viewOf(KeptCacheState::Unknown);
+    view.toldSaved(KeptCacheView::keyOf("s", "p"), start);
+    EXPECT_TRUE(view.holds(storeHere, "s", "p", start));
+    view.reset(storeHere, KeptCacheState::Down);
+    EXPECT_FALSE(view.holds(storeHere, "s", "p", start)) << "asking costs hundreds of ms";
+    EXPECT_EQ(view.state(Endpoint{"10.9.9.9", 1}), KeptCacheState::Down);
+}
+
+// The store lets eight nodes of seventy follow its events. The others saved every part with every
+// request, and each prompt's own part pushed the shared ones out.
+TEST(KeptCacheView, ANodeThatCantFollowGoesByWhatNodesTellThatTheySaved)
+{
+    KeptCacheView view = viewOf(KeptCacheState::Unknown);
+    EXPECT_FALSE(view.holds(storeHere, "s", "p", start));
+    view.toldSaved(KeptCacheView::keyOf("s", "p"), start);
+    EXPECT_TRUE(view.holds(storeHere, "s", "p", start));
+    EXPECT_FALSE(view.holds(storeHere, "s", "p", start + KeptCacheView::ToldLife))
+            << "it may be pushed out";
+    view.reset(storeHere, KeptCacheState::Followed);
+    EXPECT_FALSE(view.holds(storeHere, "s", "p", start))
+            << "what is followed is not believed by hearsay";
+}
+
+// Each of three data centres has a store. One for all would have a third of the memory and of the
+// link, and each part in all three would leave each with a third of the parts.
+TEST(KeptCacheView, APartIsKeptBesideItsHome)
 {
     KeptCacheView view;
-    view.reset(KeptCacheState::Followed);
-    view.changed("s", "p", 800);
-    view.reset(KeptCacheState::Followed);
-    EXPECT_FALSE(view.mayHold("s", "p"));
-    view.reset(KeptCacheState::Unknown);
-    EXPECT_TRUE(view.mayHold("s", "p")) << "asking a store that is there costs a millisecond";
-    view.reset(KeptCacheState::Down);
-    EXPECT_FALSE(view.mayHold("s", "p")) << "asking one that is down costs hundreds";
+    EXPECT_EQ(view.storeOf(DataCentreId("here")), nullptr);
+    view.setStores({{storeThere, DataCentreId("there")}, {storeHere, DataCentreId("here")}});
+    EXPECT_EQ(view.storeOf(DataCentreId("here"))->endpoint, storeHere);
+    EXPECT_EQ(view.storeOf(DataCentreId("there"))->endpoint, storeThere);
+    EXPECT_NE(view.storeOf(DataCentreId("elsewhere")), nullptr);
+}
+
+TEST(KeptCacheView, StoresThatStayKeepWhatIsKnownOfThem)
+{
+    KeptCacheView view = viewOf(KeptCacheState::Followed);
+    view.changed(storeHere, "s", "p", 800);
+    view.setStores({{storeThere, DataCentreId("there")}, {storeHere, DataCentreId("here")}});
+    EXPECT_TRUE(view.holds(storeHere, "s", "p", start));
+    EXPECT_EQ(view.state(storeThere), KeptCacheState::Unknown);
+    view.setStores({});
+    EXPECT_EQ(view.size(), 0U);
 }
 
 TEST(KeptCacheView, ItsSizeIsBounded)
 {
-    KeptCacheView view;
+    KeptCacheView view = viewOf(KeptCacheState::Followed);
     for (std::size_t i = 0; i < KeptCacheView::MostParts + 100; ++i) {
-        view.changed("s", std::to_string(i), 1);
+        view.changed(storeHere, "s", std::to_string(i), 1);
     }
     EXPECT_EQ(view.size(), KeptCacheView::MostParts);
 }
--- /dev/null
+++ b/src/vanilladyke/policy/part_holders_test.cpp
@@ -0,0 +1,88 @@
+#include "vanilladyke/policy/part_holders.hpp"
+
+#include <gtest/gtest.h>
+
+namespace vanilladyke {
+namespace {
+
+constexpr std::uint64_t Tokens = 13'000;
+constexpr std::uint64_t Memory = 180'000;
+
+TimePoint at(int millis)
+{
+    return TimePoint(std::chrono::hours(1) + std::chrono::milliseconds(millis));
+}
+
+PartHolders::Question about(std::uint64_t part, std::uint64_t weights)
+{
+    return {part, weights, Tokens, Memory};
+}
+
+TEST(PartHolders, KnowsWhereAPartWasSentLately)
+{
+    PartHolders holders;
+    holders.used({7, 1, 3, Tokens}, at(0));
+    EXPECT_TRUE(holders.holds(about(7, 3), 1, at(5000)));
+    EXPECT_FALSE(holders.holds(about(7, 3), 2, at(5000)));
+    EXPECT_FALSE(holders.holds(about(8, 3), 1, at(5000)));
+    EXPECT_FALSE(holders.holds(about(7, 3), 1, at(30'000)));
+}
+
+// Fourteen guides have their home at an engine whose memory is full with ten. By the time that the
+// first comes again it is pushed out, and has to be fetched, not believed to be there.
+TEST(PartHolders, WhatWasWrittenSinceTellsThatAPartIsPushedOut)
+{
+    PartHolders holders;
+    for (std::uint64_t part = 0; part < 14; ++part) {
+        holders.used({part, 1, 3, Tokens}, at(static_cast<int>(part) * 100));
+    }
+    EXPECT_FALSE(holders.holds(about(0, 3), 1, at(1500)));
+    EXPECT_TRUE(holders.holds(about(8, 3), 1, at(1500)));
+    holders.used({8, 1, 3, 3'000}, at(1600));
+    EXPECT_TRUE(holders.holds(about(8, 3), 1, at(1700))) << "its use made it the newest";
+}
+
+TEST(PartHolders, WithoutKnownMemoryTheTimeDecides)
+{
+    PartHolders holders;
+    holders.used({7, 1, 3, Tokens}, at(0));
+    EXPECT_TRUE(holders.holds({7, 3, Tokens, 0}, 1, at(7999)));
+    EXPECT_FALSE(holders.holds({7, 3, Tokens, 0}, 1, at(8000)));
+}
+
+// An engine took new weights: what it read under the old ones must not be fetched for the new.
+TEST(PartHolders, WhatWasReadUnderOtherWeightsDoesNotCount)
+{
+    PartHolders holders;
+    holders.used({7, 1, 3, Tokens}, at(0));
+    EXPECT_TRUE(holders.holders(about(7, 4), at(10)).empty());
+    holders.used({7, 1, 4, Tokens}, at(20));
+    EXPECT_TRUE(holders.holders(about(7, 3), at(30)).empty());
+    EXPECT_EQ(holders.holders(about(7, 4), at(30)).size(), 1U);
+}
+
+TEST(PartHolders, TheOldestHolderGivesWay)
+{
+    PartHolders holders;
+    for (std::uint64_t backend = 0; backend <= PartHolders::MostHolders; ++backend) {
+        holders.used({7, backend, 1, Tokens}, at(static_cast<int>(backend)));
+    }
+    EXPECT_EQ(holders.holders(about(7, 1), at(100)).size(), PartHolders::MostHolders);
+    EXPECT_FALSE(holders.holds(about(7, 1), 0, at(100)));
+}
+
+TEST(PartHolders, ItsSizeIsBoundedByTimeAndNumber)
+{
+    PartHolders holders;
+    for (std::uint64_t part = 0; part < PartHolders::MostParts + 1000; ++part) {
+        holders.used({part, 1, 1, 0}, at(0));
+    }
+    EXPECT_EQ(holders.size(), PartHolders::MostParts);
+    for (std::uint64_t part = 0; part < 5000; ++part) {
+        holders.used({part, 1, 1, 0}, at(31'000));
+    }
+    EXPECT_LE(holders.size(), 5000U);
+}
+
+} // namespace
+} // namespace vanilladyke
--- a/src/vanilladyke/policy/route_table.cpp
+++ b/src/vanilladyke/policy/route_table.cpp
@@ -67,11 +67,15 @@
     return found == m_byService.end() ? nullptr : &m_config.services[found->second];
 }
 
-const ServiceSpec *RouteTable::keptCache() const
+std::vector<KeptStore> RouteTable::keptStores() const
 {
-    const auto found = std::find_if(m_config.services.begin(), m_config.services.end(),
-                                    [](const ServiceSpec &s) { return s.keptCache.has_value(); });
-    return found == m_config.services.end() ? nullptr : &*found;
+    std::vector<KeptStore> stores;
+    for (const ServiceSpec &service : m_config.services) {
+        if (service.keptCache) {
+            stores.push_back({*service.keptCache, service.dataCentre.value_or(DataCentreId())});
+        }
+    }
+    return stores;
 }
 
 TransferRates RouteTable::transferRates() const
--- a/src/vanilladyke/policy/route_table_test.cpp
+++ b/src/vanilladyke/policy/route_table_test.cpp
@@ -44,7 +44,8 @@
     EXPECT_EQ(table.customerOf("k2")->id, CustomerId("brand"));
     EXPECT_EQ(table.customerOf("k3"), nullptr);
     EXPECT_TRUE(table.needsKeys());
-    EXPECT_EQ(table.keptCache()->id, ServiceId("kept"));
+    ASSERT_EQ(table.keptStores().size(), 1U);
+    EXPECT_EQ(table.keptStores().front().endpoint, (Endpoint{"10.0.0.1", 80}));
     EXPECT_EQ(table.service(ServiceId("a"))->id, ServiceId("a"));
     EXPECT_EQ(table.service(ServiceId("b")), nullptr);
 }
--- a/src/vanilladyke/traffic/exchange.cpp
+++ b/src/vanilladyke/traffic/exchange.cpp
@@ -51,6 +51,11 @@
     return status >= 200 && status < 300;
 }
 
+Duration spanOf(Millis predicted)
+{
+    return std::chrono::duration_cast<Duration>(predicted);
+}
+
 std::string statusLine(int status, std::string_view reason)
 {
     return "HTTP/1.1 " + std::to_string(status) + " " + std::string(reason) + "\r\n";
@@ -195,9 +200,9 @@
     result.service = m_service;
     result.model = m_request.model;
     result.exclude = m_tried;
-    if (const ServiceSpec *kept = m_table->keptCache()) {
-        result.kept = &m_state.kept;
-        result.keptCache = kept->keptCache;
+    result.kept = m_state.kept.stores() == 0 ? nullptr : &m_state.kept;
+    if (const ServiceSpec *service = m_table->service(m_service)) {
+        result.memoryTokens = service->cacheTokens;
     }
     result.ownTokens = m_request.promptTokens;
     if (m_request.parts.size() > 1) {
@@ -243,11 +248,8 @@
     terms.cacheSalt =
             cacheSalt(m_request.model, choice.weights, isIsolated ? m_customer->id : CustomerId());
     terms.fetchFrom = choice.fetchFrom;
-    const ServiceSpec *kept = m_table->keptCache();
     // What the store has is not saved again: the request's own part would push shared ones out.
-    if (kept != nullptr && choice.savesShared && m_state.kept.state() != KeptCacheState::Down) {
-        terms.saveTo = kept->keptCache;
-    }
+    terms.saveTo = choice.saveTo;
     return terms;
 }
 
@@ -307,6 +309,10 @@
     m_firstByteAt.reset();
     m_connection = connection;
     m_state.book.sent(choice, query(), now);
+    if (choice.saveTo) {
+        const std::string salt = cacheSalt(m_request.model, choice.weights, query().isolated);
+        m_state.kept.toldSaved(KeptCacheView::keyOf(salt, query().sharedPart), now);
+    }
     const TryEnd end = co_await converse(choice, connection);
     m_connection.reset();
     const bool begun = m_firstByteAt.has_value();
@@ -720,8 +726,10 @@
             .field("backend", m_choice ? m_choice->backend.id.str() : "none")
             .field("weights", m_choice ? m_choice->weights : 0)
             .field("held", m_choice && m_choice->isHeld)
-            .field("cost_ms", m_choice ? m_choice->costMs : 0)
-            .field("read_ms", m_choice ? m_choice->readMs : 0)
+            .field("source", m_choice && m_choice->fetchFrom ? m_choice->fetchFrom->str() : "none")
+            .field("saved", m_choice && m_choice->saveTo)
+            .field("cost_ms", spanOf(m_choice ? m_choice->cost : Millis()))
+            .field("read_ms", spanOf(m_choice ? m_choice->reading : Millis()))
             .field("candidates", m_choice ? m_choice->candidates : 0)
             .field("status", status)
             .field("outcome", outcome)
