Let one node of a data centre read the store for the others

At 300 nodes and 3,000 servers a node took 72 % of its processor before any request came: it published its whole roster once for each entry read.

Ruled out: longer pauses (the bounds of keys and of leaving servers), long polls on the servers' topic (a heartbeat is written every few milliseconds).

Change: nodes of a data centre ask the first of those they heard of lately, each 0.4 s, by a datagram that names the offsets they know; the answer carries what changed since and the age of its proof, counted from before the question, so that no delay or freeze makes it look younger. Silence, too old a proof or too large an answer: the node reads itself and asks the next. Nine nodes stand by for the lease. Datagrams are sealed with a key that the first node writes into the store. Following the store is the product's now (StateFollower over a port); platform/ keeps the calls and the spelling. The roster is published once a page.

Small sites have too few nodes a data centre and read as before.

--- a/include/vanilladyke/app/node_settings.hpp
+++ b/include/vanilladyke/app/node_settings.hpp
@@ -17,7 +17,8 @@
     std::string node;
     std::string address; ///< IP number; with the name it tells one machine from its successor
     Endpoint store;
-    Endpoint peers; ///< where this node hears from others, by datagrams
+    Endpoint peers;     ///< where this node hears from others, by datagrams
+    Endpoint questions; ///< where it answers those that it reads the store for
     ListenSettings listen;
     TrafficSettings traffic;
     ControlSettings control;
--- a/include/vanilladyke/model/ids.hpp
+++ b/include/vanilladyke/model/ids.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <ostream>
 #include <string>
+#include <string_view>
 #include <utility>
 
 /// Names of things, each a type of its own, so that one can't stand in another's place.
@@ -62,6 +63,9 @@
 /// @brief A fresh random identifier (UUID version 4) for requests and streams.
 [[nodiscard]] std::string newUuid();
 
+/// @brief The name as nodes tell it to each other: shorter, and the same for all.
+[[nodiscard]] std::uint64_t hashOfName(std::string_view name);
+
 } // namespace vanilladyke
 
 template <typename Tag>
--- a/include/vanilladyke/node/control_plane.hpp
+++ b/include/vanilladyke/node/control_plane.hpp
@@ -37,13 +37,15 @@
                  std::uint64_t seed);
 
     void start();
+    /// @brief Whether this node waits for the lease of orders; others leave it to those that do.
+    std::function<bool()> standsBy = [] { return true; };
     /// @brief The node will stop: another one is to give the orders from now on.
     void handOver();
     [[nodiscard]] const ProofOfAge &proof() const { return m_proof; }
 
     void configurationRead(RoutingConfig config) override;
     void weightsNamed(const ModelId &model, std::uint64_t version, bool isNews) override;
-    void backendRead(BackendEntry entry) override;
+    bool backendRead(BackendEntry entry) override;
     void backendGone(const EngineId &id) override;
     void backendsListed(const std::map<EngineId, bool> &present) override;
     void configurationProved(TimePoint sentAt) override;
@@ -55,7 +57,9 @@
 private:
     void step();
     void schedule();
+    /// Soon, so that a page of a thousand entries is published once.
     void publishBackends();
+    void publishNow();
     [[nodiscard]] WeightsNews newsForTraffic();
     template <typename Change>
     void tell(Change change)
@@ -63,6 +67,7 @@
         asio::post(m_traffic.context, [this, change = std::move(change)] { change(m_traffic); });
     }
 
+    asio::io_context &m_context;
     TrafficState &m_traffic;
     ControlSettings m_settings;
     Random m_random;
@@ -74,6 +79,7 @@
     std::uint64_t m_version = 0;
     bool m_hasConfig = false;
     bool m_storeIsDown = false;
+    bool m_isPublishing = false; ///< the servers are published when the present page is read
 };
 
 } // namespace vanilladyke
--- a/include/vanilladyke/node/ports.hpp
+++ b/include/vanilladyke/node/ports.hpp
@@ -30,7 +30,8 @@
     virtual void configurationRead(RoutingConfig config) = 0;
     /// @param isNews it was written just now; else at an unknown time before this node asked
     virtual void weightsNamed(const ModelId &model, std::uint64_t version, bool isNews) = 0;
-    virtual void backendRead(BackendEntry entry) = 0;
+    /// @return whether anything but the server's sign of life changed
+    virtual bool backendRead(BackendEntry entry) = 0;
     virtual void backendGone(const EngineId &id) = 0;
     /// @brief The whole list was read; what is not in it is gone.
     virtual void backendsListed(const std::map<EngineId, bool> &present) = 0;
--- /dev/null
+++ b/include/vanilladyke/node/state_follower.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "vanilladyke/node/record_store.hpp"
+#include "vanilladyke/policy/back_off.hpp"
+#include "vanilladyke/policy/reading_turn.hpp"
+#include "vanilladyke/policy/record_relay.hpp"
+
+namespace vanilladyke {
+
+/// @brief What a node says of itself to others.
+struct NodeIdentity
+{
+    std::string name;
+    std::uint64_t hash = 0;
+    std::uint64_t dataCentre = 0; ///< hash of its name
+    Endpoint peers;               ///< where it hears from others
+};
+
+/// @brief What another node knows beyond two offsets.
+struct SharedNews
+{
+    std::optional<RecordRelay::News> configuration;
+    std::optional<RecordRelay::News> backends;
+};
+
+/// @brief Asks another node; none if it does not answer in time.
+using AskPeer = std::function<asio::awaitable<std::optional<SharedNews>>(
+        Endpoint peer, std::uint64_t operatorNext, std::uint64_t backendsNext)>;
+
+/// @brief Follows the operator's records, the servers' entries and the list of nodes, by the store
+/// or by a node of the same data centre that reads it. Runs on the control thread.
+///
+/// Whatever the way, what is known is never older than the bounds that hold for a node that reads
+/// for itself: an answer carries the age of its proof, counted from before the question was sent,
+/// and when the proof grows too old this node reads.
+class StateFollower
+{
+public:
+    StateFollower(asio::io_context &context, RecordStore &store, const StateTranslator &translator,
+                  StateListener &listener, NodeIdentity self, Duration drain, std::uint64_t seed);
+
+    void start();
+    void stop() { m_stopped = true; }
+    /// @brief How to ask other nodes; until then this node reads for itself.
+    void setAskPeer(AskPeer ask) { m_ask = std::move(ask); }
+    void heardNode(std::uint64_t node, std::uint64_t dataCentre, const Endpoint &endpoint);
+    /// @brief Whether this node is to stand by for what one node does for all.
+    [[nodiscard]] bool standsBy() const;
+    /// @brief What this node can tell one that asks.
+    [[nodiscard]] SharedNews newsSince(std::uint64_t operatorNext,
+                                       std::uint64_t backendsNext) const;
+    /// @brief The key with which nodes sign; called once it is known.
+    std::function<void(std::string key)> fleetKeyKnown;
+
+private:
+    /// What is known of one topic.
+    struct Topic
+    {
+        RecordRelay relay;
+        std::uint64_t next = 0;
+        bool isListed = false;
+        TimePoint provedAt = TimePoint::min();
+    };
+
+    [[nodiscard]] asio::awaitable<void> followOperator();
+    [[nodiscard]] asio::awaitable<void> readOperator(BackOff &backOff);
+    [[nodiscard]] asio::awaitable<bool> listOperator();
+    [[nodiscard]] asio::awaitable<void> followBackends();
+    [[nodiscard]] asio::awaitable<void> readBackends(BackOff &backOff);
+    [[nodiscard]] asio::awaitable<bool> listBackends();
+    [[nodiscard]] asio::awaitable<void> followNodes();
+    [[nodiscard]] asio::awaitable<void> findFleetKey();
+    [[nodiscard]] asio::awaitable<void> askOthers();
+    [[nodiscard]] asio::awaitable<void> pause(Duration span);
+    [[nodiscard]] asio::awaitable<void> failed(BackOff &backOff);
+    [[nodiscard]] bool isShared(const Topic &topic, Duration limit) const;
+    void applyOperator(std::uint64_t offset, std::string record);
+    void applyBackend(std::uint64_t offset, std::string record);
+    void proveOperator(TimePoint at);
+    void take(const SharedNews &news, TimePoint askedAt);
+
+    asio::io_context &m_context;
+    RecordStore &m_store;
+    const StateTranslator &m_translator;
+    StateListener &m_listener;
+    NodeIdentity m_self;
+    Duration m_drain; ///< within which a leaving server has to be known
+    Random m_random;
+    ReadingTurn m_turn;
+    AskPeer m_ask;
+    Topic m_operator;
+    Topic m_backends;
+    bool m_stopped = false;
+};
+
+} // namespace vanilladyke
--- a/include/vanilladyke/node/weights_controller.hpp
+++ b/include/vanilladyke/node/weights_controller.hpp
@@ -44,6 +44,8 @@
     /// @brief Does what is due. Called every few dozen milliseconds.
     void step(TimePoint now);
     [[nodiscard]] bool isPending() const;
+    /// @brief Whether this node waits for the lease; a holder keeps it anyhow.
+    void setStandingBy(bool standsBy) { m_standsBy = standsBy; }
     /// @brief Gives no orders any more and hands the lease on.
     void stop();
     [[nodiscard]] const OrderLease &lease() const { return m_lease; }
@@ -88,6 +90,7 @@
     Duration m_gap;
     int m_openOrders = 0; ///< not answered yet
     bool m_stopping = false;
+    bool m_standsBy = true;
     bool m_isReading = false;
     TimePoint m_readAt;
 };
--- a/include/vanilladyke/policy/backend_roster.hpp
+++ b/include/vanilladyke/policy/backend_roster.hpp
@@ -2,6 +2,7 @@
 
 #include "vanilladyke/model/routing.hpp"
 
+#include <algorithm>
 #include <map>
 #include <unordered_map>
 
@@ -42,6 +43,14 @@
 
     /// @brief Servers that may get requests: known and not draining.
     [[nodiscard]] std::vector<BackendEntry> serving() const;
+    /// @brief Whether the condition holds for any of them.
+    template <typename Condition>
+    [[nodiscard]] bool anyServing(Condition condition) const
+    {
+        return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &item) {
+            return !item.second.entry.isDraining && condition(item.second.entry);
+        });
+    }
     [[nodiscard]] const BackendEntry *find(const EngineId &id) const;
     [[nodiscard]] std::size_t size() const { return m_entries.size(); }
 
--- a/src/vanilladyke/app/node_command.cpp
+++ b/src/vanilladyke/app/node_command.cpp
@@ -4,13 +4,14 @@
 #include "platform/engine_orders.hpp"
 #include "platform/kv_events.hpp"
 #include "platform/lease_log.hpp"
-#include "platform/state_reader.hpp"
+#include "platform/state_store.hpp"
 #include "vanilladyke/app/command.hpp"
 #include "vanilladyke/app/node_settings.hpp"
 #include "vanilladyke/app/settings.hpp"
 #include "vanilladyke/base/log.hpp"
 #include "vanilladyke/model/json_reader.hpp"
 #include "vanilladyke/node/load_sharing.hpp"
+#include "vanilladyke/node/peer_questions.hpp"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -55,9 +56,11 @@
         , m_keptCache(m_controlContext, entropySeed())
         , m_control(m_controlContext, m_traffic, settings.control, m_leaseLog, m_orders,
                     m_keptCache, entropySeed())
-        , m_reader(m_controlContext, settings.store, m_control, settings.control.self,
-                   settings.peers, settings.drain, entropySeed())
-        , m_sharing(m_traffic, settings.peers, settings.control.self)
+        , m_state(m_controlContext, settings.store)
+        , m_follower(m_controlContext, m_state, m_records, m_control, identityOf(settings),
+                     settings.drain, entropySeed())
+        , m_questions(m_controlContext, m_follower, settings.questions, entropySeed())
+        , m_sharing(m_traffic, settings.peers, settings.questions.port)
         , m_signals(m_trafficContext, SIGTERM, SIGINT)
         , m_hangup(m_trafficContext, SIGHUP)
         , m_stopTimer(m_trafficContext)
@@ -76,13 +79,14 @@
             LogEvent("listen_failed", Severity::Error).field("reason", *error);
             return CommandFailed;
         }
+        if (const auto error = m_questions.open()) {
+            LogEvent("listen_failed", Severity::Error).field("reason", *error);
+            return CommandFailed;
+        }
+        connectNodes();
         m_server.metricsText = [] {
             return "log_lines_dropped_total " + std::to_string(droppedLogLines()) + "\n";
         };
-        m_traffic.peersChanged = [this](const std::vector<Endpoint> &peers) {
-            m_sharing.setPeers(peers);
-        };
-        m_traffic.tellPeers = [this] { m_sharing.tell(MonotonicClock::now()); };
         m_traffic.ticker.onStep = [this](TimePoint now) { m_sharing.step(now); };
         m_signals.async_wait([this](const ErrorCode &error, int signal) {
             if (!error) {
@@ -92,7 +96,7 @@
         awaitHangup();
         m_traffic.ticker.start();
         m_control.start();
-        m_reader.start();
+        m_follower.start();
         LogEvent("start")
                 .field("version", ProgramVersion)
                 .field("callers", m_settings.listen.callers.str())
@@ -106,6 +110,36 @@
     }
 
 private:
+    static NodeIdentity identityOf(const NodeSettings &settings)
+    {
+        return {settings.control.self, settings.traffic.self,
+                hashOfName(settings.traffic.dataCentre.str()), settings.peers};
+    }
+
+    /// What this node and others tell each other, across both threads.
+    void connectNodes()
+    {
+        m_traffic.peersChanged = [this](const std::vector<Endpoint> &peers) {
+            m_sharing.setPeers(peers);
+        };
+        m_traffic.tellPeers = [this] { m_sharing.tell(MonotonicClock::now()); };
+        m_sharing.heardNode = [this](std::uint64_t node, std::uint64_t centre, Endpoint endpoint) {
+            asio::post(m_controlContext, [this, node, centre, endpoint = std::move(endpoint)] {
+                m_follower.heardNode(node, centre, endpoint);
+            });
+        };
+        m_control.standsBy = [this] { return m_follower.standsBy(); };
+        m_follower.fleetKeyKnown = [this](const std::string &key) {
+            LogEvent("fleet_key_known");
+            m_questions.setKey(key);
+            m_follower.setAskPeer(
+                    [this](Endpoint peer, std::uint64_t operatorNext, std::uint64_t backendsNext) {
+                        return m_questions.ask(std::move(peer), operatorNext, backendsNext);
+                    });
+            asio::post(m_trafficContext, [this, key] { m_sharing.setKey(key); });
+        };
+    }
+
     void stop(int signal)
     {
         LogEvent("stopping").field("signal", signal).field("open", m_traffic.openExchanges);
@@ -179,7 +213,10 @@
     platform::HttpEngineOrders m_orders;
     platform::KvEvents m_keptCache;
     ControlPlane m_control;
-    platform::StateReader m_reader;
+    platform::StateStore m_state;
+    platform::StateRecords m_records;
+    StateFollower m_follower;
+    PeerQuestions m_questions;
     LoadSharing m_sharing;
     asio::signal_set m_signals;
     asio::signal_set m_hangup; ///< the settings file has changed
--- a/src/vanilladyke/app/node_settings.cpp
+++ b/src/vanilladyke/app/node_settings.cpp
@@ -2,8 +2,6 @@
 
 #include "vanilladyke/model/json_reader.hpp"
 
-#include <xxhash.h>
-
 namespace vanilladyke {
 
 namespace {
@@ -59,9 +57,9 @@
     NodeSettings settings;
     JsonReader reader(object, "", &errors);
     reader.allowOnly({"node", "address", "data_centre", "callers", "ready", "ready_path", "metrics",
-                      "peers", "store", "keys_valid_ms", "fails_closed", "weights_time_ms",
-                      "order_gap_ms", "drain_ms", "grace_ms", "second_sends", "placement",
-                      "log_level"});
+                      "peers", "questions", "store", "keys_valid_ms", "fails_closed",
+                      "weights_time_ms", "order_gap_ms", "drain_ms", "grace_ms", "second_sends",
+                      "placement", "log_level"});
     reader.text("node", &settings.node);
     reader.text("address", &settings.address);
     reader.id("data_centre", &settings.traffic.dataCentre);
@@ -74,6 +72,8 @@
     }
     reader.endpoint("store", &settings.store);
     reader.endpoint("peers", &settings.peers);
+    settings.questions = {settings.peers.host, static_cast<std::uint16_t>(settings.peers.port + 1)};
+    reader.endpoint("questions", &settings.questions, false);
     Duration keysValid = settings.traffic.keysValidFor + KeyMargin;
     reader.milliseconds("keys_valid_ms", &keysValid, KeyMargin + LeastSpan, LongestSpan);
     settings.traffic.keysValidFor = keysValid - KeyMargin;
@@ -98,7 +98,7 @@
         return failure(std::move(errors));
     }
     settings.control.self = settings.node + "@" + settings.address;
-    settings.traffic.self = XXH3_64bits(settings.control.self.data(), settings.control.self.size());
+    settings.traffic.self = hashOfName(settings.control.self);
     return settings;
 }
 
--- a/src/vanilladyke/model/ids.cpp
+++ b/src/vanilladyke/model/ids.cpp
@@ -1,5 +1,7 @@
 #include "vanilladyke/model/ids.hpp"
 
+#include <xxhash.h>
+
 #include <boost/uuid/random_generator.hpp>
 #include <boost/uuid/uuid_io.hpp>
 
@@ -11,4 +13,9 @@
     return boost::uuids::to_string(generator());
 }
 
+std::uint64_t hashOfName(std::string_view name)
+{
+    return XXH3_64bits(name.data(), name.size());
+}
+
 } // namespace vanilladyke
--- a/src/vanilladyke/node/control_plane.cpp
+++ b/src/vanilladyke/node/control_plane.cpp
@@ -27,7 +27,8 @@
 ControlPlane::ControlPlane(asio::io_context &context, TrafficState &traffic,
                            ControlSettings settings, LeaseLog &log, EngineOrders &orders,
                            KeptCacheFollower &keptCache, std::uint64_t seed)
-    : m_traffic(traffic)
+    : m_context(context)
+    , m_traffic(traffic)
     , m_settings(std::move(settings))
     , m_random(seed)
     , m_weights(m_settings.self, seed, m_settings.lease, m_roster, log, orders, newsForTraffic(),
@@ -87,6 +88,7 @@
     if (m_roster.expire(now)) {
         publishBackends();
     }
+    m_weights.setStandingBy(standsBy());
     m_weights.step(now);
 }
 
@@ -126,17 +128,19 @@
     });
 }
 
-void ControlPlane::backendRead(BackendEntry entry)
+bool ControlPlane::backendRead(BackendEntry entry)
 {
     const EngineId id = entry.id;
     const bool isDraining = entry.isDraining;
-    if (m_roster.put(std::move(entry), BootClock::now())) {
+    const bool isNews = m_roster.put(std::move(entry), BootClock::now());
+    if (isNews) {
         LogEvent("backend_changed")
                 .field("backend", id.str())
                 .field("draining", isDraining)
                 .field("known", m_roster.size());
         publishBackends();
     }
+    return isNews;
 }
 
 void ControlPlane::backendGone(const EngineId &id)
@@ -201,6 +205,18 @@
 }
 
 void ControlPlane::publishBackends()
+{
+    if (m_isPublishing) {
+        return;
+    }
+    m_isPublishing = true;
+    asio::post(m_context, [this] {
+        m_isPublishing = false;
+        publishNow();
+    });
+}
+
+void ControlPlane::publishNow()
 {
     tell([serving = m_roster.serving()](TrafficState &traffic) {
         traffic.book.setBackends(serving);
--- a/src/vanilladyke/node/load_sharing.cpp
+++ b/src/vanilladyke/node/load_sharing.cpp
@@ -3,8 +3,6 @@
 #include "node_load.pb.h"
 #include "vanilladyke/base/log.hpp"
 
-#include <xxhash.h>
-
 #include <algorithm>
 
 namespace vanilladyke {
@@ -14,6 +12,9 @@
 /// A datagram holds so many servers at most; with more, the busiest are told.
 constexpr std::size_t MostBackends = 1000;
 
+/// A node whose proof of the configuration is older does nothing for others.
+constexpr Duration OldestProof = std::chrono::milliseconds(3500);
+
 std::uint32_t millis(Duration span)
 {
     const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
@@ -22,10 +23,12 @@
 
 } // namespace
 
-LoadSharing::LoadSharing(TrafficState &state, Endpoint listen, std::string_view node)
+LoadSharing::LoadSharing(TrafficState &state, Endpoint listen, std::uint16_t questionsPort)
     : m_state(state)
     , m_listen(std::move(listen))
-    , m_self(XXH3_64bits(node.data(), node.size()))
+    , m_questionsPort(questionsPort)
+    , m_self(state.settings.self)
+    , m_dataCentre(hashOfName(state.settings.dataCentre.str()))
     , m_sequence(static_cast<std::uint64_t>(
               std::chrono::system_clock::now().time_since_epoch().count()))
     , m_socket(state.context)
@@ -64,7 +67,7 @@
 
 void LoadSharing::step(TimePoint now)
 {
-    if (m_peers.empty()) {
+    if (m_peers.empty() || !m_seal.isReady()) {
         return;
     }
     const Duration spacing =
@@ -81,9 +84,15 @@
 
 void LoadSharing::tell(TimePoint now)
 {
+    if (!m_seal.isReady()) {
+        return;
+    }
     m_toldAt = now;
     wire::NodeLoad message;
     message.set_node(m_self);
+    message.set_data_centre(m_dataCentre);
+    const bool reachesStore = m_state.configAge() < OldestProof;
+    message.set_questions_port(reachesStore ? m_questionsPort : 0);
     message.set_sequence(++m_sequence);
     for (const BackendLoadNews &each : m_state.book.ownLoad(MostBackends, now)) {
         wire::BackendLoad *load = message.add_backends();
@@ -103,7 +112,7 @@
         placement->set_store(each.store);
         placement->set_wanted(each.wanted);
     }
-    const std::string bytes = message.SerializeAsString();
+    const std::string bytes = m_seal.seal(message.SerializeAsString());
     for (const Udp::endpoint &peer : m_peers) {
         ErrorCode
                 ignored; // a peer that is gone, or a full buffer: the next telling makes up for it
@@ -122,15 +131,27 @@
             co_return;
         }
         if (!error) {
-            take({m_buffer.data(), size});
+            take({m_buffer.data(), size}, from);
         }
     }
 }
 
-void LoadSharing::take(std::string_view datagram)
+void LoadSharing::noteNode(std::uint64_t node, std::uint64_t dataCentre, Endpoint questions,
+                           TimePoint now)
+{
+    constexpr Duration Pause = std::chrono::seconds(1);
+    TimePoint &notedAt = m_noted[node];
+    if (now - notedAt >= Pause) {
+        notedAt = now;
+        heardNode(node, dataCentre, std::move(questions));
+    }
+}
+
+void LoadSharing::take(std::string_view datagram, const Udp::endpoint &from)
 {
+    const auto opened = m_seal.open(datagram);
     wire::NodeLoad message;
-    if (!message.ParseFromArray(datagram.data(), static_cast<int>(datagram.size()))) {
+    if (!opened || !message.ParseFromArray(opened->data(), static_cast<int>(opened->size()))) {
         m_state.metrics.count("peer_datagrams_unreadable_total");
         return;
     }
@@ -147,6 +168,14 @@
                         std::chrono::milliseconds(load.loading_ms()), load.weights()});
     }
     const TimePoint now = MonotonicClock::now();
+    if (std::find(m_peers.begin(), m_peers.end(), from) == m_peers.end()) {
+        m_peers.push_back(from); // it came after the list was read
+    }
+    if (message.questions_port() != 0) {
+        noteNode(message.node(), message.data_centre(),
+                 {from.address().to_string(), static_cast<std::uint16_t>(message.questions_port())},
+                 now);
+    }
     m_state.book.heardLoad(message.node(), news, now);
     std::vector<PlacementNews> placements;
     placements.reserve(static_cast<std::size_t>(message.placements_size()));
--- /dev/null
+++ b/src/vanilladyke/node/state_follower.cpp
@@ -0,0 +1,369 @@
+#include "vanilladyke/node/state_follower.hpp"
+
+#include "vanilladyke/base/log.hpp"
+#include "vanilladyke/model/json_reader.hpp"
+#include "vanilladyke/node/boot_clock.hpp"
+
+#include <sodium.h>
+
+namespace vanilladyke {
+
+namespace {
+
+/// Each answer proves the keys' age anew, so this bounds it; records come at once all the same.
+constexpr Duration OperatorWait = std::chrono::milliseconds(1700);
+/// A proof this old that came from another node is no better than a call of our own.
+constexpr Duration OldestSharedProof = std::chrono::milliseconds(2600);
+/// Entries are written at each heartbeat, so that waiting for one would be a call for each. Of the
+/// time in which a leaving server has to be known; the rest is for one call that is not answered.
+constexpr double BackendsPart = 0.42;
+/// Of the same time, for a node that reads for others: they ask it after that.
+constexpr double BackendsPartForOthers = 0.25;
+constexpr Duration AskEvery = std::chrono::milliseconds(400);
+/// More than may be lost before others have noticed.
+constexpr std::size_t NodesStandingBy = 9;
+/// Nodes that come tell those that are here; the list's length only divides budgets.
+constexpr Duration FirstNodesPause = std::chrono::milliseconds(700);
+constexpr Duration NodesPause = std::chrono::seconds(30);
+constexpr int NodesPauseGrowth = 3;
+constexpr Duration KeyPause = std::chrono::milliseconds(900);
+/// After failed calls: a lost answer must not cost the time in which a change has to be known, and
+/// a store that is down must not be flooded.
+constexpr BackOffSpans FailureSpans{std::chrono::milliseconds(60), std::chrono::milliseconds(500)};
+/// What goes into one datagram; a larger configuration each node reads for itself.
+constexpr std::size_t MostSharedBytes = 6000;
+constexpr const char *FleetKeyName = "key";
+
+std::vector<Endpoint> endpointsOf(const std::vector<KeyedRecord> &nodes)
+{
+    std::vector<Endpoint> endpoints;
+    for (const KeyedRecord &node : nodes) {
+        Endpoint endpoint;
+        if (parseEndpoint(node.value, &endpoint)) {
+            endpoints.push_back(std::move(endpoint));
+        }
+    }
+    return endpoints;
+}
+
+/// What the operator wrote up to this moment is known by the answer. The store answers a read as
+/// soon as there is a record: an empty answer after the whole wait says that there was none until
+/// its end.
+TimePoint provedBy(const RecordPage &page, TimePoint sentAt, TimePoint now)
+{
+    const bool waitedItOut = page.records.empty() && now - sentAt >= OperatorWait;
+    return waitedItOut ? sentAt + OperatorWait : sentAt;
+}
+
+} // namespace
+
+StateFollower::StateFollower(asio::io_context &context, RecordStore &store,
+                             const StateTranslator &translator, StateListener &listener,
+                             NodeIdentity self, Duration drain, std::uint64_t seed)
+    : m_context(context)
+    , m_store(store)
+    , m_translator(translator)
+    , m_listener(listener)
+    , m_self(std::move(self))
+    , m_drain(drain)
+    , m_random(seed)
+    , m_turn(m_self.hash, m_self.dataCentre)
+{}
+
+void StateFollower::start()
+{
+    asio::co_spawn(m_context, followOperator(), asio::detached);
+    asio::co_spawn(m_context, followBackends(), asio::detached);
+    asio::co_spawn(m_context, followNodes(), asio::detached);
+    asio::co_spawn(m_context, findFleetKey(), asio::detached);
+    asio::co_spawn(m_context, askOthers(), asio::detached);
+}
+
+void StateFollower::heardNode(std::uint64_t node, std::uint64_t dataCentre,
+                              const Endpoint &endpoint)
+{
+    m_turn.heard(node, dataCentre, endpoint, BootClock::now());
+}
+
+bool StateFollower::standsBy() const
+{
+    return m_turn.isAmongFirst(NodesStandingBy, BootClock::now());
+}
+
+SharedNews StateFollower::newsSince(std::uint64_t operatorNext, std::uint64_t backendsNext) const
+{
+    const TimePoint now = BootClock::now();
+    return {m_operator.relay.since(operatorNext, MostSharedBytes, now),
+            m_backends.relay.since(backendsNext, MostSharedBytes, now)};
+}
+
+asio::awaitable<void> StateFollower::pause(Duration span)
+{
+    asio::steady_timer timer(m_context, span);
+    ErrorCode ignored;
+    co_await timer.async_wait(into(ignored));
+}
+
+asio::awaitable<void> StateFollower::failed(BackOff &backOff)
+{
+    m_listener.storeFailed();
+    const TimePoint now = MonotonicClock::now();
+    backOff.failed(now, m_random);
+    co_await pause(backOff.retryAt() - now);
+}
+
+bool StateFollower::isShared(const Topic &topic, Duration limit) const
+{
+    const TimePoint now = BootClock::now();
+    return m_ask && topic.isListed && now - topic.provedAt < limit && m_turn.whomToAsk(now);
+}
+
+asio::awaitable<void> StateFollower::askOthers()
+{
+    while (!m_stopped) {
+        co_await pause(spanOfSeconds(secondsOf(AskEvery) * (0.75 + uniform(m_random) / 2)));
+        const TimePoint askedAt = BootClock::now();
+        const auto whom = m_turn.whomToAsk(askedAt);
+        if (!m_ask || !whom || !m_operator.isListed || !m_backends.isListed) {
+            continue;
+        }
+        const Endpoint reader = m_turn.endpointOf(*whom);
+        const auto news = co_await m_ask(reader, m_operator.next, m_backends.next);
+        if (!news) {
+            m_turn.doubt(*whom, BootClock::now());
+            LogEvent("reader_doubted").field("reader", reader.str());
+            continue;
+        }
+        m_turn.answered(*whom);
+        take(*news, askedAt);
+    }
+}
+
+void StateFollower::take(const SharedNews &news, TimePoint askedAt)
+{
+    if (news.configuration && news.configuration->next >= m_operator.next) {
+        for (const RecordRelay::Change &change : news.configuration->changes) {
+            if (change.offset >= m_operator.next) {
+                applyOperator(change.offset, change.record);
+            }
+        }
+        m_operator.next = news.configuration->next;
+        m_operator.relay.readUpTo(m_operator.next);
+        proveOperator(askedAt - news.configuration->age);
+    }
+    if (news.backends && news.backends->next >= m_backends.next) {
+        for (const RecordRelay::Change &change : news.backends->changes) {
+            if (change.offset >= m_backends.next) {
+                applyBackend(change.offset, change.record);
+            }
+        }
+        m_backends.next = news.backends->next;
+        m_backends.relay.readUpTo(m_backends.next);
+        m_backends.provedAt = std::max(m_backends.provedAt, askedAt - news.backends->age);
+        m_backends.relay.proved(m_backends.provedAt);
+    }
+}
+
+void StateFollower::proveOperator(TimePoint at)
+{
+    if (at > m_operator.provedAt) {
+        m_operator.provedAt = at;
+        m_operator.relay.proved(at);
+        m_listener.configurationProved(at);
+    }
+}
+
+asio::awaitable<void> StateFollower::followOperator()
+{
+    BackOff backOff(FailureSpans);
+    while (!m_stopped) {
+        if (!m_operator.isListed) {
+            m_operator.isListed = co_await listOperator();
+            if (!m_operator.isListed) {
+                co_await failed(backOff);
+            }
+            continue;
+        }
+        if (isShared(m_operator, OldestSharedProof)) {
+            co_await pause(AskEvery / 4);
+            continue;
+        }
+        co_await readOperator(backOff);
+    }
+}
+
+asio::awaitable<bool> StateFollower::listOperator()
+{
+    const TimePoint sentAt = BootClock::now();
+    const auto newest = co_await m_store.newest(StateTopic::Operator);
+    if (!newest) {
+        co_return false;
+    }
+    for (const KeyedRecord &record : newest->items) {
+        m_translator.applyOperator(record, false, m_listener);
+    }
+    m_operator.next = newest->end;
+    m_operator.relay.restart(newest->end);
+    proveOperator(sentAt);
+    co_return true;
+}
+
+asio::awaitable<void> StateFollower::readOperator(BackOff &backOff)
+{
+    const TimePoint sentAt = BootClock::now();
+    const std::uint64_t from = m_operator.next;
+    const auto page = co_await m_store.read(StateTopic::Operator, from, OperatorWait);
+    if (!page) {
+        m_operator.isListed = page.error() != StoreError::Expired;
+        if (m_operator.isListed) {
+            co_await failed(backOff);
+        }
+        co_return;
+    }
+    backOff.succeeded();
+    const std::uint64_t next = from + page->records.size();
+    for (std::uint64_t offset = from; offset < next; ++offset) {
+        if (offset >= m_operator.next) { // another node may have told of it meanwhile
+            applyOperator(offset, page->records[offset - from]);
+        }
+    }
+    m_operator.next = std::max(m_operator.next, next);
+    m_operator.relay.readUpTo(m_operator.next);
+    if (m_operator.next >= page->end) {
+        proveOperator(provedBy(*page, sentAt, BootClock::now()));
+    }
+}
+
+void StateFollower::applyOperator(std::uint64_t offset, std::string record)
+{
+    if (const auto keyed = m_translator.split(record)) {
+        m_translator.applyOperator(*keyed, true, m_listener);
+    }
+    m_operator.relay.changed(offset, std::move(record));
+}
+
+asio::awaitable<bool> StateFollower::listBackends()
+{
+    const TimePoint sentAt = BootClock::now();
+    const auto newest = co_await m_store.newest(StateTopic::Backends);
+    if (!newest) {
+        co_return false;
+    }
+    std::map<EngineId, bool> present;
+    for (const KeyedRecord &record : newest->items) {
+        present[EngineId(record.key)] = true;
+        m_translator.applyBackend(record, m_listener);
+    }
+    m_listener.backendsListed(present);
+    m_backends.next = newest->end;
+    m_backends.relay.restart(newest->end);
+    m_backends.provedAt = sentAt;
+    m_backends.relay.proved(sentAt);
+    co_return true;
+}
+
+asio::awaitable<void> StateFollower::followBackends()
+{
+    BackOff backOff(FailureSpans);
+    while (!m_stopped) {
+        if (!m_backends.isListed) {
+            m_backends.isListed = co_await listBackends();
+            if (!m_backends.isListed) {
+                co_await failed(backOff);
+            }
+            continue;
+        }
+        const Duration limit = spanOfSeconds(secondsOf(m_drain) * BackendsPart);
+        if (isShared(m_backends, limit)) {
+            co_await pause(AskEvery / 4);
+            continue;
+        }
+        const bool readsForOthers = m_ask && m_turn.size() + 1 >= ReadingTurn::LeastNodes;
+        const double part = readsForOthers ? BackendsPartForOthers : BackendsPart;
+        const Duration age = BootClock::now() - m_backends.provedAt;
+        const Duration rest = spanOfSeconds(secondsOf(m_drain) * part) - age;
+        if (rest > Duration::zero()) {
+            co_await pause(rest);
+        }
+        co_await readBackends(backOff);
+    }
+}
+
+asio::awaitable<void> StateFollower::readBackends(BackOff &backOff)
+{
+    const TimePoint sentAt = BootClock::now();
+    const std::uint64_t from = m_backends.next;
+    const auto page = co_await m_store.read(StateTopic::Backends, from, Duration::zero());
+    if (!page) {
+        m_backends.isListed = page.error() != StoreError::Expired;
+        if (m_backends.isListed) {
+            co_await failed(backOff);
+        }
+        co_return;
+    }
+    backOff.succeeded();
+    const std::uint64_t next = from + page->records.size();
+    for (std::uint64_t offset = from; offset < next; ++offset) {
+        if (offset >= m_backends.next) {
+            applyBackend(offset, page->records[offset - from]);
+        }
+    }
+    m_backends.next = std::max(m_backends.next, next);
+    m_backends.relay.readUpTo(m_backends.next);
+    if (m_backends.next >= page->end) {
+        m_backends.provedAt = std::max(m_backends.provedAt, sentAt);
+        m_backends.relay.proved(sentAt);
+    }
+}
+
+void StateFollower::applyBackend(std::uint64_t offset, std::string record)
+{
+    const auto keyed = m_translator.split(record);
+    if (keyed && m_translator.applyBackend(*keyed, m_listener)) {
+        m_backends.relay.changed(offset, std::move(record));
+    }
+}
+
+asio::awaitable<void> StateFollower::followNodes()
+{
+    bool isRegistered = false;
+    Duration wait = FirstNodesPause; // nodes that start together register one after the other
+    while (!m_stopped) {
+        if (!isRegistered) {
+            KeyedRecord here{m_self.name, m_self.peers.str()};
+            const auto appended =
+                    co_await m_store.append(StateTopic::Nodes, std::move(here), std::nullopt);
+            isRegistered = appended && appended->isTaken;
+        }
+        const auto newest = co_await m_store.newest(StateTopic::Nodes);
+        if (newest) {
+            m_listener.nodesListed(endpointsOf(newest->items));
+        }
+        co_await pause(wait);
+        wait = std::min<Duration>(wait * NodesPauseGrowth, NodesPause);
+    }
+}
+
+asio::awaitable<void> StateFollower::findFleetKey()
+{
+    // The first node writes it; that a record is there already refuses all later ones.
+    while (!m_stopped) {
+        const auto newest = co_await m_store.newest(StateTopic::FleetKey);
+        if (newest && !newest->items.empty()) {
+            if (fleetKeyKnown) {
+                fleetKeyKnown(newest->items.front().value);
+            }
+            co_return;
+        }
+        if (newest && newest->end == 0) {
+            std::string key(crypto_generichash_KEYBYTES, '\0');
+            randombytes_buf(key.data(), key.size());
+            KeyedRecord record{FleetKeyName, std::move(key)};
+            static_cast<void>(co_await m_store.append(StateTopic::FleetKey, std::move(record), 0));
+            continue;
+        }
+        co_await pause(KeyPause);
+    }
+}
+
+} // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/node/state_follower_test.cpp
@@ -0,0 +1,251 @@
+#include "vanilladyke/node/state_follower.hpp"
+
+#include "vanilladyke/node/boot_clock.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+
+namespace vanilladyke {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A store in memory. Its records are "key=value"; "beat=…" is a server's sign of life.
+class MemoryStore : public RecordStore
+{
+public:
+    explicit MemoryStore(asio::io_context &context)
+        : m_context(context)
+    {}
+
+    asio::awaitable<Outcome<NewestRecords, StoreError>> newest(StateTopic topic) override
+    {
+        ++calls;
+        if (isDown) {
+            co_return failure(StoreError::Unavailable);
+        }
+        NewestRecords result;
+        for (const std::string &record : topics[topic]) {
+            result.items.push_back({record.substr(0, record.find('=')), record});
+        }
+        result.end = topics[topic].size();
+        co_return std::move(result);
+    }
+
+    asio::awaitable<Outcome<RecordPage, StoreError>> read(StateTopic topic, std::uint64_t from,
+                                                          Duration wait) override
+    {
+        ++calls;
+        if (wait > Duration::zero() && topics[topic].size() == from) {
+            asio::steady_timer timer(m_context, wait);
+            ErrorCode ignored;
+            co_await timer.async_wait(into(ignored));
+        }
+        if (isDown) {
+            co_return failure(StoreError::Unavailable);
+        }
+        RecordPage page;
+        page.end = topics[topic].size();
+        page.records.assign(topics[topic].begin() + static_cast<std::ptrdiff_t>(from),
+                            topics[topic].end());
+        co_return std::move(page);
+    }
+
+    asio::awaitable<std::optional<AppendResult>> append(StateTopic topic, KeyedRecord record,
+                                                        std::optional<std::uint64_t> at) override
+    {
+        ++calls;
+        const bool isTaken = !at || *at == topics[topic].size();
+        if (isTaken) {
+            topics[topic].push_back(record.value);
+        }
+        co_return AppendResult{isTaken, topics[topic].size()};
+    }
+
+    std::map<StateTopic, std::vector<std::string>> topics;
+    int calls = 0;
+    bool isDown = false;
+
+private:
+    asio::io_context &m_context;
+};
+
+class PlainTranslator : public StateTranslator
+{
+public:
+    std::optional<KeyedRecord> split(std::string_view record) const override
+    {
+        return KeyedRecord{std::string(record.substr(0, record.find('='))), std::string(record)};
+    }
+    void applyOperator(const KeyedRecord &, bool, StateListener &listener) const override
+    {
+        listener.weightsNamed(ModelId("m"), 1, true);
+    }
+    bool applyBackend(const KeyedRecord &record, StateListener &listener) const override
+    {
+        BackendEntry entry;
+        entry.id = EngineId(record.value);
+        return record.key != "beat" && listener.backendRead(std::move(entry));
+    }
+};
+
+class Listener : public StateListener
+{
+public:
+    void configurationRead(RoutingConfig) override {}
+    void weightsNamed(const ModelId &, std::uint64_t, bool) override { ++named; }
+    bool backendRead(BackendEntry entry) override
+    {
+        backends.push_back(entry.id.str());
+        return true;
+    }
+    void backendGone(const EngineId &) override {}
+    void backendsListed(const std::map<EngineId, bool> &) override {}
+    void configurationProved(TimePoint at) override
+    {
+        EXPECT_GT(at, provedAt);
+        EXPECT_LE(at, BootClock::now());
+        provedAt = at;
+    }
+    void storeFailed() override { ++failures; }
+    void nodesListed(std::vector<Endpoint>) override {}
+    void keptCacheReset(const Endpoint &, KeptCacheState) override {}
+    void keptCacheChanged(const Endpoint &, std::vector<KeptPart>) override {}
+
+    int named = 0;
+    int failures = 0;
+    std::vector<std::string> backends;
+    TimePoint provedAt = TimePoint::min();
+};
+
+/// A node that reads, and one beside it that asks it, on one thread.
+class StateFollowerTest : public ::testing::Test
+{
+protected:
+    static constexpr Duration Drain = milliseconds(2000);
+
+    StateFollowerTest()
+        : m_store(m_context)
+        , m_reader(m_context, m_store, m_translator, m_readerListener, identity(1), Drain, 1)
+        , m_asking(m_context, m_ownStore, m_translator, m_askingListener, identity(2), Drain, 2)
+    {}
+
+    static NodeIdentity identity(std::uint64_t hash)
+    {
+        return {"n" + std::to_string(hash), hash, Centre, {}};
+    }
+
+    void start()
+    {
+        m_ownStore.topics = m_store.topics;
+        m_reader.start();
+        m_asking.start();
+        hear();
+        m_asking.setAskPeer(
+                [this](Endpoint peer, std::uint64_t operatorNext,
+                       std::uint64_t backendsNext) -> asio::awaitable<std::optional<SharedNews>> {
+                    m_asked.push_back(peer.port);
+                    if (!m_answers) {
+                        co_return std::nullopt;
+                    }
+                    ++m_answered;
+                    co_return m_reader.newsSince(operatorNext, backendsNext);
+                });
+    }
+
+    /// So many nodes are heard of that this one is not the first; all answer as the reader does.
+    void hear()
+    {
+        for (std::uint64_t node = 10; node < 50; ++node) {
+            m_asking.heardNode(node, Centre, {"127.0.0.1", static_cast<std::uint16_t>(node)});
+        }
+    }
+
+    /// Runs until the condition holds. @return whether it came to hold
+    bool reach(const std::function<bool()> &condition)
+    {
+        constexpr Duration Longest = std::chrono::seconds(30);
+        const TimePoint until = MonotonicClock::now() + Longest;
+        while (!condition() && MonotonicClock::now() < until) {
+            hear();
+            m_context.restart();
+            m_context.run_one_for(milliseconds(100));
+        }
+        return condition();
+    }
+
+    /// Runs until the node that asks learned something from another node.
+    bool reachSharing()
+    {
+        return reach([this] { return m_answered > 0; });
+    }
+
+    bool askingKnows(const std::string &backend) const
+    {
+        const auto &known = m_askingListener.backends;
+        return std::find(known.begin(), known.end(), backend) != known.end();
+    }
+
+    static constexpr std::uint64_t Centre = 9;
+    asio::io_context m_context;
+    MemoryStore m_store;
+    MemoryStore m_ownStore{m_context}; ///< the same store, reached by the node that asks
+    PlainTranslator m_translator;
+    Listener m_readerListener;
+    Listener m_askingListener;
+    StateFollower m_reader;
+    StateFollower m_asking;
+    std::vector<int> m_asked;
+    bool m_answers = true;
+    int m_answered = 0;
+};
+
+TEST_F(StateFollowerTest, ANodeThatAsksLearnsAllThatTheReaderKnows)
+{
+    m_store.topics[StateTopic::Backends] = {"e=1", "beat=1"};
+    start();
+    ASSERT_TRUE(reachSharing());
+    const TimePoint provedAt = m_askingListener.provedAt;
+    // Only the reader's store has what comes now.
+    m_store.topics[StateTopic::Operator].push_back("version=2");
+    for (const char *record : {"beat=2", "e=2", "beat=3", "e=3"}) {
+        m_store.topics[StateTopic::Backends].push_back(record);
+    }
+    EXPECT_TRUE(reach([this] { return askingKnows("e=3") && m_askingListener.named > 0; }));
+    EXPECT_EQ(m_askingListener.backends, m_readerListener.backends);
+    EXPECT_TRUE(reach([&] { return m_askingListener.provedAt > provedAt; }));
+}
+
+// The node that reads for others is frozen.
+TEST_F(StateFollowerTest, ANodeWhoseReaderIsSilentReadsItself)
+{
+    start();
+    ASSERT_TRUE(reachSharing());
+    m_answers = false;
+    const TimePoint silentAt = BootClock::now();
+    m_ownStore.topics[StateTopic::Operator].push_back("version=2");
+    m_ownStore.topics[StateTopic::Backends].push_back("e=2");
+    EXPECT_TRUE(reach([this] { return askingKnows("e=2") && m_askingListener.named > 0; }));
+    EXPECT_TRUE(reach([&] { return m_askingListener.provedAt > silentAt; }));
+    EXPECT_TRUE(reach([this] { return std::set<int>(m_asked.begin(), m_asked.end()).size() > 1; }))
+            << "others are asked";
+}
+
+// The node that reads for others is cut off from the store and still answers: its proof grows old.
+TEST_F(StateFollowerTest, AnOldProofIsNoReasonNotToRead)
+{
+    start();
+    ASSERT_TRUE(reachSharing());
+    m_store.isDown = true;
+    ASSERT_TRUE(reach([this] { return m_readerListener.failures > 0; }));
+    const TimePoint cutAt = BootClock::now();
+    m_ownStore.topics[StateTopic::Backends].push_back("e=2");
+    EXPECT_TRUE(reach([this] { return askingKnows("e=2"); }));
+    EXPECT_TRUE(reach([&] { return m_askingListener.provedAt > cutAt; }));
+    EXPECT_EQ(m_askingListener.failures, 0);
+}
+
+} // namespace
+} // namespace vanilladyke
--- a/src/vanilladyke/node/weights_controller.cpp
+++ b/src/vanilladyke/node/weights_controller.cpp
@@ -82,13 +82,16 @@
 bool WeightsController::isPending() const
 {
     return std::any_of(m_rollouts.begin(), m_rollouts.end(), [this](const auto &item) {
-        return item.second.isPending(enginesOf(item.first));
+        const auto &[model, rollout] = item;
+        return m_roster.anyServing([&](const BackendEntry &entry) {
+            return entry.weights.contains(model) && versionOf(entry, model) < rollout.goal();
+        });
     });
 }
 
 void WeightsController::step(TimePoint now)
 {
-    const bool wantsToOrder = !m_stopping && isPending();
+    const bool wantsToOrder = !m_stopping && (m_standsBy || m_lease.mayOrder(now)) && isPending();
     if (!wantsToOrder) {
         for (auto &[model, rollout] : m_rollouts) {
             rollout.abandon();
--- a/src/vanilladyke/policy/backend_book.cpp
+++ b/src/vanilladyke/policy/backend_book.cpp
@@ -2,8 +2,6 @@
 
 #include "vanilladyke/model/fleet_index.hpp"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -312,13 +310,12 @@
 
 std::uint64_t BackendBook::hashOf(const EngineId &id)
 {
-    return XXH3_64bits(id.str().data(), id.str().size());
+    return hashOfName(id.str());
 }
 
 std::uint64_t BackendBook::hashOf(const Endpoint &store)
 {
-    const std::string name = store.str();
-    return XXH3_64bits(name.data(), name.size());
+    return hashOfName(store.str());
 }
 
 int BackendBook::inFlight(const EngineId &id) const
--- a/src/vanilladyke/policy/backend_choice.cpp
+++ b/src/vanilladyke/policy/backend_choice.cpp
@@ -3,8 +3,6 @@
 #include "vanilladyke/model/fleet_index.hpp"
 #include "vanilladyke/policy/backend_book.hpp"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <cmath>
 
@@ -27,7 +25,7 @@
 std::uint64_t BackendQuery::partKey() const
 {
     const std::string name = isolated.empty() ? sharedPart : sharedPart + "/" + isolated.str();
-    return XXH3_64bits(name.data(), name.size());
+    return hashOfName(name);
 }
 
 std::uint64_t BackendBook::leastWeights(const Goals *goals, TimePoint now) const
--- a/src/vanilladyke/policy/kept_cache_view.cpp
+++ b/src/vanilladyke/policy/kept_cache_view.cpp
@@ -47,8 +47,7 @@
     if (beside != m_stores.end()) {
         return &beside->store;
     }
-    const std::string &name = home.str();
-    return &m_stores[XXH3_64bits(name.data(), name.size()) % m_stores.size()].store;
+    return &m_stores[hashOfName(home.str()) % m_stores.size()].store;
 }
 
 void KeptCacheView::reset(const Endpoint &store, KeptCacheState state)
--- /dev/null
+++ b/src/vanilladyke/policy/record_relay.cpp
@@ -0,0 +1,51 @@
+#include "vanilladyke/policy/record_relay.hpp"
+
+#include <algorithm>
+
+namespace vanilladyke {
+
+void RecordRelay::restart(std::uint64_t next)
+{
+    m_changes.clear();
+    m_first = next;
+    m_next = next;
+}
+
+void RecordRelay::changed(std::uint64_t offset, std::string record)
+{
+    m_changes.push_back({offset, std::move(record)});
+    if (m_changes.size() > MostChanges) {
+        m_first = m_changes.front().offset + 1;
+        m_changes.pop_front();
+    }
+}
+
+void RecordRelay::proved(TimePoint at)
+{
+    m_provedAt = m_provedAt ? std::max(*m_provedAt, at) : at;
+}
+
+std::optional<RecordRelay::News> RecordRelay::since(std::uint64_t offset, std::size_t mostBytes,
+                                                    TimePoint now) const
+{
+    if (!m_provedAt || offset < m_first) {
+        return std::nullopt;
+    }
+    News news;
+    news.next = std::max(offset, m_next);
+    news.age = now - *m_provedAt;
+    const auto begin = std::lower_bound(
+            m_changes.begin(), m_changes.end(), offset,
+            [](const Change &change, std::uint64_t from) { return change.offset < from; });
+    std::size_t bytes = 0;
+    for (auto each = begin; each != m_changes.end(); ++each) {
+        bytes += each->record.size();
+        if (bytes > mostBytes) {
+            return std::nullopt;
+        }
+        news.changes.push_back(*each);
+    }
+    return news;
+}
+
+} // namespace vanilladyke
--- a/src/vanilladyke/traffic/exchange_test.cpp
+++ b/src/vanilladyke/traffic/exchange_test.cpp
@@ -545,11 +545,12 @@
 {
     put(RequestKind::Safe, false, std::chrono::seconds(5), milliseconds(20));
     serve([](const SeenRequest &) { return ScriptedAnswer{"", Then::Reset}; });
-    serve([](const SeenRequest &seen) {
+    const auto late = [](const SeenRequest &seen) {
         return ScriptedAnswer{answer(seen.fields.at("Id"), "late"), Then::KeepOpen,
                               milliseconds(600)};
-    });
-    serve(good);
+    };
+    serve(late); // whichever comes second, the other one is open and must not be asked
+    serve(late);
     EXPECT_EQ(ask("1"), 200);
     EXPECT_EQ(m_body, "late");
 }
--- a/tests/integration/platform_fleet.py
+++ b/tests/integration/platform_fleet.py
@@ -289,6 +289,7 @@
         settings = {"node": name, "address": "127.0.0.1", "data_centre": "z", "callers": f"127.0.0.1:{callers}",
                     "ready": f"127.0.0.1:{ready}", "metrics": f"127.0.0.1:{metrics}",
                     "peers": f"127.0.0.1:{harness.free_port()}",
+                    "questions": f"127.0.0.1:{harness.free_port()}",
                     "store": f"127.0.0.1:{store_port or self.store.port}", "keys_valid_ms": 2500,
                     "fails_closed": True, "weights_time_ms": 15000, "order_gap_ms": 1000, "grace_ms": 8000,
                     "second_sends": {"ratio": 0.2, "extra": 500, "window_ms": 10000}}
