--- a/src/vanilladyke/app/command_line.cpp
+++ b/src/vanilladyke/app/command_line.cpp
@@ -29,6 +29,7 @@
         "  keys new|show             secret keys of operators, nodes and customers\n"
         "  bundle check|sign|publish|status|history\n"
         "                            the life of a configuration bundle\n"
+        "  explain --id ID LOG...\n"
         "  explain --state FILE --request FILE --customer ID\n"
         "                            why a request went where it went\n";
 
--- a/src/vanilladyke/app/explain_command.cpp
+++ b/src/vanilladyke/app/explain_command.cpp
@@ -5,10 +5,12 @@
 #include "vanilladyke/gateway/filters.hpp"
 #include "vanilladyke/model/json_reader.hpp"
 #include "vanilladyke/policy/explain.hpp"
+#include "vanilladyke/policy/request_story.hpp"
 #include "vanilladyke/policy/state_dump.hpp"
 
 #include <iostream>
 #include <optional>
+#include <sstream>
 
 namespace vanilladyke {
 
@@ -105,22 +107,77 @@
     std::cout << out.dump(1) << '\n';
 }
 
+nlohmann::json toJson(const std::vector<LogLine> &lines)
+{
+    nlohmann::json out = nlohmann::json::array();
+    for (const LogLine &line : lines) {
+        out.push_back(line.fields);
+    }
+    return out;
+}
+
+/// Tells the story of a request from the logs of nodes, all together in any order.
+int explainFromLogs(const std::string &id, const std::vector<std::string> &paths, bool asJson)
+{
+    std::vector<LogLine> lines;
+    for (const std::string &path : paths) {
+        const auto text = readFile(path);
+        if (!text) {
+            std::cerr << path << ": " << text.error().reason << '\n';
+            return CommandFailed;
+        }
+        std::istringstream stream(*text);
+        for (std::string line; std::getline(stream, line);) {
+            if (auto parsed = parseLogLine(line)) {
+                lines.push_back(std::move(*parsed));
+            }
+        }
+    }
+    const RequestStory story = tellStory(lines, id);
+    if (asJson) {
+        const nlohmann::json out{{"id", id},
+                                 {"before", toJson(story.context)},
+                                 {"lines", toJson(story.own)},
+                                 {"verdict", story.verdict}};
+        std::cout << out.dump(1) << '\n';
+    } else {
+        for (const LogLine &line : story.context) {
+            std::cout << "before  " << line.text << '\n';
+        }
+        for (const LogLine &line : story.own) {
+            std::cout << "request " << line.text << '\n';
+        }
+        std::cout << story.verdict << '\n';
+    }
+    return story.own.empty() ? CommandFailed : CommandDone;
+}
+
 } // namespace
 
 int runExplain(const std::vector<std::string> &arguments)
 {
-    TCLAP::CmdLine line("Makes a placement again from a node's state dump and says why it went so.",
+    TCLAP::CmdLine line("With --id and logs of nodes: tells what became of a request. Else makes a "
+                        "placement again from a node's state dump and says why it went so.",
                         ' ', ProgramVersion);
-    TCLAP::ValueArg<std::string> state("s", "state", "what /operator/v1/state gave", true, "",
+    TCLAP::ValueArg<std::string> id("i", "id", "the request's id", false, "", "ID", line);
+    TCLAP::ValueArg<std::string> state("s", "state", "what /operator/v1/state gave", false, "",
                                        "FILE", line);
-    TCLAP::ValueArg<std::string> body("r", "request", "the request's JSON body", true, "", "FILE",
+    TCLAP::ValueArg<std::string> body("r", "request", "the request's JSON body", false, "", "FILE",
                                       line);
-    TCLAP::ValueArg<std::string> customer("c", "customer", "whose request it is", true, "", "ID",
+    TCLAP::ValueArg<std::string> customer("c", "customer", "whose request it is", false, "", "ID",
                                           line);
     TCLAP::SwitchArg asJson("j", "json", "print JSON", line);
+    TCLAP::UnlabeledMultiArg<std::string> logs("logs", "logs of nodes", false, "LOG", line);
     if (const auto over = parseArguments(line, "explain", arguments)) {
         return *over;
     }
+    if (id.isSet() && !logs.getValue().empty()) {
+        return explainFromLogs(id.getValue(), logs.getValue(), asJson.getValue());
+    }
+    if (!state.isSet() || !body.isSet() || !customer.isSet()) {
+        std::cerr << "explain: give --id and logs, or --state, --request and --customer\n";
+        return CommandMisused;
+    }
     const TimePoint now = MonotonicClock::now();
     const std::optional<StateDump> dump = loadDump(state.getValue(), now);
     if (!dump) {
--- a/src/vanilladyke/app/node_command.cpp
+++ b/src/vanilladyke/app/node_command.cpp
@@ -130,7 +130,7 @@
         };
         m_control.standsBy = [this] { return m_follower.standsBy(); };
         m_follower.fleetKeyKnown = [this](const std::string &key) {
-            LogEvent("fleet_key_known");
+            LogEvent("fleet_key_known").field("bytes", key.size());
             m_questions.setKey(key);
             m_follower.setAskPeer(
                     [this](Endpoint peer, std::uint64_t operatorNext, std::uint64_t backendsNext) {
--- /dev/null
+++ b/src/vanilladyke/policy/request_story.cpp
@@ -0,0 +1,169 @@
+#include "vanilladyke/policy/request_story.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <set>
+
+namespace vanilladyke {
+
+namespace {
+
+/// What happened to a node or to a server this long before a request may explain it.
+constexpr Duration NodeContext = std::chrono::seconds(10);
+constexpr Duration BackendContext = std::chrono::seconds(5);
+
+const std::set<std::string> nodeEvents{"start",          "stopping",       "stop",
+                                       "reload",         "store_lost",     "store_regained",
+                                       "configuration",  "weights_named",  "kept_cache_lost",
+                                       "reader_doubted", "fleet_key_known"};
+
+struct Meaning
+{
+    const char *outcome;
+    const char *words;
+};
+
+constexpr std::array<Meaning, 9> meanings{{
+        {"answered", "The caller got the server's whole answer."},
+        {"backend_failed",
+         "Every server that may be asked failed it; the caller got the last failure."},
+        {"no_backend", "No server of the service was open to this node; it did not run."},
+        {"retry_budget_spent",
+         "Servers refused it and the budget of second sends was used up; it did not run."},
+        {"too_late", "Its time was over before a server could begin; it did not run."},
+        {"outcome_unknown",
+         "It was sent and no whole answer came: nobody knows whether it ran. A try with "
+         "timed_out=true waited to the end of its time, others lost their connection."},
+        {"not_ready",
+         "This node could not show that its configuration and keys were young enough: see "
+         "proof_age_ms and store_lost; it did not run."},
+        {"stream_broken", "The stream's server was lost midway and no other one took it up."},
+        {"caller_left", "The caller closed its connection before the answer was whole."},
+}};
+
+std::optional<WallTime> parseTime(const std::string &text)
+{
+    int year = 0;
+    unsigned month = 0;
+    unsigned day = 0;
+    int hour = 0;
+    int minute = 0;
+    double second = 0;
+    constexpr int Parts = 6;
+    if (std::sscanf(text.c_str(), "%d-%u-%uT%d:%d:%lfZ", &year, &month, &day, &hour, &minute,
+                    &second)
+        != Parts) {
+        return std::nullopt;
+    }
+    const std::chrono::sys_days date =
+            std::chrono::year(year) / std::chrono::month(month) / std::chrono::day(day);
+    return WallTime(date) + std::chrono::hours(hour) + std::chrono::minutes(minute)
+           + std::chrono::duration_cast<WallTime::duration>(std::chrono::duration<double>(second));
+}
+
+/// Takes the next pair off the line. @return false at its end
+bool takePair(std::string_view *line, std::string *key, std::string *value)
+{
+    const std::size_t begin = line->find_first_not_of(' ');
+    if (begin == std::string_view::npos) {
+        return false;
+    }
+    line->remove_prefix(begin);
+    const std::size_t equals = line->find('=');
+    if (equals == std::string_view::npos) {
+        return false;
+    }
+    *key = line->substr(0, equals);
+    line->remove_prefix(equals + 1);
+    value->clear();
+    const bool isQuoted = !line->empty() && line->front() == '"';
+    std::size_t at = isQuoted ? 1 : 0;
+    for (; at < line->size() && (*line)[at] != (isQuoted ? '"' : ' '); ++at) {
+        at += isQuoted && (*line)[at] == '\\' && at + 1 < line->size() ? 1 : 0;
+        *value += (*line)[at];
+    }
+    line->remove_prefix(std::min(line->size(), at + (isQuoted ? 1 : 0)));
+    return true;
+}
+
+std::string fieldOf(const LogLine &line, const std::string &key)
+{
+    const auto found = line.fields.find(key);
+    return found == line.fields.end() ? std::string() : found->second;
+}
+
+} // namespace
+
+std::optional<LogLine> parseLogLine(std::string_view line)
+{
+    const std::size_t begin = line.find("time=");
+    if (begin == std::string_view::npos) {
+        return std::nullopt;
+    }
+    LogLine result;
+    result.text = line;
+    std::string_view rest = line.substr(begin);
+    std::string key;
+    std::string value;
+    while (takePair(&rest, &key, &value)) {
+        result.fields[key] = value;
+    }
+    const auto time = parseTime(fieldOf(result, "time"));
+    result.node = fieldOf(result, "node");
+    result.event = fieldOf(result, "event");
+    if (!time || result.event.empty()) {
+        return std::nullopt;
+    }
+    result.time = *time;
+    return result;
+}
+
+RequestStory tellStory(const std::vector<LogLine> &lines, const std::string &id)
+{
+    RequestStory story;
+    std::set<std::string> nodes;
+    std::set<std::string> backends;
+    for (const LogLine &line : lines) {
+        if (fieldOf(line, "id") == id) {
+            story.own.push_back(line);
+            nodes.insert(line.node);
+            backends.insert(fieldOf(line, "backend"));
+        }
+    }
+    const auto byTime = [](const LogLine &a, const LogLine &b) { return a.time < b.time; };
+    std::stable_sort(story.own.begin(), story.own.end(), byTime);
+    if (story.own.empty()) {
+        story.verdict = "No line names this request: it never reached a node whose log is here.";
+        return story;
+    }
+    const WallTime first = story.own.front().time;
+    const WallTime last = story.own.back().time;
+    for (const LogLine &line : lines) {
+        if (line.time > last || fieldOf(line, "id") == id) {
+            continue;
+        }
+        const bool isOfNode = nodes.contains(line.node) && nodeEvents.contains(line.event)
+                              && line.time >= first - NodeContext;
+        const bool isOfBackend = line.event.rfind("request", 0) != 0 && line.event != "try_failed"
+                                 && backends.contains(fieldOf(line, "backend"))
+                                 && line.time >= first - BackendContext;
+        if (isOfNode || (isOfBackend && !fieldOf(line, "backend").empty())) {
+            story.context.push_back(line);
+        }
+    }
+    std::stable_sort(story.context.begin(), story.context.end(), byTime);
+    const std::string outcome = fieldOf(story.own.back(), "outcome");
+    const auto meaning = std::find_if(meanings.begin(), meanings.end(),
+                                      [&](const Meaning &each) { return outcome == each.outcome; });
+    if (meaning != meanings.end()) {
+        story.verdict = meaning->words;
+    } else if (outcome.empty()) {
+        story.verdict = "Its last line is missing: the node ended, or its log is not whole.";
+    } else {
+        story.verdict = "Refused: " + outcome + ".";
+    }
+    return story;
+}
+
+} // namespace vanilladyke
