--- a/include/vanilladyke/node/state_follower.hpp
+++ b/include/vanilladyke/node/state_follower.hpp
@@ -59,6 +59,7 @@
         RecordRelay relay;
         std::uint64_t next = 0;
         bool isListed = false;
+        bool mustRead = false; ///< the node that was asked could not tell
         TimePoint provedAt = TimePoint::min();
     };
 
--- a/src/vanilladyke/node/state_follower.cpp
+++ b/src/vanilladyke/node/state_follower.cpp
@@ -115,7 +115,8 @@
 bool StateFollower::isShared(const Topic &topic, Duration limit) const
 {
     const TimePoint now = BootClock::now();
-    return m_ask && topic.isListed && now - topic.provedAt < limit && m_turn.whomToAsk(now);
+    return m_ask && topic.isListed && !topic.mustRead && now - topic.provedAt < limit
+           && m_turn.whomToAsk(now);
 }
 
 asio::awaitable<void> StateFollower::askOthers()
@@ -141,6 +142,8 @@
 
 void StateFollower::take(const SharedNews &news, TimePoint askedAt)
 {
+    m_operator.mustRead = m_operator.mustRead || !news.configuration;
+    m_backends.mustRead = m_backends.mustRead || !news.backends;
     if (news.configuration && news.configuration->next >= m_operator.next) {
         for (const RecordRelay::Change &change : news.configuration->changes) {
             if (change.offset >= m_operator.next) {
@@ -227,6 +230,7 @@
             applyOperator(offset, page->records[offset - from]);
         }
     }
+    m_operator.mustRead = false;
     m_operator.next = std::max(m_operator.next, next);
     m_operator.relay.readUpTo(m_operator.next);
     if (m_operator.next >= page->end) {
@@ -308,6 +312,7 @@
             applyBackend(offset, page->records[offset - from]);
         }
     }
+    m_backends.mustRead = false;
     m_backends.next = std::max(m_backends.next, next);
     m_backends.relay.readUpTo(m_backends.next);
     if (m_backends.next >= page->end) {
--- a/src/vanilladyke/node/state_follower_test.cpp
+++ b/src/vanilladyke/node/state_follower_test.cpp
@@ -38,8 +38,9 @@
                                                           Duration wait) override
     {
         ++calls;
-        if (wait > Duration::zero() && topics[topic].size() == from) {
-            asio::steady_timer timer(m_context, wait);
+        const TimePoint until = MonotonicClock::now() + wait;
+        while (topics[topic].size() == from && MonotonicClock::now() < until) {
+            asio::steady_timer timer(m_context, milliseconds(20));
             ErrorCode ignored;
             co_await timer.async_wait(into(ignored));
         }
@@ -151,7 +152,11 @@
                         co_return std::nullopt;
                     }
                     ++m_answered;
-                    co_return m_reader.newsSince(operatorNext, backendsNext);
+                    SharedNews news = m_reader.newsSince(operatorNext, backendsNext);
+                    if (!m_tellsConfiguration) {
+                        news.configuration.reset();
+                    }
+                    co_return news;
                 });
     }
 
@@ -199,6 +204,7 @@
     StateFollower m_asking;
     std::vector<int> m_asked;
     bool m_answers = true;
+    bool m_tellsConfiguration = true;
     int m_answered = 0;
 };
 
@@ -218,6 +224,21 @@
     EXPECT_TRUE(reach([&] { return m_askingListener.provedAt > provedAt; }));
 }
 
+// A configuration is larger than a datagram. The node that was told so waited until its proof was
+// old, and refused a route that had been added two seconds before.
+TEST_F(StateFollowerTest, WhatTheReaderCantTellIsReadAtOnce)
+{
+    m_tellsConfiguration = false;
+    start();
+    ASSERT_TRUE(reachSharing());
+    const TimePoint provedAt = m_askingListener.provedAt;
+    ASSERT_TRUE(reach([&] { return m_askingListener.provedAt > provedAt; }));
+    const std::size_t before = m_asked.size();
+    m_ownStore.topics[StateTopic::Operator].push_back("version=2");
+    EXPECT_TRUE(reach([this] { return m_askingListener.named > 0; }));
+    EXPECT_LT(m_asked.size() - before, 4U) << "questions until it was read";
+}
+
 // The node that reads for others is frozen.
 TEST_F(StateFollowerTest, ANodeWhoseReaderIsSilentReadsItself)
 {
--- a/tests/integration/platform_fleet.py
+++ b/tests/integration/platform_fleet.py
@@ -62,6 +62,9 @@
         self.down = False
         self.calls = 0
         self.lose_answers = 0
+        self.page_items = 500
+        self.busy_pages = 0  # so many later pages of a listing are refused
+        self.first_pages = []  # topics whose listing was begun
         self.server = Server(("127.0.0.1", 0), Handler)
         self.server.owner = self
         self.port = self.server.server_address[1]
@@ -110,7 +113,17 @@
             items = [{"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
                      for key, (value, offset) in self.newest(query["topic"]).items()]
             end = len(self.topics.get(query["topic"], []))
-        call.answer(200, {"items": items, "hasMore": False, "end": end})
+        items.sort(key=lambda item: item["key"])
+        if "after" in query:
+            if self.busy_pages > 0:
+                self.busy_pages -= 1
+                call.answer(429)
+                return
+            items = [item for item in items if item["key"] > query["after"]]
+        else:
+            self.first_pages.append(query["topic"])
+        page = items[:self.page_items]
+        call.answer(200, {"items": page, "hasMore": len(page) < len(items), "end": end})
 
     def on_read(self, call, query):
         topic, start = query["topic"], int(query["from"])
--- a/tests/integration/platform_path.py
+++ b/tests/integration/platform_path.py
@@ -60,6 +60,20 @@
         harness.wait_until(lambda: self.fleet.ask(node, "/added/x", "b3")[0] == 404, "the route is gone")
         self.assertEqual(self.fleet.ask(node, "/call/x", "b4")[0], 200)
 
+    def test_a_long_listing_goes_on_where_the_store_was_busy(self):
+        """Three hundred nodes list three thousand servers at the same moment, and the store refuses many
+        of the calls. Nodes that begin anew at the first page keep it busy, and none ever serves."""
+        for i in range(9):
+            self.fleet.store.put("keyed.servers", f"other-{i}", {
+                "service": "other", "address": f"127.0.0.1:{harness.free_port()}", "zone": "here",
+                "slots": 1, "state": "ready", "sequence": 1})
+        self.fleet.store.page_items = 2
+        self.fleet.store.busy_pages = 3
+        node = self.fleet.ready_node("n1")
+        harness.wait_until(lambda: self.fleet.ask(node, "/call/x", "p1")[0] == 200, "it serves")
+        self.assertEqual(self.fleet.store.busy_pages, 0)
+        self.assertEqual(self.fleet.store.first_pages.count("keyed.servers"), 1)
+
     def test_damaged_records_change_nothing(self):
         """Somebody writes a record that is no configuration and an entry that names no address. A node
         must go on with what it knows, and say what it left out."""
