--- a/src/vanilladyke/node/weights_controller.cpp
+++ b/src/vanilladyke/node/weights_controller.cpp
@@ -82,7 +82,8 @@
 bool WeightsController::isPending() const
 {
     return std::any_of(m_rollouts.begin(), m_rollouts.end(), [this](const auto &item) {
-        const auto &[model, rollout] = item;
+        const ModelId &model = item.first;
+        const WeightsRollout &rollout = item.second;
         return m_roster.anyServing([&](const BackendEntry &entry) {
             return entry.weights.contains(model) && versionOf(entry, model) < rollout.goal();
         });
--- a/src/vanilladyke/policy/backend_fleet_test.cpp
+++ b/src/vanilladyke/policy/backend_fleet_test.cpp
@@ -133,6 +133,7 @@
             m_nodes.back().setBackends(entries);
             m_kept.emplace_back();
             std::vector<KeptStore> stores;
+            stores.reserve(static_cast<std::size_t>(load.stores));
             for (int j = 0; j < load.stores; ++j) {
                 stores.push_back({{"10.0.1.1", static_cast<std::uint16_t>(j)},
                                   DataCentreId("dc" + std::to_string(j))});
--- a/src/vanilladyke/policy/request_story.cpp
+++ b/src/vanilladyke/policy/request_story.cpp
@@ -24,7 +24,7 @@
     const char *words;
 };
 
-constexpr std::array<Meaning, 9> meanings{{
+constexpr std::array<Meaning, 9> Meanings{{
         {"answered", "The caller got the server's whole answer."},
         {"backend_failed",
          "Every server that may be asked failed it; the caller got the last failure."},
@@ -154,9 +154,9 @@
     }
     std::stable_sort(story.context.begin(), story.context.end(), byTime);
     const std::string outcome = fieldOf(story.own.back(), "outcome");
-    const auto meaning = std::find_if(meanings.begin(), meanings.end(),
+    const auto meaning = std::find_if(Meanings.begin(), Meanings.end(),
                                       [&](const Meaning &each) { return outcome == each.outcome; });
-    if (meaning != meanings.end()) {
+    if (meaning != Meanings.end()) {
         story.verdict = meaning->words;
     } else if (outcome.empty()) {
         story.verdict = "Its last line is missing: the node ended, or its log is not whole.";
