--- a/src/vanilladyke/traffic/exchange.cpp
+++ b/src/vanilladyke/traffic/exchange.cpp
@@ -36,6 +36,8 @@
 /// A stream that broke off is worth more tries than a request that nobody has begun to answer.
 constexpr int MostResumes = 12;
 constexpr Duration ResumeTime = std::chrono::milliseconds(900);
+/// Bytes that have come and were not read yet are read within a few rounds of the event loop.
+constexpr Duration UnreadPatience = std::chrono::milliseconds(100);
 
 std::string chunk(const std::string &data)
 {
@@ -49,6 +51,11 @@
     return status >= 200 && status < 300;
 }
 
+Duration spanOf(Millis predicted)
+{
+    return std::chrono::duration_cast<Duration>(predicted);
+}
+
 std::string statusLine(int status, std::string_view reason)
 {
     return "HTTP/1.1 " + std::to_string(status) + " " + std::string(reason) + "\r\n";
@@ -193,9 +200,9 @@
     result.service = m_service;
     result.model = m_request.model;
     result.exclude = m_tried;
-    if (const ServiceSpec *kept = m_table->keptCache()) {
-        result.kept = &m_state.kept;
-        result.keptCache = kept->keptCache;
+    result.kept = m_state.kept.stores() == 0 ? nullptr : &m_state.kept;
+    if (const ServiceSpec *service = m_table->service(m_service)) {
+        result.memoryTokens = service->cacheTokens;
     }
     result.ownTokens = m_request.promptTokens;
     if (m_request.parts.size() > 1) {
@@ -241,11 +248,8 @@
     terms.cacheSalt =
             cacheSalt(m_request.model, choice.weights, isIsolated ? m_customer->id : CustomerId());
     terms.fetchFrom = choice.fetchFrom;
-    const ServiceSpec *kept = m_table->keptCache();
     // What the store has is not saved again: the request's own part would push shared ones out.
-    if (kept != nullptr && choice.savesShared && m_state.kept.state() != KeptCacheState::Down) {
-        terms.saveTo = kept->keptCache;
-    }
+    terms.saveTo = choice.saveTo;
     return terms;
 }
 
@@ -293,17 +297,22 @@
         co_return TryEnd::Unreached;
     }
     const TimePoint now = MonotonicClock::now();
-    if (m_sends > 0 && !m_state.budget.spend(m_service, now)) {
+    if (m_sends > 0 && !m_hasSecondSend && !m_state.budget.spend(m_service, now)) {
         m_state.pool.giveBack(connection, std::nullopt, now);
         m_budgetSpent = true;
         co_return TryEnd::Lost;
     }
+    m_hasSecondSend = false;
     ++m_sends;
     ++m_runs;
     m_stalled = false;
     m_firstByteAt.reset();
     m_connection = connection;
     m_state.book.sent(choice, query(), now);
+    if (choice.saveTo) {
+        const std::string salt = cacheSalt(m_request.model, choice.weights, query().isolated);
+        m_state.kept.toldSaved(KeptCacheView::keyOf(salt, query().sharedPart), now);
+    }
     const TryEnd end = co_await converse(choice, connection);
     m_connection.reset();
     const bool begun = m_firstByteAt.has_value();
@@ -510,6 +519,9 @@
     while (!parser.is_done()) {
         std::string bytes;
         const bool isGood = co_await readSome(*connection, parser, &bytes);
+        if (m_stalled && !m_headWritten) {
+            co_return TryEnd::Lost; // given up while it was read; the rest will not come
+        }
         if (!bytes.empty() && !m_firstByteAt) {
             m_firstByteAt = MonotonicClock::now();
             m_state.book.began(choice, *m_firstByteAt);
@@ -651,13 +663,38 @@
 
 void Exchange::due()
 {
-    if (MonotonicClock::now() >= m_deadline) {
+    const TimePoint now = MonotonicClock::now();
+    if (now >= m_deadline) {
         m_timedOut = true;
-    } else {
+        abortTry();
+        return;
+    }
+    ErrorCode ignored;
+    if (m_connection != nullptr && m_connection->socket.available(ignored) > 0) {
+        setDue(now + UnreadPatience); // the answer is here and only this node is behind
+        return;
+    }
+    setDue(std::nullopt);
+    if (reserveSecondSend(now)) {
         m_stalled = true;
-        m_timed->dueAt = m_deadline;
+        abortTry();
     }
-    abortTry();
+}
+
+bool Exchange::reserveSecondSend(TimePoint now)
+{
+    if (m_sends >= mostSends() || m_runs >= m_route->mostBackends) {
+        return false;
+    }
+    BackendQuery elsewhere = query();
+    if (m_choice) {
+        elsewhere.exclude.push_back(m_choice->backend.id);
+    }
+    if (!m_state.book.choose(elsewhere, now)) {
+        return false;
+    }
+    m_hasSecondSend = m_hasSecondSend || m_state.budget.spend(m_service, now);
+    return m_hasSecondSend;
 }
 
 void Exchange::abortTry()
@@ -689,8 +726,10 @@
             .field("backend", m_choice ? m_choice->backend.id.str() : "none")
             .field("weights", m_choice ? m_choice->weights : 0)
             .field("held", m_choice && m_choice->isHeld)
-            .field("cost_ms", m_choice ? m_choice->costMs : 0)
-            .field("read_ms", m_choice ? m_choice->readMs : 0)
+            .field("source", m_choice && m_choice->fetchFrom ? m_choice->fetchFrom->str() : "none")
+            .field("saved", m_choice && m_choice->saveTo)
+            .field("cost_ms", spanOf(m_choice ? m_choice->cost : Millis()))
+            .field("read_ms", spanOf(m_choice ? m_choice->reading : Millis()))
             .field("candidates", m_choice ? m_choice->candidates : 0)
             .field("status", status)
             .field("outcome", outcome)
