--- a/include/vanilladyke/node/load_sharing.hpp
+++ b/include/vanilladyke/node/load_sharing.hpp
@@ -1,13 +1,8 @@
 #pragma once
 
-#include "vanilladyke/node/peer_seal.hpp"
+#include "vanilladyke/node/sealed_port.hpp"
 #include "vanilladyke/traffic/traffic_state.hpp"
 
-#include <boost/asio/ip/udp.hpp>
-
-#include <array>
-#include <set>
-
 /// Tells other nodes what this one has waiting at each backend server, and hears it from them.
 ///
 /// Load pattern: each of six nodes sends a sixth of the long prompts. From its own requests a node
@@ -36,7 +31,7 @@
     /// @brief Opens the port. @return what failed, or none
     [[nodiscard]] std::optional<std::string> open();
     void setPeers(const std::vector<Endpoint> &peers);
-    void setKey(std::string key) { m_seal.setKey(std::move(key)); }
+    void setKey(std::string key) { m_port.setKey(std::move(key)); }
     HeardNode heardNode = [](std::uint64_t, std::uint64_t, const Endpoint &) {};
     /// @brief Sends if it is time to.
     void step(TimePoint now);
@@ -44,24 +39,28 @@
     void tell(TimePoint now);
 
 private:
-    using Udp = asio::ip::udp;
+    using Udp = SealedPort::Udp;
+    /// A node that was heard of.
+    struct Heard
+    {
+        std::uint64_t sequence = 0; ///< the newest
+        TimePoint at;
+        TimePoint passedOnAt; ///< to the control thread
+    };
+    /// One that was silent for so long is forgotten.
+    static constexpr Duration HeardLife = std::chrono::minutes(1);
 
-    [[nodiscard]] asio::awaitable<void> receive();
-    void take(std::string_view datagram, const Udp::endpoint &from);
-    void noteNode(std::uint64_t node, std::uint64_t dataCentre, Endpoint questions, TimePoint now);
+    void take(std::string_view bytes, const Udp::endpoint &from);
+    void forgetSilent(TimePoint now);
 
     TrafficState &m_state;
-    Endpoint m_listen;
+    SealedPort m_port;
     std::uint16_t m_questionsPort;
     std::uint64_t m_self;
     std::uint64_t m_dataCentre; ///< hash of its name
-    PeerSeal m_seal;
     std::uint64_t m_sequence; ///< begins with the time of start, so that a restart goes on above it
-    Udp::socket m_socket;
     std::vector<Udp::endpoint> m_peers;
-    std::unordered_map<std::uint64_t, std::uint64_t> m_heard; ///< newest sequence of each node
-    std::unordered_map<std::uint64_t, TimePoint> m_noted;     ///< when it was passed on last
-    std::array<char, 65536> m_buffer{};
+    std::unordered_map<std::uint64_t, Heard> m_heard;
     TimePoint m_nextAt;
     TimePoint m_toldAt;
 };
--- a/include/vanilladyke/node/peer_questions.hpp
+++ b/include/vanilladyke/node/peer_questions.hpp
@@ -1,12 +1,9 @@
 #pragma once
 
 #include "vanilladyke/base/random.hpp"
-#include "vanilladyke/node/peer_seal.hpp"
+#include "vanilladyke/node/sealed_port.hpp"
 #include "vanilladyke/node/state_follower.hpp"
 
-#include <boost/asio/ip/udp.hpp>
-
-#include <array>
 #include <memory>
 #include <unordered_map>
 
@@ -25,29 +22,25 @@
 
     /// @brief Opens the port. @return what failed, or none
     [[nodiscard]] std::optional<std::string> open();
-    void setKey(std::string key) { m_seal.setKey(std::move(key)); }
+    void setKey(std::string key) { m_port.setKey(std::move(key)); }
     [[nodiscard]] asio::awaitable<std::optional<SharedNews>>
     ask(Endpoint peer, std::uint64_t operatorNext, std::uint64_t backendsNext);
 
 private:
-    using Udp = asio::ip::udp;
+    using Udp = SealedPort::Udp;
     struct Waiting
     {
         asio::steady_timer timer;
         std::optional<SharedNews> news;
     };
 
-    [[nodiscard]] asio::awaitable<void> receive();
-    void take(std::string_view datagram, const Udp::endpoint &from);
+    void take(std::string_view bytes, const Udp::endpoint &from);
 
     asio::io_context &m_context;
     const StateFollower &m_follower;
-    Endpoint m_listen;
     Random m_random;
-    PeerSeal m_seal;
-    Udp::socket m_socket;
+    SealedPort m_port;
     std::unordered_map<std::uint64_t, std::shared_ptr<Waiting>> m_waiting; ///< by question
-    std::array<char, 65536> m_buffer{};
 };
 
 } // namespace vanilladyke
--- a/include/vanilladyke/traffic/exchange.hpp
+++ b/include/vanilladyke/traffic/exchange.hpp
@@ -41,6 +41,9 @@
     void callerLeft();
 
 private:
+    /// Less than this is not enough to connect, ask and answer.
+    static constexpr Duration LeastTimeForTry = std::chrono::milliseconds(30);
+
     using AnswerParser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
     /// How one try ended.
--- a/src/vanilladyke/model/fleet.cpp
+++ b/src/vanilladyke/model/fleet.cpp
@@ -1,7 +1,5 @@
 #include "vanilladyke/model/fleet.hpp"
 
-#include <xxhash.h>
-
 #include <algorithm>
 
 namespace vanilladyke {
@@ -20,7 +18,7 @@
 
 EngineKey engineKeyOf(const EngineId &id)
 {
-    return EngineKey{XXH3_64bits(id.str().data(), id.str().size())};
+    return EngineKey{hashOfName(id.str())};
 }
 
 const Model *findModel(const Bundle &bundle, const ModelId &id)
--- a/src/vanilladyke/node/load_sharing.cpp
+++ b/src/vanilladyke/node/load_sharing.cpp
@@ -15,6 +15,9 @@
 /// A node whose proof of the configuration is older does nothing for others.
 constexpr Duration OldestProof = std::chrono::milliseconds(3500);
 
+/// The control thread needs to hear no more often that a node lives.
+constexpr Duration PassOnEvery = std::chrono::seconds(1);
+
 std::uint32_t millis(Duration span)
 {
     const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
@@ -25,49 +28,34 @@
 
 LoadSharing::LoadSharing(TrafficState &state, Endpoint listen, std::uint16_t questionsPort)
     : m_state(state)
-    , m_listen(std::move(listen))
+    , m_port(state.context, std::move(listen))
     , m_questionsPort(questionsPort)
     , m_self(state.settings.self)
     , m_dataCentre(hashOfName(state.settings.dataCentre.str()))
     , m_sequence(static_cast<std::uint64_t>(
               std::chrono::system_clock::now().time_since_epoch().count()))
-    , m_socket(state.context)
 {}
 
 std::optional<std::string> LoadSharing::open()
 {
-    ErrorCode error;
-    const auto address = asio::ip::make_address(m_listen.host, error);
-    const Udp::endpoint endpoint(address, m_listen.port);
-    if (!error) {
-        m_socket.open(endpoint.protocol(), error);
-    }
-    if (!error) {
-        m_socket.bind(endpoint, error);
-    }
-    if (error) {
-        return m_listen.str() + ": " + error.message();
-    }
-    m_socket.non_blocking(true, error);
-    asio::co_spawn(m_state.context, receive(), asio::detached);
-    return std::nullopt;
+    return m_port.open(
+            [this](std::string_view bytes, const Udp::endpoint &from) { take(bytes, from); });
 }
 
 void LoadSharing::setPeers(const std::vector<Endpoint> &peers)
 {
     m_peers.clear();
     for (const Endpoint &peer : peers) {
-        ErrorCode error;
-        const auto address = asio::ip::make_address(peer.host, error);
-        if (!error && peer != m_listen) {
-            m_peers.emplace_back(address, peer.port);
+        const auto address = SealedPort::addressOf(peer);
+        if (address && peer != m_port.listen()) {
+            m_peers.push_back(*address);
         }
     }
 }
 
 void LoadSharing::step(TimePoint now)
 {
-    if (m_peers.empty() || !m_seal.isReady()) {
+    if (m_peers.empty() || !m_port.isReady()) {
         return;
     }
     const Duration spacing =
@@ -79,12 +67,13 @@
     const std::size_t stretch = std::max<std::size_t>(1, (m_peers.size() + 1) / NodesAtFullRate);
     m_nextAt = now + Interval * stretch;
     m_state.book.forgetSilentPeers(now);
+    forgetSilent(now);
     tell(now);
 }
 
 void LoadSharing::tell(TimePoint now)
 {
-    if (!m_seal.isReady()) {
+    if (!m_port.isReady()) {
         return;
     }
     m_toldAt = now;
@@ -112,54 +101,37 @@
         placement->set_store(each.store);
         placement->set_wanted(each.wanted);
     }
-    const std::string bytes = m_seal.seal(message.SerializeAsString());
-    for (const Udp::endpoint &peer : m_peers) {
-        ErrorCode
-                ignored; // a peer that is gone, or a full buffer: the next telling makes up for it
-        m_socket.send_to(asio::buffer(bytes), peer, 0, ignored);
-    }
-}
-
-asio::awaitable<void> LoadSharing::receive()
-{
-    for (;;) {
-        ErrorCode error;
-        Udp::endpoint from;
-        const std::size_t size =
-                co_await m_socket.async_receive_from(asio::buffer(m_buffer), from, into(error));
-        if (!m_socket.is_open()) {
-            co_return;
-        }
-        if (!error) {
-            take({m_buffer.data(), size}, from);
-        }
-    }
+    m_port.send(message.SerializeAsString(), m_peers);
 }
 
-void LoadSharing::noteNode(std::uint64_t node, std::uint64_t dataCentre, Endpoint questions,
-                           TimePoint now)
+void LoadSharing::forgetSilent(TimePoint now)
 {
-    constexpr Duration Pause = std::chrono::seconds(1);
-    TimePoint &notedAt = m_noted[node];
-    if (now - notedAt >= Pause) {
-        notedAt = now;
-        heardNode(node, dataCentre, std::move(questions));
-    }
+    std::erase_if(m_heard, [now](const auto &item) { return now - item.second.at > HeardLife; });
 }
 
-void LoadSharing::take(std::string_view datagram, const Udp::endpoint &from)
+void LoadSharing::take(std::string_view bytes, const Udp::endpoint &from)
 {
-    const auto opened = m_seal.open(datagram);
     wire::NodeLoad message;
-    if (!opened || !message.ParseFromArray(opened->data(), static_cast<int>(opened->size()))) {
+    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
         m_state.metrics.count("peer_datagrams_unreadable_total");
         return;
     }
-    std::uint64_t &newest = m_heard[message.node()];
-    if (message.node() == m_self || message.sequence() <= newest) {
+    Heard &heard = m_heard[message.node()];
+    if (message.node() == m_self || message.sequence() <= heard.sequence) {
         return;
     }
-    newest = message.sequence();
+    const TimePoint now = MonotonicClock::now();
+    heard.sequence = message.sequence();
+    heard.at = now;
+    if (std::find(m_peers.begin(), m_peers.end(), from) == m_peers.end()) {
+        m_peers.push_back(from); // it came after the list was read
+    }
+    if (message.questions_port() != 0 && now >= heard.passedOnAt + PassOnEvery) {
+        heard.passedOnAt = now;
+        heardNode(
+                message.node(), message.data_centre(),
+                {from.address().to_string(), static_cast<std::uint16_t>(message.questions_port())});
+    }
     std::vector<BackendLoadNews> news;
     news.reserve(static_cast<std::size_t>(message.backends_size()));
     for (const wire::BackendLoad &load : message.backends()) {
@@ -167,15 +139,6 @@
                         static_cast<int>(load.in_flight()),
                         std::chrono::milliseconds(load.loading_ms()), load.weights()});
     }
-    const TimePoint now = MonotonicClock::now();
-    if (std::find(m_peers.begin(), m_peers.end(), from) == m_peers.end()) {
-        m_peers.push_back(from); // it came after the list was read
-    }
-    if (message.questions_port() != 0) {
-        noteNode(message.node(), message.data_centre(),
-                 {from.address().to_string(), static_cast<std::uint16_t>(message.questions_port())},
-                 now);
-    }
     m_state.book.heardLoad(message.node(), news, now);
     std::vector<PlacementNews> placements;
     placements.reserve(static_cast<std::size_t>(message.placements_size()));
--- a/src/vanilladyke/node/peer_questions.cpp
+++ b/src/vanilladyke/node/peer_questions.cpp
@@ -42,36 +42,21 @@
                              Endpoint listen, std::uint64_t seed)
     : m_context(context)
     , m_follower(follower)
-    , m_listen(std::move(listen))
     , m_random(seed)
-    , m_socket(context)
+    , m_port(context, std::move(listen))
 {}
 
 std::optional<std::string> PeerQuestions::open()
 {
-    ErrorCode error;
-    const auto address = asio::ip::make_address(m_listen.host, error);
-    const Udp::endpoint endpoint(address, m_listen.port);
-    if (!error) {
-        m_socket.open(endpoint.protocol(), error);
-    }
-    if (!error) {
-        m_socket.bind(endpoint, error);
-    }
-    if (error) {
-        return m_listen.str() + ": " + error.message();
-    }
-    m_socket.non_blocking(true, error);
-    asio::co_spawn(m_context, receive(), asio::detached);
-    return std::nullopt;
+    return m_port.open(
+            [this](std::string_view bytes, const Udp::endpoint &from) { take(bytes, from); });
 }
 
 asio::awaitable<std::optional<SharedNews>>
 PeerQuestions::ask(Endpoint peer, std::uint64_t operatorNext, std::uint64_t backendsNext)
 {
-    ErrorCode error;
-    const Udp::endpoint to(asio::ip::make_address(peer.host, error), peer.port);
-    if (error || !m_seal.isReady()) {
+    const auto to = SealedPort::addressOf(peer);
+    if (!to) {
         co_return std::nullopt;
     }
     wire::NodeMessage message;
@@ -82,34 +67,17 @@
     const auto waiting = std::make_shared<Waiting>(
             Waiting{asio::steady_timer(m_context, AnswerTime), std::nullopt});
     m_waiting[question] = waiting;
-    const std::string datagram = m_seal.seal(message.SerializeAsString());
-    m_socket.send_to(asio::buffer(datagram), to, 0, error);
-    co_await waiting->timer.async_wait(into(error));
+    m_port.send(message.SerializeAsString(), {*to});
+    ErrorCode ignored;
+    co_await waiting->timer.async_wait(into(ignored));
     m_waiting.erase(question);
     co_return std::move(waiting->news);
 }
 
-asio::awaitable<void> PeerQuestions::receive()
-{
-    for (;;) {
-        ErrorCode error;
-        Udp::endpoint from;
-        const std::size_t size =
-                co_await m_socket.async_receive_from(asio::buffer(m_buffer), from, into(error));
-        if (!m_socket.is_open()) {
-            co_return;
-        }
-        if (!error) {
-            take({m_buffer.data(), size}, from);
-        }
-    }
-}
-
-void PeerQuestions::take(std::string_view datagram, const Udp::endpoint &from)
+void PeerQuestions::take(std::string_view bytes, const Udp::endpoint &from)
 {
-    const auto opened = m_seal.open(datagram);
     wire::NodeMessage message;
-    if (!opened || !message.ParseFromArray(opened->data(), static_cast<int>(opened->size()))) {
+    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
         return;
     }
     if (message.has_ask()) {
@@ -119,9 +87,7 @@
         answer.set_question(message.question());
         write(news.configuration, answer.mutable_news()->mutable_configuration());
         write(news.backends, answer.mutable_news()->mutable_backends());
-        const std::string bytes = m_seal.seal(answer.SerializeAsString());
-        ErrorCode ignored; // one that hears nothing reads for itself
-        m_socket.send_to(asio::buffer(bytes), from, 0, ignored);
+        m_port.send(answer.SerializeAsString(), {from}); // one that hears nothing reads for itself
         return;
     }
     const auto waiting = m_waiting.find(message.question());
