Go by the weights in service until the first frame

Cause: a request of the own interface keeps the weights that were in service when it was read.

Ruled out: the sealed port and the split of the exchange (the node command's, not serve's); the engines (each answered rightly for its weights).

Change: each attempt before the first frame takes the weights in service and cuts the prefixes anew with them.

--- a/src/vanilladyke/gateway/conversation.cpp
+++ b/src/vanilladyke/gateway/conversation.cpp
@@ -1,6 +1,7 @@
 #include "vanilladyke/gateway/conversation.hpp"
 
 #include "vanilladyke/base/log.hpp"
+#include "vanilladyke/gateway/filters.hpp"
 #include "vanilladyke/gateway/stream_canceller.hpp"
 
 #include <algorithm>
@@ -167,8 +168,26 @@
     m_exchange = std::make_unique<EngineExchange>(m_call, m_environment.threads);
 }
 
+/// New weights may be in service since the request was read, and no engine left with the old ones.
+/// Before its first frame a request goes by those that are in service now.
+void Conversation::takeWeightsInService()
+{
+    const std::shared_ptr<const Fleet> fleet = m_environment.fleet.current();
+    const Model *model = findModel(*fleet->bundle, m_context.model);
+    if (m_guard.offset() > 0 || model == nullptr || model->weights == m_context.weights) {
+        return;
+    }
+    LogEvent("weights_taken_anew")
+            .field("request", m_context.id.str())
+            .field("before", m_context.weights.str())
+            .field("now", model->weights.str());
+    m_context.weights = model->weights;
+    static_cast<void>(CutPrefixes{}(m_context)); // the hash of each cut is seeded with the weights
+}
+
 std::optional<Refusal> Conversation::prepareAttempt(TimePoint now)
 {
+    takeWeightsInService();
     if (m_call.engine.id.empty()) {
         if (auto refusal = chooseEngine(now)) {
             return refusal;
--- a/src/vanilladyke/gateway/conversation.hpp
+++ b/src/vanilladyke/gateway/conversation.hpp
@@ -56,6 +56,7 @@
     [[nodiscard]] StreamPosition position() const;
 
 private:
+    void takeWeightsInService();
     [[nodiscard]] std::optional<Refusal> prepareAttempt(TimePoint now);
     void resumeAt(const StreamPosition &position);
     [[nodiscard]] std::optional<Refusal> chooseEngine(TimePoint now);
