Learn the engines' pace, count waiting by urgency, refuse at once what would wait for half of its target

Short prompts had no home, and parts that begin alike were read by every engine.

The request's log line tells the predicted first token, the wait, the pace and the part that decided.

--- a/include/vanilladyke/policy/backend_book.hpp
+++ b/include/vanilladyke/policy/backend_book.hpp
@@ -17,7 +17,8 @@
 /// - A home is crowded or gone: the next of the order takes over, and fetches the part from an
 ///   engine that some node sent it to lately, or from the kept-cache store, as far as the
 ///   store's link carries.
-/// - Short requests behind long ones: the prompt tokens that wait at an engine count as waiting.
+/// - Short requests behind long ones: the prompts that wait at an engine count as waiting for those
+///   that are no more urgent.
 /// - Many nodes with a part of the load each: what others tell of theirs counts as this node's own;
 ///   what an engine reports beyond that counts until the report is ReportLife old.
 /// - So many nodes that news is half a second old: were all to weigh all servers, all would take
@@ -25,8 +26,10 @@
 ///   same few that were idle then. Each node weighs the first servers of an order of its own.
 /// - An engine that answers nothing while requests wait there is avoided after SilenceToAvoid; one
 ///   that fails a part of its requests is charged FailureCost for the part.
-/// - New weights: engines on older ones are charged BackendRates::oldWeights, the part of a
-///   request's worth that is lost there, and are closed to a request that might begin there when
+/// - Engines of any speed: how fast they read is learned from the requests that met no queue, for
+///   each service, and how much slower than that an engine is; see engine_pace.hpp.
+/// - New weights: engines on older ones are charged the part of a request's worth that is lost
+///   there, BackendRates::oldWeightsPart, and are closed to a request that might begin there when
 ///   the platform's time for them is over. Engines with a second's queue close a second sooner.
 namespace vanilladyke {
 
@@ -102,6 +105,10 @@
     [[nodiscard]] static std::uint64_t hashOf(const EngineId &id);
     [[nodiscard]] static std::uint64_t hashOf(const Endpoint &store);
 
+    /// @brief What was learned of a service's engines.
+    [[nodiscard]] const EnginePace &paceOf(const ServiceId &service) const;
+    /// @brief Shared tokens that are worth a home at a service's engines.
+    [[nodiscard]] std::uint64_t leastHomeTokens(const ServiceId &service) const;
     [[nodiscard]] int inFlight(const EngineId &id) const;
     [[nodiscard]] std::size_t size() const { return m_states.size(); }
     [[nodiscard]] bool knows(const EngineId &id) const { return m_states.contains(id); }
@@ -113,13 +120,15 @@
         std::uint64_t hash = 0;
         int inFlight = 0;
         int unanswered = 0;
-        Millis waiting{};      ///< predicted reading time of own requests that have not begun
+        EnginePace *pace = nullptr; ///< of its service
+        EngineSlowness slowness;
+        WaitingWork waiting;   ///< predicted reading time of own requests that have not begun
         TimePoint silentSince; ///< when the oldest wait without any answer began
         int reportedRunning = 0;
         int reportedWaiting = 0;
         int ownAtReport = 0;
         TimePoint reportedAt;
-        Millis peersWaiting{};
+        WaitingWork peersWaiting;
         int peersInFlight = 0;
         TimePoint loadingUntil;
         TimePoint orderedUntil; ///< by this node; others only hear of its own orders
@@ -133,7 +142,7 @@
     struct PeerPart
     {
         std::uint64_t backend = 0;
-        Millis waiting{};
+        WaitingWork waiting;
         int inFlight = 0;
     };
     struct Peer
@@ -165,6 +174,7 @@
         std::optional<Endpoint> fetchFrom;
         std::optional<Endpoint> saveTo;
         std::uint64_t store = 0;
+        double tokens = 0; ///< that the engine reads itself
     };
     /// The servers that are weighed for a request.
     struct Weighed
@@ -177,9 +187,12 @@
                                 NoBackend *none) const;
     [[nodiscard]] DataCentreId homeCentre(const std::vector<const State *> &all,
                                           std::uint64_t part) const;
-    [[nodiscard]] Millis waitOf(const State &state, TimePoint now) const;
-    [[nodiscard]] Millis chargesOf(const State &state, std::uint64_t weights, const Goals *goals,
-                                   TimePoint now) const;
+    [[nodiscard]] Millis waitOf(const State &state, int urgency, TimePoint now) const;
+    /// A request at the server has begun, or will not.
+    static void waitsNoMore(State &state, const BackendChoice &choice);
+    [[nodiscard]] Millis chargesOf(const State &state, const BackendQuery &query,
+                                   const Goals *goals, TimePoint now) const;
+    [[nodiscard]] static Millis readTime(const State &state, double tokens, TimePoint now);
     [[nodiscard]] bool isSilent(const State &state, TimePoint now) const;
     [[nodiscard]] std::optional<TimePoint> endOf(std::uint64_t weights, const Goals *goals) const;
     [[nodiscard]] bool mayBegin(const State &state, const BackendQuery &query, const Goals *goals,
@@ -201,6 +214,7 @@
     DataCentreId m_here;
     BackendRates m_rates;
     std::uint64_t m_self;
+    std::unordered_map<ServiceId, EnginePace> m_paces;
     std::unordered_map<EngineId, State> m_states;
     /// Servers of each service in this node's own order. They stand in m_states.
     std::unordered_map<ServiceId, std::vector<const State *>> m_byService;
--- /dev/null
+++ b/include/vanilladyke/policy/waiting_work.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "vanilladyke/policy/engine_pace.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+
+namespace vanilladyke {
+
+/// @brief Predicted reading time of requests that wait at an engine, by their urgency.
+///
+/// Load pattern: long prompts of low urgency queue for seconds at every engine, and short checks
+/// overtake them there. Were all that waits to count for a check, it would leave the engine that
+/// has its prompt for a wait that it doesn't have; were only checks to count for a long prompt, it
+/// would queue behind a dozen others.
+class WaitingWork
+{
+public:
+    static constexpr int Urgencies = 10; ///< 0 goes first
+
+    void add(int urgency, Millis time) { at(urgency) += time; }
+    /// @brief Takes back what was added; what rounding leaves is not negative.
+    void remove(int urgency, Millis time)
+    {
+        at(urgency) = std::max(Millis::zero(), at(urgency) - time);
+    }
+    void operator+=(const WaitingWork &other)
+    {
+        for (int urgency = 0; urgency < Urgencies; ++urgency) {
+            add(urgency, other.of(urgency));
+        }
+    }
+    void operator-=(const WaitingWork &other)
+    {
+        for (int urgency = 0; urgency < Urgencies; ++urgency) {
+            remove(urgency, other.of(urgency));
+        }
+    }
+    [[nodiscard]] Millis of(int urgency) const { return m_parts.at(index(urgency)); }
+    /// @brief What is ahead of a request that comes now.
+    [[nodiscard]] Millis ahead(int urgency) const
+    {
+        Millis sum{};
+        for (int each = 0; each <= std::min(urgency, Urgencies - 1); ++each) {
+            sum += of(each);
+        }
+        return sum;
+    }
+    [[nodiscard]] Millis total() const { return ahead(Urgencies - 1); }
+
+private:
+    [[nodiscard]] static std::size_t index(int urgency)
+    {
+        return static_cast<std::size_t>(std::clamp(urgency, 0, Urgencies - 1));
+    }
+    [[nodiscard]] Millis &at(int urgency) { return m_parts.at(index(urgency)); }
+
+    std::array<Millis, Urgencies> m_parts{};
+};
+
+} // namespace vanilladyke
--- a/include/vanilladyke/traffic/exchange.hpp
+++ b/include/vanilladyke/traffic/exchange.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "vanilladyke/policy/exchange_state.hpp"
+#include "vanilladyke/policy/wait_limit.hpp"
 #include "vanilladyke/traffic/event_splitter.hpp"
 #include "vanilladyke/traffic/traffic_state.hpp"
 
@@ -67,6 +68,10 @@
 
     [[nodiscard]] std::optional<Refusal> admit();
     [[nodiscard]] BackendQuery query() const;
+    [[nodiscard]] int urgency() const;
+    /// When a request that would wait too long at the server may come back.
+    [[nodiscard]] std::optional<TimePoint> comesTooLate(const BackendChoice &choice,
+                                                        TimePoint now) const;
     [[nodiscard]] SendTerms termsFor(const BackendChoice &choice) const;
     [[nodiscard]] asio::awaitable<bool> waitForBackend(const NoBackend &none);
     [[nodiscard]] asio::awaitable<BackendConnectionPtr> connectionTo(const BackendChoice &choice);
@@ -130,6 +135,7 @@
     bool m_callerLeft = false;
     bool m_timedOut = false;
     bool m_stalled = false;
+    bool m_isTooLate = false; ///< it would have waited too long at every server
     bool m_headWritten = false;
     bool m_budgetSpent = false;
     bool m_hasSecondSend = false; ///< taken from the budget and not used yet
--- a/src/vanilladyke/app/node_settings.cpp
+++ b/src/vanilladyke/app/node_settings.cpp
@@ -30,24 +30,21 @@
 
 void readPlacement(JsonReader &reader, BackendRates *rates)
 {
-    constexpr double MostRate = 1e6;
+    constexpr double MostReads = 1000;
     constexpr std::uint64_t MostWeighed = 10'000;
     constexpr double MostWaits = 10;
-    constexpr std::uint64_t MostHomeTokens = 1'000'000;
-    reader.allowOnly({"tokens_per_ms", "kept_tokens_per_ms", "step_ms", "copy_ms_per_token",
-                      "away_from_home_ms", "old_weights_ms", "old_weights_waits", "other_centre_ms",
-                      "reach", "homes", "least_home_tokens"});
+    reader.allowOnly({"copy_reads", "away_reads", "old_weights_part", "old_weights_waits",
+                      "other_centre_ms", "reach", "homes", "least_home_reading_ms",
+                      "most_wait_targets"});
+    reader.number("copy_reads", &rates->copyReads, 0, MostReads);
+    reader.number("away_reads", &rates->awayReads, 0, MostReads);
+    reader.number("most_wait_targets", &rates->mostWaitTargets, 0, MostReads);
+    reader.number("old_weights_part", &rates->oldWeightsPart, 0, 1);
     reader.number("old_weights_waits", &rates->oldWeightsWaits, 0, MostWaits);
-    reader.number("tokens_per_ms", &rates->tokensPerMs, 0.001, MostRate);
-    reader.number("kept_tokens_per_ms", &rates->keptTokensPerMs, 0.001, MostRate);
-    readCharge(reader, "step_ms", &rates->step);
-    readCharge(reader, "away_from_home_ms", &rates->awayFromHome);
-    readCharge(reader, "copy_ms_per_token", &rates->copyPerToken);
     readCharge(reader, "other_centre_ms", &rates->otherCentre);
-    readCharge(reader, "old_weights_ms", &rates->oldWeights);
     reader.integer("reach", &rates->reach, 1, MostWeighed);
     reader.integer("homes", &rates->homes, 1, MostWeighed);
-    reader.integer("least_home_tokens", &rates->leastHomeTokens, 0, MostHomeTokens);
+    readCharge(reader, "least_home_reading_ms", &rates->leastHomeReading);
 }
 
 void readRollout(JsonReader &reader, RolloutTerms *terms)
--- a/src/vanilladyke/node/load_sharing.cpp
+++ b/src/vanilladyke/node/load_sharing.cpp
@@ -86,7 +86,9 @@
     for (const BackendLoadNews &each : m_state.book.ownLoad(MostBackends, now)) {
         wire::BackendLoad *load = message.add_backends();
         load->set_backend(each.backend);
-        load->set_waiting_ms(static_cast<std::uint32_t>(each.waiting.count()));
+        for (int urgency = 0; urgency < WaitingWork::Urgencies; ++urgency) {
+            load->add_waiting_ms(static_cast<std::uint32_t>(each.waiting.of(urgency).count()));
+        }
         load->set_in_flight(static_cast<std::uint32_t>(each.inFlight));
         load->set_loading_ms(millis(each.loading));
         load->set_weights(each.weights);
@@ -135,8 +137,11 @@
     std::vector<BackendLoadNews> news;
     news.reserve(static_cast<std::size_t>(message.backends_size()));
     for (const wire::BackendLoad &load : message.backends()) {
-        news.push_back({load.backend(), Millis(load.waiting_ms()),
-                        static_cast<int>(load.in_flight()),
+        WaitingWork waiting;
+        for (int urgency = 0; urgency < load.waiting_ms_size(); ++urgency) {
+            waiting.add(urgency, Millis(load.waiting_ms(urgency)));
+        }
+        news.push_back({load.backend(), waiting, static_cast<int>(load.in_flight()),
                         std::chrono::milliseconds(load.loading_ms()), load.weights()});
     }
     m_state.book.heardLoad(message.node(), news, now);
--- a/src/vanilladyke/policy/backend_book.cpp
+++ b/src/vanilladyke/policy/backend_book.cpp
@@ -37,6 +37,7 @@
     m_byHash.clear();
     for (auto &[id, state] : m_states) {
         m_byHash.emplace(state.hash, &state);
+        state.pace = &m_paces[state.entry.service];
         m_byService[state.entry.service].push_back(&state);
     }
     for (auto &[service, states] : m_byService) {
@@ -46,6 +47,19 @@
     }
 }
 
+const EnginePace &BackendBook::paceOf(const ServiceId &service) const
+{
+    static const EnginePace Unknown;
+    const auto known = m_paces.find(service);
+    return known == m_paces.end() ? Unknown : known->second;
+}
+
+std::uint64_t BackendBook::leastHomeTokens(const ServiceId &service) const
+{
+    const double tokens = m_rates.leastHomeReading.count() * paceOf(service).tokensPerMs();
+    return static_cast<std::uint64_t>(tokens);
+}
+
 BackendBook::State *BackendBook::find(const EngineId &id)
 {
     const auto found = m_states.find(id);
@@ -84,7 +98,7 @@
         }
     }
     std::sort(news.begin(), news.end(), [](const BackendLoadNews &a, const BackendLoadNews &b) {
-        return a.waiting > b.waiting;
+        return a.waiting.total() > b.waiting.total();
     });
     news.resize(std::min(news.size(), most));
     return news;
@@ -202,7 +216,7 @@
     if (state.unanswered++ == 0) {
         state.silentSince = now;
     }
-    state.waiting += choice.reading;
+    state.waiting.add(choice.urgency, choice.reading);
     if (!query.hasHome()) {
         return;
     }
@@ -222,6 +236,15 @@
     }
 }
 
+void BackendBook::waitsNoMore(State &state, const BackendChoice &choice)
+{
+    state.unanswered = std::max(0, state.unanswered - 1);
+    state.waiting.remove(choice.urgency, choice.reading);
+    if (state.unanswered == 0) {
+        state.waiting = {};
+    }
+}
+
 void BackendBook::began(const BackendChoice &choice, TimePoint now)
 {
     State *const known = find(choice.backend.id);
@@ -229,11 +252,13 @@
         return;
     }
     State &state = *known;
-    state.unanswered = std::max(0, state.unanswered - 1);
-    state.waiting = state.unanswered == 0
-                            ? Millis::zero()
-                            : std::max(Millis::zero(), state.waiting - choice.reading);
+    waitsNoMore(state, choice);
     state.silentSince = now;
+    if (choice.isAlone && choice.readTokens > 0) {
+        const Millis took = now - choice.chosenAt;
+        state.slowness.observed(took / state.pace->predict(choice.readTokens), now);
+        state.pace->observed(choice.readTokens, took);
+    }
 }
 
 void BackendBook::ended(const BackendChoice &choice, bool hadBegun, bool failed, TimePoint now)
@@ -245,10 +270,7 @@
     State &state = *known;
     state.inFlight = std::max(0, state.inFlight - 1);
     if (!hadBegun) {
-        state.unanswered = std::max(0, state.unanswered - 1);
-        state.waiting = state.unanswered == 0
-                                ? Millis::zero()
-                                : std::max(Millis::zero(), state.waiting - choice.reading);
+        waitsNoMore(state, choice);
     } else {
         state.silentSince = now;
     }
--- a/src/vanilladyke/policy/backend_choice.cpp
+++ b/src/vanilladyke/policy/backend_choice.cpp
@@ -22,10 +22,19 @@
     return !sharedPart.empty() && sharedTokens >= leastHomeTokens;
 }
 
+std::uint64_t BackendQuery::keyOf(const std::string &part) const
+{
+    return hashOfName(isolated.empty() ? part : part + "/" + isolated.str());
+}
+
 std::uint64_t BackendQuery::partKey() const
 {
-    const std::string name = isolated.empty() ? sharedPart : sharedPart + "/" + isolated.str();
-    return hashOfName(name);
+    return keyOf(sharedPart);
+}
+
+std::uint64_t BackendQuery::homeKey() const
+{
+    return keyOf(homePart.empty() ? sharedPart : homePart);
 }
 
 std::optional<TimePoint> BackendBook::endOf(std::uint64_t weights, const Goals *goals) const
@@ -60,35 +69,43 @@
         return true;
     }
     const auto tokens = static_cast<double>(query.sharedTokens + query.ownTokens);
-    const Millis waits = waitOf(state, now) + Millis(tokens / m_rates.tokensPerMs);
+    const Millis waits = waitOf(state, query.urgency, now) + readTime(state, tokens, now);
     const auto begins = std::chrono::duration_cast<Duration>(m_rates.oldWeightsWaits * waits);
     return now + begins + OldWeightsMargin < *end;
 }
 
+Millis BackendBook::readTime(const State &state, double tokens, TimePoint now)
+{
+    return state.pace->reading(tokens) * state.slowness.factor(now);
+}
+
 bool BackendBook::isSilent(const State &state, TimePoint now) const
 {
     return state.unanswered > 0 && now - state.silentSince > SilenceToAvoid;
 }
 
-Millis BackendBook::waitOf(const State &state, TimePoint now) const
+Millis BackendBook::waitOf(const State &state, int urgency, TimePoint now) const
 {
+    // What waits at the engine is in the predicted reading of this node and of those that it hears
+    // of; only requests of nobody known are added to that.
     int others = 0;
     int queued = 0;
     if (now - state.reportedAt < ReportLife) {
         const int told = state.reportedRunning + state.reportedWaiting - state.ownAtReport;
         others = std::max(0, told - state.peersInFlight);
-        queued = state.reportedWaiting;
+        queued = std::min(others, state.reportedWaiting);
     }
     const int busy = others + state.inFlight + state.peersInFlight;
     const int over = std::max(queued, busy + 1 - state.entry.slots);
     const double slotsUsed = static_cast<double>(busy) / std::max(state.entry.slots, 1);
-    return state.waiting + state.peersWaiting + busy * m_rates.step + over * Queued
-           + slotsUsed * PlainCall;
+    return state.waiting.ahead(urgency) + state.peersWaiting.ahead(urgency) + busy * m_rates.step
+           + over * Queued + slotsUsed * PlainCall;
 }
 
-Millis BackendBook::chargesOf(const State &state, std::uint64_t weights, const Goals *goals,
+Millis BackendBook::chargesOf(const State &state, const BackendQuery &query, const Goals *goals,
                               TimePoint now) const
 {
+    const std::uint64_t weights = weightsOf(state, query.model);
     Millis charges = state.entry.dataCentre == m_here ? Millis::zero() : m_rates.otherCentre;
     if (state.failurePart > 0) {
         const double age = secondsOf(now - state.failureAt) / secondsOf(FailureHalfLife);
@@ -102,7 +119,7 @@
                 return weights < goal.version && now - goal.since > OldWeightsGrace;
             });
     if (isOld) {
-        charges += m_rates.oldWeights;
+        charges += m_rates.oldWeightsPart * Millis(query.target);
     }
     return charges;
 }
@@ -122,7 +139,7 @@
 {
     const std::vector<const State *> &all = m_byService.at(query.service);
     const bool hasHome = query.hasHome();
-    const std::uint64_t part = hasHome ? query.partKey() : 0;
+    const std::uint64_t part = hasHome ? query.homeKey() : 0;
     const bool isWhole = all.size() <= WholeUpTo;
     const std::size_t most = isWhole ? all.size() : (hasHome ? m_rates.homes : m_rates.reach);
     // With a store in each data centre, the homes that follow the first one stay beside its store.
@@ -157,7 +174,7 @@
     if (hasHome && result.open.size() > most) {
         std::sort(result.open.begin(), result.open.end(),
                   [](const Candidate &a, const Candidate &b) { return a.order > b.order; });
-        const std::vector<std::uint64_t> holders = m_holders.backends(part);
+        const std::vector<std::uint64_t> holders = m_holders.backends(query.partKey());
         const auto rest = result.open.begin() + static_cast<std::ptrdiff_t>(most);
         result.open.erase(std::remove_if(rest, result.open.end(),
                                          [&](const Candidate &each) {
@@ -168,8 +185,8 @@
                           result.open.end());
     }
     for (Candidate &each : result.open) {
-        each.cost = waitOf(*each.state, now)
-                    + chargesOf(*each.state, weightsOf(*each.state, query.model), goals, now);
+        each.cost =
+                waitOf(*each.state, query.urgency, now) + chargesOf(*each.state, query, goals, now);
     }
     return result;
 }
@@ -212,7 +229,9 @@
     const bool isHome = &engine == &home;
     const auto shared = static_cast<double>(query.sharedTokens);
     Reading reading;
-    reading.time = Millis(static_cast<double>(query.ownTokens) / m_rates.tokensPerMs);
+    reading.tokens = static_cast<double>(query.ownTokens);
+    reading.time = readTime(engine, reading.tokens, now);
+    const Millis sharedTime = readTime(engine, shared, now);
     reading.isHeld = m_holders.holds(question, engine.hash, now);
     if (store != nullptr && !isKept && query.kept->state(store->endpoint) != KeptCacheState::Down) {
         reading.saveTo = store->endpoint;
@@ -233,17 +252,18 @@
     }
     reading.store = isKept && holder == nullptr ? storeName : 0;
     if (holder != nullptr) {
-        reading.charge = m_rates.copyPerToken * shared;
+        reading.charge = m_rates.copyReads * sharedTime;
         reading.time += FetchSetup + Millis(shared / m_rates.engineTokensPerMs);
         return reading;
     }
-    reading.charge = isHome ? Millis::zero() : m_rates.awayFromHome;
+    reading.charge = isHome ? Millis::zero() : m_rates.awayReads * sharedTime;
     if (mayFetch) {
         constexpr double AcrossCentres = 2;
         const double far = store->dataCentre == engine.entry.dataCentre ? 1 : AcrossCentres;
         reading.time += FetchSetup + Millis(far * shared / m_rates.keptTokensPerMs);
     } else {
-        reading.time += Millis(shared / m_rates.tokensPerMs);
+        reading.tokens += shared;
+        reading.time += sharedTime;
     }
     return reading;
 }
@@ -278,8 +298,8 @@
         if (hasHome) {
             reading = readingAt(*engine.state, *home->state, query, store, now);
         } else {
-            const auto tokens = static_cast<double>(query.sharedTokens + query.ownTokens);
-            reading.time = Millis(tokens / m_rates.tokensPerMs);
+            reading.tokens = static_cast<double>(query.sharedTokens + query.ownTokens);
+            reading.time = readTime(*engine.state, reading.tokens, now);
         }
         const Millis cost = engine.cost + reading.time + reading.charge;
         if (chosen == nullptr || cost < best.cost) {
@@ -290,8 +310,18 @@
             best.store = reading.store;
             best.cost = cost;
             best.reading = reading.time;
+            best.readTokens = reading.tokens;
         }
     }
+    best.chosenAt = now;
+    best.urgency = query.urgency;
+    best.waits = waitOf(*chosen, query.urgency, now);
+    best.first = best.waits + best.reading + chosen->pace->predict(0);
+    best.tokensPerMs = chosen->pace->tokensPerMs() / chosen->slowness.factor(now);
+    best.isAlone = chosen->unanswered == 0 && chosen->peersWaiting.total() <= Millis::zero()
+                   && (now - chosen->reportedAt > ReportLife || chosen->reportedWaiting == 0);
+    best.part = hasHome ? query.partKey() : 0;
+    best.sharedTokens = query.sharedTokens;
     best.backend = chosen->entry;
     best.weights = weightsOf(*chosen, query.model);
     best.candidates = open.size();
--- /dev/null
+++ b/src/vanilladyke/policy/engine_pace.cpp
@@ -0,0 +1,76 @@
+#include "vanilladyke/policy/engine_pace.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace vanilladyke {
+
+namespace {
+
+/// What is kept of older samples with each new one: some fifty count.
+constexpr double Keep = 0.98;
+/// Two samples of each length stand for what is believed at the start.
+constexpr double PriorWeight = 2;
+constexpr double PriorShort = 500;
+constexpr double PriorLong = 8000;
+constexpr double MostOfPrediction = 3;
+constexpr double SlownessWeight = 0.15;
+
+} // namespace
+
+EnginePace::EnginePace()
+{
+    for (const double tokens : {PriorShort, PriorLong}) {
+        add(PriorWeight, tokens, predict(tokens).count());
+    }
+}
+
+void EnginePace::add(double weight, double tokens, double millis)
+{
+    m_weight += weight;
+    m_x += weight * tokens;
+    m_y += weight * millis;
+    m_xx += weight * tokens * tokens;
+    m_xy += weight * tokens * millis;
+}
+
+void EnginePace::observed(double tokens, Millis took)
+{
+    if (!(tokens >= 0) || !(took.count() > 0)) {
+        return;
+    }
+    const double millis = std::min(took.count(), MostOfPrediction * predict(tokens).count());
+    for (double *sum : {&m_weight, &m_x, &m_y, &m_xx, &m_xy}) {
+        *sum *= Keep;
+    }
+    add(1, tokens, millis);
+    fit();
+}
+
+void EnginePace::fit()
+{
+    const double spread = m_weight * m_xx - m_x * m_x;
+    const bool isLine = spread > 1e-6 * m_weight * m_xx;
+    const double mean = m_y / std::max(m_x, 1.0);
+    const double slope = isLine ? (m_weight * m_xy - m_x * m_y) / spread : mean;
+    m_perToken = std::clamp(slope, 1 / MostTokensPerMs, 1 / LeastTokensPerMs);
+    m_fixed = Millis(std::max(0.0, (m_y - m_perToken * m_x) / m_weight));
+}
+
+void EngineSlowness::observed(double ratio, TimePoint now)
+{
+    const double bounded = std::clamp(ratio, Least, Most);
+    m_log = (1 - SlownessWeight) * std::log(factor(now)) + SlownessWeight * std::log(bounded);
+    m_at = now;
+}
+
+double EngineSlowness::factor(TimePoint now) const
+{
+    if (m_log == 0) {
+        return 1;
+    }
+    const double age = std::max(0.0, secondsOf(now - m_at) / secondsOf(HalfLife));
+    return std::exp(m_log * std::exp2(-age));
+}
+
+} // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/policy/wait_limit_test.cpp
@@ -0,0 +1,122 @@
+#include "vanilladyke/policy/wait_limit.hpp"
+
+#include "vanilladyke/base/random.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <queue>
+#include <random>
+
+namespace vanilladyke {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds Target{800};
+constexpr milliseconds Patience{3200};
+
+struct Outcome
+{
+    int inTarget = 0;
+    int late = 0;
+    int left = 0;    ///< callers that got nothing before their patience ended
+    int refused = 0; ///< twice, so that they come back no more
+};
+
+/// Callers that come back once when told, before engines that read one prompt after the other.
+Outcome replay(double load, double mostPart, std::uint64_t seed)
+{
+    constexpr double ReadMs = 100;
+    constexpr int RunMs = 20'000;
+    struct Arrival
+    {
+        double at = 0;
+        double first = 0; ///< of its first attempt
+        bool isSecond = false;
+        bool operator>(const Arrival &other) const { return at > other.at; }
+    };
+    Random random(seed);
+    std::priority_queue<Arrival, std::vector<Arrival>, std::greater<>> arrivals;
+    std::exponential_distribution<double> gap(load / ReadMs);
+    for (double at = gap(random); at < RunMs; at += gap(random)) {
+        arrivals.push({at, at, false});
+    }
+    const TimePoint start(std::chrono::hours(1));
+    const auto pointAt = [start](double ms) {
+        return start + std::chrono::duration_cast<Duration>(Millis(ms));
+    };
+    Outcome outcome;
+    double freeAt = 0;
+    while (!arrivals.empty()) {
+        const Arrival now = arrivals.top();
+        arrivals.pop();
+        const Millis waits(std::max(0.0, freeAt - now.at));
+        const WaitTerms terms{Target, pointAt(now.at) + Patience, mostPart};
+        if (const auto until = refusedUntil(terms, waits, pointAt(now.at))) {
+            if (now.isSecond) {
+                ++outcome.refused;
+            } else {
+                arrivals.push({Millis(*until - start).count(), now.first, true});
+            }
+            continue;
+        }
+        freeAt = std::max(freeAt, now.at) + ReadMs;
+        const double took = freeAt - now.first;
+        outcome.inTarget += took <= Target.count() ? 1 : 0;
+        outcome.late += took > Target.count() && freeAt - now.at <= Patience.count() ? 1 : 0;
+        outcome.left += freeAt - now.at > Patience.count() ? 1 : 0;
+    }
+    return outcome;
+}
+
+constexpr double NoLimit = 1e9;
+
+// Callers come at one and a half times what the engine reads. Without a limit the queue grows until
+// everybody waits as long as anybody has patience for.
+TEST(WaitLimit, UnderOverloadThoseThatGoAreInTime)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        const Outcome sentOn = replay(1.5, NoLimit, seed);
+        const Outcome limited = replay(1.5, 0.5, seed);
+        EXPECT_GT(limited.inTarget, 3 * sentOn.inTarget) << seed;
+        EXPECT_GT(limited.inTarget + limited.late, 0.9 * 200)
+                << "the engine is idle, seed " << seed;
+        EXPECT_EQ(limited.left, 0) << seed;
+    }
+}
+
+// At seven tenths of what the engine reads, now and then a few meet. At most one caller in fifty may
+// be turned away for good.
+TEST(WaitLimit, AtUsualLoadHardlyAnybodyIsTurnedAwayTwice)
+{
+    int refused = 0;
+    int served = 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        const Outcome outcome = replay(0.7, 0.5, seed);
+        refused += outcome.refused;
+        served += outcome.inTarget + outcome.late;
+    }
+    EXPECT_LT(50 * refused, served);
+}
+
+// A prompt of fifty thousand tokens takes longer to read than its target. With nothing ahead of it
+// it is served all the same.
+TEST(WaitLimit, WhatThePromptItselfTakesIsNoReasonToRefuse)
+{
+    const TimePoint now(std::chrono::hours(1));
+    EXPECT_FALSE(refusedUntil({Target, now + Patience, 0.5}, Millis(0), now));
+    EXPECT_TRUE(refusedUntil({Target, now + milliseconds(50), 0.5}, Millis(100), now));
+}
+
+// A caller is told when to come back: not before the wait is within the limit.
+TEST(WaitLimit, TheTimeToComeBackFollowsFromTheWait)
+{
+    const TimePoint now(std::chrono::hours(1));
+    const auto until = refusedUntil({Target, now + Patience, 0.5}, Millis(1000), now);
+    ASSERT_TRUE(until);
+    EXPECT_EQ(*until, now + milliseconds(800));
+}
+
+} // namespace
+} // namespace vanilladyke
--- a/src/vanilladyke/traffic/exchange.cpp
+++ b/src/vanilladyke/traffic/exchange.cpp
@@ -34,6 +34,19 @@
 /// How often a request that waits is checked for weights that were named meanwhile.
 constexpr Duration WeightsCheck = std::chrono::seconds(1);
 
+/// The first part with which half of the shared tokens are reached.
+std::string homePart(const std::vector<PromptPart> &parts, std::uint64_t shared)
+{
+    std::uint64_t reached = 0;
+    for (const PromptPart &part : parts) {
+        reached += part.tokens;
+        if (2 * reached >= shared) {
+            return part.id;
+        }
+    }
+    return {};
+}
+
 bool isSuccess(int status)
 {
     return status >= 200 && status < 300;
@@ -105,6 +118,11 @@
             continue;
         }
         m_choice = *choice;
+        if (const auto until = comesTooLate(*choice, now)) {
+            m_none = {true, *until};
+            m_isTooLate = true;
+            break;
+        }
         const TryEnd end = co_await tryBackend(*choice);
         if (end == TryEnd::Delivered) {
             log(m_status, "answered");
@@ -172,7 +190,9 @@
     BackendQuery result;
     result.service = m_service;
     result.model = m_request.model;
-    result.leastHomeTokens = m_state.settings.rates.leastHomeTokens;
+    result.leastHomeTokens = m_state.book.leastHomeTokens(m_service);
+    result.target = m_route->targetLatency;
+    result.urgency = urgency();
     result.exclude = m_tried;
     result.kept = m_state.kept.stores() == 0 ? nullptr : &m_state.kept;
     if (const ServiceSpec *service = m_table->service(m_service)) {
@@ -184,6 +204,7 @@
         for (std::size_t i = 0; i + 1 < m_request.parts.size(); ++i) {
             shared += m_request.parts[i].tokens;
         }
+        result.homePart = homePart(m_request.parts, shared);
         result.sharedPart = m_request.parts[m_request.parts.size() - 2].id;
         if (m_customer != nullptr && m_customer->isIsolated) {
             result.isolated = m_customer->id;
@@ -194,6 +215,25 @@
     return result;
 }
 
+int Exchange::urgency() const
+{
+    int rank = m_route->priority;
+    if (m_customer != nullptr && m_customer->priority) {
+        rank = *m_customer->priority;
+    }
+    const bool isLong = m_request.promptTokens > LongPromptTokens;
+    return std::clamp(1 + 2 * rank + (isLong ? 1 : 0), 0, WaitingWork::Urgencies - 1);
+}
+
+std::optional<TimePoint> Exchange::comesTooLate(const BackendChoice &choice, TimePoint now) const
+{
+    if (m_request.model.empty() || m_headWritten || m_sends > 0) {
+        return std::nullopt;
+    }
+    const double most = m_state.settings.rates.mostWaitTargets;
+    return refusedUntil({m_route->targetLatency, m_deadline, most}, choice.waits, now);
+}
+
 SendTerms Exchange::termsFor(const BackendChoice &choice) const
 {
     SendTerms terms;
@@ -203,12 +243,7 @@
     if (m_customer != nullptr) {
         terms.customer = m_customer->id;
     }
-    int rank = m_route->priority;
-    if (m_customer != nullptr && m_customer->priority) {
-        rank = *m_customer->priority;
-    }
-    const bool isLong = m_request.promptTokens > LongPromptTokens;
-    terms.urgency = std::clamp(1 + 2 * rank + (isLong ? 1 : 0), 0, 9);
+    terms.urgency = urgency();
     terms.resumeAfter = m_resumeAfter;
     if (m_request.parts.empty()) {
         return terms;
--- a/src/vanilladyke/traffic/exchange_answers.cpp
+++ b/src/vanilladyke/traffic/exchange_answers.cpp
@@ -180,10 +180,11 @@
     if (m_exchange.ran() == Ran::No) {
         constexpr Duration LeastRetryAfter = std::chrono::milliseconds(100);
         const Duration after = std::max<Duration>(m_none.retryAt - now, LeastRetryAfter);
-        const std::string_view reason = m_timedOut || m_deadline - now < LeastTimeForTry
-                                                ? toString(RefusalReason::TooLate)
-                                        : m_budgetSpent ? toString(RefusalReason::RetryBudgetSpent)
-                                                        : toString(RefusalReason::NoBackend);
+        const std::string_view reason =
+                m_timedOut || m_isTooLate || m_deadline - now < LeastTimeForTry
+                        ? toString(RefusalReason::TooLate)
+                : m_budgetSpent ? toString(RefusalReason::RetryBudgetSpent)
+                                : toString(RefusalReason::NoBackend);
         co_return co_await refuse(503, reason, std::min<Duration>(after, std::chrono::seconds(2)));
     }
     const int status = m_timedOut ? 504 : 502;
@@ -223,10 +224,16 @@
             .field("proof_age_ms", m_state.configAge())
             .field("backend", m_choice ? m_choice->backend.id.str() : "none")
             .field("weights", m_choice ? m_choice->weights : 0)
+            .field("part", m_choice ? m_choice->part : 0)
+            .field("shared", m_choice ? m_choice->sharedTokens : 0)
+            .field("prompt", m_request.promptTokens)
             .field("held", m_choice && m_choice->isHeld)
             .field("source", m_choice && m_choice->fetchFrom ? m_choice->fetchFrom->str() : "none")
             .field("saved", m_choice && m_choice->saveTo)
             .field("cost_ms", spanOf(m_choice ? m_choice->cost : Millis()))
+            .field("predicted_ms", spanOf(m_choice ? m_choice->first : Millis()))
+            .field("wait_ms", spanOf(m_choice ? m_choice->waits : Millis()))
+            .field("tokens_per_ms", m_choice ? m_choice->tokensPerMs : 0.0)
             .field("read_ms", spanOf(m_choice ? m_choice->reading : Millis()))
             .field("candidates", m_choice ? m_choice->candidates : 0)
             .field("status", status)
