--- a/include/vanilladyke/node/control_plane.hpp
+++ b/include/vanilladyke/node/control_plane.hpp
@@ -45,7 +45,8 @@
     [[nodiscard]] const ProofOfAge &proof() const { return m_proof; }
 
     void configurationRead(RoutingConfig config) override;
-    void weightsNamed(const ModelId &model, std::uint64_t version, bool isNews) override;
+    void weightsNamed(const ModelId &model, std::uint64_t version,
+                      std::optional<Duration> age) override;
     bool backendRead(BackendEntry entry) override;
     void backendGone(const EngineId &id) override;
     void backendsListed(const std::map<EngineId, bool> &present) override;
--- a/include/vanilladyke/node/ports.hpp
+++ b/include/vanilladyke/node/ports.hpp
@@ -28,8 +28,10 @@
 public:
     virtual ~StateListener() = default;
     virtual void configurationRead(RoutingConfig config) = 0;
-    /// @param isNews it was written just now; else at an unknown time before this node asked
-    virtual void weightsNamed(const ModelId &model, std::uint64_t version, bool isNews) = 0;
+    /// @param age how long ago it was written, at most; none: at an unknown time before this node
+    /// asked
+    virtual void weightsNamed(const ModelId &model, std::uint64_t version,
+                              std::optional<Duration> age) = 0;
     /// @return whether anything but the server's sign of life changed
     virtual bool backendRead(BackendEntry entry) = 0;
     virtual void backendGone(const EngineId &id) = 0;
--- a/include/vanilladyke/node/record_store.hpp
+++ b/include/vanilladyke/node/record_store.hpp
@@ -78,7 +78,7 @@
     virtual ~StateTranslator() = default;
     [[nodiscard]] virtual std::optional<KeyedRecord> split(std::string_view record) const = 0;
     /// @param isNews it was written just now
-    virtual void applyOperator(const KeyedRecord &record, bool isNews,
+    virtual void applyOperator(const KeyedRecord &record, std::optional<Duration> age,
                                StateListener &listener) const = 0;
     /// @return whether anything but the server's sign of life changed
     virtual bool applyBackend(const KeyedRecord &record, StateListener &listener) const = 0;
--- a/include/vanilladyke/node/state_follower.hpp
+++ b/include/vanilladyke/node/state_follower.hpp
@@ -84,7 +84,8 @@
     [[nodiscard]] asio::awaitable<void> failed(BackOff &backOff);
     [[nodiscard]] bool readsForOthers() const;
     [[nodiscard]] bool isShared(const Topic &topic, Duration limit) const;
-    void applyOperator(std::uint64_t offset, std::string record);
+    /// @param age how long ago the record was written, at most
+    void applyOperator(std::uint64_t offset, std::string record, Duration age);
     void applyBackend(std::uint64_t offset, std::string record);
     void proveOperator(TimePoint at);
     void take(const SharedNews &news, TimePoint askedAt);
--- a/src/vanilladyke/node/control_plane.cpp
+++ b/src/vanilladyke/node/control_plane.cpp
@@ -117,14 +117,15 @@
     m_keptCache.follow(stores, *this);
 }
 
-void ControlPlane::weightsNamed(const ModelId &model, std::uint64_t version, bool isNews)
+void ControlPlane::weightsNamed(const ModelId &model, std::uint64_t version,
+                                std::optional<Duration> age)
 {
     m_weights.weightsNamed(model, version, BootClock::now());
     // A node that has just started can't tell how long ago; half of the time allowed is a guess
     // that neither closes all engines on older weights at once nor keeps them open too long.
-    const Duration age = isNews ? Duration::zero() : m_traffic.settings.rates.weightsTime / 2;
-    tell([model, version, age](TrafficState &traffic) {
-        traffic.book.setGoal(model, version, MonotonicClock::now() - age);
+    const Duration old = age.value_or(m_traffic.settings.rates.weightsTime / 2);
+    tell([model, version, old](TrafficState &traffic) {
+        traffic.book.setGoal(model, version, MonotonicClock::now() - old);
     });
 }
 
--- a/src/vanilladyke/node/state_follower.cpp
+++ b/src/vanilladyke/node/state_follower.cpp
@@ -19,6 +19,8 @@
 /// Of the same time: a proof from another node that is older is no better than a call of our own.
 /// What remains is for that call.
 constexpr double OldestSharedPart = 0.75;
+/// What a record needs at most from being written to a call that waits for it.
+constexpr Duration PromptAnswer = std::chrono::milliseconds(200);
 /// Entries are written at each heartbeat, so that waiting for one would be a call for each. Of the
 /// time in which a leaving server has to be known; the rest is for one call that is not answered.
 constexpr double BackendsPart = 0.42;
@@ -160,9 +162,11 @@
     m_operator.mustRead = m_operator.mustRead || !news.configuration;
     m_backends.mustRead = m_backends.mustRead || !news.backends;
     if (news.configuration && news.configuration->next >= m_operator.next) {
+        // All that was written before the last proof is known: what comes now is younger.
+        const Duration age = BootClock::now() - m_operator.provedAt;
         for (const RecordRelay::Change &change : news.configuration->changes) {
             if (change.offset >= m_operator.next) {
-                applyOperator(change.offset, change.record);
+                applyOperator(change.offset, change.record, age);
             }
         }
         m_operator.next = news.configuration->next;
@@ -218,7 +222,7 @@
         co_return false;
     }
     for (const KeyedRecord &record : newest->items) {
-        m_translator.applyOperator(record, false, m_listener);
+        m_translator.applyOperator(record, std::nullopt, m_listener);
     }
     m_operator.next = newest->end;
     m_operator.relay.restart(newest->end);
@@ -241,11 +245,14 @@
         }
         co_return;
     }
-    backOff.succeeded();
     const std::uint64_t next = from + page->records.size();
+    // The store answers at once, unless calls before this one failed.
+    const bool isPrompt = !backOff.down();
+    const Duration age = isPrompt ? PromptAnswer : BootClock::now() - m_operator.provedAt;
+    backOff.succeeded();
     for (std::uint64_t offset = from; offset < next; ++offset) {
         if (offset >= m_operator.next) { // another node may have told of it meanwhile
-            applyOperator(offset, page->records[offset - from]);
+            applyOperator(offset, page->records[offset - from], age);
         }
     }
     m_operator.mustRead = false;
@@ -256,10 +263,10 @@
     }
 }
 
-void StateFollower::applyOperator(std::uint64_t offset, std::string record)
+void StateFollower::applyOperator(std::uint64_t offset, std::string record, Duration age)
 {
     if (const auto keyed = m_translator.split(record)) {
-        m_translator.applyOperator(*keyed, true, m_listener);
+        m_translator.applyOperator(*keyed, age, m_listener);
     }
     m_operator.relay.changed(offset, std::move(record));
 }
--- a/src/vanilladyke/node/state_follower_test.cpp
+++ b/src/vanilladyke/node/state_follower_test.cpp
@@ -86,9 +86,10 @@
     {
         return KeyedRecord{std::string(record.substr(0, record.find('='))), std::string(record)};
     }
-    void applyOperator(const KeyedRecord &, bool, StateListener &listener) const override
+    void applyOperator(const KeyedRecord &, std::optional<Duration> age,
+                       StateListener &listener) const override
     {
-        listener.weightsNamed(ModelId("m"), 1, true);
+        listener.weightsNamed(ModelId("m"), 1, age);
     }
     bool applyBackend(const KeyedRecord &record, StateListener &listener) const override
     {
@@ -102,7 +103,11 @@
 {
 public:
     void configurationRead(RoutingConfig) override {}
-    void weightsNamed(const ModelId &, std::uint64_t, bool) override { ++named; }
+    void weightsNamed(const ModelId &, std::uint64_t, std::optional<Duration> age) override
+    {
+        ++named;
+        writtenAt = age ? BootClock::now() - *age : TimePoint::min();
+    }
     bool backendRead(BackendEntry entry) override
     {
         backends.push_back(entry.id.str());
@@ -122,6 +127,8 @@
     void keptCacheChanged(const Endpoint &, std::vector<KeptPart>) override {}
 
     int named = 0;
+    TimePoint writtenAt =
+            TimePoint::min(); ///< of the last weights that were named, at the earliest
     int failures = 0;
     std::vector<std::string> backends;
     TimePoint provedAt = TimePoint::min();
@@ -230,6 +237,22 @@
     EXPECT_TRUE(reach([&] { return m_askingListener.provedAt > provedAt; }));
 }
 
+// News of weights comes by way of another node and half a second late. Were it dated by its
+// arrival, requests would begin on old weights after their time is over.
+TEST_F(StateFollowerTest, WhatAnotherNodeTellsIsDatedByTheLastProof)
+{
+    start();
+    ASSERT_TRUE(reachSharing());
+    m_answered = 0;
+    ASSERT_TRUE(reachSharing());
+    const TimePoint before = BootClock::now();
+    m_store.topics[StateTopic::Operator].push_back("version=2");
+    m_ownStore.topics[StateTopic::Operator].push_back("version=2");
+    ASSERT_TRUE(reach([this] { return m_askingListener.named > 0; }));
+    EXPECT_LE(m_askingListener.writtenAt, before);
+    EXPECT_GT(m_askingListener.writtenAt, TimePoint::min());
+}
+
 // A configuration is larger than a datagram. The node that was told so waited until its proof was
 // old, and refused a route that had been added two seconds before.
 TEST_F(StateFollowerTest, WhatTheReaderCantTellIsReadAtOnce)
