Tell of loading at most as often as of placements; take back weighing all servers before a refusal

Change: an announcement holds a second longer than is expected and is renewed when half of that is left; urgent news goes out at the next step, spaced like news of placements; an idle engine's waiting work is not written.

--- a/include/vanilladyke/node/load_sharing.hpp
+++ b/include/vanilladyke/node/load_sharing.hpp
@@ -35,7 +35,9 @@
     HeardNode heardNode = [](std::uint64_t, std::uint64_t, const Endpoint &) {};
     /// @brief Sends if it is time to.
     void step(TimePoint now);
-    /// @brief Sends at once, for news that must not wait.
+    /// @brief Sends at the next step, at most as often as news of placements: an engine's state
+    /// that changes many times a second must not take the link and the processor of a small host.
+    void tellSoon() { m_hasUrgentNews = true; }
     void tell(TimePoint now);
 
 private:
@@ -63,6 +65,7 @@
     std::unordered_map<std::uint64_t, Heard> m_heard;
     TimePoint m_nextAt;
     TimePoint m_toldAt;
+    bool m_hasUrgentNews = false;
 };
 
 } // namespace vanilladyke
--- a/include/vanilladyke/node/weights_controller.hpp
+++ b/include/vanilladyke/node/weights_controller.hpp
@@ -28,8 +28,9 @@
     /// Of the time that orders take, after which an engine is asked whether it is done; asking
     /// earlier costs calls and brings nothing.
     static constexpr double FirstQuestionPart = 0.7;
-    /// An engine that is asked whether it may be given an order is left alone for so long.
-    static constexpr Duration Announcement = std::chrono::milliseconds(400);
+    /// An engine under order is left alone for so much longer than is expected: slow nodes hear
+    /// late that it takes longer, and that it is done opens it at once.
+    static constexpr Duration AnnounceBeyond = std::chrono::milliseconds(1000);
     /// An engine that stays silent for so many questions is down and holds up others no longer.
     static constexpr int MostSilentAnswers = 2;
     /// An order that shows no effect for so long is given again.
@@ -62,7 +63,8 @@
         TimePoint askAt;
         bool isAsking = false;
         bool wasOrdered = false;
-        int silentAnswers = 0; ///< questions in a row that were not answered
+        int silentAnswers = 0;      ///< questions in a row that were not answered
+        TimePoint announcedUntil{}; ///< others were told that it loads until then
     };
 
     [[nodiscard]] std::vector<RolloutEngine> enginesOf(const ModelId &model) const;
@@ -75,6 +77,7 @@
     void stepLoad(const EngineId &id, Load &load, TimePoint now);
     void reported(const EngineId &id, const std::optional<EngineReport> &report);
     void giveOrder(const BackendEntry &engine, Load &load, std::uint64_t accepted);
+    void announce(const EngineId &id, Load &load, Duration expected);
     [[nodiscard]] WeightsRollout &rolloutOf(const ModelId &model);
     /// When an engine whose order was accepted is asked next.
     [[nodiscard]] TimePoint nextQuestion(const Load &load) const;
--- a/include/vanilladyke/policy/backend_choice.hpp
+++ b/include/vanilladyke/policy/backend_choice.hpp
@@ -59,8 +59,7 @@
     std::uint64_t ownTokens = 0;    ///< after it
     /// Within which the first token is worth most.
     Duration target = std::chrono::milliseconds(500);
-    int urgency = 5;        ///< 0 goes first, 9 last
-    bool weighsAll = false; ///< also in a large fleet: those weighed first would make it too late
+    int urgency = 5;                     ///< 0 goes first, 9 last
     std::vector<EngineId> exclude;       ///< servers that were tried already
     const KeptCacheView *kept = nullptr; ///< null: there is no kept-cache store
     std::uint64_t memoryTokens = 0;      ///< of an engine; 0: not known
--- a/include/vanilladyke/traffic/exchange.hpp
+++ b/include/vanilladyke/traffic/exchange.hpp
@@ -69,7 +69,6 @@
     [[nodiscard]] std::optional<Refusal> admit();
     [[nodiscard]] BackendQuery query() const;
     [[nodiscard]] int urgency() const;
-    [[nodiscard]] tl::expected<BackendChoice, NoBackend> chooseBackend(TimePoint now) const;
     /// When a request that would wait too long at the server may come back.
     [[nodiscard]] std::optional<TimePoint> comesTooLate(const BackendChoice &choice,
                                                         TimePoint now) const;
--- a/src/vanilladyke/app/node_command.cpp
+++ b/src/vanilladyke/app/node_command.cpp
@@ -122,7 +122,7 @@
         m_traffic.peersChanged = [this](const std::vector<Endpoint> &peers) {
             m_sharing.setPeers(peers);
         };
-        m_traffic.tellPeers = [this] { m_sharing.tell(MonotonicClock::now()); };
+        m_traffic.tellPeers = [this] { m_sharing.tellSoon(); };
         m_sharing.heardNode = [this](std::uint64_t node, std::uint64_t centre, Endpoint endpoint) {
             asio::post(m_controlContext, [this, node, centre, endpoint = std::move(endpoint)] {
                 m_follower.heardNode(node, centre, endpoint);
--- a/src/vanilladyke/node/load_sharing.cpp
+++ b/src/vanilladyke/node/load_sharing.cpp
@@ -60,7 +60,8 @@
     }
     const Duration spacing =
             std::max<Duration>(Interval, std::chrono::seconds(m_peers.size()) / MostSendsPerSecond);
-    const bool isUrgent = m_state.book.hasPlacements() && now - m_toldAt >= spacing;
+    const bool hasNews = m_hasUrgentNews || m_state.book.hasPlacements();
+    const bool isUrgent = hasNews && now - m_toldAt >= spacing;
     if (now < m_nextAt && !isUrgent) {
         return;
     }
@@ -77,6 +78,7 @@
         return;
     }
     m_toldAt = now;
+    m_hasUrgentNews = false;
     wire::NodeLoad message;
     message.set_node(m_self);
     message.set_data_centre(m_dataCentre);
@@ -86,7 +88,8 @@
     for (const BackendLoadNews &each : m_state.book.ownLoad(MostBackends, now)) {
         wire::BackendLoad *load = message.add_backends();
         load->set_backend(each.backend);
-        for (int urgency = 0; urgency < WaitingWork::Urgencies; ++urgency) {
+        const bool isIdle = each.waiting.total() <= Millis::zero();
+        for (int urgency = 0; !isIdle && urgency < WaitingWork::Urgencies; ++urgency) {
             load->add_waiting_ms(static_cast<std::uint32_t>(each.waiting.of(urgency).count()));
         }
         load->set_in_flight(static_cast<std::uint32_t>(each.inFlight));
--- a/src/vanilladyke/node/weights_controller.cpp
+++ b/src/vanilladyke/node/weights_controller.cpp
@@ -195,7 +195,7 @@
                 continue;
             }
             rollout.started(id);
-            m_loads[id] = Load{model, rollout.goal(), now, now, false, false, 0};
+            m_loads[id] = Load{model, rollout.goal(), now, now, false, false, 0, {}};
         }
     }
 }
@@ -214,7 +214,7 @@
     if (!load.wasOrdered) {
         // Other nodes hear of it while the question is under way, and have sent their last request
         // there before the order comes.
-        m_news.loading(id, Announcement);
+        announce(id, load, Duration::zero());
     }
     m_orders.report(*engine, [this, id](const std::optional<EngineReport> &report) {
         reported(id, report);
@@ -248,7 +248,7 @@
     }
     if (report->isBusy) {
         rolloutOf(load.model).sawRuns(id, report->running > 0);
-        m_news.loading(id, NextQuestion + ReportLag);
+        announce(id, load, Duration::zero());
         return;
     }
     if (load.wasOrdered && m_clock() - load.startedAt < ReportLag) {
@@ -268,6 +268,16 @@
     return std::max(soon, load.startedAt + spanOfSeconds(expected));
 }
 
+void WeightsController::announce(const EngineId &id, Load &load, Duration expected)
+{
+    const TimePoint until = m_clock() + expected + AnnounceBeyond;
+    if (until - load.announcedUntil < AnnounceBeyond / 2) {
+        return; // others know it for long enough, and each telling goes to all nodes
+    }
+    load.announcedUntil = until;
+    m_news.loading(id, expected + AnnounceBeyond);
+}
+
 void WeightsController::giveOrder(const BackendEntry &engine, Load &load, std::uint64_t accepted)
 {
     if (!m_lease.mayOrder(m_clock())) {
@@ -282,7 +292,7 @@
     WeightsRollout &rollout = rolloutOf(load.model);
     load.version = rollout.goal();
     rollout.ordered(engine.id, m_clock());
-    m_news.loading(engine.id, rollout.orderTime() + ReportLag);
+    announce(engine.id, load, rollout.orderTime());
     m_orderedAt[engine.id] = m_clock();
     ++m_openOrders;
     const WeightsOrder order{load.model, load.version, m_self, m_lease.fence(), accepted};
--- a/src/vanilladyke/policy/backend_choice.cpp
+++ b/src/vanilladyke/policy/backend_choice.cpp
@@ -140,7 +140,7 @@
     const std::vector<const State *> &all = m_byService.at(query.service);
     const bool hasHome = query.hasHome();
     const std::uint64_t part = hasHome ? query.homeKey() : 0;
-    const bool isWhole = query.weighsAll || all.size() <= WholeUpTo;
+    const bool isWhole = all.size() <= WholeUpTo;
     const std::size_t most = isWhole ? all.size() : (hasHome ? m_rates.homes : m_rates.reach);
     // With a store in each data centre, the homes that follow the first one stay beside its store.
     constexpr std::uint64_t Beside = 1ULL << 63U;
--- a/src/vanilladyke/traffic/exchange.cpp
+++ b/src/vanilladyke/traffic/exchange.cpp
@@ -108,7 +108,7 @@
         if (m_callerLeft || m_timedOut || m_deadline - now < LeastTimeForTry) {
             break;
         }
-        const auto choice = chooseBackend(now);
+        const auto choice = m_state.book.choose(query(), now);
         if (!choice) {
             m_none = choice.error();
             const bool mayOpen = co_await waitForBackend(choice.error());
@@ -225,18 +225,6 @@
     return std::clamp(1 + 2 * rank + (isLong ? 1 : 0), 0, WaitingWork::Urgencies - 1);
 }
 
-tl::expected<BackendChoice, NoBackend> Exchange::chooseBackend(TimePoint now) const
-{
-    BackendQuery asked = query();
-    auto choice = m_state.book.choose(asked, now);
-    if (choice && comesTooLate(*choice, now)) {
-        // In a large fleet only the homes of the prompt were weighed, and another engine is idle.
-        asked.weighsAll = true;
-        return m_state.book.choose(asked, now);
-    }
-    return choice;
-}
-
 std::optional<TimePoint> Exchange::comesTooLate(const BackendChoice &choice, TimePoint now) const
 {
     if (m_request.model.empty() || m_headWritten || m_sends > 0) {
