Mend what formatter and linter named

Cause: a constant of a function in the case of a type's constant, and a comment beyond the line. Change: names and lines only.

--- a/src/vanilladyke/policy/backend_book.cpp
+++ b/src/vanilladyke/policy/backend_book.cpp
@@ -49,9 +49,9 @@
 
 const EnginePace &BackendBook::paceOf(const ServiceId &service) const
 {
-    static const EnginePace Unknown;
+    static const EnginePace unknown;
     const auto known = m_paces.find(service);
-    return known == m_paces.end() ? Unknown : known->second;
+    return known == m_paces.end() ? unknown : known->second;
 }
 
 std::uint64_t BackendBook::leastHomeTokens(const ServiceId &service) const
--- a/src/vanilladyke/policy/wait_limit_test.cpp
+++ b/src/vanilladyke/policy/wait_limit_test.cpp
@@ -86,8 +86,8 @@
     }
 }
 
-// At seven tenths of what the engine reads, now and then a few meet. At most one caller in fifty may
-// be turned away for good.
+// At seven tenths of what the engine reads, now and then a few meet. At most one caller in fifty
+// may be turned away for good.
 TEST(WaitLimit, AtUsualLoadHardlyAnybodyIsTurnedAwayTwice)
 {
     int refused = 0;
