--- a/include/vanilladyke/model/bundle.hpp
+++ b/include/vanilladyke/model/bundle.hpp
@@ -57,7 +57,7 @@
     bool deduplicates = false; ///< runs a key at most once by itself
 };
 
-/// @brief What a placement is to weigh: Shadeline saves work, Ashline guards the tail.
+/// @brief What a placement is to weigh: saved work, or the tail of the times to the first token.
 struct Objective
 {
     double recomputeWeight = 1.0; ///< cost of a second of prefill that a cache could have saved
