Count calls to the store by kind, topic and cause; switches for each mechanism that decides

Cause: calls to the store are the dearest price on the large site, and neither logs nor metrics told which node calls for what; what each mechanism is worth was never measured. Change: StoreCalls (metric and a line each ten seconds), and a list "off" in the settings, applied in one place, empty in service.

--- a/include/vanilladyke/node/control_plane.hpp
+++ b/include/vanilladyke/node/control_plane.hpp
@@ -43,6 +43,8 @@
     /// @brief The node will stop: another one is to give the orders from now on.
     void handOver();
     [[nodiscard]] const ProofOfAge &proof() const { return m_proof; }
+    /// @brief Counts calls of everything that runs on the control thread.
+    [[nodiscard]] StoreCalls &storeCalls() { return m_calls; }
 
     void configurationRead(RoutingConfig config) override;
     void weightsNamed(const ModelId &model, std::uint64_t version,
@@ -73,6 +75,7 @@
     TrafficState &m_traffic;
     ControlSettings m_settings;
     Random m_random;
+    StoreCalls m_calls;
     BackendRoster m_roster;
     WeightsController m_weights;
     KeptCacheFollower &m_keptCache;
--- a/include/vanilladyke/node/state_follower.hpp
+++ b/include/vanilladyke/node/state_follower.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "vanilladyke/node/record_store.hpp"
+#include "vanilladyke/node/store_calls.hpp"
 #include "vanilladyke/policy/back_off.hpp"
 #include "vanilladyke/policy/reading_turn.hpp"
 #include "vanilladyke/policy/record_relay.hpp"
@@ -32,6 +33,7 @@
 {
     Duration drain = std::chrono::milliseconds(2000); ///< a leaving server
     Duration apply = std::chrono::milliseconds(2000); ///< a change of the configuration
+    bool asksOthers = true; ///< a node that reads the store for others is asked
 };
 
 /// @brief Follows the operator's records, the servers' entries and the list of nodes, by the store
@@ -44,7 +46,7 @@
 {
 public:
     StateFollower(asio::io_context &context, RecordStore &store, const StateTranslator &translator,
-                  StateListener &listener, NodeIdentity self, FollowTerms terms,
+                  StateListener &listener, StoreCalls &calls, NodeIdentity self, FollowTerms terms,
                   std::uint64_t seed);
 
     void start();
@@ -84,6 +86,8 @@
     [[nodiscard]] asio::awaitable<void> failed(BackOff &backOff);
     [[nodiscard]] bool readsForOthers() const;
     [[nodiscard]] bool isShared(const Topic &topic, Duration limit) const;
+    /// Why this node reads the topic itself.
+    [[nodiscard]] CallCause whyRead(const Topic &topic) const;
     /// @param age how long ago the record was written, at most
     void applyOperator(std::uint64_t offset, std::string record, Duration age);
     void applyBackend(std::uint64_t offset, std::string record);
@@ -94,6 +98,7 @@
     RecordStore &m_store;
     const StateTranslator &m_translator;
     StateListener &m_listener;
+    StoreCalls &m_calls;
     NodeIdentity m_self;
     FollowTerms m_terms;
     Random m_random;
--- a/include/vanilladyke/node/weights_controller.hpp
+++ b/include/vanilladyke/node/weights_controller.hpp
@@ -2,6 +2,7 @@
 
 #include "vanilladyke/base/random.hpp"
 #include "vanilladyke/node/ports.hpp"
+#include "vanilladyke/node/store_calls.hpp"
 #include "vanilladyke/policy/backend_roster.hpp"
 #include "vanilladyke/policy/weights_rollout.hpp"
 
@@ -42,7 +43,8 @@
 
     WeightsController(std::string self, std::uint64_t incarnation, LeaseTerms terms,
                       const BackendRoster &roster, LeaseLog &log, EngineOrders &orders,
-                      WeightsNews news, Clock clock, RolloutTerms rolloutTerms, Random &random);
+                      WeightsNews news, StoreCalls &calls, Clock clock, RolloutTerms rolloutTerms,
+                      Random &random);
 
     void weightsNamed(const ModelId &model, std::uint64_t version, TimePoint now);
     /// @brief Does what is due. Called every few dozen milliseconds.
@@ -90,6 +92,7 @@
     LeaseLog &m_log;
     EngineOrders &m_orders;
     WeightsNews m_news;
+    StoreCalls &m_calls;
     Clock m_clock;
     RolloutTerms m_rolloutTerms;
     Duration m_patience;
--- a/include/vanilladyke/policy/backend_book.hpp
+++ b/include/vanilladyke/policy/backend_book.hpp
@@ -25,7 +25,7 @@
 /// the
 ///   same few that were idle then. Each node weighs the first servers of an order of its own.
 /// - An engine that answers nothing while requests wait there is avoided after SilenceToAvoid; one
-///   that fails a part of its requests is charged FailureCost for the part.
+///   that fails a part of its requests is charged BackendRates::failureCost for the part.
 /// - Engines of any speed: how fast they read is learned from the requests that met no queue, for
 ///   each service, and how much slower than that an engine is; see engine_pace.hpp.
 /// - New weights: engines on older ones are charged the part of a request's worth that is lost
@@ -47,8 +47,6 @@
     static constexpr Duration FailureHalfLife = std::chrono::seconds(3);
     static constexpr Duration FirstClose = std::chrono::milliseconds(250);
     static constexpr Duration LongestClose = std::chrono::seconds(2);
-    static constexpr Millis FailureCost{1500}; ///< for a server that fails everything
-    static constexpr Millis SilenceCost{3000};
     static constexpr Duration OldWeightsGrace = std::chrono::milliseconds(1000);
     /// Before the time of replaced weights is over: news of them comes late, and clocks differ.
     static constexpr Duration OldWeightsMargin = std::chrono::milliseconds(1500);
--- a/include/vanilladyke/policy/backend_choice.hpp
+++ b/include/vanilladyke/policy/backend_choice.hpp
@@ -43,6 +43,17 @@
     std::uint64_t homes = 3; ///< with one: the first of the part's order
     /// A shared part that is read sooner has no home: it takes less than a step of an engine.
     Millis leastHomeReading{3};
+    Millis failureCost{1500}; ///< charge for a server that fails everything
+    Millis silenceCost{3000}; ///< charge for a server that answers nothing
+    // Each of these is false only where a mechanism is switched off to measure what it is worth.
+    bool homesByBeginning = true;
+    bool usesKeptStore = true;
+    bool fetchesFromEngines = true;
+    bool weighsUrgency = true;
+    bool learnsPace = true;
+    bool learnsSlowness = true;
+    bool countsOthersLoad = true;
+    bool believesPlacements = true;
 };
 
 /// @brief What a request needs.
--- a/include/vanilladyke/traffic/traffic_state.hpp
+++ b/include/vanilladyke/traffic/traffic_state.hpp
@@ -25,6 +25,9 @@
     BackendRates rates;
     Duration keysValidFor = std::chrono::milliseconds(4500); ///< after they were last proved
     bool failsClosed = true; ///< without proof of the keys' age no request with a key passes
+    bool withdraws = true;   ///< what has not begun when its server's weights are too old
+    bool sendsAgain = true;  ///< what may be repeated, to a second server
+    bool resumes = true;     ///< streams that broke off, at another server
 };
 
 /// @brief State of the traffic thread. Only that thread touches it.
--- /dev/null
+++ b/src/vanilladyke/app/mechanism_switches_test.cpp
@@ -0,0 +1,51 @@
+#include "vanilladyke/app/mechanism_switches.hpp"
+
+#include <gtest/gtest.h>
+
+namespace vanilladyke {
+namespace {
+
+std::string settingsWith(const std::string &more)
+{
+    return R"({"node": "n", "address": "127.0.0.1", "data_centre": "a", "callers": "127.0.0.1:1",
+               "ready": "127.0.0.1:2", "store": "127.0.0.1:3", "peers": "127.0.0.1:4")"
+           + more + "}";
+}
+
+TEST(MechanismSwitches, AllMechanismsAreOnUnlessTheSettingsSayOtherwise)
+{
+    const auto settings = parseNodeSettings(settingsWith(""));
+    ASSERT_TRUE(settings);
+    EXPECT_TRUE(settings->traffic.rates.countsOthersLoad);
+    EXPECT_TRUE(settings->traffic.rates.believesPlacements);
+    EXPECT_TRUE(settings->follow.asksOthers);
+}
+
+TEST(MechanismSwitches, EachNameIsTaken)
+{
+    for (const MechanismName &each : mechanismNames) {
+        const std::string off = R"(, "off": [")" + std::string(each.name) + R"("])";
+        EXPECT_TRUE(parseNodeSettings(settingsWith(off))) << each.name;
+    }
+}
+
+// A name with a slip would leave the mechanism on, and a measurement would say that it is worth
+// nothing.
+TEST(MechanismSwitches, UnknownNamesAreErrorsEachOfItsOwn)
+{
+    const auto settings = parseNodeSettings(settingsWith(R"(, "off": ["homs", "pace", "urgncy"])"));
+    ASSERT_FALSE(settings);
+    EXPECT_EQ(settings.error().size(), 2U);
+}
+
+TEST(MechanismSwitches, WhatIsOffHasNoEffect)
+{
+    const auto settings =
+            parseNodeSettings(settingsWith(R"(, "off": ["copy_charge", "shared_reading"])"));
+    ASSERT_TRUE(settings);
+    EXPECT_EQ(settings->traffic.rates.copyReads, 0);
+    EXPECT_FALSE(settings->follow.asksOthers);
+}
+
+} // namespace
+} // namespace vanilladyke
--- a/src/vanilladyke/app/node_command.cpp
+++ b/src/vanilladyke/app/node_command.cpp
@@ -57,8 +57,8 @@
         , m_control(m_controlContext, m_traffic, settings.control, m_leaseLog, m_orders,
                     m_keptCache, entropySeed())
         , m_state(m_controlContext, settings.store)
-        , m_follower(m_controlContext, m_state, m_records, m_control, identityOf(settings),
-                     settings.follow, entropySeed())
+        , m_follower(m_controlContext, m_state, m_records, m_control, m_control.storeCalls(),
+                     identityOf(settings), settings.follow, entropySeed())
         , m_questions(m_controlContext, m_follower, settings.questions, entropySeed())
         , m_sharing(m_traffic, settings.peers, settings.questions.port)
         , m_signals(m_trafficContext, SIGTERM, SIGINT)
@@ -132,10 +132,12 @@
         m_follower.fleetKeyKnown = [this](const std::string &key) {
             LogEvent("fleet_key_known").field("bytes", key.size());
             m_questions.setKey(key);
-            m_follower.setAskPeer(
-                    [this](Endpoint peer, std::uint64_t operatorNext, std::uint64_t backendsNext) {
-                        return m_questions.ask(std::move(peer), operatorNext, backendsNext);
-                    });
+            if (m_settings.follow.asksOthers) {
+                m_follower.setAskPeer([this](Endpoint peer, std::uint64_t operatorNext,
+                                             std::uint64_t backendsNext) {
+                    return m_questions.ask(std::move(peer), operatorNext, backendsNext);
+                });
+            }
             asio::post(m_trafficContext, [this, key] { m_sharing.setKey(key); });
         };
     }
--- a/src/vanilladyke/app/node_settings.cpp
+++ b/src/vanilladyke/app/node_settings.cpp
@@ -1,5 +1,6 @@
 #include "vanilladyke/app/node_settings.hpp"
 
+#include "vanilladyke/app/mechanism_switches.hpp"
 #include "vanilladyke/model/json_reader.hpp"
 
 namespace vanilladyke {
@@ -54,6 +55,23 @@
     reader.number("out_part", &terms->outPart, 0, 1);
 }
 
+/// Mechanisms that are switched off, by name; every unknown name is an error of its own.
+void readSwitches(JsonReader &reader, NodeSettings *settings)
+{
+    if (!reader.has("off")) {
+        return;
+    }
+    std::vector<std::string> names;
+    reader.texts("off", &names);
+    for (const std::string &name : names) {
+        if (const auto mechanism = mechanismNamed(name)) {
+            switchOff(*mechanism, settings);
+        } else {
+            reader.fail("off", "no such mechanism: " + name);
+        }
+    }
+}
+
 } // namespace
 
 Outcome<NodeSettings, std::vector<FieldError>> parseNodeSettings(std::string_view text)
@@ -85,6 +103,7 @@
                       "second_sends",
                       "placement",
                       "rollout",
+                      "off",
                       "log_level"});
     reader.text("node", &settings.node);
     reader.text("address", &settings.address);
@@ -126,6 +145,7 @@
             readRollout(inner, &settings.control.rollout);
         });
     }
+    readSwitches(reader, &settings);
     reader.text("log_level", &settings.logLevel, false);
     if (!errors.empty()) {
         return failure(std::move(errors));
--- a/src/vanilladyke/node/control_plane.cpp
+++ b/src/vanilladyke/node/control_plane.cpp
@@ -31,8 +31,9 @@
     , m_traffic(traffic)
     , m_settings(std::move(settings))
     , m_random(seed)
+    , m_calls(m_traffic.metrics)
     , m_weights(m_settings.self, seed, m_settings.lease, m_roster, log, orders, newsForTraffic(),
-                &BootClock::now, m_settings.rollout, m_random)
+                m_calls, &BootClock::now, m_settings.rollout, m_random)
     , m_keptCache(keptCache)
     , m_timer(context)
 {}
@@ -90,6 +91,7 @@
     }
     m_weights.setStandingBy(standsBy());
     m_weights.step(now);
+    m_calls.log(now);
 }
 
 void ControlPlane::configurationRead(RoutingConfig config)
--- a/src/vanilladyke/node/state_follower.cpp
+++ b/src/vanilladyke/node/state_follower.cpp
@@ -71,11 +71,13 @@
 
 StateFollower::StateFollower(asio::io_context &context, RecordStore &store,
                              const StateTranslator &translator, StateListener &listener,
-                             NodeIdentity self, FollowTerms terms, std::uint64_t seed)
+                             StoreCalls &calls, NodeIdentity self, FollowTerms terms,
+                             std::uint64_t seed)
     : m_context(context)
     , m_store(store)
     , m_translator(translator)
     , m_listener(listener)
+    , m_calls(calls)
     , m_self(std::move(self))
     , m_terms(terms)
     , m_random(seed)
@@ -131,6 +133,20 @@
            && m_turn.whomToAsk(now);
 }
 
+CallCause StateFollower::whyRead(const Topic &topic) const
+{
+    if (!m_ask) {
+        return CallCause::Start;
+    }
+    if (topic.mustRead) {
+        return CallCause::PeerCouldNotTell;
+    }
+    if (m_turn.whomToAsk(BootClock::now())) {
+        return CallCause::OldProof;
+    }
+    return readsForOthers() ? CallCause::ForOthers : CallCause::Alone;
+}
+
 bool StateFollower::readsForOthers() const
 {
     return m_ask && m_turn.size() + 1 >= ReadingTurn::LeastNodes;
@@ -217,6 +233,7 @@
 asio::awaitable<bool> StateFollower::listOperator()
 {
     const TimePoint sentAt = BootClock::now();
+    m_calls.count(StoreCall::List, StoreTopic::Operator, CallCause::Start);
     const auto newest = co_await m_store.newest(StateTopic::Operator);
     if (!newest) {
         co_return false;
@@ -237,6 +254,7 @@
     const Duration wait = readsForOthers()
                                   ? std::min(partOf(m_terms.apply, WaitPartForOthers), OperatorWait)
                                   : OperatorWait;
+    m_calls.count(StoreCall::Wait, StoreTopic::Operator, whyRead(m_operator));
     const auto page = co_await m_store.read(StateTopic::Operator, from, wait);
     if (!page) {
         m_operator.isListed = page.error() != StoreError::Expired;
@@ -274,6 +292,7 @@
 asio::awaitable<bool> StateFollower::listBackends()
 {
     const TimePoint sentAt = BootClock::now();
+    m_calls.count(StoreCall::List, StoreTopic::Backends, CallCause::Start);
     const auto newest = co_await m_store.newest(StateTopic::Backends);
     if (!newest) {
         co_return false;
@@ -321,6 +340,7 @@
 {
     const TimePoint sentAt = BootClock::now();
     const std::uint64_t from = m_backends.next;
+    m_calls.count(StoreCall::Read, StoreTopic::Backends, whyRead(m_backends));
     const auto page = co_await m_store.read(StateTopic::Backends, from, Duration::zero());
     if (!page) {
         m_backends.isListed = page.error() != StoreError::Expired;
@@ -360,10 +380,12 @@
     while (!m_stopped) {
         if (!isRegistered) {
             KeyedRecord here{m_self.name, m_self.peers.str()};
+            m_calls.count(StoreCall::Append, StoreTopic::Nodes, CallCause::Start);
             const auto appended =
                     co_await m_store.append(StateTopic::Nodes, std::move(here), std::nullopt);
             isRegistered = appended && appended->isTaken;
         }
+        m_calls.count(StoreCall::List, StoreTopic::Nodes, CallCause::Follow);
         const auto newest = co_await m_store.newest(StateTopic::Nodes);
         if (newest) {
             m_listener.nodesListed(endpointsOf(newest->items));
@@ -377,6 +399,7 @@
 {
     // The first node writes it; that a record is there already refuses all later ones.
     while (!m_stopped) {
+        m_calls.count(StoreCall::List, StoreTopic::FleetKey, CallCause::Start);
         const auto newest = co_await m_store.newest(StateTopic::FleetKey);
         if (newest && !newest->items.empty()) {
             if (fleetKeyKnown) {
@@ -388,6 +411,7 @@
             std::string key(crypto_generichash_KEYBYTES, '\0');
             randombytes_buf(key.data(), key.size());
             KeyedRecord record{FleetKeyName, std::move(key)};
+            m_calls.count(StoreCall::Append, StoreTopic::FleetKey, CallCause::Start);
             static_cast<void>(co_await m_store.append(StateTopic::FleetKey, std::move(record), 0));
             continue;
         }
--- a/src/vanilladyke/node/weights_controller.cpp
+++ b/src/vanilladyke/node/weights_controller.cpp
@@ -17,14 +17,15 @@
 
 WeightsController::WeightsController(std::string self, std::uint64_t incarnation, LeaseTerms terms,
                                      const BackendRoster &roster, LeaseLog &log,
-                                     EngineOrders &orders, WeightsNews news, Clock clock,
-                                     RolloutTerms rolloutTerms, Random &random)
+                                     EngineOrders &orders, WeightsNews news, StoreCalls &calls,
+                                     Clock clock, RolloutTerms rolloutTerms, Random &random)
     : m_self(self)
     , m_lease(std::move(self), incarnation, terms)
     , m_roster(roster)
     , m_log(log)
     , m_orders(orders)
     , m_news(std::move(news))
+    , m_calls(calls)
     , m_clock(std::move(clock))
     , m_rolloutTerms(rolloutTerms)
     , m_patience(spanOfSeconds(uniform(random) * MostPatienceSeconds))
@@ -132,6 +133,7 @@
         return; // the release says that no order is under way
     }
     if (const auto append = m_lease.nextAppend(wantsToOrder, m_patience, leaseNews(now), now)) {
+        m_calls.count(StoreCall::Append, StoreTopic::Lease, CallCause::Rollout);
         m_log.append(*append, [this](AppendEnd end, std::uint64_t offset) {
             if (end == AppendEnd::Taken) {
                 m_lease.appended(offset, m_clock());
@@ -157,6 +159,7 @@
     if (!m_lease.needsRead()) {
         known = m_lease.end();
     }
+    m_calls.count(known ? StoreCall::Wait : StoreCall::Read, StoreTopic::Lease, CallCause::Rollout);
     m_log.read(known, [this](const std::optional<LeaseLogState> &state) {
         m_isReading = false;
         if (!state) {
--- a/src/vanilladyke/node/weights_controller_test.cpp
+++ b/src/vanilladyke/node/weights_controller_test.cpp
@@ -117,8 +117,8 @@
                                [](const EngineId &, const ModelId &, std::uint64_t) {},
                                [](const WeightsAge &) {}};
         m_controller = std::make_unique<WeightsController>(
-                "node", 1, LeaseTerms(), m_roster, m_log, m_engines, news, [this] { return m_now; },
-                RolloutTerms{milliseconds(8000)}, m_random);
+                "node", 1, LeaseTerms(), m_roster, m_log, m_engines, news, m_calls,
+                [this] { return m_now; }, RolloutTerms{milliseconds(8000)}, m_random);
     }
 
     static EngineId idOf(int index) { return EngineId("e" + std::to_string(index)); }
@@ -143,6 +143,8 @@
 
     TimePoint m_now = TimePoint(std::chrono::hours(1));
     Random m_random{3};
+    Metrics m_metrics;
+    StoreCalls m_calls{m_metrics};
     BackendRoster m_roster;
     OpenLog m_log;
     TrialEngines m_engines{m_now};
--- a/src/vanilladyke/policy/backend_book.cpp
+++ b/src/vanilladyke/policy/backend_book.cpp
@@ -128,8 +128,11 @@
             continue;
         }
         State &state = *known->second;
-        state.peersWaiting += each.waiting;
-        state.peersInFlight += each.inFlight;
+        if (m_rates.countsOthersLoad) {
+            state.peersWaiting += each.waiting;
+            state.peersInFlight += each.inFlight;
+            peer.parts.push_back({each.backend, each.waiting, each.inFlight});
+        }
         std::uint64_t before = each.weights;
         if (state.entry.weights.size() == 1 && each.weights > 0) {
             before = state.entry.weights.begin()->second;
@@ -138,7 +141,6 @@
         const bool hasLoaded = before < each.weights;
         state.loadingUntil =
                 hasLoaded ? now + each.loading : std::max(state.loadingUntil, now + each.loading);
-        peer.parts.push_back({each.backend, each.waiting, each.inFlight});
     }
 }
 
@@ -157,6 +159,9 @@
 
 void BackendBook::heardPlacements(const std::vector<PlacementNews> &news, TimePoint now)
 {
+    if (!m_rates.believesPlacements) {
+        return;
+    }
     for (const PlacementNews &each : news) {
         apply(each, now);
     }
@@ -256,8 +261,12 @@
     state.silentSince = now;
     if (choice.isAlone && choice.readTokens > 0) {
         const Millis took = now - choice.chosenAt;
-        state.slowness.observed(took / state.pace->predict(choice.readTokens), now);
-        state.pace->observed(choice.readTokens, took);
+        if (m_rates.learnsSlowness) {
+            state.slowness.observed(took / state.pace->predict(choice.readTokens), now);
+        }
+        if (m_rates.learnsPace) {
+            state.pace->observed(choice.readTokens, took);
+        }
     }
 }
 
--- a/src/vanilladyke/policy/backend_choice.cpp
+++ b/src/vanilladyke/policy/backend_choice.cpp
@@ -98,7 +98,8 @@
     const int busy = others + state.inFlight + state.peersInFlight;
     const int over = std::max(queued, busy + 1 - state.entry.slots);
     const double slotsUsed = static_cast<double>(busy) / std::max(state.entry.slots, 1);
-    return state.waiting.ahead(urgency) + state.peersWaiting.ahead(urgency) + busy * m_rates.step
+    const int most = m_rates.weighsUrgency ? urgency : WaitingWork::Urgencies - 1;
+    return state.waiting.ahead(most) + state.peersWaiting.ahead(most) + busy * m_rates.step
            + over * Queued + slotsUsed * PlainCall;
 }
 
@@ -109,10 +110,10 @@
     Millis charges = state.entry.dataCentre == m_here ? Millis::zero() : m_rates.otherCentre;
     if (state.failurePart > 0) {
         const double age = secondsOf(now - state.failureAt) / secondsOf(FailureHalfLife);
-        charges += FailureCost * state.failurePart * std::exp2(-age);
+        charges += m_rates.failureCost * state.failurePart * std::exp2(-age);
     }
     if (isSilent(state, now)) {
-        charges += SilenceCost;
+        charges += m_rates.silenceCost;
     }
     const bool isOld =
             goals != nullptr && std::any_of(goals->begin(), goals->end(), [&](const Goal &goal) {
@@ -196,6 +197,9 @@
                                                     const BackendQuery &query, TimePoint now) const
 {
     const State *best = nullptr;
+    if (!m_rates.fetchesFromEngines) {
+        return best;
+    }
     for (const std::uint64_t backend : m_holders.holders(question, now)) {
         const auto known = m_byHash.find(backend);
         if (known == m_byHash.end() || known->second == &engine) {
--- a/src/vanilladyke/traffic/exchange.cpp
+++ b/src/vanilladyke/traffic/exchange.cpp
@@ -194,7 +194,8 @@
     result.target = m_route->targetLatency;
     result.urgency = urgency();
     result.exclude = m_tried;
-    result.kept = m_state.kept.stores() == 0 ? nullptr : &m_state.kept;
+    const bool hasStore = m_state.settings.rates.usesKeptStore && m_state.kept.stores() > 0;
+    result.kept = hasStore ? &m_state.kept : nullptr;
     if (const ServiceSpec *service = m_table->service(m_service)) {
         result.memoryTokens = service->cacheTokens;
     }
@@ -204,7 +205,9 @@
         for (std::size_t i = 0; i + 1 < m_request.parts.size(); ++i) {
             shared += m_request.parts[i].tokens;
         }
-        result.homePart = homePart(m_request.parts, shared);
+        if (m_state.settings.rates.homesByBeginning) {
+            result.homePart = homePart(m_request.parts, shared);
+        }
         result.sharedPart = m_request.parts[m_request.parts.size() - 2].id;
         if (m_customer != nullptr && m_customer->isIsolated) {
             result.isolated = m_customer->id;
@@ -498,10 +501,12 @@
     if (end == TryEnd::NotExecuted) {
         return true;
     }
-    if (end == TryEnd::Interrupted && m_events.lastId().empty()) {
+    const bool isResume = end == TryEnd::Interrupted;
+    if (isResume && (m_events.lastId().empty() || !m_state.settings.resumes)) {
         return false;
     }
-    return mayRepeat() && m_runs < m_route->mostBackends;
+    return (isResume || m_state.settings.sendsAgain) && mayRepeat()
+           && m_runs < m_route->mostBackends;
 }
 
 void Exchange::setPatience(std::optional<TimePoint> until)
@@ -512,7 +517,8 @@
 
 std::optional<TimePoint> Exchange::beginBy() const
 {
-    if (m_connection == nullptr || m_firstByteAt || m_headWritten || !m_choice) {
+    const bool waits = m_connection != nullptr && !m_firstByteAt && !m_headWritten && m_choice;
+    if (!waits || !m_state.settings.withdraws) {
         return std::nullopt;
     }
     const auto end = m_state.book.weightsEnd(m_choice->backend.id, m_request.model);
@@ -565,7 +571,8 @@
 
 bool Exchange::reserveSecondSend(TimePoint now)
 {
-    if (m_sends >= mostSends() || m_runs >= m_route->mostBackends) {
+    const bool isAllowed = m_headWritten ? m_state.settings.resumes : m_state.settings.sendsAgain;
+    if (!isAllowed || m_sends >= mostSends() || m_runs >= m_route->mostBackends) {
         return false;
     }
     BackendQuery elsewhere = query();
