What others told drains as engines read; others are weighed before a refusal

Cause: at 295 nodes a node tells of its load right after a long prompt was sent and next seconds later; until then the prompt counted as waiting, though it was read within a tenth of a second. Change: DrainingWork (a millisecond of what was told is read in each, most urgent first), requests in flight that were told fade by the learned length of a run; if the best of the few engines would refuse, twelve more that are drawn for the request are weighed.

--- a/include/vanilladyke/policy/backend_book.hpp
+++ b/include/vanilladyke/policy/backend_book.hpp
@@ -2,6 +2,7 @@
 
 #include "vanilladyke/base/outcome.hpp"
 #include "vanilladyke/policy/backend_choice.hpp"
+#include "vanilladyke/policy/draining_work.hpp"
 #include "vanilladyke/policy/fetch_share.hpp"
 #include "vanilladyke/policy/part_holders.hpp"
 #include "vanilladyke/policy/route_table.hpp"
@@ -24,6 +25,8 @@
 /// - So many nodes that news is half a second old: were all to weigh all servers, all would take
 /// the
 ///   same few that were idle then. Each node weighs the first servers of an order of its own.
+/// - All of them have a queue: servers that are drawn for this request are weighed beside them
+///   before it is refused. Drawn anew for each, they spread what finds no room over the fleet.
 /// - An engine that answers nothing while requests wait there is avoided after SilenceToAvoid; one
 ///   that fails a part of its requests is charged BackendRates::failureCost for the part.
 /// - Engines of any speed: how fast they read is learned from the requests that met no queue, for
@@ -119,6 +122,7 @@
         int inFlight = 0;
         int unanswered = 0;
         EnginePace *pace = nullptr; ///< of its service
+        RunLength *runs = nullptr;  ///< of its service
         EngineSlowness slowness;
         WaitingWork waiting;   ///< predicted reading time of own requests that have not begun
         TimePoint silentSince; ///< when the oldest wait without any answer began
@@ -126,8 +130,9 @@
         int reportedWaiting = 0;
         int ownAtReport = 0;
         TimePoint reportedAt;
-        WaitingWork peersWaiting;
-        int peersInFlight = 0;
+        DrainingWork peersWaiting;
+        double peersInFlight = 0; ///< as of peersInFlightAt; requests end as time passes
+        TimePoint peersInFlightAt;
         TimePoint loadingUntil;
         TimePoint orderedUntil; ///< by this node; others only hear of its own orders
         TimePoint tellUntil;    ///< news of weights that this node brought
@@ -140,7 +145,7 @@
     struct PeerPart
     {
         std::uint64_t backend = 0;
-        WaitingWork waiting;
+        DrainingWork::Told waiting;
         int inFlight = 0;
     };
     struct Peer
@@ -161,7 +166,8 @@
     {
         const State *state = nullptr;
         std::uint64_t order = 0; ///< in the order of the shared part; the highest is the first home
-        Millis cost{};           ///< without reading
+        Millis waits{};
+        Millis cost{}; ///< without reading
     };
     /// How the request's prompt would come into an engine's memory.
     struct Reading
@@ -181,8 +187,15 @@
         DataCentreId homeCentre; ///< of the shared part's first home, open or not
     };
 
-    [[nodiscard]] Weighed weigh(const BackendQuery &query, const Goals *goals, TimePoint now,
-                                NoBackend *none) const;
+    /// @param more how many servers are weighed beside those that always are
+    [[nodiscard]] Weighed weigh(const BackendQuery &query, const Goals *goals, std::size_t more,
+                                TimePoint now, NoBackend *none) const;
+    /// Leaves the first homes of the order, those that were sent the part, and some others that
+    /// differ from request to request.
+    void keepHomes(const BackendQuery &query, std::size_t more, TimePoint now,
+                   std::vector<Candidate> *open) const;
+    [[nodiscard]] std::optional<BackendChoice> best(const BackendQuery &query,
+                                                    const Weighed &weighed, TimePoint now) const;
     [[nodiscard]] DataCentreId homeCentre(const std::vector<const State *> &all,
                                           std::uint64_t part) const;
     [[nodiscard]] Millis waitOf(const State &state, int urgency, TimePoint now) const;
@@ -207,12 +220,16 @@
     [[nodiscard]] State *find(const EngineId &id);
     static void learnWeights(State &state, const ModelId &model, std::uint64_t version);
     [[nodiscard]] static std::uint64_t weightsOf(const State &state, const ModelId &model);
-    void subtract(const Peer &peer);
+    void subtract(const Peer &peer, TimePoint now);
+    /// Requests that others told of and that most likely still run.
+    [[nodiscard]] static double peersInFlight(const State &state, TimePoint now);
+    static void changePeersInFlight(State &state, double by, TimePoint now);
 
     DataCentreId m_here;
     BackendRates m_rates;
     std::uint64_t m_self;
     std::unordered_map<ServiceId, EnginePace> m_paces;
+    std::unordered_map<ServiceId, RunLength> m_runs;
     std::unordered_map<EngineId, State> m_states;
     /// Servers of each service in this node's own order. They stand in m_states.
     std::unordered_map<ServiceId, std::vector<const State *>> m_byService;
--- a/include/vanilladyke/policy/engine_pace.hpp
+++ b/include/vanilladyke/policy/engine_pace.hpp
@@ -52,6 +52,21 @@
     Millis m_fixed = FirstFixed;
 };
 
+/// @brief How long requests of a service stay at its servers, from sending to their end. Pure.
+class RunLength
+{
+public:
+    /// Bounds of what is learned, whatever servers do.
+    static constexpr Millis Least{20};
+    static constexpr Millis Most{5000};
+
+    void observed(Millis took);
+    [[nodiscard]] Millis mean() const { return m_mean; }
+
+private:
+    Millis m_mean{300}; ///< before anything is known
+};
+
 /// @brief How much slower than its service's pace an engine is. Pure.
 ///
 /// Load pattern: one of nine engines works four times as long as the others for some seconds. Its
--- a/src/vanilladyke/policy/backend_book.cpp
+++ b/src/vanilladyke/policy/backend_book.cpp
@@ -38,6 +38,7 @@
     for (auto &[id, state] : m_states) {
         m_byHash.emplace(state.hash, &state);
         state.pace = &m_paces[state.entry.service];
+        state.runs = &m_runs[state.entry.service];
         m_byService[state.entry.service].push_back(&state);
     }
     for (auto &[service, states] : m_byService) {
@@ -104,13 +105,27 @@
     return news;
 }
 
-void BackendBook::subtract(const Peer &peer)
+double BackendBook::peersInFlight(const State &state, TimePoint now)
 {
+    const Millis age = std::max(Millis::zero(), Millis(now - state.peersInFlightAt));
+    return state.peersInFlight * std::exp(-(age / state.runs->mean()));
+}
+
+void BackendBook::changePeersInFlight(State &state, double by, TimePoint now)
+{
+    state.peersInFlight = std::max(0.0, peersInFlight(state, now) + by);
+    state.peersInFlightAt = now;
+}
+
+void BackendBook::subtract(const Peer &peer, TimePoint now)
+{
+    const Millis age = now - peer.heardAt;
     for (const PeerPart &part : peer.parts) {
         const auto found = m_byHash.find(part.backend);
         if (found != m_byHash.end()) {
-            found->second->peersWaiting -= part.waiting;
-            found->second->peersInFlight -= part.inFlight;
+            State &state = *found->second;
+            state.peersWaiting.takeBack(part.waiting, now);
+            changePeersInFlight(state, -part.inFlight * std::exp(-(age / state.runs->mean())), now);
         }
     }
 }
@@ -119,7 +134,7 @@
                             TimePoint now)
 {
     Peer &peer = m_peers[node];
-    subtract(peer);
+    subtract(peer, now);
     peer.heardAt = now;
     peer.parts.clear();
     for (const BackendLoadNews &each : news) {
@@ -129,9 +144,9 @@
         }
         State &state = *known->second;
         if (m_rates.countsOthersLoad) {
-            state.peersWaiting += each.waiting;
-            state.peersInFlight += each.inFlight;
-            peer.parts.push_back({each.backend, each.waiting, each.inFlight});
+            changePeersInFlight(state, each.inFlight, now);
+            peer.parts.push_back(
+                    {each.backend, state.peersWaiting.add(each.waiting, now), each.inFlight});
         }
         std::uint64_t before = each.weights;
         if (state.entry.weights.size() == 1 && each.weights > 0) {
@@ -172,7 +187,7 @@
     std::erase_if(m_peers, [&](const auto &item) {
         const bool isSilent = now - item.second.heardAt > PeerLife;
         if (isSilent) {
-            subtract(item.second);
+            subtract(item.second, now);
         }
         return isSilent;
     });
@@ -277,6 +292,9 @@
         return;
     }
     State &state = *known;
+    if (hadBegun) {
+        state.runs->observed(now - choice.chosenAt);
+    }
     state.inFlight = std::max(0, state.inFlight - 1);
     if (!hadBegun) {
         waitsNoMore(state, choice);
--- a/src/vanilladyke/policy/backend_choice.cpp
+++ b/src/vanilladyke/policy/backend_choice.cpp
@@ -88,18 +88,19 @@
 {
     // What waits at the engine is in the predicted reading of this node and of those that it hears
     // of; only requests of nobody known are added to that.
+    const double peers = peersInFlight(state, now);
     int others = 0;
     int queued = 0;
     if (now - state.reportedAt < ReportLife) {
         const int told = state.reportedRunning + state.reportedWaiting - state.ownAtReport;
-        others = std::max(0, told - state.peersInFlight);
+        others = std::max(0, told - static_cast<int>(peers));
         queued = std::min(others, state.reportedWaiting);
     }
-    const int busy = others + state.inFlight + state.peersInFlight;
+    const int busy = others + state.inFlight + static_cast<int>(std::lround(peers));
     const int over = std::max(queued, busy + 1 - state.entry.slots);
     const double slotsUsed = static_cast<double>(busy) / std::max(state.entry.slots, 1);
     const int most = m_rates.weighsUrgency ? urgency : WaitingWork::Urgencies - 1;
-    return state.waiting.ahead(most) + state.peersWaiting.ahead(most) + busy * m_rates.step
+    return state.waiting.ahead(most) + state.peersWaiting.ahead(most, now) + busy * m_rates.step
            + over * Queued + slotsUsed * PlainCall;
 }
 
@@ -135,14 +136,35 @@
     return home == all.end() ? DataCentreId() : (*home)->entry.dataCentre;
 }
 
+void BackendBook::keepHomes(const BackendQuery &query, std::size_t more, TimePoint now,
+                            std::vector<Candidate> *open) const
+{
+    std::sort(open->begin(), open->end(),
+              [](const Candidate &a, const Candidate &b) { return a.order > b.order; });
+    const std::vector<std::uint64_t> holders = m_holders.backends(query.partKey());
+    const auto rest = open->begin() + static_cast<std::ptrdiff_t>(m_rates.homes);
+    const auto others = std::partition(rest, open->end(), [&](const Candidate &each) {
+        return std::find(holders.begin(), holders.end(), each.state->hash) != holders.end();
+    });
+    const auto spare = static_cast<std::size_t>(open->end() - others);
+    const auto last = others + static_cast<std::ptrdiff_t>(std::min(more, spare));
+    const std::uint64_t draw =
+            mixBits(m_self ^ static_cast<std::uint64_t>(now.time_since_epoch().count()));
+    std::partial_sort(others, last, open->end(), [draw](const Candidate &a, const Candidate &b) {
+        return mixBits(draw ^ a.state->hash) > mixBits(draw ^ b.state->hash);
+    });
+    open->erase(last, open->end());
+}
+
 BackendBook::Weighed BackendBook::weigh(const BackendQuery &query, const Goals *goals,
-                                        TimePoint now, NoBackend *none) const
+                                        std::size_t more, TimePoint now, NoBackend *none) const
 {
     const std::vector<const State *> &all = m_byService.at(query.service);
     const bool hasHome = query.hasHome();
     const std::uint64_t part = hasHome ? query.homeKey() : 0;
     const bool isWhole = all.size() <= WholeUpTo;
-    const std::size_t most = isWhole ? all.size() : (hasHome ? m_rates.homes : m_rates.reach);
+    const std::size_t most =
+            isWhole ? all.size() : (hasHome ? m_rates.homes : m_rates.reach + more);
     // With a store in each data centre, the homes that follow the first one stay beside its store.
     constexpr std::uint64_t Beside = 1ULL << 63U;
     const bool hasStores = query.kept != nullptr && query.kept->stores() > 1;
@@ -173,21 +195,11 @@
         result.open.push_back({state, order, {}});
     }
     if (hasHome && result.open.size() > most) {
-        std::sort(result.open.begin(), result.open.end(),
-                  [](const Candidate &a, const Candidate &b) { return a.order > b.order; });
-        const std::vector<std::uint64_t> holders = m_holders.backends(query.partKey());
-        const auto rest = result.open.begin() + static_cast<std::ptrdiff_t>(most);
-        result.open.erase(std::remove_if(rest, result.open.end(),
-                                         [&](const Candidate &each) {
-                                             return std::find(holders.begin(), holders.end(),
-                                                              each.state->hash)
-                                                    == holders.end();
-                                         }),
-                          result.open.end());
+        keepHomes(query, more, now, &result.open);
     }
     for (Candidate &each : result.open) {
-        each.cost =
-                waitOf(*each.state, query.urgency, now) + chargesOf(*each.state, query, goals, now);
+        each.waits = waitOf(*each.state, query.urgency, now);
+        each.cost = each.waits + chargesOf(*each.state, query, goals, now);
     }
     return result;
 }
@@ -283,10 +295,31 @@
     const bool hasGoals = !query.model.empty() && goalFound != m_goals.end();
     const Goals *goals = hasGoals ? &goalFound->second : nullptr;
     NoBackend none{true, now + LongestClose};
-    const Weighed weighed = weigh(query, goals, now, &none);
+    std::optional<BackendChoice> chosen = best(query, weigh(query, goals, 0, now, &none), now);
+    const Millis mostWait = m_rates.mostWaitTargets * Millis(query.target);
+    if (!chosen || chosen->waits > mostWait) {
+        // It would be refused: others may have room, though they read more of its prompt.
+        Weighed wider = weigh(query, goals, m_rates.reach, now, &none);
+        const auto crowded =
+                std::partition(wider.open.begin(), wider.open.end(),
+                               [&](const Candidate &each) { return each.waits <= mostWait; });
+        if (crowded != wider.open.begin()) {
+            wider.open.erase(crowded, wider.open.end());
+        }
+        chosen = best(query, wider, now);
+    }
+    if (!chosen) {
+        return tl::make_unexpected(none);
+    }
+    return *chosen;
+}
+
+std::optional<BackendChoice> BackendBook::best(const BackendQuery &query, const Weighed &weighed,
+                                               TimePoint now) const
+{
     const std::vector<Candidate> &open = weighed.open;
     if (open.empty()) {
-        return tl::make_unexpected(none);
+        return std::nullopt;
     }
     const bool hasHome = query.hasHome();
     const KeptStore *store =
@@ -322,7 +355,8 @@
     best.waits = waitOf(*chosen, query.urgency, now);
     best.first = best.waits + best.reading + chosen->pace->predict(0);
     best.tokensPerMs = chosen->pace->tokensPerMs() / chosen->slowness.factor(now);
-    best.isAlone = chosen->unanswered == 0 && chosen->peersWaiting.total() <= Millis::zero()
+    best.isAlone = chosen->unanswered == 0
+                   && chosen->peersWaiting.ahead(WaitingWork::Urgencies - 1, now) <= Millis::zero()
                    && (now - chosen->reportedAt > ReportLife || chosen->reportedWaiting == 0);
     best.part = hasHome ? query.partKey() : 0;
     best.sharedTokens = query.sharedTokens;
--- a/src/vanilladyke/policy/backend_fleet_test.cpp
+++ b/src/vanilladyke/policy/backend_fleet_test.cpp
@@ -1,5 +1,6 @@
 #include "vanilladyke/base/random.hpp"
 #include "vanilladyke/policy/backend_book.hpp"
+#include "vanilladyke/policy/wait_limit.hpp"
 
 #include <gtest/gtest.h>
 
@@ -29,6 +30,7 @@
     int leastBetween = 80; ///< ms, for news of long prompts
     int runMs = 20'000;
     int stores = 3;
+    bool refuses = false; ///< what would wait for a part of its target
 };
 
 struct Result
@@ -39,6 +41,10 @@
     int shed = 0;
     int sharedReads = 0; ///< times that a shared part was read through
     int longs = 0;
+    int shorts = 0;
+    int refusedLongs = 0;
+    int refusedShorts = 0;
+    int falselyRefused = 0; ///< though the engine had so little to read
 };
 
 /// A link over which transfers go one after the other.
@@ -72,6 +78,9 @@
     static constexpr std::size_t Slots = 16;
     static constexpr std::size_t Queue = 48;
 
+    /// @return ms until what it has to read is read
+    [[nodiscard]] double waits(double now) const { return std::max(0.0, m_readUntil - now); }
+
     [[nodiscard]] bool holds(int part) const
     {
         return std::any_of(m_parts.begin(), m_parts.end(),
@@ -249,6 +258,11 @@
         query.ownTokens = isLong ? 3'720 : 328;
         query.memoryTokens = static_cast<std::uint64_t>(TrialEngine::MemoryTokens);
         query.kept = m_load.stores > 0 ? &m_kept[node] : nullptr;
+        query.target = milliseconds(isLong ? 600 : 400);
+        if (m_load.refuses) {
+            query.urgency = isLong ? 4 : 1;
+        }
+        ++(isLong ? m_result.longs : m_result.shorts);
         constexpr int MostTries = 4;
         for (int i = 0; i < MostTries; ++i) {
             const auto choice = m_nodes[node].choose(query, at(ms));
@@ -257,6 +271,9 @@
             }
             const auto index = static_cast<std::size_t>(choice->backend.endpoint.port - 1000);
             TrialEngine &engine = m_engines[index];
+            if (m_load.refuses && isRefused(ms, query, *choice, engine, isLong)) {
+                return;
+            }
             if (engine.open >= static_cast<int>(TrialEngine::Slots + TrialEngine::Queue)) {
                 ++m_result.shed;
                 m_nodes[node].close(choice->backend.id, at(ms));
@@ -269,6 +286,19 @@
         }
     }
 
+    bool isRefused(int ms, const BackendQuery &query, const BackendChoice &choice,
+                   const TrialEngine &engine, bool isLong)
+    {
+        const WaitTerms terms{query.target, at(ms) + std::chrono::seconds(4)};
+        if (!refusedUntil(terms, choice.waits, at(ms))) {
+            return false;
+        }
+        ++(isLong ? m_result.refusedLongs : m_result.refusedShorts);
+        const double most = terms.mostPart * Millis(query.target).count();
+        m_result.falselyRefused += engine.waits(ms) < most ? 1 : 0;
+        return true;
+    }
+
     void begin(int ms, std::size_t node, std::size_t index, const BackendChoice &choice,
                const BackendQuery &query, int part, bool isLong)
     {
@@ -276,7 +306,6 @@
         auto tokens = static_cast<double>(query.ownTokens);
         double from = ms;
         if (isLong) {
-            ++m_result.longs;
             const auto shared = static_cast<double>(query.sharedTokens);
             if (!engine.holds(part)) {
                 const std::optional<double> fetched = fetch(ms, choice, part, shared);
@@ -384,5 +413,43 @@
     EXPECT_LT(result.longP99, 450);
 }
 
+/// 295 nodes before 128 engines. A node sends a long prompt every other second, and tells of it at
+/// once as far as hundreds of receivers allow.
+Load largeFleet(double factor)
+{
+    Load load;
+    load.nodes = 295;
+    load.engines = 128;
+    load.longPerMs = 0.182 * factor;
+    load.shortPerMs = 0.547 * factor;
+    load.parts = 1734;
+    load.tellEvery = 2640;
+    load.leastBetween = 330;
+    load.runMs = 6'000;
+    load.stores = 6;
+    load.refuses = true;
+    return load;
+}
+
+// Engines read for a fifth of the time, and each long prompt is read a tenth of a second after it
+// was sent. The nodes that sent them tell anew seconds later: a caller is refused, although every
+// engine is idle.
+TEST(BackendFleet, WhatWasToldSecondsAgoRefusesNobody)
+{
+    const Result result = play(largeFleet(1));
+    EXPECT_EQ(result.refusedLongs + result.refusedShorts, 0);
+    EXPECT_LT(result.longP99, 450);
+}
+
+// Callers come three times as often. The few engines that a node weighs for a long prompt have a
+// queue now and then, while others in the fleet are idle: a caller is refused though there is room.
+TEST(BackendFleet, OthersAreWeighedBeforeAnybodyIsRefused)
+{
+    const Result result = play(largeFleet(3));
+    EXPECT_EQ(result.falselyRefused, 0);
+    EXPECT_LT(result.longP99, 600);
+    EXPECT_LT(result.shortP99, 400);
+}
+
 } // namespace
 } // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/policy/draining_work.cpp
@@ -0,0 +1,78 @@
+#include "vanilladyke/policy/draining_work.hpp"
+
+namespace vanilladyke {
+
+namespace {
+
+/// Below this what was told is as good as read, and shares stay far from the limits of a double.
+constexpr double LeastShare = 1e-6;
+
+} // namespace
+
+DrainingWork::Told DrainingWork::add(const WaitingWork &work, TimePoint now)
+{
+    drain(now);
+    Told told{work, {}};
+    for (int urgency = 0; urgency < WaitingWork::Urgencies; ++urgency) {
+        const auto index = static_cast<std::size_t>(urgency);
+        Level &level = m_levels.at(index);
+        level.left += work.of(urgency).count();
+        told.marks.at(index) = {level.share, level.emptied};
+    }
+    return told;
+}
+
+void DrainingWork::takeBack(const Told &told, TimePoint now)
+{
+    drain(now);
+    for (int urgency = 0; urgency < WaitingWork::Urgencies; ++urgency) {
+        const auto index = static_cast<std::size_t>(urgency);
+        Level &level = m_levels.at(index);
+        const Told::Mark &mark = told.marks.at(index);
+        if (mark.emptied == level.emptied) {
+            const double left = told.work.of(urgency).count() * level.share / mark.share;
+            level.left = std::max(0.0, level.left - left);
+        }
+    }
+}
+
+Millis DrainingWork::ahead(int urgency, TimePoint now) const
+{
+    double sum = 0;
+    const int last = std::clamp(urgency, 0, WaitingWork::Urgencies - 1);
+    for (int each = 0; each <= last; ++each) {
+        sum += m_levels.at(static_cast<std::size_t>(each)).left;
+    }
+    const Millis passed = now - m_at;
+    return std::max(Millis::zero(), Millis(sum) - std::max(Millis::zero(), passed));
+}
+
+void DrainingWork::drain(TimePoint now)
+{
+    double millis = Millis(now - m_at).count();
+    if (millis <= 0) {
+        return;
+    }
+    m_at = now;
+    for (Level &level : m_levels) {
+        const double taken = std::min(level.left, millis);
+        drain(&level, taken);
+        millis -= taken;
+    }
+}
+
+void DrainingWork::drain(Level *level, double millis)
+{
+    if (level->left <= 0) {
+        return;
+    }
+    const double left = level->left - millis;
+    level->share *= left / level->left;
+    level->left = left;
+    if (left <= 0 || level->share < LeastShare) {
+        level->share = 1;
+        ++level->emptied;
+    }
+}
+
+} // namespace vanilladyke
--- a/src/vanilladyke/policy/engine_pace.cpp
+++ b/src/vanilladyke/policy/engine_pace.cpp
@@ -57,6 +57,12 @@
     m_fixed = Millis(std::max(0.0, (m_y - m_perToken * m_x) / m_weight));
 }
 
+void RunLength::observed(Millis took)
+{
+    constexpr double Weight = 0.05;
+    m_mean += Weight * (std::clamp(took, Least, Most) - m_mean);
+}
+
 void EngineSlowness::observed(double ratio, TimePoint now)
 {
     const double bounded = std::clamp(ratio, Least, Most);
