One reader for a small fleet, one list of nodes, packed changes, few that watch the lease

Change: a fleet of up to 32 nodes has one reader; the list of nodes is read once; changes go between nodes compressed (zlib); five nodes stand by for the lease, all but the first look now and then; a reader that is behind is left; what was just listed is not asked for again; the wait after a change is shorter by the age of the proof. A record found by a node's own call after a pause was dated 200 ms, though it could be as old as the last proof: it is now dated by that.

--- a/include/vanilladyke/node/control_plane.hpp
+++ b/include/vanilladyke/node/control_plane.hpp
@@ -38,8 +38,9 @@
                  std::uint64_t seed);
 
     void start();
-    /// @brief Whether this node waits for the lease of orders; others leave it to those that do.
-    std::function<bool()> standsBy = [] { return true; };
+    /// @brief This node's place among those that wait for the lease of orders; none: it leaves it
+    /// to them.
+    std::function<std::optional<std::size_t>()> standbyRank = [] { return std::size_t{0}; };
     /// @brief The node will stop: another one is to give the orders from now on.
     void handOver();
     [[nodiscard]] const ProofOfAge &proof() const { return m_proof; }
--- a/include/vanilladyke/node/load_sharing.hpp
+++ b/include/vanilladyke/node/load_sharing.hpp
@@ -54,6 +54,8 @@
 
     void take(std::string_view bytes, const Udp::endpoint &from);
     void forgetSilent(TimePoint now);
+    /// A node that the list does not have: it takes its share of what all nodes may do.
+    void addPeer(const Udp::endpoint &peer);
 
     TrafficState &m_state;
     SealedPort m_port;
--- a/include/vanilladyke/node/state_follower.hpp
+++ b/include/vanilladyke/node/state_follower.hpp
@@ -54,8 +54,9 @@
     /// @brief How to ask other nodes; until then this node reads for itself.
     void setAskPeer(AskPeer ask) { m_ask = std::move(ask); }
     void heardNode(std::uint64_t node, std::uint64_t dataCentre, const Endpoint &endpoint);
-    /// @brief Whether this node is to stand by for what one node does for all.
-    [[nodiscard]] bool standsBy() const;
+    /// @brief This node's place among those that stand by for what one node does for all, the
+    /// first has 0. @return none if it is not among them
+    [[nodiscard]] std::optional<std::size_t> standbyRank() const;
     /// @brief What this node can tell one that asks.
     [[nodiscard]] SharedNews newsSince(std::uint64_t operatorNext,
                                        std::uint64_t backendsNext) const;
@@ -69,7 +70,8 @@
         RecordRelay relay;
         std::uint64_t next = 0;
         bool isListed = false;
-        bool mustRead = false; ///< the node that was asked could not tell
+        bool mustRead = false;  ///< the node that was asked could not tell
+        bool isReading = false; ///< a call of this node's own is under way
         TimePoint provedAt = TimePoint::min();
     };
 
@@ -93,6 +95,14 @@
     void applyBackend(std::uint64_t offset, std::string record);
     void proveOperator(TimePoint at);
     void take(const SharedNews &news, TimePoint askedAt);
+    static void mustRead(Topic *topic, const std::optional<RecordRelay::News> &news,
+                         TimePoint askedAt);
+    /// How long a node that reads for others waits for the operator's next record.
+    [[nodiscard]] Duration waitForOthers(TimePoint now) const;
+    /// Whether what another node tells is too old to stand for a call of this node's own.
+    [[nodiscard]] bool isBehind(const SharedNews &news) const;
+    void knowFleetKey(std::string key) const;
+    void takeOperator(const RecordRelay::News &news, TimePoint askedAt);
 
     asio::io_context &m_context;
     RecordStore &m_store;
@@ -106,6 +116,8 @@
     AskPeer m_ask;
     Topic m_operator;
     Topic m_backends;
+    TimePoint m_listedAt = TimePoint(); ///< when the operator's records were
+    TimePoint m_answeredAt;             ///< the last call for the operator's records
     bool m_stopped = false;
 };
 
--- a/include/vanilladyke/node/weights_controller.hpp
+++ b/include/vanilladyke/node/weights_controller.hpp
@@ -34,6 +34,13 @@
     static constexpr Duration AnnounceBeyond = std::chrono::milliseconds(1000);
     /// An engine that stays silent for so many questions is down and holds up others no longer.
     static constexpr int MostSilentAnswers = 2;
+    /// The first of those that wait for the lease hears of each of its records at once; the others
+    /// look for themselves after a while that grows with their rank: nine that all hear of each
+    /// renewal cost more calls than anything else that nodes do.
+    static constexpr Duration LookAgain = std::chrono::milliseconds(1000);
+    static constexpr std::size_t MostLookAgain = 5; ///< times LookAgain
+    /// Between the claims of two ranks, so that the second finds the record of the first.
+    static constexpr Duration RankPause = std::chrono::milliseconds(250);
     /// An order that shows no effect for so long is given again.
     static constexpr Duration OrderTimeout = std::chrono::seconds(8);
 
@@ -50,8 +57,9 @@
     /// @brief Does what is due. Called every few dozen milliseconds.
     void step(TimePoint now);
     [[nodiscard]] bool isPending() const;
-    /// @brief Whether this node waits for the lease; a holder keeps it anyhow.
-    void setStandingBy(bool standsBy) { m_standsBy = standsBy; }
+    /// @brief This node's place among those that wait for the lease; none: it doesn't wait. A
+    /// holder keeps the lease anyhow.
+    void setStandbyRank(std::optional<std::size_t> rank) { m_rank = rank; }
     /// @brief Gives no orders any more and hands the lease on.
     void stop();
     [[nodiscard]] const OrderLease &lease() const { return m_lease; }
@@ -73,6 +81,9 @@
     [[nodiscard]] std::uint64_t versionOf(const BackendEntry &entry, const ModelId &model) const;
     void stepLease(bool wantsToOrder, TimePoint now);
     void readLease(TimePoint now);
+    [[nodiscard]] Duration lookAgain() const;
+    /// Whether this node's turn to claim has come, and it has seen what those before it did.
+    [[nodiscard]] bool mayClaim(TimePoint now);
     void sawLease(const LeaseLogState &state);
     [[nodiscard]] LeaseNews leaseNews(TimePoint now) const;
     void startLoads(TimePoint now);
@@ -103,7 +114,9 @@
     Duration m_gap;
     int m_openOrders = 0; ///< not answered yet
     bool m_stopping = false;
-    bool m_standsBy = true;
+    std::optional<std::size_t> m_rank = 0; ///< among those that wait for the lease
+    std::optional<TimePoint> m_wantsSince; ///< to give orders
+    bool m_hasLooked = false;              ///< at the lease's log since then
     bool m_isReading = false;
     TimePoint m_readAt;
 };
--- a/include/vanilladyke/policy/second_send_budget.hpp
+++ b/include/vanilladyke/policy/second_send_budget.hpp
@@ -34,6 +34,8 @@
     static constexpr double Margin = 0.8;
 
     void setTerms(const SecondSendTerms &terms) { m_terms = terms; }
+    /// @brief More nodes are known among which the extra is divided.
+    void setNodes(std::size_t nodes) { m_terms.nodes = nodes; }
     void countRequest(const ServiceId &service, TimePoint now);
     /// @brief Takes one second send if the window still allows it.
     [[nodiscard]] bool spend(const ServiceId &service, TimePoint now);
--- a/src/vanilladyke/app/node_command.cpp
+++ b/src/vanilladyke/app/node_command.cpp
@@ -128,7 +128,7 @@
                 m_follower.heardNode(node, centre, endpoint);
             });
         };
-        m_control.standsBy = [this] { return m_follower.standsBy(); };
+        m_control.standbyRank = [this] { return m_follower.standbyRank(); };
         m_follower.fleetKeyKnown = [this](const std::string &key) {
             LogEvent("fleet_key_known").field("bytes", key.size());
             m_questions.setKey(key);
--- a/src/vanilladyke/node/control_plane.cpp
+++ b/src/vanilladyke/node/control_plane.cpp
@@ -89,7 +89,7 @@
     if (m_roster.expire(now)) {
         publishBackends();
     }
-    m_weights.setStandingBy(standsBy());
+    m_weights.setStandbyRank(standbyRank());
     m_weights.step(now);
     m_calls.log(now);
 }
--- a/src/vanilladyke/node/load_sharing.cpp
+++ b/src/vanilladyke/node/load_sharing.cpp
@@ -53,6 +53,13 @@
     }
 }
 
+void LoadSharing::addPeer(const Udp::endpoint &peer)
+{
+    m_peers.push_back(peer);
+    m_state.nodes = std::max(m_state.nodes, m_peers.size() + 1);
+    m_state.budget.setNodes(m_state.nodes);
+}
+
 void LoadSharing::step(TimePoint now)
 {
     if (m_peers.empty() || !m_port.isReady()) {
@@ -129,7 +136,7 @@
     heard.sequence = message.sequence();
     heard.at = now;
     if (std::find(m_peers.begin(), m_peers.end(), from) == m_peers.end()) {
-        m_peers.push_back(from); // it came after the list was read
+        addPeer(from); // it came after the list was read
     }
     if (message.questions_port() != 0 && now >= heard.passedOnAt + PassOnEvery) {
         heard.passedOnAt = now;
--- a/src/vanilladyke/node/state_follower.cpp
+++ b/src/vanilladyke/node/state_follower.cpp
@@ -3,6 +3,7 @@
 #include "vanilladyke/base/log.hpp"
 #include "vanilladyke/model/json_reader.hpp"
 #include "vanilladyke/node/boot_clock.hpp"
+#include "vanilladyke/node/packed_record.hpp"
 
 #include <sodium.h>
 
@@ -19,6 +20,9 @@
 /// Of the same time: a proof from another node that is older is no better than a call of our own.
 /// What remains is for that call.
 constexpr double OldestSharedPart = 0.75;
+/// Of the same time: what was just listed is young enough. Meanwhile a node that starts finds
+/// others that read the store already.
+constexpr double SettlePart = 0.4;
 /// What a record needs at most from being written to a call that waits for it.
 constexpr Duration PromptAnswer = std::chrono::milliseconds(200);
 /// Entries are written at each heartbeat, so that waiting for one would be a call for each. Of the
@@ -27,18 +31,22 @@
 /// Of the same time, for a node that reads for others: they ask it after that.
 constexpr double BackendsPartForOthers = 0.25;
 constexpr Duration AskEvery = std::chrono::milliseconds(400);
-/// More than may be lost before others have noticed.
-constexpr std::size_t NodesStandingBy = 9;
-/// Nodes that come tell those that are here; the list's length only divides budgets.
-constexpr Duration FirstNodesPause = std::chrono::milliseconds(700);
-constexpr Duration NodesPause = std::chrono::seconds(30);
-constexpr int NodesPauseGrowth = 3;
+/// More than are likely lost together before others have noticed; each looks at the lease's log.
+constexpr std::size_t NodesStandingBy = 5;
+/// Nodes that start together register within this time. Whoever lists later tells those that it
+/// finds in the list, so that one listing is enough for two nodes to know of each other.
+constexpr Duration NodesPause = std::chrono::milliseconds(700);
+/// For nodes that were cut off from all others while they came; the list costs a call for each.
+constexpr Duration NodesAgainPause = std::chrono::minutes(5);
 constexpr Duration KeyPause = std::chrono::milliseconds(900);
+/// Hundreds of nodes start at the same time. Spread over this span, nearly all of them find the
+/// key that the first one wrote; otherwise each would list, write and list again.
+constexpr Duration KeySpread = std::chrono::milliseconds(400);
 /// After failed calls: a lost answer must not cost the time in which a change has to be known, and
 /// a store that is down must not be flooded.
 constexpr BackOffSpans FailureSpans{std::chrono::milliseconds(60), std::chrono::milliseconds(500)};
-/// What goes into one datagram; a larger configuration each node reads for itself.
-constexpr std::size_t MostSharedBytes = 6000;
+/// What goes into one datagram, packed; a larger configuration each node reads for itself.
+constexpr std::size_t MostSharedBytes = 12000;
 constexpr const char *FleetKeyName = "key";
 
 std::vector<Endpoint> endpointsOf(const std::vector<KeyedRecord> &nodes)
@@ -99,9 +107,10 @@
     m_turn.heard(node, dataCentre, endpoint, BootClock::now());
 }
 
-bool StateFollower::standsBy() const
+std::optional<std::size_t> StateFollower::standbyRank() const
 {
-    return m_turn.isAmongFirst(NodesStandingBy, BootClock::now());
+    const std::size_t rank = m_turn.rank(BootClock::now());
+    return rank < NodesStandingBy ? std::optional(rank) : std::nullopt;
 }
 
 SharedNews StateFollower::newsSince(std::uint64_t operatorNext, std::uint64_t backendsNext) const
@@ -168,26 +177,41 @@
             LogEvent("reader_doubted").field("reader", reader.str());
             continue;
         }
-        m_turn.answered(*whom);
+        if (isBehind(*news)) {
+            // It answers, but doesn't reach the store: all who go on asking it would read instead.
+            m_turn.doubt(*whom, BootClock::now());
+            LogEvent("reader_behind").field("reader", reader.str());
+        } else {
+            m_turn.answered(*whom);
+        }
         take(*news, askedAt);
     }
 }
 
+bool StateFollower::isBehind(const SharedNews &news) const
+{
+    const auto isOld = [](const std::optional<RecordRelay::News> &topic, Duration oldest) {
+        return topic && topic->age >= oldest;
+    };
+    return isOld(news.configuration, partOf(m_terms.apply, OldestSharedPart))
+           || isOld(news.backends, partOf(m_terms.drain, BackendsPart));
+}
+
+void StateFollower::mustRead(Topic *topic, const std::optional<RecordRelay::News> &news,
+                             TimePoint askedAt)
+{
+    // A call of this node's own that is under way, or came after the question, tells already.
+    if (!news && !topic->isReading && topic->provedAt < askedAt) {
+        topic->mustRead = true;
+    }
+}
+
 void StateFollower::take(const SharedNews &news, TimePoint askedAt)
 {
-    m_operator.mustRead = m_operator.mustRead || !news.configuration;
-    m_backends.mustRead = m_backends.mustRead || !news.backends;
+    mustRead(&m_operator, news.configuration, askedAt);
+    mustRead(&m_backends, news.backends, askedAt);
     if (news.configuration && news.configuration->next >= m_operator.next) {
-        // All that was written before the last proof is known: what comes now is younger.
-        const Duration age = BootClock::now() - m_operator.provedAt;
-        for (const RecordRelay::Change &change : news.configuration->changes) {
-            if (change.offset >= m_operator.next) {
-                applyOperator(change.offset, change.record, age);
-            }
-        }
-        m_operator.next = news.configuration->next;
-        m_operator.relay.readUpTo(m_operator.next);
-        proveOperator(askedAt - news.configuration->age);
+        takeOperator(*news.configuration, askedAt);
     }
     if (news.backends && news.backends->next >= m_backends.next) {
         for (const RecordRelay::Change &change : news.backends->changes) {
@@ -202,6 +226,29 @@
     }
 }
 
+void StateFollower::takeOperator(const RecordRelay::News &news, TimePoint askedAt)
+{
+    // All that was written before the last proof is known: what comes now is younger.
+    const Duration age = BootClock::now() - m_operator.provedAt;
+    for (const RecordRelay::Change &change : news.changes) {
+        if (change.offset < m_operator.next) {
+            continue;
+        }
+        auto record = unpackRecord(change.record);
+        if (!record) {
+            // Skipped, a change would never be in force here while the proof says that all is.
+            LogEvent("shared_record_unreadable", Severity::Warning).field("offset", change.offset);
+            m_operator.mustRead = true;
+            return;
+        }
+        applyOperator(change.offset, std::move(*record), age);
+        m_operator.next = change.offset + 1;
+    }
+    m_operator.next = news.next;
+    m_operator.relay.readUpTo(m_operator.next);
+    proveOperator(askedAt - news.age);
+}
+
 void StateFollower::proveOperator(TimePoint at)
 {
     if (at > m_operator.provedAt) {
@@ -222,7 +269,8 @@
             }
             continue;
         }
-        if (isShared(m_operator, partOf(m_terms.apply, OldestSharedPart))) {
+        const bool isSettling = BootClock::now() - m_listedAt < partOf(m_terms.apply, SettlePart);
+        if (isSettling || isShared(m_operator, partOf(m_terms.apply, OldestSharedPart))) {
             co_await pause(AskEvery / 4);
             continue;
         }
@@ -243,19 +291,30 @@
     }
     m_operator.next = newest->end;
     m_operator.relay.restart(newest->end);
+    m_listedAt = sentAt;
+    m_answeredAt = BootClock::now();
     proveOperator(sentAt);
     co_return true;
 }
 
+Duration StateFollower::waitForOthers(TimePoint now) const
+{
+    // After a change the last proof is as old as the call that brought it. A whole wait on top of
+    // that would make it so old that all who ask read for themselves.
+    const Duration longest = std::min(partOf(m_terms.apply, WaitPartForOthers), OperatorWait);
+    const Duration age = std::max(Duration::zero(), now - m_operator.provedAt);
+    return std::max(longest - age, longest / 4);
+}
+
 asio::awaitable<void> StateFollower::readOperator(BackOff &backOff)
 {
     const TimePoint sentAt = BootClock::now();
     const std::uint64_t from = m_operator.next;
-    const Duration wait = readsForOthers()
-                                  ? std::min(partOf(m_terms.apply, WaitPartForOthers), OperatorWait)
-                                  : OperatorWait;
+    const Duration wait = readsForOthers() ? waitForOthers(sentAt) : OperatorWait;
     m_calls.count(StoreCall::Wait, StoreTopic::Operator, whyRead(m_operator));
+    m_operator.isReading = true;
     const auto page = co_await m_store.read(StateTopic::Operator, from, wait);
+    m_operator.isReading = false;
     if (!page) {
         m_operator.isListed = page.error() != StoreError::Expired;
         if (m_operator.isListed) {
@@ -264,9 +323,11 @@
         co_return;
     }
     const std::uint64_t next = from + page->records.size();
-    // The store answers at once, unless calls before this one failed.
-    const bool isPrompt = !backOff.down();
+    // The store answers at once, unless calls before this one failed or this node was not waiting
+    // for it: then a record may be as old as the last proof.
+    const bool isPrompt = !backOff.down() && sentAt - m_answeredAt <= PromptAnswer;
     const Duration age = isPrompt ? PromptAnswer : BootClock::now() - m_operator.provedAt;
+    m_answeredAt = BootClock::now();
     backOff.succeeded();
     for (std::uint64_t offset = from; offset < next; ++offset) {
         if (offset >= m_operator.next) { // another node may have told of it meanwhile
@@ -286,7 +347,7 @@
     if (const auto keyed = m_translator.split(record)) {
         m_translator.applyOperator(*keyed, age, m_listener);
     }
-    m_operator.relay.changed(offset, std::move(record));
+    m_operator.relay.changed(offset, packRecord(record));
 }
 
 asio::awaitable<bool> StateFollower::listBackends()
@@ -341,7 +402,9 @@
     const TimePoint sentAt = BootClock::now();
     const std::uint64_t from = m_backends.next;
     m_calls.count(StoreCall::Read, StoreTopic::Backends, whyRead(m_backends));
+    m_backends.isReading = true;
     const auto page = co_await m_store.read(StateTopic::Backends, from, Duration::zero());
+    m_backends.isReading = false;
     if (!page) {
         m_backends.isListed = page.error() != StoreError::Expired;
         if (m_backends.isListed) {
@@ -376,7 +439,6 @@
 asio::awaitable<void> StateFollower::followNodes()
 {
     bool isRegistered = false;
-    Duration wait = FirstNodesPause; // nodes that start together register one after the other
     while (!m_stopped) {
         if (!isRegistered) {
             KeyedRecord here{m_self.name, m_self.peers.str()};
@@ -385,34 +447,47 @@
                     co_await m_store.append(StateTopic::Nodes, std::move(here), std::nullopt);
             isRegistered = appended && appended->isTaken;
         }
+        co_await pause(NodesPause);
         m_calls.count(StoreCall::List, StoreTopic::Nodes, CallCause::Follow);
         const auto newest = co_await m_store.newest(StateTopic::Nodes);
         if (newest) {
             m_listener.nodesListed(endpointsOf(newest->items));
         }
-        co_await pause(wait);
-        wait = std::min<Duration>(wait * NodesPauseGrowth, NodesPause);
+        if (isRegistered && newest) {
+            co_await pause(NodesAgainPause);
+        }
+    }
+}
+
+void StateFollower::knowFleetKey(std::string key) const
+{
+    if (fleetKeyKnown) {
+        fleetKeyKnown(std::move(key));
     }
 }
 
 asio::awaitable<void> StateFollower::findFleetKey()
 {
     // The first node writes it; that a record is there already refuses all later ones.
+    co_await pause(spanOfSeconds(secondsOf(KeySpread) * uniform(m_random)));
     while (!m_stopped) {
         m_calls.count(StoreCall::List, StoreTopic::FleetKey, CallCause::Start);
         const auto newest = co_await m_store.newest(StateTopic::FleetKey);
         if (newest && !newest->items.empty()) {
-            if (fleetKeyKnown) {
-                fleetKeyKnown(newest->items.front().value);
-            }
+            knowFleetKey(newest->items.front().value);
             co_return;
         }
         if (newest && newest->end == 0) {
             std::string key(crypto_generichash_KEYBYTES, '\0');
             randombytes_buf(key.data(), key.size());
-            KeyedRecord record{FleetKeyName, std::move(key)};
             m_calls.count(StoreCall::Append, StoreTopic::FleetKey, CallCause::Start);
-            static_cast<void>(co_await m_store.append(StateTopic::FleetKey, std::move(record), 0));
+            KeyedRecord record{FleetKeyName, key};
+            const auto appended =
+                    co_await m_store.append(StateTopic::FleetKey, std::move(record), 0);
+            if (appended && appended->isTaken) {
+                knowFleetKey(std::move(key));
+                co_return;
+            }
             continue;
         }
         co_await pause(KeyPause);
--- a/src/vanilladyke/node/state_follower_test.cpp
+++ b/src/vanilladyke/node/state_follower_test.cpp
@@ -301,6 +301,47 @@
     EXPECT_EQ(m_askingListener.failures, 0);
 }
 
+// The node that reads for forty others is cut off from the store and goes on answering. Were they
+// to go on asking it, each would read the store itself for as long as the cut lasts.
+TEST_F(StateFollowerTest, AReaderThatIsBehindIsLeftForAnother)
+{
+    start();
+    ASSERT_TRUE(reachSharing());
+    m_store.isDown = true;
+    ASSERT_TRUE(reach([this] { return m_readerListener.failures > 0; }));
+    const int first = m_asked.back();
+    EXPECT_TRUE(reach([&] { return m_asked.back() != first; }));
+}
+
+// A node that asked others begins to read for itself. What it finds may have been written at any
+// time since the last proof that it got; taken for young, an engine on replaced weights would get
+// requests for that much longer.
+TEST_F(StateFollowerTest, WhatIsFoundAfterAPauseIsDatedByTheLastProof)
+{
+    start();
+    ASSERT_TRUE(reachSharing());
+    m_answers = false;
+    const TimePoint proved = m_askingListener.provedAt;
+    m_ownStore.topics[StateTopic::Operator].push_back("version=2");
+    ASSERT_TRUE(reach([this] { return m_askingListener.named > 0; }));
+    EXPECT_LE(m_askingListener.writtenAt, proved);
+}
+
+// Nodes that start together would otherwise each list, write and list again.
+TEST_F(StateFollowerTest, ANodeThatKnowsOthersListsThemOnce)
+{
+    start();
+    ASSERT_TRUE(reachSharing());
+    const TimePoint until = MonotonicClock::now() + milliseconds(2500);
+    ASSERT_TRUE(reach([until] { return MonotonicClock::now() >= until; }));
+    const auto lists = [this](const char *topic, const char *cause) {
+        return m_metrics.counter(std::string("store_calls_total{call=\"list\",topic=\"") + topic
+                                 + "\",cause=\"" + cause + "\"}");
+    };
+    EXPECT_EQ(lists("nodes", "follow"), 2U) << "one for each of two nodes";
+    EXPECT_LE(lists("fleet_key", "start"), 3U);
+}
+
 // The node that reads for others is cut off from the store, and hears nothing while its call waits
 // there. Another node would serve a route that was taken away for longer than is allowed.
 TEST_F(StateFollowerTest, AReaderThatHearsNothingMoreKeepsNobodyFromAChange)
--- a/src/vanilladyke/node/weights_controller.cpp
+++ b/src/vanilladyke/node/weights_controller.cpp
@@ -99,12 +99,16 @@
 
 void WeightsController::step(TimePoint now)
 {
-    const bool wantsToOrder = !m_stopping && (m_standsBy || m_lease.mayOrder(now)) && isPending();
+    const bool wantsToOrder = !m_stopping && (m_rank || m_lease.mayOrder(now)) && isPending();
     if (!wantsToOrder) {
         for (auto &[model, rollout] : m_rollouts) {
             rollout.abandon();
         }
         m_loads.clear();
+        m_wantsSince.reset();
+        m_hasLooked = false;
+    } else if (!m_wantsSince) {
+        m_wantsSince = now;
     }
     stepLease(wantsToOrder, now);
     if (!wantsToOrder) {
@@ -132,6 +136,9 @@
     if (!wantsToOrder && m_openOrders > 0) {
         return; // the release says that no order is under way
     }
+    if (wantsToOrder && !mayClaim(now)) {
+        return;
+    }
     if (const auto append = m_lease.nextAppend(wantsToOrder, m_patience, leaseNews(now), now)) {
         m_calls.count(StoreCall::Append, StoreTopic::Lease, CallCause::Rollout);
         m_log.append(*append, [this](AppendEnd end, std::uint64_t offset) {
@@ -149,23 +156,48 @@
     }
 }
 
+bool WeightsController::mayClaim(TimePoint now)
+{
+    const std::size_t rank = m_rank.value_or(0);
+    if (rank == 0 || m_lease.mayOrder(now)) {
+        return true;
+    }
+    if (now - *m_wantsSince < RankPause * static_cast<int>(rank)) {
+        return false;
+    }
+    if (!m_hasLooked) {
+        readLease(now); // a claim on what was known before would be refused
+    }
+    return m_hasLooked;
+}
+
+Duration WeightsController::lookAgain() const
+{
+    const std::size_t pauses = std::min(m_rank.value_or(0) + 1, MostLookAgain);
+    return LookAgain * static_cast<int>(pauses);
+}
+
 void WeightsController::readLease(TimePoint now)
 {
     if (m_isReading || now < m_readAt || (!m_lease.needsRead() && m_lease.mayOrder(now))) {
         return;
     }
     m_isReading = true;
+    const bool isFirst = m_rank.value_or(0) == 0;
     std::optional<std::uint64_t> known;
-    if (!m_lease.needsRead()) {
+    if (!m_lease.needsRead() && isFirst) {
         known = m_lease.end();
     }
     m_calls.count(known ? StoreCall::Wait : StoreCall::Read, StoreTopic::Lease, CallCause::Rollout);
-    m_log.read(known, [this](const std::optional<LeaseLogState> &state) {
+    m_log.read(known, [this, isFirst](const std::optional<LeaseLogState> &state) {
         m_isReading = false;
         if (!state) {
             m_readAt = m_clock() + ReadPause;
             return;
         }
+        m_hasLooked = true;
+        const bool isHeld = state->last && !state->last->isRelease;
+        m_readAt = m_clock() + (isFirst || !isHeld ? Duration::zero() : lookAgain());
         sawLease(*state);
     });
 }
--- a/src/vanilladyke/policy/reading_turn.cpp
+++ b/src/vanilladyke/policy/reading_turn.cpp
@@ -6,14 +6,30 @@
 
 namespace vanilladyke {
 
+namespace {
+
+/// Looking through hundreds of nodes whenever one of them is heard of would be a cost of its own.
+constexpr Duration ForgetEvery = std::chrono::seconds(1);
+
+} // namespace
+
 ReadingTurn::ReadingTurn(std::uint64_t self, std::uint64_t dataCentre)
     : m_self(self)
     , m_dataCentre(dataCentre)
 {}
 
-std::uint64_t ReadingTurn::orderOf(std::uint64_t node) const
+std::uint64_t ReadingTurn::orderOf(std::uint64_t node, std::optional<std::uint64_t> group)
+{
+    return mixBits(group.value_or(0) ^ mixBits(node));
+}
+
+void ReadingTurn::forgetSilent(TimePoint now)
 {
-    return mixBits(m_dataCentre ^ mixBits(node));
+    if (m_forgotAt != TimePoint::min() && now - m_forgotAt < ForgetEvery) {
+        return;
+    }
+    m_forgotAt = now;
+    std::erase_if(m_nodes, [now](const auto &item) { return !isLive(item.second, now); });
 }
 
 void ReadingTurn::heard(std::uint64_t node, std::uint64_t dataCentre, const Endpoint &endpoint,
@@ -22,42 +38,55 @@
     if (node == m_self) {
         return;
     }
-    m_others[node] = now;
-    std::erase_if(m_others, [now](const auto &item) { return now - item.second > HeardLife; });
-    if (dataCentre != m_dataCentre) {
-        return;
-    }
     Node &known = m_nodes[node];
+    known.dataCentre = dataCentre;
     known.endpoint = endpoint;
     known.heardAt = now;
-    std::erase_if(m_nodes,
-                  [now](const auto &item) { return now - item.second.heardAt > HeardLife; });
+    forgetSilent(now);
+}
+
+bool ReadingTurn::isLive(const Node &node, TimePoint now)
+{
+    return now - node.heardAt <= HeardLife;
+}
+
+std::optional<std::uint64_t> ReadingTurn::groupAt(TimePoint now) const
+{
+    std::size_t live = 1;
+    std::size_t beside = 1;
+    for (const auto &[node, known] : m_nodes) {
+        live += isLive(known, now) ? 1 : 0;
+        beside += isLive(known, now) && known.dataCentre == m_dataCentre ? 1 : 0;
+    }
+    const bool isSmall = live <= MostTogether || beside < LeastNodes;
+    return isSmall ? std::nullopt : std::optional(m_dataCentre);
 }
 
 std::optional<std::uint64_t> ReadingTurn::whomToAsk(TimePoint now) const
 {
+    const std::optional<std::uint64_t> group = groupAt(now);
     std::optional<std::uint64_t> first;
-    std::uint64_t best = orderOf(m_self);
+    std::uint64_t best = orderOf(m_self, group);
     std::size_t live = 1;
     for (const auto &[node, known] : m_nodes) {
-        if (now - known.heardAt > HeardLife) {
+        if (!isLive(known, now) || (group && known.dataCentre != *group)) {
             continue;
         }
         ++live;
-        if (now >= known.doubtedUntil && orderOf(node) > best) {
-            best = orderOf(node);
+        if (now >= known.doubtedUntil && orderOf(node, group) > best) {
+            best = orderOf(node, group);
             first = node;
         }
     }
     return live < LeastNodes ? std::nullopt : first;
 }
 
-bool ReadingTurn::isAmongFirst(std::size_t most, TimePoint now) const
+std::size_t ReadingTurn::rank(TimePoint now) const
 {
-    const auto before = std::count_if(m_others.begin(), m_others.end(), [&](const auto &item) {
-        return now - item.second <= HeardLife && mixBits(item.first) > mixBits(m_self);
+    const auto before = std::count_if(m_nodes.begin(), m_nodes.end(), [&](const auto &item) {
+        return isLive(item.second, now) && mixBits(item.first) > mixBits(m_self);
     });
-    return static_cast<std::size_t>(before) < most;
+    return static_cast<std::size_t>(before);
 }
 
 Endpoint ReadingTurn::endpointOf(std::uint64_t node) const
--- a/tools/setup.sh
+++ b/tools/setup.sh
@@ -5,7 +5,7 @@
 packages=(
     g++ cmake ninja-build ccache pkg-config clang-format clang-tidy
     libcpp-httplib-dev libzmq3-dev cppzmq-dev libprotobuf-dev protobuf-compiler libboost-dev
-    libtclap-dev liblog4cplus-dev nlohmann-json3-dev libsodium-dev libxxhash-dev libssl-dev
+    libtclap-dev liblog4cplus-dev nlohmann-json3-dev libsodium-dev libxxhash-dev libssl-dev zlib1g-dev
     libexpected-dev libhowardhinnant-date-dev
     libgtest-dev libgmock-dev libbenchmark-dev librapidcheck-dev
     python3 curl openssl gnuplot-nox
