News of load crosses to each data centre once and is passed on there

Change: NewsRoutes (pure): nodes of the own data centre are told directly, of each other one with five nodes or more a node drawn among those lately heard of, which passes the datagram on. Weighed: digests by data centre (fewer bytes, but what is summed can't be taken back when one node tells anew); random fan-out (each hop adds the age of a telling). Tests: every node of 6 to 295 hears of each telling, silent ones pass nothing on.

--- a/include/vanilladyke/node/load_sharing.hpp
+++ b/include/vanilladyke/node/load_sharing.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "vanilladyke/node/sealed_port.hpp"
+#include "vanilladyke/policy/news_routes.hpp"
 #include "vanilladyke/traffic/traffic_state.hpp"
 
 /// Tells other nodes what this one has waiting at each backend server, and hears it from them.
@@ -11,6 +12,10 @@
 /// one that is lost is made up for by the next. They only steer; no promise rests on them.
 namespace vanilladyke {
 
+namespace wire {
+class NodeLoad;
+} // namespace wire
+
 /// @brief One node's part. Lives on the traffic thread.
 class LoadSharing
 {
@@ -54,8 +59,9 @@
 
     void take(std::string_view bytes, const Udp::endpoint &from);
     void forgetSilent(TimePoint now);
-    /// A node that the list does not have: it takes its share of what all nodes may do.
-    void addPeer(const Udp::endpoint &peer);
+    /// A node that the list does not have takes its share of what all nodes may do.
+    void countPeers();
+    void passOn(wire::NodeLoad message);
 
     TrafficState &m_state;
     SealedPort m_port;
@@ -63,7 +69,7 @@
     std::uint64_t m_self;
     std::uint64_t m_dataCentre; ///< hash of its name
     std::uint64_t m_sequence; ///< begins with the time of start, so that a restart goes on above it
-    std::vector<Udp::endpoint> m_peers;
+    NewsRoutes<Udp::endpoint> m_routes;
     std::unordered_map<std::uint64_t, Heard> m_heard;
     TimePoint m_nextAt;
     TimePoint m_toldAt;
--- a/src/vanilladyke/node/load_sharing.cpp
+++ b/src/vanilladyke/node/load_sharing.cpp
@@ -2,6 +2,7 @@
 
 #include "node_load.pb.h"
 #include "vanilladyke/base/log.hpp"
+#include "vanilladyke/model/json_reader.hpp"
 
 #include <algorithm>
 
@@ -34,6 +35,7 @@
     , m_dataCentre(hashOfName(state.settings.dataCentre.str()))
     , m_sequence(static_cast<std::uint64_t>(
               std::chrono::system_clock::now().time_since_epoch().count()))
+    , m_routes(m_dataCentre)
 {}
 
 std::optional<std::string> LoadSharing::open()
@@ -44,35 +46,36 @@
 
 void LoadSharing::setPeers(const std::vector<Endpoint> &peers)
 {
-    m_peers.clear();
+    std::vector<Udp::endpoint> addresses;
     for (const Endpoint &peer : peers) {
         const auto address = SealedPort::addressOf(peer);
         if (address && peer != m_port.listen()) {
-            m_peers.push_back(*address);
+            addresses.push_back(*address);
         }
     }
+    m_routes.setNodes(addresses);
 }
 
-void LoadSharing::addPeer(const Udp::endpoint &peer)
+void LoadSharing::countPeers()
 {
-    m_peers.push_back(peer);
-    m_state.nodes = std::max(m_state.nodes, m_peers.size() + 1);
+    m_state.nodes = std::max(m_state.nodes, m_routes.size() + 1);
     m_state.budget.setNodes(m_state.nodes);
 }
 
 void LoadSharing::step(TimePoint now)
 {
-    if (m_peers.empty() || !m_port.isReady()) {
+    const std::size_t peers = m_routes.size();
+    if (peers == 0 || !m_port.isReady()) {
         return;
     }
     const Duration spacing =
-            std::max<Duration>(Interval, std::chrono::seconds(m_peers.size()) / MostSendsPerSecond);
+            std::max<Duration>(Interval, std::chrono::seconds(peers) / MostSendsPerSecond);
     const bool hasNews = m_hasUrgentNews || m_state.book.hasPlacements();
     const bool isUrgent = hasNews && now - m_toldAt >= spacing;
     if (now < m_nextAt && !isUrgent) {
         return;
     }
-    const std::size_t stretch = std::max<std::size_t>(1, (m_peers.size() + 1) / NodesAtFullRate);
+    const std::size_t stretch = std::max<std::size_t>(1, (peers + 1) / NodesAtFullRate);
     m_nextAt = now + Interval * stretch;
     m_state.book.forgetSilentPeers(now);
     forgetSilent(now);
@@ -92,6 +95,7 @@
     const bool reachesStore = m_state.configAge() < OldestProof;
     message.set_questions_port(reachesStore ? m_questionsPort : 0);
     message.set_sequence(++m_sequence);
+    message.set_address(m_port.listen().str());
     for (const BackendLoadNews &each : m_state.book.ownLoad(MostBackends, now)) {
         wire::BackendLoad *load = message.add_backends();
         load->set_backend(each.backend);
@@ -113,7 +117,16 @@
         placement->set_store(each.store);
         placement->set_wanted(each.wanted);
     }
-    m_port.send(message.SerializeAsString(), m_peers);
+    const auto recipients = m_routes.recipients(m_state.random, now);
+    m_port.send(message.SerializeAsString(), recipients.direct);
+    message.set_pass_on(true);
+    m_port.send(message.SerializeAsString(), recipients.passOn);
+}
+
+void LoadSharing::passOn(wire::NodeLoad message)
+{
+    message.set_pass_on(false);
+    m_port.send(message.SerializeAsString(), m_routes.beside());
 }
 
 void LoadSharing::forgetSilent(TimePoint now)
@@ -128,6 +141,13 @@
         m_state.metrics.count("peer_datagrams_unreadable_total");
         return;
     }
+    Endpoint told;
+    const bool isTold = parseEndpoint(message.address(), &told);
+    const auto origin = isTold ? SealedPort::addressOf(told) : std::optional(from);
+    if (!origin) {
+        m_state.metrics.count("peer_datagrams_unreadable_total");
+        return;
+    }
     Heard &heard = m_heard[message.node()];
     if (message.node() == m_self || message.sequence() <= heard.sequence) {
         return;
@@ -135,14 +155,17 @@
     const TimePoint now = MonotonicClock::now();
     heard.sequence = message.sequence();
     heard.at = now;
-    if (std::find(m_peers.begin(), m_peers.end(), from) == m_peers.end()) {
-        addPeer(from); // it came after the list was read
+    if (m_routes.heard(*origin, message.data_centre(), now)) {
+        countPeers(); // it came after the list was read
+    }
+    if (message.pass_on()) {
+        passOn(message);
     }
     if (message.questions_port() != 0 && now >= heard.passedOnAt + PassOnEvery) {
         heard.passedOnAt = now;
-        heardNode(
-                message.node(), message.data_centre(),
-                {from.address().to_string(), static_cast<std::uint16_t>(message.questions_port())});
+        heardNode(message.node(), message.data_centre(),
+                  {origin->address().to_string(),
+                   static_cast<std::uint16_t>(message.questions_port())});
     }
     std::vector<BackendLoadNews> news;
     news.reserve(static_cast<std::size_t>(message.backends_size()));
--- /dev/null
+++ b/src/vanilladyke/policy/news_routes_test.cpp
@@ -0,0 +1,109 @@
+#include "vanilladyke/policy/news_routes.hpp"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace vanilladyke {
+namespace {
+
+using Routes = NewsRoutes<int>;
+
+constexpr int Centres = 5;
+
+TimePoint at(int millis)
+{
+    return TimePoint(std::chrono::hours(1) + std::chrono::milliseconds(millis));
+}
+
+std::uint64_t centreOf(int node)
+{
+    return static_cast<std::uint64_t>(1 + node % Centres);
+}
+
+/// What a node knows that heard of all nodes of a fleet.
+Routes routesOf(int node, int nodes, TimePoint now)
+{
+    Routes routes(centreOf(node));
+    for (int other = 0; other < nodes; ++other) {
+        if (other != node) {
+            routes.heard(other, centreOf(other), now);
+        }
+    }
+    return routes;
+}
+
+/// All that hear of one telling of the node, directly or from one that passes it on.
+std::set<int> reached(int node, int nodes, TimePoint now)
+{
+    Random random(7);
+    const Routes::Recipients sent = routesOf(node, nodes, now).recipients(random, now);
+    std::set<int> all(sent.direct.begin(), sent.direct.end());
+    for (const int each : sent.passOn) {
+        all.insert(each);
+        for (const int beside : routesOf(each, nodes, now).beside()) {
+            all.insert(beside);
+        }
+    }
+    return all;
+}
+
+TEST(NewsRoutes, EveryNodeHearsOfEachTelling)
+{
+    for (const int nodes : {6, 9, 24, 30, 100, 295}) {
+        EXPECT_EQ(reached(3, nodes, at(0)).size(), static_cast<std::size_t>(nodes) - 1) << nodes;
+    }
+}
+
+// Bytes between data centres are dear; what a node sends there must not grow with their nodes.
+TEST(NewsRoutes, ATellingCrossesToEachDataCentreOnce)
+{
+    Random random(7);
+    const auto sent = routesOf(3, 295, at(0)).recipients(random, at(0));
+    EXPECT_EQ(sent.passOn.size(), static_cast<std::size_t>(Centres) - 1);
+    for (const int each : sent.direct) {
+        EXPECT_EQ(centreOf(each), centreOf(3));
+    }
+}
+
+TEST(NewsRoutes, NodesThatWereNeverHeardOfAreToldDirectly)
+{
+    Routes routes(1);
+    routes.setNodes({1, 2, 3});
+    Random random(7);
+    EXPECT_EQ(routes.recipients(random, at(0)).direct.size(), 3U);
+}
+
+// A third of the nodes of a data centre is cut off. What is sent by way of them is lost, and the
+// nodes beside them would hear of a third of all tellings no more.
+TEST(NewsRoutes, ThoseThatFellSilentPassNothingOn)
+{
+    Routes routes = routesOf(0, 100, at(0));
+    for (int other = 1; other < 100; ++other) {
+        if (other % 3 != 0) {
+            routes.heard(other, centreOf(other), at(9000));
+        }
+    }
+    Random random(7);
+    for (int i = 0; i < 200; ++i) {
+        for (const int each : routes.recipients(random, at(9000)).passOn) {
+            EXPECT_NE(each % 3, 0);
+        }
+    }
+}
+
+TEST(NewsRoutes, TheWayIsDrawnAnew)
+{
+    const Routes routes = routesOf(0, 100, at(0));
+    Random random(7);
+    std::set<int> drawn;
+    for (int i = 0; i < 100; ++i) {
+        for (const int each : routes.recipients(random, at(0)).passOn) {
+            drawn.insert(each);
+        }
+    }
+    EXPECT_GT(drawn.size(), 50U);
+}
+
+} // namespace
+} // namespace vanilladyke
