Hand on the newest record of each key

Change: of the operator's topic the newest record of each key is all that there is to know; the relay keeps just these, a listing included.

--- a/include/vanilladyke/node/record_store.hpp
+++ b/include/vanilladyke/node/record_store.hpp
@@ -17,7 +17,8 @@
 struct KeyedRecord
 {
     std::string key;
-    std::string value; ///< empty: the key was removed
+    std::string value;        ///< empty: the key was removed
+    std::uint64_t offset = 0; ///< in the topic, if it was listed
 };
 
 /// @brief Why a call to the store brought nothing.
@@ -77,6 +78,8 @@
 public:
     virtual ~StateTranslator() = default;
     [[nodiscard]] virtual std::optional<KeyedRecord> split(std::string_view record) const = 0;
+    /// @brief The record as it lies in the topic.
+    [[nodiscard]] virtual std::string join(const KeyedRecord &record) const = 0;
     /// @param isNews it was written just now
     virtual void applyOperator(const KeyedRecord &record, std::optional<Duration> age,
                                StateListener &listener) const = 0;
--- a/include/vanilladyke/policy/record_relay.hpp
+++ b/include/vanilladyke/policy/record_relay.hpp
@@ -27,6 +27,7 @@
     {
         std::uint64_t offset = 0;
         std::string record;
+        std::string key; ///< empty: not known
     };
     /// @brief What one that knows all before an offset has to learn.
     struct News
@@ -38,8 +39,12 @@
 
     /// @brief The topic was listed: what came before @p next is not known one by one.
     void restart(std::uint64_t next);
+    /// @brief The topic was listed, and nobody needs to learn of keys that were removed: the newest
+    /// record of each key, which follow by changed(), are all that there is to know.
+    void restartWithAll(std::uint64_t next);
     /// @brief A record that changed what was known before it.
-    void changed(std::uint64_t offset, std::string record);
+    /// @param key whose older record it replaces; empty: it replaces none
+    void changed(std::uint64_t offset, std::string record, const std::string &key = {});
     /// @brief All before @p next was read.
     void readUpTo(std::uint64_t next) { m_next = next; }
     /// @brief Nothing but what was read had been written at that time.
--- a/src/vanilladyke/node/peer_questions.cpp
+++ b/src/vanilladyke/node/peer_questions.cpp
@@ -31,7 +31,7 @@
     news.next = in.next();
     news.age = std::chrono::microseconds(in.age_us());
     for (const wire::TopicRecord &record : in.records()) {
-        news.changes.push_back({record.offset(), record.bytes()});
+        news.changes.push_back({record.offset(), record.bytes(), {}});
     }
     return news;
 }
--- a/src/vanilladyke/node/state_follower.cpp
+++ b/src/vanilladyke/node/state_follower.cpp
@@ -46,7 +46,7 @@
 /// a store that is down must not be flooded.
 constexpr BackOffSpans FailureSpans{std::chrono::milliseconds(60), std::chrono::milliseconds(500)};
 /// What goes into one datagram, packed; a larger configuration each node reads for itself.
-constexpr std::size_t MostSharedBytes = 12000;
+constexpr std::size_t MostSharedBytes = 16000;
 constexpr const char *FleetKeyName = "key";
 
 std::vector<Endpoint> endpointsOf(const std::vector<KeyedRecord> &nodes)
@@ -286,11 +286,12 @@
     if (!newest) {
         co_return false;
     }
+    m_operator.next = newest->end;
+    m_operator.relay.restartWithAll(newest->end);
     for (const KeyedRecord &record : newest->items) {
         m_translator.applyOperator(record, std::nullopt, m_listener);
+        m_operator.relay.changed(record.offset, packRecord(m_translator.join(record)), record.key);
     }
-    m_operator.next = newest->end;
-    m_operator.relay.restart(newest->end);
     m_listedAt = sentAt;
     m_answeredAt = BootClock::now();
     proveOperator(sentAt);
@@ -344,10 +345,11 @@
 
 void StateFollower::applyOperator(std::uint64_t offset, std::string record, Duration age)
 {
-    if (const auto keyed = m_translator.split(record)) {
+    const auto keyed = m_translator.split(record);
+    if (keyed) {
         m_translator.applyOperator(*keyed, age, m_listener);
     }
-    m_operator.relay.changed(offset, packRecord(record));
+    m_operator.relay.changed(offset, packRecord(record), keyed ? keyed->key : std::string());
 }
 
 asio::awaitable<bool> StateFollower::listBackends()
--- a/src/vanilladyke/node/state_follower_test.cpp
+++ b/src/vanilladyke/node/state_follower_test.cpp
@@ -86,6 +86,7 @@
     {
         return KeyedRecord{std::string(record.substr(0, record.find('='))), std::string(record)};
     }
+    std::string join(const KeyedRecord &record) const override { return record.value; }
     void applyOperator(const KeyedRecord &, std::optional<Duration> age,
                        StateListener &listener) const override
     {
--- a/src/vanilladyke/policy/record_relay.cpp
+++ b/src/vanilladyke/policy/record_relay.cpp
@@ -11,9 +11,20 @@
     m_next = next;
 }
 
-void RecordRelay::changed(std::uint64_t offset, std::string record)
+void RecordRelay::restartWithAll(std::uint64_t next)
 {
-    m_changes.push_back({offset, std::move(record)});
+    restart(next);
+    m_first = 0;
+}
+
+void RecordRelay::changed(std::uint64_t offset, std::string record, const std::string &key)
+{
+    // Several changes of a key within a moment must not be too much for a datagram.
+    std::erase_if(m_changes, [&](const Change &each) { return !key.empty() && each.key == key; });
+    const auto place = std::upper_bound(
+            m_changes.begin(), m_changes.end(), offset,
+            [](std::uint64_t at, const Change &change) { return at < change.offset; });
+    m_changes.insert(place, {offset, std::move(record), key});
     if (m_changes.size() > MostChanges) {
         m_first = m_changes.front().offset + 1;
         m_changes.pop_front();
--- a/src/vanilladyke/policy/shared_reading_test.cpp
+++ b/src/vanilladyke/policy/shared_reading_test.cpp
@@ -196,6 +196,41 @@
     EXPECT_TRUE(news->changes.empty());
 }
 
+// Keys of three customers are taken away within half a second, and each record holds the whole
+// configuration. All three are more than one answer carries; the last one says it all.
+TEST(RecordRelay, ARecordReplacesTheOlderOneOfItsKey)
+{
+    RecordRelay relay;
+    relay.restart(10);
+    relay.proved(at(0));
+    relay.changed(11, std::string(90, 'a'), "config");
+    relay.changed(12, "v", "version/m");
+    relay.changed(13, std::string(90, 'b'), "config");
+    relay.readUpTo(14);
+    const auto news = relay.since(10, 100, at(1));
+    ASSERT_TRUE(news);
+    ASSERT_EQ(news->changes.size(), 2U);
+    EXPECT_EQ(news->changes[0].offset, 12U);
+    EXPECT_EQ(news->changes[1].offset, 13U);
+}
+
+// The store forgets its history. The node that reads lists the newest records; one that knows less
+// than that gets them all, instead of reading the store as well.
+TEST(RecordRelay, AfterAListingOfAllKeysNobodyIsTooFarBehind)
+{
+    RecordRelay relay;
+    relay.restartWithAll(40);
+    relay.changed(30, "c", "config");
+    relay.changed(7, "v", "version/m");
+    relay.proved(at(0));
+    const auto news = relay.since(3, PlentyOfBytes, at(1));
+    ASSERT_TRUE(news);
+    EXPECT_EQ(news->next, 40U);
+    ASSERT_EQ(news->changes.size(), 2U);
+    EXPECT_EQ(news->changes[0].offset, 7U) << "in order";
+    EXPECT_EQ(relay.since(31, PlentyOfBytes, at(1))->changes.size(), 0U);
+}
+
 TEST(RecordRelay, ChangesThatAreForgottenAreNotSkipped)
 {
     RecordRelay relay;
