An engine on new weights stands in for a home that has older ones

Change: beside the first homes the first engines of the part's order that have the newest weights are weighed, all nodes alike; reading there is not charged as away from home. The charge of old weights counts 0.4 of a target for 0.2: a delay within the target loses nothing.

--- a/include/vanilladyke/policy/backend_book.hpp
+++ b/include/vanilladyke/policy/backend_book.hpp
@@ -31,7 +31,8 @@
 ///   that fails a part of its requests is charged BackendRates::failureCost for the part.
 /// - Engines of any speed: how fast they read is learned from the requests that met no queue, for
 ///   each service, and how much slower than that an engine is; see engine_pace.hpp.
-/// - New weights: engines on older ones are charged the part of a request's worth that is lost
+/// - New weights: until a part's home has them, the first engine of its order that does stands in
+///   for it. Engines on older ones are charged the part of a request's worth that is lost
 ///   there, BackendRates::oldWeightsPart, and are closed to a request that might begin there when
 ///   the platform's time for them is over. Engines with a second's queue close a second sooner.
 namespace vanilladyke {
@@ -190,8 +191,10 @@
     /// @param more how many servers are weighed beside those that always are
     [[nodiscard]] Weighed weigh(const BackendQuery &query, const Goals *goals, std::size_t more,
                                 TimePoint now, NoBackend *none) const;
-    /// Leaves the first homes of the order, those that were sent the part, and some others that
-    /// differ from request to request.
+    /// @return 0 if none were named
+    [[nodiscard]] std::uint64_t newestWeights(const ModelId &model) const;
+    /// Leaves the first homes of the order, the first that have the newest weights, those that were
+    /// sent the part, and some others that differ from request to request.
     void keepHomes(const BackendQuery &query, std::size_t more, TimePoint now,
                    std::vector<Candidate> *open) const;
     [[nodiscard]] std::optional<BackendChoice> best(const BackendQuery &query,
--- a/include/vanilladyke/policy/backend_choice.hpp
+++ b/include/vanilladyke/policy/backend_choice.hpp
@@ -28,9 +28,10 @@
     /// for it that have not heard of it: so many times the time of reading it.
     double awayReads = 1.35;
     Millis otherCentre{6}; ///< there and back, and a charge for bytes between data centres
-    /// Charge for weights that were replaced: of the target, the part of an answer's worth that is
-    /// lost there.
-    double oldWeightsPart = 0.2;
+    /// Charge for weights that were replaced, as a part of the target. An answer there loses a
+    /// fifth of its worth, and one that comes later but still in time loses nothing: a delay counts
+    /// half.
+    double oldWeightsPart = 0.4;
     /// A request is refused at once where it would wait for so much of its target; see
     /// wait_limit.hpp.
     double mostWaitTargets = 0.5;
--- a/src/vanilladyke/policy/backend_book_test.cpp
+++ b/src/vanilladyke/policy/backend_book_test.cpp
@@ -80,6 +80,30 @@
     }
 }
 
+// New weights are in force on a third of 120 engines, and the homes of most guides still have older
+// ones. Sent home, two thirds of the long prompts would get answers on weights that were replaced;
+// sent anywhere else, the guide would be read by one engine after the other.
+TEST(BackendBook, AnEngineOnNewWeightsStandsInForAHomeThatHasOlderOnes)
+{
+    BackendBook one(hereCentre, {}, 1);
+    BackendBook two(hereCentre, {}, 2);
+    auto entries = fleet(120);
+    for (std::size_t i = 0; i < entries.size(); i += 3) {
+        entries[i].weights[llmModel] = 2;
+    }
+    for (BackendBook *book : {&one, &two}) {
+        book->setBackends(entries);
+        book->setGoal(llmModel, 2, at(0));
+    }
+    for (int part = 0; part < 100; ++part) {
+        const auto first = one.choose(longPrompt(part), at(5000));
+        const auto second = two.choose(longPrompt(part), at(5000));
+        ASSERT_TRUE(first && second);
+        EXPECT_EQ(first->weights, 2U);
+        EXPECT_EQ(first->backend.id, second->backend.id);
+    }
+}
+
 // One brand's guide gets a third of all requests within a second. Its home would make every one of
 // them late while other engines idle.
 TEST(BackendBook, AHotPartSpreadsWhenWaitingCostsMoreThanReading)
--- a/src/vanilladyke/policy/backend_choice.cpp
+++ b/src/vanilladyke/policy/backend_choice.cpp
@@ -136,16 +136,31 @@
     return home == all.end() ? DataCentreId() : (*home)->entry.dataCentre;
 }
 
+std::uint64_t BackendBook::newestWeights(const ModelId &model) const
+{
+    const auto goals = m_goals.find(model);
+    return goals == m_goals.end() || goals->second.empty() ? 0 : goals->second.back().version;
+}
+
 void BackendBook::keepHomes(const BackendQuery &query, std::size_t more, TimePoint now,
                             std::vector<Candidate> *open) const
 {
     std::sort(open->begin(), open->end(),
               [](const Candidate &a, const Candidate &b) { return a.order > b.order; });
     const std::vector<std::uint64_t> holders = m_holders.backends(query.partKey());
-    const auto rest = open->begin() + static_cast<std::ptrdiff_t>(m_rates.homes);
-    const auto others = std::partition(rest, open->end(), [&](const Candidate &each) {
-        return std::find(holders.begin(), holders.end(), each.state->hash) != holders.end();
-    });
+    const std::uint64_t newest = newestWeights(query.model);
+    std::size_t onNewest = 0;
+    std::size_t place = 0;
+    // In their order, the first homes, and the first that have the newest weights.
+    const auto others =
+            std::stable_partition(open->begin(), open->end(), [&](const Candidate &each) {
+                const bool isFirst = place++ < m_rates.homes;
+                const bool isNewest = newest > 0 && weightsOf(*each.state, query.model) >= newest
+                                      && onNewest++ < m_rates.homes;
+                return isFirst || isNewest
+                       || std::find(holders.begin(), holders.end(), each.state->hash)
+                                  != holders.end();
+            });
     const auto spare = static_cast<std::size_t>(open->end() - others);
     const auto last = others + static_cast<std::ptrdiff_t>(std::min(more, spare));
     const std::uint64_t draw =
@@ -242,7 +257,8 @@
     const std::string salt = cacheSalt(query.model, question.weights, query.isolated);
     const bool isKept =
             store != nullptr && query.kept->holds(store->endpoint, salt, query.sharedPart, now);
-    const bool isHome = &engine == &home;
+    // A home on older weights can't have the part under newer ones: somewhere it is read first.
+    const bool isHome = &engine == &home || weightsOf(home, query.model) < question.weights;
     const auto shared = static_cast<double>(query.sharedTokens);
     Reading reading;
     reading.tokens = static_cast<double>(query.ownTokens);
