Two nodes watch the lease, nine stand by; fleets below ten nodes read each for itself; linter

Cause: with one node that hears of each record of the lease, mostly the holder itself, the next one noticed its end up to two seconds late; and in fleets of eight nodes a reader for all tells of new weights 0.2 s later.

--- a/include/vanilladyke/node/weights_controller.hpp
+++ b/include/vanilladyke/node/weights_controller.hpp
@@ -34,9 +34,11 @@
     static constexpr Duration AnnounceBeyond = std::chrono::milliseconds(1000);
     /// An engine that stays silent for so many questions is down and holds up others no longer.
     static constexpr int MostSilentAnswers = 2;
-    /// The first of those that wait for the lease hears of each of its records at once; the others
-    /// look for themselves after a while that grows with their rank: nine that all hear of each
-    /// renewal cost more calls than anything else that nodes do.
+    /// So many of those that wait for the lease hear of each of its records at once: the holder is
+    /// often the first of them, and the next one has to notice its end as soon as it may take over.
+    /// The others look for themselves after a while that grows with their rank: nine that all hear
+    /// of each renewal cost more calls than anything else that nodes do.
+    static constexpr std::size_t Watchers = 2;
     static constexpr Duration LookAgain = std::chrono::milliseconds(1000);
     static constexpr std::size_t MostLookAgain = 5; ///< times LookAgain
     /// Between the claims of two ranks, so that the second finds the record of the first.
--- a/include/vanilladyke/policy/mechanism.hpp
+++ b/include/vanilladyke/policy/mechanism.hpp
@@ -39,7 +39,7 @@
     std::string_view name;
 };
 
-inline constexpr std::array<MechanismName, 20> mechanismNames{{
+inline constexpr std::array<MechanismName, 20> MechanismNames{{
         {Mechanism::Homes, "homes"},
         {Mechanism::NestedHomes, "nested_homes"},
         {Mechanism::CopyCharge, "copy_charge"},
@@ -65,7 +65,7 @@
 /// @return none if no mechanism has that name
 [[nodiscard]] constexpr std::optional<Mechanism> mechanismNamed(std::string_view name)
 {
-    for (const MechanismName &each : mechanismNames) {
+    for (const MechanismName &each : MechanismNames) {
         if (each.name == name) {
             return each.mechanism;
         }
--- a/include/vanilladyke/policy/reading_turn.hpp
+++ b/include/vanilladyke/policy/reading_turn.hpp
@@ -23,8 +23,9 @@
 class ReadingTurn
 {
 public:
-    /// Fewer nodes read each for itself: it would save too few calls.
-    static constexpr std::size_t LeastNodes = 4;
+    /// Fewer nodes read each for itself: it would save too few calls, and each hears of a change
+    /// sooner from the store than from another node.
+    static constexpr std::size_t LeastNodes = 10;
     /// So many nodes ask one: what it answers takes little of a small host.
     static constexpr std::size_t MostTogether = 32;
     static constexpr Duration HeardLife = std::chrono::seconds(8);
--- a/src/vanilladyke/app/mechanism_switches_test.cpp
+++ b/src/vanilladyke/app/mechanism_switches_test.cpp
@@ -23,7 +23,7 @@
 
 TEST(MechanismSwitches, EachNameIsTaken)
 {
-    for (const MechanismName &each : mechanismNames) {
+    for (const MechanismName &each : MechanismNames) {
         const std::string off = R"(, "off": [")" + std::string(each.name) + R"("])";
         EXPECT_TRUE(parseNodeSettings(settingsWith(off))) << each.name;
     }
--- a/src/vanilladyke/node/state_follower.cpp
+++ b/src/vanilladyke/node/state_follower.cpp
@@ -31,8 +31,8 @@
 /// Of the same time, for a node that reads for others: they ask it after that.
 constexpr double BackendsPartForOthers = 0.25;
 constexpr Duration AskEvery = std::chrono::milliseconds(400);
-/// More than are likely lost together before others have noticed; each looks at the lease's log.
-constexpr std::size_t NodesStandingBy = 5;
+/// More than are lost together before others have noticed.
+constexpr std::size_t NodesStandingBy = 9;
 /// Nodes that start together register within this time. Whoever lists later tells those that it
 /// finds in the list, so that one listing is enough for two nodes to know of each other.
 constexpr Duration NodesPause = std::chrono::milliseconds(700);
@@ -241,7 +241,7 @@
             m_operator.mustRead = true;
             return;
         }
-        applyOperator(change.offset, std::move(*record), age);
+        applyOperator(change.offset, *record, age);
         m_operator.next = change.offset + 1;
     }
     m_operator.next = news.next;
@@ -343,7 +343,7 @@
     }
 }
 
-void StateFollower::applyOperator(std::uint64_t offset, std::string record, Duration age)
+void StateFollower::applyOperator(std::uint64_t offset, const std::string &record, Duration age)
 {
     const auto keyed = m_translator.split(record);
     if (keyed) {
--- a/src/vanilladyke/node/store_calls.cpp
+++ b/src/vanilladyke/node/store_calls.cpp
@@ -8,10 +8,10 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 4> callNames{"list", "read", "wait", "append"};
-constexpr std::array<std::string_view, 5> topicNames{"operator", "backends", "nodes", "fleet_key",
+constexpr std::array<std::string_view, 4> CallNames{"list", "read", "wait", "append"};
+constexpr std::array<std::string_view, 5> TopicNames{"operator", "backends", "nodes", "fleet_key",
                                                      "lease"};
-constexpr std::array<std::string_view, 7> causeNames{
+constexpr std::array<std::string_view, 7> CauseNames{
         "start", "follow", "for_others", "alone", "old_proof", "peer_could_not_tell", "rollout"};
 
 template <typename Enum>
@@ -24,17 +24,17 @@
 
 std::string_view toString(StoreCall call)
 {
-    return callNames.at(indexOf(call));
+    return CallNames.at(indexOf(call));
 }
 
 std::string_view toString(StoreTopic topic)
 {
-    return topicNames.at(indexOf(topic));
+    return TopicNames.at(indexOf(topic));
 }
 
 std::string_view toString(CallCause cause)
 {
-    return causeNames.at(indexOf(cause));
+    return CauseNames.at(indexOf(cause));
 }
 
 void StoreCalls::count(StoreCall call, StoreTopic topic, CallCause cause)
@@ -67,9 +67,9 @@
                 if (calls == 0) {
                     continue;
                 }
-                std::string key(callNames.at(call));
-                key += "_" + std::string(topicNames.at(topic));
-                key += "_" + std::string(causeNames.at(cause));
+                std::string key(CallNames.at(call));
+                key += "_" + std::string(TopicNames.at(topic));
+                key += "_" + std::string(CauseNames.at(cause));
                 line.field(key, calls);
             }
         }
--- a/src/vanilladyke/node/weights_controller.cpp
+++ b/src/vanilladyke/node/weights_controller.cpp
@@ -183,13 +183,13 @@
         return;
     }
     m_isReading = true;
-    const bool isFirst = m_rank.value_or(0) == 0;
+    const bool watches = m_rank.value_or(0) < Watchers;
     std::optional<std::uint64_t> known;
-    if (!m_lease.needsRead() && isFirst) {
+    if (!m_lease.needsRead() && watches) {
         known = m_lease.end();
     }
     m_calls.count(known ? StoreCall::Wait : StoreCall::Read, StoreTopic::Lease, CallCause::Rollout);
-    m_log.read(known, [this, isFirst](const std::optional<LeaseLogState> &state) {
+    m_log.read(known, [this, watches](const std::optional<LeaseLogState> &state) {
         m_isReading = false;
         if (!state) {
             m_readAt = m_clock() + ReadPause;
@@ -197,7 +197,7 @@
         }
         m_hasLooked = true;
         const bool isHeld = state->last && !state->last->isRelease;
-        m_readAt = m_clock() + (isFirst || !isHeld ? Duration::zero() : lookAgain());
+        m_readAt = m_clock() + (watches || !isHeld ? Duration::zero() : lookAgain());
         sawLease(*state);
     });
 }
--- a/src/vanilladyke/node/weights_controller_test.cpp
+++ b/src/vanilladyke/node/weights_controller_test.cpp
@@ -26,9 +26,20 @@
     void read(std::optional<std::uint64_t> /*known*/,
               std::function<void(std::optional<LeaseLogState>)> done) override
     {
+        ++reads;
         done(LeaseLogState{m_end, m_last});
     }
 
+    /// @brief Another node appends a record.
+    void appendAs(const std::string &holder)
+    {
+        m_last = LeaseRecord{holder, 1, ++m_end, false, {}};
+    }
+
+    [[nodiscard]] std::string holder() const { return m_last ? m_last->holder : std::string(); }
+
+    int reads = 0;
+
 private:
     std::uint64_t m_end = 0;
     std::optional<LeaseRecord> m_last;
@@ -189,5 +200,50 @@
     EXPECT_EQ(onVersion(2), Engines);
 }
 
+// The node that gives orders is the first of those that wait for the lease, and dies. While nobody
+// gives orders, engines stay on weights whose time runs out; the second one has to notice as soon
+// as the lease lets it, though it is not the first.
+TEST_F(WeightsControllerTest, TheSecondThatWaitsTakesOverAsSoonAsItMay)
+{
+    m_controller->setStandbyRank(1);
+    m_controller->weightsNamed(llmModel, 2, m_now);
+    const LeaseTerms terms;
+    for (int i = 0; i < 12; ++i) {
+        m_log.appendAs("first");
+        stepFor(terms.renewAfter);
+    }
+    ASSERT_EQ(m_log.holder(), "first");
+    constexpr Duration Patience = milliseconds(500); // spreads those that would claim together
+    stepFor(terms.validity + terms.gap + terms.margin - terms.renewAfter + Patience);
+    EXPECT_EQ(m_log.holder(), "node");
+}
+
+// Nine nodes wait for the lease. Were each to read each renewal, they would make more calls to the
+// store than all other work of the fleet.
+TEST_F(WeightsControllerTest, ThoseThatWaitFurtherBackLookNowAndThen)
+{
+    m_controller->setStandbyRank(6);
+    m_controller->weightsNamed(llmModel, 2, m_now);
+    const LeaseTerms terms;
+    constexpr int Renewals = 20;
+    for (int i = 0; i < Renewals; ++i) {
+        m_log.appendAs("first");
+        stepFor(terms.renewAfter);
+    }
+    EXPECT_EQ(m_log.holder(), "first");
+    EXPECT_LE(m_log.reads, Renewals / 4);
+}
+
+// Each of those that wait would claim as soon as new weights are named, and all but one in vain.
+TEST_F(WeightsControllerTest, ThoseFurtherBackLookBeforeTheyClaim)
+{
+    m_controller->setStandbyRank(2);
+    m_controller->weightsNamed(llmModel, 2, m_now);
+    stepFor(milliseconds(300));
+    m_log.appendAs("first");
+    stepFor(milliseconds(2000));
+    EXPECT_EQ(m_log.holder(), "first");
+}
+
 } // namespace
 } // namespace vanilladyke
