--- a/include/vanilladyke/policy/wait_limit.hpp
+++ b/include/vanilladyke/policy/wait_limit.hpp
@@ -21,8 +21,7 @@
     Duration target{};  ///< within which the first token is worth most
     TimePoint deadline; ///< of the caller
     /// Of the target that may be spent on waiting; the rest is for reading and for what the
-    /// prediction misses. Trials with 0.35, 0.5, 0.7, 1, 2 and 4: the mean of what was earned rose
-    /// from 4 to 1 and was flat from 1 to 0.35.
+    /// prediction misses.
     double mostPart = 0.5;
 };
 
--- a/include/vanilladyke/policy/weights_rollout.hpp
+++ b/include/vanilladyke/policy/weights_rollout.hpp
@@ -33,8 +33,7 @@
 {
     /// From the naming of new weights until none may be answered on older ones.
     Duration allowed = std::chrono::milliseconds(15000);
-    /// Of the fleet that may load at once: just below what makes every load slower (a sixth of
-    /// 18 engines, a fifth of 72).
+    /// Of the fleet that may load at once: more make every load slower.
     double loadingPart = 0.2;
     /// Of the fleet that may be under order, if orders take so long that the time needs it.
     double outPart = 0.34;
--- a/src/vanilladyke/app/node_command.cpp
+++ b/src/vanilladyke/app/node_command.cpp
@@ -30,6 +30,9 @@
 /// Ends of requests that take longer than the grace are told by a closed connection.
 constexpr Duration KillMargin = std::chrono::milliseconds(700);
 constexpr Duration StopStep = std::chrono::milliseconds(50);
+/// A node that has not read the list of nodes may be one of hundreds that were started together:
+/// were each to take all second sends for itself, they would be hundreds of times too many.
+constexpr std::size_t NodesBeforeTheList = 1000;
 
 Severity severityOf(const std::string &level)
 {
@@ -66,7 +69,10 @@
         , m_stopTimer(m_trafficContext)
     {
         m_traffic.configAge = [this] { return m_control.proof().age(); };
-        m_traffic.budget.setTerms(settings.control.secondSends);
+        SecondSendTerms terms = settings.control.secondSends;
+        terms.nodes = NodesBeforeTheList;
+        m_traffic.nodes = NodesBeforeTheList;
+        m_traffic.budget.setTerms(terms);
     }
 
     int run()
--- a/src/vanilladyke/node/weights_controller.cpp
+++ b/src/vanilladyke/node/weights_controller.cpp
@@ -109,6 +109,7 @@
         m_hasLooked = false;
     } else if (!m_wantsSince) {
         m_wantsSince = now;
+        m_readAt = now; // what was put off then was about other weights
     }
     stepLease(wantsToOrder, now);
     if (!wantsToOrder) {
