Keep homes, holders and stand-ins by a loop

Cause: a predicate that counts was handed to an algorithm whose order of calls is not promised. Change: a loop with the same outcome.

--- a/src/vanilladyke/policy/backend_choice.cpp
+++ b/src/vanilladyke/policy/backend_choice.cpp
@@ -149,26 +149,26 @@
               [](const Candidate &a, const Candidate &b) { return a.order > b.order; });
     const std::vector<std::uint64_t> holders = m_holders.backends(query.partKey());
     const std::uint64_t newest = newestWeights(query.model);
+    std::vector<Candidate> kept;
+    std::vector<Candidate> others;
     std::size_t onNewest = 0;
-    std::size_t place = 0;
-    // In their order, the first homes, and the first that have the newest weights.
-    const auto others =
-            std::stable_partition(open->begin(), open->end(), [&](const Candidate &each) {
-                const bool isFirst = place++ < m_rates.homes;
-                const bool isNewest = newest > 0 && weightsOf(*each.state, query.model) >= newest
-                                      && onNewest++ < m_rates.homes;
-                return isFirst || isNewest
-                       || std::find(holders.begin(), holders.end(), each.state->hash)
-                                  != holders.end();
-            });
-    const auto spare = static_cast<std::size_t>(open->end() - others);
-    const auto last = others + static_cast<std::ptrdiff_t>(std::min(more, spare));
+    for (const Candidate &each : *open) {
+        const bool isFirst = kept.size() + others.size() < m_rates.homes;
+        const bool isHolder =
+                std::find(holders.begin(), holders.end(), each.state->hash) != holders.end();
+        bool standsIn = newest > 0 && weightsOf(*each.state, query.model) >= newest;
+        standsIn = standsIn && onNewest++ < m_rates.homes;
+        (isFirst || isHolder || standsIn ? kept : others).push_back(each);
+    }
+    const auto drawn = others.begin() + static_cast<std::ptrdiff_t>(std::min(more, others.size()));
     const std::uint64_t draw =
             mixBits(m_self ^ static_cast<std::uint64_t>(now.time_since_epoch().count()));
-    std::partial_sort(others, last, open->end(), [draw](const Candidate &a, const Candidate &b) {
-        return mixBits(draw ^ a.state->hash) > mixBits(draw ^ b.state->hash);
-    });
-    open->erase(last, open->end());
+    std::partial_sort(others.begin(), drawn, others.end(),
+                      [draw](const Candidate &a, const Candidate &b) {
+                          return mixBits(draw ^ a.state->hash) > mixBits(draw ^ b.state->hash);
+                      });
+    kept.insert(kept.end(), others.begin(), drawn);
+    *open = std::move(kept);
 }
 
 BackendBook::Weighed BackendBook::weigh(const BackendQuery &query, const Goals *goals,
