Order engines on the oldest weights first, also those that missed an order

Cause: engines that had failed went behind all others, whatever their version.

Change: failures order engines of one version only.

--- a/include/vanilladyke/policy/weights_rollout.hpp
+++ b/include/vanilladyke/policy/weights_rollout.hpp
@@ -17,7 +17,8 @@
 /// that end their runs: loads are bounded by a part of the fleet, and engines under order by what
 /// the time that orders were seen to take needs, so that a rollout ends in TimePart of the time
 /// that the platform allows while enough engines serve. One that did not take its order is tried
-/// again after a while, behind the others.
+/// again after a while, behind the others on its version; were it behind all others, each newer
+/// version that is named meanwhile would pass over it.
 namespace vanilladyke {
 
 /// @brief An engine as the node that gives orders sees it.
--- a/src/vanilladyke/policy/weights_rollout.cpp
+++ b/src/vanilladyke/policy/weights_rollout.cpp
@@ -65,7 +65,7 @@
     std::stable_sort(engines.begin(), engines.end(),
                      [this](const RolloutEngine &a, const RolloutEngine &b) {
                          const auto keyOf = [this](const RolloutEngine &each) {
-                             return std::tuple(failuresOf(each.id), each.version, each.running);
+                             return std::tuple(each.version, failuresOf(each.id), each.running);
                          };
                          return keyOf(a) < keyOf(b);
                      });
--- a/src/vanilladyke/policy/weights_rollout_test.cpp
+++ b/src/vanilladyke/policy/weights_rollout_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 
 namespace vanilladyke {
@@ -119,6 +120,45 @@
     EXPECT_EQ(rollout.next({engines[0]}, at(500)).front(), EngineId("e0"));
 }
 
+// Guards against engines that missed one order and are then passed over for each newer version, so
+// that they stay on the first one for good.
+TEST(WeightsRollout, EnginesThatMissedAnOrderAreNotLeftBehindByNewerVersions)
+{
+    constexpr int OrderTakes = 4500;
+    constexpr int SilenceTakes = 600;
+    constexpr int Unreachable = 12;
+    constexpr int ReachableFrom = 4000;
+    WeightsRollout rollout({milliseconds(10000)});
+    auto engines = fleet(60, 1);
+    std::map<EngineId, int> orderedAt;
+    for (int now = 0; now < 22000; now += 50) {
+        if (now % 5500 == 0) {
+            rollout.name(static_cast<std::uint64_t>(now / 5500 + 2), at(now));
+        }
+        for (const EngineId &id : rollout.next(engines, at(now))) {
+            rollout.started(id);
+            rollout.ordered(id, at(now));
+            orderedAt[id] = now;
+        }
+        for (std::size_t i = 0; i < engines.size(); ++i) {
+            const auto order = orderedAt.find(engines[i].id);
+            if (order == orderedAt.end()) {
+                continue;
+            }
+            const bool isLost = i < Unreachable && order->second < ReachableFrom;
+            rollout.sawRuns(order->first, !isLost && now - order->second < OrderTakes - 400);
+            if (now - order->second >= (isLost ? SilenceTakes : OrderTakes)) {
+                engines[i].version = isLost ? engines[i].version : rollout.goal();
+                rollout.ended(order->first, !isLost, at(now));
+                orderedAt.erase(order);
+            }
+        }
+    }
+    EXPECT_EQ(std::count_if(engines.begin(), engines.end(),
+                            [](const RolloutEngine &each) { return each.version == 1; }),
+              0);
+}
+
 TEST(WeightsRollout, OlderWeightsAreNeverBroughtBack)
 {
     WeightsRollout rollout;
