Hand the lease of orders on where engines don't answer its holder

Callers saw: answers on replaced weights, then refusals, for as long as the node that holds the lease reaches the store and not the engines (all engines on old weights for 17 s after new ones were named; 11 to 16 % of requests refused).

Cause: nothing in the lease's rules looked at engines; who can renew keeps everybody else from ordering.

Change: LeaseReach; a holder to whom no engine answered for 1.5 s and three tries releases the lease and leaves it to others for 4 s, doubled in a row. New lines lease_handed_on and, each second on nodes that want to order, rollout (pending, under order, put off, worst engine, whom it waits for).

Why it works: the release is the planned hand-over that exists (orders lately given rest for the gap), so that two holders stay apart as before; the next one takes over at once.

--- a/include/vanilladyke/node/control_plane.hpp
+++ b/include/vanilladyke/node/control_plane.hpp
@@ -41,6 +41,8 @@
     /// @brief This node's place among those that wait for the lease of orders; none: it leaves it
     /// to them.
     std::function<std::optional<std::size_t>()> standbyRank = [] { return std::size_t{0}; };
+    /// @brief Other nodes that were heard of lately.
+    std::function<std::size_t()> otherNodes = [] { return std::size_t{0}; };
     /// @brief The node will stop: another one is to give the orders from now on.
     void handOver();
     [[nodiscard]] const ProofOfAge &proof() const { return m_proof; }
--- a/include/vanilladyke/node/state_follower.hpp
+++ b/include/vanilladyke/node/state_follower.hpp
@@ -57,6 +57,8 @@
     /// @brief This node's place among those that stand by for what one node does for all, the
     /// first has 0. @return none if it is not among them
     [[nodiscard]] std::optional<std::size_t> standbyRank() const;
+    /// @brief Other nodes that were heard of lately.
+    [[nodiscard]] std::size_t otherNodes() const { return m_turn.size(); }
     /// @brief What this node can tell one that asks.
     [[nodiscard]] SharedNews newsSince(std::uint64_t operatorNext,
                                        std::uint64_t backendsNext) const;
--- a/include/vanilladyke/node/weights_controller.hpp
+++ b/include/vanilladyke/node/weights_controller.hpp
@@ -4,6 +4,7 @@
 #include "vanilladyke/node/ports.hpp"
 #include "vanilladyke/node/store_calls.hpp"
 #include "vanilladyke/policy/backend_roster.hpp"
+#include "vanilladyke/policy/lease_reach.hpp"
 #include "vanilladyke/policy/weights_rollout.hpp"
 
 #include <set>
@@ -45,6 +46,8 @@
     static constexpr Duration RankPause = std::chrono::milliseconds(250);
     /// An order that shows no effect for so long is given again.
     static constexpr Duration OrderTimeout = std::chrono::seconds(8);
+    /// How often a node that wants to order logs how far the rollout is and what it waits for.
+    static constexpr Duration LogEvery = std::chrono::seconds(1);
 
     /// @brief A clock that counts suspension. Answers come between steps and after pauses, so that
     /// the time of the last step would be too old to tell whether the lease still holds.
@@ -62,6 +65,8 @@
     /// @brief This node's place among those that wait for the lease; none: it doesn't wait. A
     /// holder keeps the lease anyhow.
     void setStandbyRank(std::optional<std::size_t> rank) { m_rank = rank; }
+    /// @brief Other nodes that may take the lease over.
+    void setOtherNodes(std::size_t others) { m_otherNodes = others; }
     /// @brief Gives no orders any more and hands the lease on.
     void stop();
     [[nodiscard]] const OrderLease &lease() const { return m_lease; }
@@ -81,6 +86,8 @@
 
     [[nodiscard]] std::vector<RolloutEngine> enginesOf(const ModelId &model) const;
     [[nodiscard]] std::uint64_t versionOf(const BackendEntry &entry, const ModelId &model) const;
+    /// Whether this node should hold the lease or wait for it.
+    [[nodiscard]] bool wantsToOrder(TimePoint now);
     void stepLease(bool wantsToOrder, TimePoint now);
     void readLease(TimePoint now);
     [[nodiscard]] Duration lookAgain() const;
@@ -98,6 +105,9 @@
     [[nodiscard]] TimePoint nextQuestion(const Load &load) const;
     void ordered(const EngineId &id, OrderEnd end);
     void finish(const EngineId &id, bool succeeded);
+    void logProgress(TimePoint now);
+    /// Why this node gives no orders; empty if it may.
+    [[nodiscard]] std::string_view waitsFor(TimePoint now) const;
 
     std::string m_self;
     OrderLease m_lease;
@@ -121,6 +131,9 @@
     bool m_hasLooked = false;              ///< at the lease's log since then
     bool m_isReading = false;
     TimePoint m_readAt;
+    LeaseReach m_reach;
+    std::size_t m_otherNodes = 0;
+    TimePoint m_loggedAt;
 };
 
 } // namespace vanilladyke
--- a/include/vanilladyke/policy/weights_rollout.hpp
+++ b/include/vanilladyke/policy/weights_rollout.hpp
@@ -40,6 +40,16 @@
     double outPart = 0.34;
 };
 
+/// @brief How far a rollout is.
+struct RolloutProgress
+{
+    std::size_t pending = 0;    ///< engines on older weights
+    std::size_t underOrder = 0; ///< of these
+    std::size_t putOff = 0;     ///< of these, after a failure
+    EngineId first;             ///< pending, not under order, that failed most often
+    int firstFailures = 0;      ///< of that engine, in a row
+};
+
 /// @brief The course of a rollout of one model. Pure.
 class WeightsRollout
 {
@@ -64,6 +74,8 @@
     void date(TimePoint namedAt) { m_namedAt = namedAt; }
     [[nodiscard]] TimePoint namedAt() const { return m_namedAt; }
     [[nodiscard]] bool isPending(const std::vector<RolloutEngine> &engines) const;
+    [[nodiscard]] RolloutProgress progress(const std::vector<RolloutEngine> &engines,
+                                           TimePoint now) const;
     /// @brief Engines to order now.
     [[nodiscard]] std::vector<EngineId> next(std::vector<RolloutEngine> engines,
                                              TimePoint now) const;
@@ -97,6 +109,7 @@
     };
 
     [[nodiscard]] int failuresOf(const EngineId &engine) const;
+    [[nodiscard]] bool isPutOff(const EngineId &engine, TimePoint now) const;
 
     [[nodiscard]] std::size_t mostLoading(std::size_t engines) const;
     [[nodiscard]] std::size_t mostUnderOrder(std::size_t engines) const;
--- a/src/vanilladyke/app/node_command.cpp
+++ b/src/vanilladyke/app/node_command.cpp
@@ -135,6 +135,7 @@
             });
         };
         m_control.standbyRank = [this] { return m_follower.standbyRank(); };
+        m_control.otherNodes = [this] { return m_follower.otherNodes(); };
         m_follower.fleetKeyKnown = [this](const std::string &key) {
             LogEvent("fleet_key_known").field("bytes", key.size());
             m_questions.setKey(key);
--- a/src/vanilladyke/node/control_plane.cpp
+++ b/src/vanilladyke/node/control_plane.cpp
@@ -90,6 +90,7 @@
         publishBackends();
     }
     m_weights.setStandbyRank(standbyRank());
+    m_weights.setOtherNodes(otherNodes());
     m_weights.step(now);
     m_calls.log(now);
 }
--- a/src/vanilladyke/node/weights_controller.cpp
+++ b/src/vanilladyke/node/weights_controller.cpp
@@ -97,10 +97,22 @@
     });
 }
 
+bool WeightsController::wantsToOrder(TimePoint now)
+{
+    const bool mayOrder = m_lease.mayOrder(now);
+    if (mayOrder && m_otherNodes > 0 && m_reach.isLost(now)) {
+        LogEvent("lease_handed_on", Severity::Warning)
+                .field("reason", "engines_silent")
+                .field("failures", m_reach.failures());
+        m_reach.handedOn(now);
+    }
+    return !m_stopping && !m_reach.isPausing(now) && (m_rank || mayOrder) && isPending();
+}
+
 void WeightsController::step(TimePoint now)
 {
-    const bool wantsToOrder = !m_stopping && (m_rank || m_lease.mayOrder(now)) && isPending();
-    if (!wantsToOrder) {
+    const bool wants = wantsToOrder(now);
+    if (!wants) {
         for (auto &[model, rollout] : m_rollouts) {
             rollout.abandon();
         }
@@ -111,10 +123,11 @@
         m_wantsSince = now;
         m_readAt = now; // what was put off then was about other weights
     }
-    stepLease(wantsToOrder, now);
-    if (!wantsToOrder) {
+    stepLease(wants, now);
+    if (!wants) {
         return;
     }
+    logProgress(now);
     if (m_lease.mayOrder(now)) {
         startLoads(now);
     } else if (!m_loads.empty() && m_lease.needsRead()) {
@@ -132,6 +145,45 @@
     }
 }
 
+std::string_view WeightsController::waitsFor(TimePoint now) const
+{
+    if (m_lease.mayOrder(now)) {
+        return {};
+    }
+    if (m_lease.needsRead()) {
+        return "look_at_lease";
+    }
+    const bool isHeld = m_lease.last() && !m_lease.last()->isRelease;
+    return isHeld ? std::string_view(m_lease.last()->holder) : "its_turn";
+}
+
+void WeightsController::logProgress(TimePoint now)
+{
+    if (now - m_loggedAt < LogEvery) {
+        return;
+    }
+    m_loggedAt = now;
+    for (const auto &[model, rollout] : m_rollouts) {
+        const RolloutProgress progress = rollout.progress(enginesOf(model), now);
+        if (progress.pending == 0) {
+            continue;
+        }
+        LogEvent("rollout")
+                .field("model", model.str())
+                .field("version", rollout.goal())
+                .field("age_ms", now - rollout.namedAt())
+                .field("pending", progress.pending)
+                .field("under_order", progress.underOrder)
+                .field("put_off", progress.putOff)
+                .field("first_pending", progress.first.str())
+                .field("first_failures", progress.firstFailures)
+                .field("order_time_ms", rollout.orderTime())
+                .field("silent_tries", m_reach.failures())
+                .field("rank", m_rank ? std::to_string(*m_rank) : "none")
+                .field("waits_for", waitsFor(now));
+    }
+}
+
 void WeightsController::stepLease(bool wantsToOrder, TimePoint now)
 {
     if (!wantsToOrder && m_openOrders > 0) {
@@ -267,6 +319,11 @@
     load.isAsking = false;
     load.askAt = nextQuestion(load);
     const BackendEntry *engine = m_roster.find(id);
+    if (report) {
+        m_reach.answered(m_clock());
+    } else {
+        m_reach.failed(m_clock());
+    }
     if (!report || engine == nullptr) {
         if (!load.wasOrdered || ++load.silentAnswers >= MostSilentAnswers) {
             finish(id, false);
@@ -345,6 +402,9 @@
 {
     --m_openOrders;
     m_orderedAt[id] = m_clock();
+    if (end == OrderEnd::Unknown) {
+        m_reach.failed(m_clock());
+    }
     const auto found = m_loads.find(id);
     if (found == m_loads.end()) {
         return;
--- a/src/vanilladyke/node/weights_controller_test.cpp
+++ b/src/vanilladyke/node/weights_controller_test.cpp
@@ -12,13 +12,17 @@
 
 const ModelId llmModel("m");
 
-/// A log that takes every append at once.
+/// A log that takes every append at its end at once.
 class OpenLog : public LeaseLog
 {
 public:
     void append(const LeaseAppend &append,
                 std::function<void(AppendEnd, std::uint64_t end)> done) override
     {
+        if (append.at != m_end) {
+            done(AppendEnd::Refused, m_end);
+            return;
+        }
         m_last = append.record;
         done(AppendEnd::Taken, ++m_end);
     }
@@ -36,6 +40,7 @@
         m_last = LeaseRecord{holder, 1, ++m_end, false, {}};
     }
 
+    [[nodiscard]] bool isReleased() const { return m_last && m_last->isRelease; }
     [[nodiscard]] std::string holder() const { return m_last ? m_last->holder : std::string(); }
 
     int reads = 0;
@@ -110,6 +115,54 @@
     std::map<EngineId, Engine> m_engines;
 };
 
+/// The way from one node to the engines. What is cut gets no answer, after a while.
+class TrialPath : public EngineOrders
+{
+public:
+    static constexpr Duration Patience = milliseconds(600);
+
+    TrialPath(const TimePoint &now, TrialEngines &engines)
+        : m_now(now)
+        , m_engines(engines)
+    {}
+
+    void report(const BackendEntry &engine,
+                std::function<void(std::optional<EngineReport>)> done) override
+    {
+        if (cut.contains(engine.id)) {
+            m_late.emplace(m_now + Patience, [done] { done(std::nullopt); });
+            return;
+        }
+        m_engines.report(engine, done);
+    }
+
+    void order(const BackendEntry &engine, const WeightsOrder &order,
+               std::function<void(OrderEnd)> done) override
+    {
+        if (cut.contains(engine.id)) {
+            m_late.emplace(m_now + Patience, [done] { done(OrderEnd::Unknown); });
+            return;
+        }
+        m_engines.order(engine, order, done);
+    }
+
+    void step()
+    {
+        while (!m_late.empty() && m_late.begin()->first <= m_now) {
+            const auto done = m_late.begin()->second;
+            m_late.erase(m_late.begin());
+            done();
+        }
+    }
+
+    std::set<EngineId> cut;
+
+private:
+    const TimePoint &m_now;
+    TrialEngines &m_engines;
+    std::multimap<TimePoint, std::function<void()>> m_late;
+};
+
 class WeightsControllerTest : public testing::Test
 {
 protected:
@@ -124,11 +177,16 @@
             entry.weights[llmModel] = 1;
             m_roster.put(entry, m_now);
         }
+        m_controller = controller("node", m_path);
+    }
+
+    std::unique_ptr<WeightsController> controller(const std::string &name, EngineOrders &orders)
+    {
         const WeightsNews news{[](const EngineId &, Duration) {},
                                [](const EngineId &, const ModelId &, std::uint64_t) {},
                                [](const WeightsAge &) {}};
-        m_controller = std::make_unique<WeightsController>(
-                "node", 1, LeaseTerms(), m_roster, m_log, m_engines, news, m_calls,
+        return std::make_unique<WeightsController>(
+                name, 1, LeaseTerms(), m_roster, m_log, orders, news, m_calls,
                 [this] { return m_now; }, RolloutTerms{milliseconds(8000)}, m_random);
     }
 
@@ -138,11 +196,30 @@
     {
         const TimePoint end = m_now + span;
         while (m_now < end) {
+            m_path.step();
             m_controller->step(m_now);
+            if (m_second) {
+                m_second->step(m_now);
+            }
             m_now += milliseconds(50);
         }
     }
 
+    /// A node that reaches all engines waits behind the first one.
+    void withSecondNode()
+    {
+        m_second = controller("second", m_engines);
+        m_second->setStandbyRank(1);
+        m_controller->setOtherNodes(1);
+        m_second->setOtherNodes(1);
+    }
+
+    void nameForBoth(std::uint64_t version)
+    {
+        m_controller->weightsNamed(llmModel, version, m_now);
+        m_second->weightsNamed(llmModel, version, m_now);
+    }
+
     [[nodiscard]] int onVersion(std::uint64_t version)
     {
         int count = 0;
@@ -159,7 +236,9 @@
     BackendRoster m_roster;
     OpenLog m_log;
     TrialEngines m_engines{m_now};
+    TrialPath m_path{m_now, m_engines}; ///< of the first node
     std::unique_ptr<WeightsController> m_controller;
+    std::unique_ptr<WeightsController> m_second; ///< a node beside it, if there is one
 };
 
 // New weights are named while two engines lose every order that is sent to them. Were their places
@@ -218,6 +297,43 @@
     EXPECT_EQ(m_log.holder(), "node");
 }
 
+// Guards against a holder that reaches the store and no engine: it renews the lease for as long as
+// that lasts, and all engines stay on old weights.
+TEST_F(WeightsControllerTest, AHolderThatReachesNoEngineHandsTheLeaseOn)
+{
+    withSecondNode();
+    for (int i = 0; i < Engines; ++i) {
+        m_path.cut.insert(idOf(i));
+    }
+    nameForBoth(2);
+    constexpr Duration WholeRollout = milliseconds(7200);
+    stepFor(LeaseReach::LongestSilence + 2 * TrialPath::Patience + WholeRollout);
+    EXPECT_EQ(onVersion(2), Engines);
+}
+
+// Guards against a third of the engines on old weights for as long as the holder can't reach them.
+TEST_F(WeightsControllerTest, AHolderThatReachesOnlySomeEnginesHandsTheOthersOn)
+{
+    withSecondNode();
+    m_path.cut = {idOf(6), idOf(7), idOf(8)};
+    nameForBoth(2);
+    stepFor(milliseconds(15000));
+    EXPECT_EQ(onVersion(2), Engines);
+}
+
+// Guards against a lease that nobody holds on to while engines are down for everybody.
+TEST_F(WeightsControllerTest, ANodeWithoutOthersKeepsTryingEnginesThatAreDown)
+{
+    m_path.cut = {idOf(7), idOf(8)};
+    m_controller->weightsNamed(llmModel, 2, m_now);
+    stepFor(milliseconds(12000));
+    EXPECT_EQ(m_log.holder(), "node");
+    EXPECT_FALSE(m_log.isReleased());
+    m_path.cut.clear();
+    stepFor(milliseconds(6000));
+    EXPECT_EQ(onVersion(2), Engines);
+}
+
 // Nine nodes wait for the lease. Were each to read each renewal, they would make more calls to the
 // store than all other work of the fleet.
 TEST_F(WeightsControllerTest, ThoseThatWaitFurtherBackLookNowAndThen)
--- a/src/vanilladyke/policy/weights_rollout.cpp
+++ b/src/vanilladyke/policy/weights_rollout.cpp
@@ -30,6 +30,33 @@
                        [this](const RolloutEngine &e) { return e.version < m_goal; });
 }
 
+RolloutProgress WeightsRollout::progress(const std::vector<RolloutEngine> &engines,
+                                         TimePoint now) const
+{
+    RolloutProgress progress;
+    for (const RolloutEngine &engine : engines) {
+        if (engine.version >= m_goal) {
+            continue;
+        }
+        ++progress.pending;
+        progress.underOrder += isUnderOrder(engine.id) ? 1 : 0;
+        progress.putOff += isPutOff(engine.id, now) ? 1 : 0;
+        const int failures = failuresOf(engine.id);
+        if (!isUnderOrder(engine.id)
+            && (progress.first.empty() || failures > progress.firstFailures)) {
+            progress.first = engine.id;
+            progress.firstFailures = failures;
+        }
+    }
+    return progress;
+}
+
+bool WeightsRollout::isPutOff(const EngineId &engine, TimePoint now) const
+{
+    const auto failed = m_failures.find(engine);
+    return failed != m_failures.end() && now < failed->second.notBefore;
+}
+
 std::size_t WeightsRollout::mostLoading(std::size_t engines) const
 {
     const auto part = static_cast<std::size_t>(m_terms.loadingPart * static_cast<double>(engines));
@@ -58,9 +85,7 @@
         }
     }
     std::erase_if(engines, [&](const RolloutEngine &engine) {
-        const auto failed = m_failures.find(engine.id);
-        return engine.version >= m_goal || isUnderOrder(engine.id)
-               || (failed != m_failures.end() && now < failed->second.notBefore);
+        return engine.version >= m_goal || isUnderOrder(engine.id) || isPutOff(engine.id, now);
     });
     std::stable_sort(engines.begin(), engines.end(),
                      [this](const RolloutEngine &a, const RolloutEngine &b) {
