--- a/examples/place_a_request.cpp
+++ b/examples/place_a_request.cpp
@@ -59,9 +59,10 @@
     const auto holders = view.holders(request.chain, now);
     const Survival survival;
     const InFlight inFlight;
+    const SlotForecast slots;
     Random random(1);
     const Placement placement =
-            place(request, fleet, {holders, survival, inFlight, 1, {}}, now, random);
+            place(request, fleet, {holders, survival, inFlight, slots, 1, {}}, now, random);
     for (const Candidate &candidate : placement.candidates) {
         std::cout << fleet.engines[candidate.engine].id
                   << " expected_cached=" << candidate.expectedCachedTokens
