Hand the lease on also where a few engines answer its holder

Change: it is handed on as well when, for 1.5 s, more engines were silent than answered when they were asked last, and three at least. What was seen is forgotten when no orders are wanted.

A third of the engines cut off is handed on after the others are done, as before.

--- a/src/vanilladyke/node/weights_controller.cpp
+++ b/src/vanilladyke/node/weights_controller.cpp
@@ -119,6 +119,7 @@
         m_loads.clear();
         m_wantsSince.reset();
         m_hasLooked = false;
+        m_reach.forget();
     } else if (!m_wantsSince) {
         m_wantsSince = now;
         m_readAt = now; // what was put off then was about other weights
@@ -320,9 +321,9 @@
     load.askAt = nextQuestion(load);
     const BackendEntry *engine = m_roster.find(id);
     if (report) {
-        m_reach.answered(m_clock());
+        m_reach.answered(id, m_clock());
     } else {
-        m_reach.failed(m_clock());
+        m_reach.failed(id, m_clock());
     }
     if (!report || engine == nullptr) {
         if (!load.wasOrdered || ++load.silentAnswers >= MostSilentAnswers) {
@@ -403,7 +404,7 @@
     --m_openOrders;
     m_orderedAt[id] = m_clock();
     if (end == OrderEnd::Unknown) {
-        m_reach.failed(m_clock());
+        m_reach.failed(id, m_clock());
     }
     const auto found = m_loads.find(id);
     if (found == m_loads.end()) {
--- a/src/vanilladyke/node/weights_controller_test.cpp
+++ b/src/vanilladyke/node/weights_controller_test.cpp
@@ -311,6 +311,19 @@
     EXPECT_EQ(onVersion(2), Engines);
 }
 
+// Guards against a holder that keeps the lease for the one engine that it reaches.
+TEST_F(WeightsControllerTest, AHolderThatReachesOneEngineHandsTheLeaseOn)
+{
+    withSecondNode();
+    for (int i = 1; i < Engines; ++i) {
+        m_path.cut.insert(idOf(i));
+    }
+    nameForBoth(2);
+    constexpr Duration WholeRollout = milliseconds(7200);
+    stepFor(LeaseReach::LongestSilence + 2 * TrialPath::Patience + WholeRollout);
+    EXPECT_EQ(onVersion(2), Engines);
+}
+
 // Guards against a third of the engines on old weights for as long as the holder can't reach them.
 TEST_F(WeightsControllerTest, AHolderThatReachesOnlySomeEnginesHandsTheOthersOn)
 {
