Order more engines at once towards the end of a rollout's time

Callers saw: engines closed for their old weights after the time allowed, and no margin left for a restart, a cut or a frozen holder: a rule that is kept by luck on a quiet stretch.

Cause: at most a third of the fleet is under order, and orders of the version before keep their places.

Change: from 0.3 of the time on, as many places as the engines that still wait need, up to all.

Why it works: an engine on old weights gets no requests at the end anyway.

--- a/include/vanilladyke/policy/weights_rollout.hpp
+++ b/include/vanilladyke/policy/weights_rollout.hpp
@@ -19,6 +19,10 @@
 /// that the platform allows while enough engines serve. One that did not take its order is tried
 /// again after a while, behind the others on its version; were it behind all others, each newer
 /// version that is named meanwhile would pass over it.
+///
+/// Where runs take long or newer weights are named while older ones are still brought, a part of
+/// the fleet at a time takes longer than is allowed. Engines on older weights get no requests from
+/// then on anyway, so that towards the end there is nothing to lose by ordering more of them.
 namespace vanilladyke {
 
 /// @brief An engine as the node that gives orders sees it.
@@ -36,7 +40,8 @@
     Duration allowed = std::chrono::milliseconds(15000);
     /// Of the fleet that may load at once: more make every load slower.
     double loadingPart = 0.2;
-    /// Of the fleet that may be under order, if orders take so long that the time needs it.
+    /// Of the fleet that may be under order, if orders take so long that the time needs it, and
+    /// before the end of the time is near.
     double outPart = 0.34;
 };
 
@@ -57,6 +62,12 @@
     static constexpr std::size_t LeastLoading = 2;
     /// Of the allowed time in which all engines are to be brought to the new weights.
     static constexpr double TimePart = 0.4;
+    /// From this part of the time on more engines than RolloutTerms::outPart may be under order, if
+    /// the others would not have their turn in time; the last ones still have to end their runs.
+    static constexpr double HurryFrom = 0.3;
+    static constexpr double HurryUntil = 0.7; ///< all engines may be from here on
+    /// Of the time, when engines on older weights get no requests any more, and a little before.
+    static constexpr double EndPart = 0.75;
     /// Doubled with each failure in a row, so that engines that are down don't hold the places.
     static constexpr Duration RetryAfter = std::chrono::milliseconds(400);
     static constexpr int MostDoublings = 3;
@@ -112,7 +123,11 @@
     [[nodiscard]] bool isPutOff(const EngineId &engine, TimePoint now) const;
 
     [[nodiscard]] std::size_t mostLoading(std::size_t engines) const;
-    [[nodiscard]] std::size_t mostUnderOrder(std::size_t engines) const;
+    [[nodiscard]] std::size_t mostUnderOrder(const std::vector<RolloutEngine> &engines,
+                                             TimePoint now) const;
+    /// Engines that have to be under order so that the others still have their turn in time.
+    [[nodiscard]] double hurriedPlaces(const std::vector<RolloutEngine> &engines,
+                                       TimePoint now) const;
 
     RolloutTerms m_terms;
     std::uint64_t m_goal = 0;
--- a/src/vanilladyke/policy/weights_rollout.cpp
+++ b/src/vanilladyke/policy/weights_rollout.cpp
@@ -63,18 +63,38 @@
     return std::max(LeastLoading, part);
 }
 
-std::size_t WeightsRollout::mostUnderOrder(std::size_t engines) const
+std::size_t WeightsRollout::mostUnderOrder(const std::vector<RolloutEngine> &engines,
+                                           TimePoint now) const
 {
     const double rounds = TimePart * secondsOf(m_terms.allowed) / secondsOf(m_orderTime);
-    const double size = static_cast<double>(engines);
-    const double needed = std::min(size / rounds, m_terms.outPart * size);
-    return std::max(mostLoading(engines), static_cast<std::size_t>(std::ceil(needed)));
+    const double size = static_cast<double>(engines.size());
+    const double usual = std::min(size / rounds, m_terms.outPart * size);
+    const double places = std::max(usual, std::min(hurriedPlaces(engines, now), size));
+    return std::max(mostLoading(engines.size()), static_cast<std::size_t>(std::ceil(places)));
+}
+
+double WeightsRollout::hurriedPlaces(const std::vector<RolloutEngine> &engines, TimePoint now) const
+{
+    const double allowed = secondsOf(m_terms.allowed);
+    const double spent = secondsOf(now - m_namedAt);
+    const double hurry = (spent / allowed - HurryFrom) / (HurryUntil - HurryFrom);
+    if (hurry <= 0) {
+        return 0;
+    }
+    const auto waiting = std::count_if(engines.begin(), engines.end(), [this](const auto &engine) {
+        return engine.version < m_goal && !isUnderOrder(engine.id);
+    });
+    const double orderTime = secondsOf(m_orderTime);
+    const double left = std::max(EndPart * allowed - spent - orderTime, secondsOf(ShortestOrder));
+    const double part = m_terms.outPart + std::min(hurry, 1.0) * (1 - m_terms.outPart);
+    const double size = static_cast<double>(engines.size());
+    return std::min(static_cast<double>(waiting) * orderTime / left, part * size);
 }
 
 std::vector<EngineId> WeightsRollout::next(std::vector<RolloutEngine> engines, TimePoint now) const
 {
     const std::size_t mostLoads = mostLoading(engines.size());
-    const std::size_t most = mostUnderOrder(engines.size());
+    const std::size_t most = mostUnderOrder(engines, now);
     std::size_t loading = 0;
     std::size_t underOrder = 0;
     for (const RolloutEngine &engine : engines) {
--- a/src/vanilladyke/policy/weights_rollout_test.cpp
+++ b/src/vanilladyke/policy/weights_rollout_test.cpp
@@ -159,6 +159,48 @@
               0);
 }
 
+// Guards against a rollout that takes longer than is allowed: streams of two to four seconds are
+// ended first, and places are taken by orders of the version before when a newer one is named.
+TEST(WeightsRollout, ManySlowEnginesAreBroughtInTimeWhileAnOlderVersionIsStillUnderWay)
+{
+    constexpr int Allowed = 10000;
+    constexpr int NewestAt = 5500;
+    WeightsRollout rollout({milliseconds(Allowed)});
+    rollout.name(2, at(0));
+    auto engines = fleet(60, 1);
+    struct Order
+    {
+        int at = 0;
+        std::uint64_t version = 0;
+    };
+    std::map<EngineId, Order> orders;
+    for (int now = 0; now < NewestAt + Allowed; now += 50) {
+        if (now == NewestAt) {
+            rollout.name(3, at(now));
+        }
+        for (const EngineId &id : rollout.next(engines, at(now))) {
+            rollout.started(id);
+            rollout.ordered(id, at(now));
+            orders[id] = {now, rollout.goal()};
+        }
+        for (std::size_t i = 0; i < engines.size(); ++i) {
+            const auto order = orders.find(engines[i].id);
+            if (order == orders.end()) {
+                continue;
+            }
+            const int takes = 2300 + static_cast<int>(i * 37 % 20) * 100;
+            const int passed = now - order->second.at;
+            rollout.sawRuns(order->first, passed < takes - 430);
+            if (passed >= takes) {
+                engines[i].version = order->second.version;
+                rollout.ended(order->first, true, at(now));
+                orders.erase(order);
+            }
+        }
+    }
+    EXPECT_FALSE(rollout.isPending(engines));
+}
+
 TEST(WeightsRollout, OlderWeightsAreNeverBroughtBack)
 {
     WeightsRollout rollout;
