Count only questions towards a holder's reach

Cause: a server may leave an order unanswered and carry it out later, whoever gives it (applied_late), while it answers questions; such orders counted as silence, and the lease would have gone round.

Change: LeaseReach counts questions, of which one goes before each order.

Test: OrdersWithoutAnAnswerAreNoReasonToHandTheLeaseOn failed before.

--- a/include/vanilladyke/policy/lease_reach.hpp
+++ b/include/vanilladyke/policy/lease_reach.hpp
@@ -25,9 +25,10 @@
     static constexpr Duration FirstPause = std::chrono::seconds(4);
     static constexpr Duration LongestPause = std::chrono::seconds(16);
 
-    /// @brief The engine answered a question or an order.
+    /// @brief The engine answered a question. Orders count for nothing here: an engine that is
+    /// reached may leave one unanswered, whoever gives it.
     void answered(const EngineId &engine, TimePoint now);
-    /// @brief The engine did not answer in time.
+    /// @brief The engine did not answer a question in time.
     void failed(const EngineId &engine, TimePoint now);
     /// @brief For LongestSilence no engine has answered, or fewer than did not.
     [[nodiscard]] bool isLost(TimePoint now) const;
--- a/src/vanilladyke/node/weights_controller.cpp
+++ b/src/vanilladyke/node/weights_controller.cpp
@@ -403,9 +403,6 @@
 {
     --m_openOrders;
     m_orderedAt[id] = m_clock();
-    if (end == OrderEnd::Unknown) {
-        m_reach.failed(id, m_clock());
-    }
     const auto found = m_loads.find(id);
     if (found == m_loads.end()) {
         return;
--- a/src/vanilladyke/node/weights_controller_test.cpp
+++ b/src/vanilladyke/node/weights_controller_test.cpp
@@ -324,6 +324,18 @@
     EXPECT_EQ(onVersion(2), Engines);
 }
 
+// Guards against a lease that goes round while engines answer questions and lose orders.
+TEST_F(WeightsControllerTest, OrdersWithoutAnAnswerAreNoReasonToHandTheLeaseOn)
+{
+    withSecondNode();
+    for (int i = 0; i < Engines; ++i) {
+        m_engines.silent.insert(idOf(i));
+    }
+    nameForBoth(2);
+    stepFor(milliseconds(6000));
+    EXPECT_EQ(m_log.holder(), "node");
+}
+
 // Guards against a third of the engines on old weights for as long as the holder can't reach them.
 TEST_F(WeightsControllerTest, AHolderThatReachesOnlySomeEnginesHandsTheOthersOn)
 {
