--- a/include/vanilladyke/policy/weights_rollout.hpp
+++ b/include/vanilladyke/policy/weights_rollout.hpp
@@ -64,10 +64,10 @@
     static constexpr double TimePart = 0.4;
     /// From this part of the time on more engines than RolloutTerms::outPart may be under order, if
     /// the others would not have their turn in time; the last ones still have to end their runs.
-    static constexpr double HurryFrom = 0.3;
-    static constexpr double HurryUntil = 0.7; ///< all engines may be from here on
-    /// Of the time, when engines on older weights get no requests any more, and a little before.
-    static constexpr double EndPart = 0.75;
+    static constexpr double HurryFrom = 0.6;
+    static constexpr double HurryUntil = 0.85; ///< all engines may be from here on
+    /// Of the time, when all engines are to be on new weights in a hurry.
+    static constexpr double EndPart = 1.0;
     /// Doubled with each failure in a row, so that engines that are down don't hold the places.
     static constexpr Duration RetryAfter = std::chrono::milliseconds(400);
     static constexpr int MostDoublings = 3;
