--- a/include/vanilladyke/policy/lease_reach.hpp
+++ b/include/vanilladyke/policy/lease_reach.hpp
@@ -30,7 +30,7 @@
     void answered(const EngineId &engine, TimePoint now);
     /// @brief The engine did not answer a question in time.
     void failed(const EngineId &engine, TimePoint now);
-    /// @brief For LongestSilence no engine has answered, or fewer than did not.
+    /// @brief Whether, for LongestSilence, no engine answered, or more were silent than answered.
     [[nodiscard]] bool isLost(TimePoint now) const;
     /// @brief No orders are wanted: what was seen says nothing of the next time.
     void forget();
@@ -44,9 +44,9 @@
     [[nodiscard]] bool mostAreSilent() const;
     void note(const EngineId &engine, bool hasAnswered, TimePoint now);
 
-    std::map<EngineId, bool> m_hasAnswered; ///< when it was asked last
+    std::map<EngineId, bool> m_hasAnswered; ///< each engine, when it was asked last
     int m_failures = 0;                     ///< since an engine answered
-    TimePoint m_silentSince;                ///< all engines
+    TimePoint m_silentSince;                ///< no engine answered since
     TimePoint m_mostSilentSince;
     Duration m_pause{};
     TimePoint m_pausesUntil;
