Learn a plain call's slot time from calls that met no queue

Cause: the time that a request keeps its slot was taken from its first byte on, plus the prompt's reading; a plain call works before its first byte, so that each one ahead of a queued call counted 3 ms (20 ms, the least, over 6 slots) where it takes 5 to 20. Found by reading.

Change: a request that nothing was ahead of teaches its whole time; one that waited teaches only if it has a prompt, without its wait.

Test: ACallWithoutASlotWaitsForTheServicesOwnCalls (calls of 120 ms, 6 slots) asks for a wait within 0.8 to 1.3 of the true one.

--- a/src/vanilladyke/policy/backend_book.cpp
+++ b/src/vanilladyke/policy/backend_book.cpp
@@ -319,8 +319,15 @@
     if (state.begunAt.empty()) {
         return;
     }
-    state.slotTimes->observed(now - state.begunAt.front() + choice.reading);
+    const Millis ran = now - state.begunAt.front();
     state.begunAt.pop_front();
+    if (choice.isAlone) {
+        state.slotTimes->observed(now - choice.chosenAt);
+    } else if (choice.readTokens > 0) {
+        // What it waited before its prompt was read is no part of it. A plain call's work comes
+        // before its first byte and can't be told from waiting.
+        state.slotTimes->observed(ran + choice.reading);
+    }
 }
 
 void BackendBook::close(const EngineId &id, TimePoint now)
--- a/src/vanilladyke/policy/backend_book_test.cpp
+++ b/src/vanilladyke/policy/backend_book_test.cpp
@@ -56,6 +56,33 @@
     return query;
 }
 
+// Guards against calls of a plain service that are refused or sent on since each one ahead of them
+// was taken to cost 30 ms, whatever the service's calls take.
+TEST(BackendBook, ACallWithoutASlotWaitsForTheServicesOwnCalls)
+{
+    constexpr int Slots = 6;
+    constexpr int CallMs = 120;
+    auto entries = fleet(1);
+    entries[0].slots = Slots;
+    BackendBook book(hereCentre, {});
+    book.setBackends(entries);
+    BackendQuery call;
+    call.service = llmService;
+    for (int i = 0; i < 100; ++i) {
+        const auto choice = book.choose(call, at(i * 1000));
+        book.sent(*choice, call, at(i * 1000));
+        book.began(*choice, at(i * 1000 + CallMs));
+        book.ended(*choice, true, false, at(i * 1000 + CallMs));
+    }
+    for (int i = 0; i < 2 * Slots; ++i) {
+        book.sent(*book.choose(call, at(200'000)), call, at(200'000));
+    }
+    const Millis waits = book.choose(call, at(200'000))->waits;
+    constexpr int Ahead = Slots + 1;
+    EXPECT_GT(waits, Millis(Ahead * CallMs / Slots) * 0.8);
+    EXPECT_LT(waits, Millis(Ahead * CallMs / Slots) * 1.3);
+}
+
 // Every router starts without any knowledge of caches. Were each to choose another engine for a
 // brand guide, the guide would be read once by each.
 TEST(BackendBook, NodesThatDoNotTalkSendASharedPartToTheSameEngine)
