A holder without engines leaves the lease to others for four seconds, no longer

Cause: the pause doubled with each hand-on in a row, up to 16 s. In a fleet of two nodes, after an outage of all engines, both pause, and nobody orders when the engines are back.

Change: 4 s each time; a hand-on costs two appends every few seconds, which needs no back-off.

Two tests of the hand-on share their steps.

--- a/include/vanilladyke/policy/lease_reach.hpp
+++ b/include/vanilladyke/policy/lease_reach.hpp
@@ -20,10 +20,9 @@
     static constexpr int LeastFailures = 3;
     /// Two questions in a row fit in it.
     static constexpr Duration LongestSilence = std::chrono::milliseconds(1500);
-    /// A node that handed the lease on leaves it to others for so long; doubled each time, until an
-    /// engine answers it.
-    static constexpr Duration FirstPause = std::chrono::seconds(4);
-    static constexpr Duration LongestPause = std::chrono::seconds(16);
+    /// A node that handed the lease on leaves it to others for so long. No longer: after an outage
+    /// of all engines, nodes that all pause would leave new weights to nobody.
+    static constexpr Duration Pause = std::chrono::seconds(4);
 
     /// @brief The engine answered a question. Orders count for nothing here: an engine that is
     /// reached may leave one unanswered, whoever gives it.
@@ -48,7 +47,6 @@
     int m_failures = 0;                     ///< since an engine answered
     TimePoint m_silentSince;                ///< no engine answered since
     TimePoint m_mostSilentSince;
-    Duration m_pause{};
     TimePoint m_pausesUntil;
 };
 
--- a/src/vanilladyke/node/weights_controller_test.cpp
+++ b/src/vanilladyke/node/weights_controller_test.cpp
@@ -167,6 +167,7 @@
 {
 protected:
     static constexpr int Engines = 9;
+    static constexpr Duration WholeRollout = milliseconds(7200);
 
     WeightsControllerTest()
     {
@@ -214,6 +215,18 @@
         m_second->setOtherNodes(1);
     }
 
+    /// The holder hands on within the longest silence, and another one brings them all.
+    void expectAllBroughtThoughTheHolderReachesOnly(int engines)
+    {
+        withSecondNode();
+        for (int i = engines; i < Engines; ++i) {
+            m_path.cut.insert(idOf(i));
+        }
+        nameForBoth(2);
+        stepFor(LeaseReach::LongestSilence + 2 * TrialPath::Patience + WholeRollout);
+        EXPECT_EQ(onVersion(2), Engines);
+    }
+
     void nameForBoth(std::uint64_t version)
     {
         m_controller->weightsNamed(llmModel, version, m_now);
@@ -301,27 +314,13 @@
 // that lasts, and all engines stay on old weights.
 TEST_F(WeightsControllerTest, AHolderThatReachesNoEngineHandsTheLeaseOn)
 {
-    withSecondNode();
-    for (int i = 0; i < Engines; ++i) {
-        m_path.cut.insert(idOf(i));
-    }
-    nameForBoth(2);
-    constexpr Duration WholeRollout = milliseconds(7200);
-    stepFor(LeaseReach::LongestSilence + 2 * TrialPath::Patience + WholeRollout);
-    EXPECT_EQ(onVersion(2), Engines);
+    expectAllBroughtThoughTheHolderReachesOnly(0);
 }
 
 // Guards against a holder that keeps the lease for the one engine that it reaches.
 TEST_F(WeightsControllerTest, AHolderThatReachesOneEngineHandsTheLeaseOn)
 {
-    withSecondNode();
-    for (int i = 1; i < Engines; ++i) {
-        m_path.cut.insert(idOf(i));
-    }
-    nameForBoth(2);
-    constexpr Duration WholeRollout = milliseconds(7200);
-    stepFor(LeaseReach::LongestSilence + 2 * TrialPath::Patience + WholeRollout);
-    EXPECT_EQ(onVersion(2), Engines);
+    expectAllBroughtThoughTheHolderReachesOnly(1);
 }
 
 // Guards against a lease that goes round while engines answer questions and lose orders.
@@ -346,6 +345,23 @@
     EXPECT_EQ(onVersion(2), Engines);
 }
 
+// Guards against nodes that all leave the lease to each other after the engines were down for all.
+TEST_F(WeightsControllerTest, EnginesThatComeBackAfterALongOutageAreOrderedSoon)
+{
+    withSecondNode();
+    m_second = controller("second", m_path);
+    m_second->setStandbyRank(1);
+    m_second->setOtherNodes(1);
+    for (int i = 0; i < Engines; ++i) {
+        m_path.cut.insert(idOf(i));
+    }
+    nameForBoth(2);
+    stepFor(std::chrono::seconds(60));
+    m_path.cut.clear();
+    stepFor(LeaseReach::Pause + WholeRollout);
+    EXPECT_EQ(onVersion(2), Engines);
+}
+
 // Guards against a lease that nobody holds on to while engines are down for everybody.
 TEST_F(WeightsControllerTest, ANodeWithoutOthersKeepsTryingEnginesThatAreDown)
 {
--- a/src/vanilladyke/policy/lease_reach.cpp
+++ b/src/vanilladyke/policy/lease_reach.cpp
@@ -18,7 +18,6 @@
     note(engine, true, now);
     m_failures = 0;
     m_silentSince = now;
-    m_pause = Duration::zero();
 }
 
 void LeaseReach::failed(const EngineId &engine, TimePoint now)
@@ -46,8 +45,7 @@
 
 void LeaseReach::handedOn(TimePoint now)
 {
-    m_pause = std::clamp<Duration>(2 * m_pause, FirstPause, LongestPause);
-    m_pausesUntil = now + m_pause;
+    m_pausesUntil = now + Pause;
     forget();
 }
 
