--- a/src/vanilladyke/policy/weights_rollout_test.cpp
+++ b/src/vanilladyke/policy/weights_rollout_test.cpp
@@ -125,6 +125,7 @@
 TEST(WeightsRollout, EnginesThatMissedAnOrderAreNotLeftBehindByNewerVersions)
 {
     constexpr int OrderTakes = 4500;
+    constexpr int NamedEvery = 5500;
     constexpr int SilenceTakes = 600;
     constexpr int Unreachable = 12;
     constexpr int ReachableFrom = 4000;
@@ -132,8 +133,8 @@
     auto engines = fleet(60, 1);
     std::map<EngineId, int> orderedAt;
     for (int now = 0; now < 22000; now += 50) {
-        if (now % 5500 == 0) {
-            rollout.name(static_cast<std::uint64_t>(now / 5500 + 2), at(now));
+        if (now % NamedEvery == 0) {
+            rollout.name(static_cast<std::uint64_t>(now) / NamedEvery + 2, at(now));
         }
         for (const EngineId &id : rollout.next(engines, at(now))) {
             rollout.started(id);
