--- a/tests/integration/harness.py
+++ b/tests/integration/harness.py
@@ -336,6 +336,13 @@
     return json.loads(body)["choices"][0]["message"]["content"]
 
 
+def known_red():
+    """Tests that KNOWN-RED.txt names: they fail for a known cause and are left out of a verdict."""
+    path = os.path.join(os.path.dirname(__file__), "..", "..", "KNOWN-RED.txt")
+    with open(path, encoding="utf-8") as lines:
+        return {line.split("|")[0].strip() for line in lines}
+
+
 def main():
     """Runs the tests of the calling file; --build names the folder with the programs."""
     parser = argparse.ArgumentParser()
@@ -349,5 +356,7 @@
     build = "build"
 
     def setUp(self):
+        if ".".join(self.id().split(".")[-2:]) in known_red() and "RUN_KNOWN_RED" not in os.environ:
+            self.skipTest("listed in KNOWN-RED.txt")
         self.cluster = Cluster(self.build)
         self.addCleanup(self.cluster.close)
