Log whether an engine ended under a request, and a digest that its copies share

A try that the engine's side cut is followed by one connection to its address: refused at once means that nobody listens there (engine_ended=true, event=engine_checked). The line then has a keyed digest of customer, method, host, path and body, alike on all nodes.

--- a/include/vanilladyke/traffic/backend_pool.hpp
+++ b/include/vanilladyke/traffic/backend_pool.hpp
@@ -63,8 +63,10 @@
 
     /// @brief An idle connection to the server, if there is one. @param now for its age
     [[nodiscard]] BackendConnectionPtr take(const EngineId &engine, TimePoint now);
-    /// @brief Opens a connection. @return null if none came about in time
-    [[nodiscard]] asio::awaitable<BackendConnectionPtr> connect(EngineId engine, Endpoint endpoint);
+    /// @brief Opens a connection. @param why set if none came about
+    /// @return null if none came about in time
+    [[nodiscard]] asio::awaitable<BackendConnectionPtr> connect(EngineId engine, Endpoint endpoint,
+                                                                ErrorCode *why = nullptr);
     /// @brief Gives a connection back after a whole answer.
     void giveBack(const BackendConnectionPtr &connection, std::optional<Duration> keepAlive,
                   TimePoint now);
--- a/include/vanilladyke/traffic/exchange.hpp
+++ b/include/vanilladyke/traffic/exchange.hpp
@@ -76,6 +76,11 @@
     [[nodiscard]] asio::awaitable<bool> waitForBackend(const NoBackend &none);
     [[nodiscard]] asio::awaitable<BackendConnectionPtr> connectionTo(const BackendChoice &choice);
     [[nodiscard]] asio::awaitable<TryEnd> tryBackend(const BackendChoice &choice);
+    /// @brief What became of the server under a try that ended so.
+    [[nodiscard]] asio::awaitable<void> noteEnd(const BackendChoice &choice, TryEnd end,
+                                                TimePoint sentAt);
+    /// Names the work, as other nodes do; none until the fleet's key is known.
+    [[nodiscard]] std::optional<RequestDigest> digest() const;
     [[nodiscard]] asio::awaitable<TryEnd> converse(const BackendChoice &choice,
                                                    const BackendConnectionPtr &connection);
     [[nodiscard]] asio::awaitable<TryEnd> relayEvents(const BackendChoice &choice,
@@ -139,6 +144,7 @@
     bool m_headWritten = false;
     bool m_budgetSpent = false;
     bool m_hasSecondSend = false; ///< taken from the budget and not used yet
+    bool m_engineEnded = false;   ///< the server of the last try ended under it
 };
 
 } // namespace vanilladyke
--- a/include/vanilladyke/traffic/traffic_state.hpp
+++ b/include/vanilladyke/traffic/traffic_state.hpp
@@ -2,12 +2,14 @@
 
 #include "vanilladyke/base/metrics.hpp"
 #include "vanilladyke/base/random.hpp"
+#include "vanilladyke/model/request_digest.hpp"
 #include "vanilladyke/policy/backend_book.hpp"
 #include "vanilladyke/policy/kept_cache_view.hpp"
 #include "vanilladyke/policy/route_table.hpp"
 #include "vanilladyke/policy/second_send_budget.hpp"
 #include "vanilladyke/traffic/backend_pool.hpp"
 #include "vanilladyke/traffic/dialect.hpp"
+#include "vanilladyke/traffic/engine_ends.hpp"
 #include "vanilladyke/traffic/ticker.hpp"
 
 #include <functional>
@@ -38,6 +40,7 @@
         : context(ioContext)
         , ticker(ioContext)
         , pool(ioContext, ticker)
+        , ends(ioContext, pool)
         , dialect(std::move(wireDialect))
         , settings(std::move(fixed))
         , book(settings.dataCentre, settings.rates, settings.self)
@@ -53,11 +56,13 @@
     asio::io_context &context;
     Ticker ticker;
     BackendPool pool;
+    EngineEnds ends;
     Dialect dialect;
     TrafficSettings settings;
     BackendBook book;
     KeptCacheView kept;
     SecondSendBudget budget;
+    RequestDigester digester;
     Random random;
     Metrics metrics;
     std::shared_ptr<const RouteTable> table; ///< null until a configuration is known
--- a/src/vanilladyke/app/node_command.cpp
+++ b/src/vanilladyke/app/node_command.cpp
@@ -145,7 +145,10 @@
                     return m_questions.ask(std::move(peer), operatorNext, backendsNext);
                 });
             }
-            asio::post(m_trafficContext, [this, key] { m_sharing.setKey(key); });
+            asio::post(m_trafficContext, [this, key] {
+                m_sharing.setKey(key);
+                m_traffic.digester.setKey(key);
+            });
         };
     }
 
--- a/src/vanilladyke/traffic/backend_pool.cpp
+++ b/src/vanilladyke/traffic/backend_pool.cpp
@@ -60,7 +60,8 @@
     return nullptr;
 }
 
-asio::awaitable<BackendConnectionPtr> BackendPool::connect(EngineId engine, Endpoint endpoint)
+asio::awaitable<BackendConnectionPtr> BackendPool::connect(EngineId engine, Endpoint endpoint,
+                                                           ErrorCode *why)
 {
     auto connection = std::make_shared<BackendConnection>(m_context, engine);
     ErrorCode error;
@@ -84,6 +85,9 @@
     connection->timed->dueAt.reset();
     if (error || !connection->isOpen) {
         connection->close();
+        if (why != nullptr) {
+            *why = error;
+        }
         co_return nullptr;
     }
     ErrorCode ignored;
--- a/src/vanilladyke/traffic/exchange.cpp
+++ b/src/vanilladyke/traffic/exchange.cpp
@@ -341,6 +341,7 @@
     if (end == TryEnd::Lost && m_stalled) {
         m_state.book.close(choice.backend.id, MonotonicClock::now());
     }
+    co_await noteEnd(choice, end, now);
     if (end != TryEnd::Delivered) {
         connection->close();
         LogEvent("try_failed", Severity::Info)
@@ -352,11 +353,37 @@
                 .field("sends", m_sends)
                 .field("stalled", m_stalled)
                 .field("timed_out", m_timedOut)
-                .field("caller_left", m_callerLeft);
+                .field("caller_left", m_callerLeft)
+                .field("engine_ended", m_engineEnded)
+                .field("digest", m_engineEnded ? digest()->str() : "none");
     }
     co_return end;
 }
 
+asio::awaitable<void> Exchange::noteEnd(const BackendChoice &choice, TryEnd end, TimePoint sentAt)
+{
+    m_engineEnded = false;
+    const bool isCutByServer = (end == TryEnd::Lost || end == TryEnd::Interrupted) && !m_callerLeft
+                               && !m_timedOut && !m_stalled;
+    const EngineId &engine = choice.backend.id;
+    const bool mayTell = isCutByServer && m_state.digester.isReady() && m_state.book.knows(engine)
+                         && !m_state.ends.wasKnownEnded(engine, sentAt);
+    if (mayTell) {
+        m_engineEnded = co_await m_state.ends.hasEnded(engine, choice.backend.endpoint);
+    }
+}
+
+std::optional<RequestDigest> Exchange::digest() const
+{
+    if (!m_state.digester.isReady()) {
+        return std::nullopt;
+    }
+    const std::string_view customer =
+            m_customer == nullptr ? std::string_view() : std::string_view(m_customer->id.str());
+    return m_state.digester.digest(
+            {customer, m_request.method, m_request.host, m_request.target, m_request.body});
+}
+
 void Exchange::startWriting(const BackendChoice &choice, const BackendConnectionPtr &connection)
 {
     const TimePoint now = MonotonicClock::now();
