Send a request under which engines end to no engine any more, at any node

Cause: what an attempt learns ends with the attempt. Each copy, at each node, starts from nothing, and each attempt may end two engines, since the budget of second sends asks only for the service. Class: a promise over the whole fleet that is kept by one exchange alone.

Change: policy/request_quarantine. A node that sees an engine end under a request (its side cut the connection and nobody listens at its address) notes that under the request's digest and tells the others with its next datagrams. Two engines that ended while the request waited or had just begun, or three in all, hold it at every node: 503 ends_engines, not run, to come back after more than ten minutes; copies that wait at engines are withdrawn. A whole answer takes back what came before it, so does an answer of an engine that was thought to have ended. Nodes let a held request go at different times, the first one tries for all. Bounded by customer and in all; freed_requests in the settings (SIGHUP) lets one go.

Why it works: ends are sets that every node adds up in any order, told three times each and then refreshed by all nodes together, so that lost datagrams, cut and new nodes make no difference after a moment.

--- a/include/vanilladyke/model/refusal.hpp
+++ b/include/vanilladyke/model/refusal.hpp
@@ -35,6 +35,7 @@
     KeyReused,
     OutcomeUnknown,
     ShuttingDown,
+    EndsEngines, ///< engines ended when they ran the same request
 };
 
 /// @brief A refusal as the gateway writes it to the caller.
--- a/include/vanilladyke/traffic/exchange.hpp
+++ b/include/vanilladyke/traffic/exchange.hpp
@@ -40,6 +40,9 @@
     [[nodiscard]] asio::awaitable<ExchangeEnd> run();
     /// @brief The caller closed its connection: nobody waits for the answer any more.
     void callerLeft();
+    /// @brief Takes the request back from the engine where it waits, on every open exchange that
+    /// carries it.
+    static void withdrawHeld(TrafficState &state, const RequestDigest &held);
 
 private:
     /// Less than this is not enough to connect, ask and answer.
@@ -79,6 +82,11 @@
     /// @brief What became of the server under a try that ended so.
     [[nodiscard]] asio::awaitable<void> noteEnd(const BackendChoice &choice, TryEnd end,
                                                 TimePoint sentAt);
+    [[nodiscard]] std::uint64_t customerHash() const;
+    /// Until when the request is sent to no engine, since engines ended under it.
+    [[nodiscard]] std::optional<TimePoint> heldUntil(TimePoint now) const;
+    /// A server answered the request whole.
+    void noteWholeAnswer();
     /// Names the work, as other nodes do; none until the fleet's key is known.
     [[nodiscard]] std::optional<RequestDigest> digest() const;
     [[nodiscard]] asio::awaitable<TryEnd> converse(const BackendChoice &choice,
@@ -116,6 +124,7 @@
     TrafficState &m_state;
     CallerRequest m_request;
     AnswerSink &m_sink;
+    std::shared_ptr<std::unordered_set<Exchange *>> m_openExchanges;
     std::shared_ptr<const RouteTable> m_table;
     const Route *m_route = nullptr;
     const RoutedCustomer *m_customer = nullptr;
@@ -145,6 +154,7 @@
     bool m_budgetSpent = false;
     bool m_hasSecondSend = false; ///< taken from the budget and not used yet
     bool m_engineEnded = false;   ///< the server of the last try ended under it
+    bool m_isWithdrawn = false;   ///< from an engine where it waited: it ends engines
 };
 
 } // namespace vanilladyke
--- a/include/vanilladyke/traffic/traffic_server.hpp
+++ b/include/vanilladyke/traffic/traffic_server.hpp
@@ -28,7 +28,7 @@
     void announceStop();
     /// @brief Takes no connection any more and closes those on which no request is under way.
     void leave();
-    [[nodiscard]] bool isIdle() const { return m_state.openExchanges == 0; }
+    [[nodiscard]] bool isIdle() const { return m_state.openExchanges->empty(); }
     /// @brief Whether the node is ready for new connections.
     [[nodiscard]] bool isReady() const;
     /// @brief Text for the metrics address.
--- a/include/vanilladyke/traffic/traffic_state.hpp
+++ b/include/vanilladyke/traffic/traffic_state.hpp
@@ -5,6 +5,7 @@
 #include "vanilladyke/model/request_digest.hpp"
 #include "vanilladyke/policy/backend_book.hpp"
 #include "vanilladyke/policy/kept_cache_view.hpp"
+#include "vanilladyke/policy/request_quarantine.hpp"
 #include "vanilladyke/policy/route_table.hpp"
 #include "vanilladyke/policy/second_send_budget.hpp"
 #include "vanilladyke/traffic/backend_pool.hpp"
@@ -15,10 +16,13 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <unordered_set>
 
 /// What all exchanges of a traffic thread share.
 namespace vanilladyke {
 
+class Exchange;
+
 /// @brief Fixed at start.
 struct TrafficSettings
 {
@@ -30,6 +34,8 @@
     bool withdraws = true;   ///< what has not begun when its server's weights are too old
     bool sendsAgain = true;  ///< what may be repeated, to a second server
     bool resumes = true;     ///< streams that broke off, at another server
+    bool quarantines = true; ///< requests under which engines end
+    std::vector<RequestDigest> freedRequests; ///< let go by an operator
 };
 
 /// @brief State of the traffic thread. Only that thread touches it.
@@ -44,8 +50,11 @@
         , dialect(std::move(wireDialect))
         , settings(std::move(fixed))
         , book(settings.dataCentre, settings.rates, settings.self)
+        , quarantine(settings.self)
         , random(seed)
-    {}
+    {
+        quarantine.setFreed(settings.freedRequests);
+    }
 
     /// @brief Whether the node can show that its configuration and keys are young enough.
     [[nodiscard]] bool isFresh() const
@@ -63,6 +72,7 @@
     KeptCacheView kept;
     SecondSendBudget budget;
     RequestDigester digester;
+    RequestQuarantine quarantine;
     Random random;
     Metrics metrics;
     std::shared_ptr<const RouteTable> table; ///< null until a configuration is known
@@ -72,7 +82,9 @@
     /// Age of the newest proof that the configuration is the newest, on a clock that counts
     /// suspension.
     std::function<Duration()> configAge = [] { return Duration::max(); };
-    std::size_t openExchanges = 0;
+    /// Shared: an exchange may outlive the state while a context is taken down.
+    std::shared_ptr<std::unordered_set<Exchange *>> openExchanges =
+            std::make_shared<std::unordered_set<Exchange *>>();
     std::function<void(const std::vector<Endpoint> &)> peersChanged; ///< nodes came or went
     std::function<void()> tellPeers = [] {}; ///< news of servers that others should have at once
 };
--- a/src/vanilladyke/app/node_command.cpp
+++ b/src/vanilladyke/app/node_command.cpp
@@ -154,7 +154,7 @@
 
     void stop(int signal)
     {
-        LogEvent("stopping").field("signal", signal).field("open", m_traffic.openExchanges);
+        LogEvent("stopping").field("signal", signal).field("open", m_traffic.openExchanges->size());
         m_stopAt = MonotonicClock::now();
         m_server.announceStop();
         asio::post(m_controlContext, [this] { m_control.handOver(); });
@@ -190,6 +190,7 @@
                                 || settings->control.self != m_settings.control.self;
         m_traffic.settings.keysValidFor = settings->traffic.keysValidFor;
         m_traffic.settings.failsClosed = settings->traffic.failsClosed;
+        m_traffic.quarantine.setFreed(settings->traffic.freedRequests);
         SecondSendTerms terms = settings->control.secondSends;
         terms.nodes = m_traffic.nodes;
         m_traffic.budget.setTerms(terms);
--- a/src/vanilladyke/app/node_settings.cpp
+++ b/src/vanilladyke/app/node_settings.cpp
@@ -72,6 +72,23 @@
     }
 }
 
+/// Requests that an operator lets go although engines ended under them.
+void readFreed(JsonReader &reader, std::vector<RequestDigest> *freed)
+{
+    if (!reader.has("freed_requests")) {
+        return;
+    }
+    std::vector<std::string> texts;
+    reader.texts("freed_requests", &texts);
+    for (const std::string &text : texts) {
+        if (const auto digest = parseRequestDigest(text)) {
+            freed->push_back(*digest);
+        } else {
+            reader.fail("freed_requests", "no digest of 32 hexadecimal digits: " + text);
+        }
+    }
+}
+
 } // namespace
 
 Outcome<NodeSettings, std::vector<FieldError>> parseNodeSettings(std::string_view text)
@@ -104,6 +121,7 @@
                       "placement",
                       "rollout",
                       "off",
+                      "freed_requests",
                       "log_level"});
     reader.text("node", &settings.node);
     reader.text("address", &settings.address);
@@ -146,6 +164,7 @@
         });
     }
     readSwitches(reader, &settings);
+    readFreed(reader, &settings.traffic.freedRequests);
     reader.text("log_level", &settings.logLevel, false);
     if (!errors.empty()) {
         return failure(std::move(errors));
--- a/src/vanilladyke/model/refusal.cpp
+++ b/src/vanilladyke/model/refusal.cpp
@@ -32,6 +32,7 @@
         ReasonRow{RefusalReason::KeyReused, "key_reused", 409},
         ReasonRow{RefusalReason::OutcomeUnknown, "outcome_unknown", 504},
         ReasonRow{RefusalReason::ShuttingDown, "shutting_down", 503},
+        ReasonRow{RefusalReason::EndsEngines, "ends_engines", 503},
 };
 
 const ReasonRow &rowOf(RefusalReason reason)
--- a/src/vanilladyke/node/load_sharing.cpp
+++ b/src/vanilladyke/node/load_sharing.cpp
@@ -3,6 +3,7 @@
 #include "node_load.pb.h"
 #include "vanilladyke/base/log.hpp"
 #include "vanilladyke/model/json_reader.hpp"
+#include "vanilladyke/traffic/exchange.hpp"
 
 #include <algorithm>
 
@@ -13,6 +14,9 @@
 /// A datagram holds so many servers at most; with more, the busiest are told.
 constexpr std::size_t MostBackends = 1000;
 
+/// Requests under which engines ended, in one datagram.
+constexpr std::size_t MostQuarantined = 40;
+
 /// A node whose proof of the configuration is older does nothing for others.
 constexpr Duration OldestProof = std::chrono::milliseconds(3500);
 
@@ -25,6 +29,35 @@
     return static_cast<std::uint32_t>(std::max<std::int64_t>(count, 0));
 }
 
+void write(const QuarantineNews &news, wire::QuarantinedRequest *request)
+{
+    request->set_digest_high(news.digest.high);
+    request->set_digest_low(news.digest.low);
+    request->set_customer(news.customer);
+    request->set_is_answered(news.answeredAge.has_value());
+    request->set_answered_age_ms(millis(news.answeredAge.value_or(Duration::zero())));
+    for (const QuarantineNews::End &end : news.ends) {
+        wire::QuarantinedRequest::End *each = request->add_ends();
+        each->set_engine(end.engine);
+        each->set_age_ms(millis(end.age));
+        each->set_had_just_begun(end.hadJustBegun);
+    }
+}
+
+QuarantineNews read(const wire::QuarantinedRequest &request)
+{
+    QuarantineNews news{
+            {request.digest_high(), request.digest_low()}, request.customer(), std::nullopt, {}};
+    if (request.is_answered()) {
+        news.answeredAge = std::chrono::milliseconds(request.answered_age_ms());
+    }
+    for (const wire::QuarantinedRequest::End &end : request.ends()) {
+        news.ends.push_back(
+                {end.engine(), std::chrono::milliseconds(end.age_ms()), end.had_just_begun()});
+    }
+    return news;
+}
+
 } // namespace
 
 LoadSharing::LoadSharing(TrafficState &state, Endpoint listen, std::uint16_t questionsPort)
@@ -70,7 +103,8 @@
     }
     const Duration spacing =
             std::max<Duration>(Interval, std::chrono::seconds(peers) / MostSendsPerSecond);
-    const bool hasNews = m_hasUrgentNews || m_state.book.hasPlacements();
+    const bool hasNews =
+            m_hasUrgentNews || m_state.book.hasPlacements() || m_state.quarantine.hasNews();
     const bool isUrgent = hasNews && now - m_toldAt >= spacing;
     if (now < m_nextAt && !isUrgent) {
         return;
@@ -117,6 +151,10 @@
         placement->set_store(each.store);
         placement->set_wanted(each.wanted);
     }
+    for (const QuarantineNews &each :
+         m_state.quarantine.toTell(m_routes.size() + 1, MostQuarantined, now, m_state.random)) {
+        write(each, message.add_quarantined());
+    }
     const auto recipients = m_routes.recipients(m_state.random, now);
     m_port.send(message.SerializeAsString(), recipients.direct);
     message.set_pass_on(true);
@@ -188,6 +226,21 @@
         }
     }
     m_state.book.heardPlacements(placements, now);
+    if (message.quarantined_size() > 0) {
+        takeQuarantined(message, now);
+    }
+}
+
+void LoadSharing::takeQuarantined(const wire::NodeLoad &message, TimePoint now)
+{
+    std::vector<QuarantineNews> news;
+    news.reserve(static_cast<std::size_t>(message.quarantined_size()));
+    for (const wire::QuarantinedRequest &each : message.quarantined()) {
+        news.push_back(read(each));
+    }
+    for (const RequestDigest &held : m_state.quarantine.heard(news, now)) {
+        Exchange::withdrawHeld(m_state, held);
+    }
 }
 
 } // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/policy/request_quarantine.cpp
@@ -0,0 +1,269 @@
+#include "vanilladyke/policy/request_quarantine.hpp"
+
+#include "vanilladyke/model/fleet_index.hpp"
+
+#include <algorithm>
+
+namespace vanilladyke {
+
+namespace {
+
+/// Requests that nothing was heard of for long are looked for this often.
+constexpr Duration ForgetEvery = std::chrono::seconds(10);
+
+} // namespace
+
+bool RequestQuarantine::isBeyondChance(const Request &request)
+{
+    const auto justBegun = std::count_if(request.ends.begin(), request.ends.end(),
+                                         [](const EngineEnd &end) { return end.hadJustBegun; });
+    return justBegun >= EndsJustBegun || request.ends.size() >= EndsInAll;
+}
+
+bool RequestQuarantine::isFreed(const RequestDigest &digest) const
+{
+    return std::find(m_freed.begin(), m_freed.end(), digest) != m_freed.end();
+}
+
+std::optional<TimePoint> RequestQuarantine::heldUntil(const RequestDigest &digest,
+                                                      TimePoint now) const
+{
+    const auto known = m_requests.find(digest);
+    return known == m_requests.end() ? std::nullopt : heldUntil(digest, known->second, now);
+}
+
+std::optional<TimePoint> RequestQuarantine::heldUntil(const RequestDigest &digest,
+                                                      const Request &request, TimePoint now) const
+{
+    if (!isBeyondChance(request) || isFreed(digest)) {
+        return std::nullopt;
+    }
+    constexpr std::uint64_t Steps = 1024;
+    const auto step = static_cast<Duration::rep>(mixBits(m_self ^ digest.low) % Steps);
+    const TimePoint until = request.ends.back().at + HoldTime + ReleaseSpread / Steps * step;
+    return now < until ? std::optional(until) : std::nullopt;
+}
+
+bool RequestQuarantine::add(Request &request, const EngineEnd &end)
+{
+    if (request.answeredAt && end.at <= *request.answeredAt) {
+        return false;
+    }
+    const bool isKnown =
+            std::any_of(request.ends.begin(), request.ends.end(),
+                        [&end](const EngineEnd &each) { return each.engine == end.engine; });
+    if (isKnown) {
+        return false;
+    }
+    const auto after = std::find_if(request.ends.begin(), request.ends.end(),
+                                    [&end](const EngineEnd &each) { return end.at < each.at; });
+    request.ends.insert(after, end);
+    if (request.ends.size() > MostEnds) {
+        request.ends.erase(request.ends.begin());
+    }
+    request.changedAt = std::max(request.changedAt, end.at);
+    m_endedEngines.insert(end.engine);
+    return true;
+}
+
+void RequestQuarantine::takeBack(Request &request, TimePoint answeredAt)
+{
+    if (request.answeredAt && answeredAt <= *request.answeredAt) {
+        return;
+    }
+    request.answeredAt = answeredAt;
+    request.changedAt = std::max(request.changedAt, answeredAt);
+    std::erase_if(request.ends, [&](const EngineEnd &end) { return end.at <= answeredAt; });
+}
+
+RequestQuarantine::Request &RequestQuarantine::requestFor(const RequestDigest &digest,
+                                                          std::uint64_t customer, TimePoint now)
+{
+    const auto known = m_requests.find(digest);
+    if (known != m_requests.end()) {
+        return known->second;
+    }
+    makeRoom(customer, now);
+    ++m_byCustomer[customer];
+    Request &request = m_requests[digest];
+    request.customer = customer;
+    request.changedAt = now;
+    return request;
+}
+
+void RequestQuarantine::makeRoom(std::uint64_t customer, TimePoint now)
+{
+    forgetOld(now);
+    const auto count = m_byCustomer.find(customer);
+    const bool isCustomerFull = count != m_byCustomer.end() && count->second >= MostOfCustomer;
+    if (!isCustomerFull && m_requests.size() < MostRequests) {
+        return;
+    }
+    // Those that are held go last: each of them is known to end engines.
+    const auto goesBefore = [](const Request &a, const Request &b) {
+        const bool aIsHeld = isBeyondChance(a);
+        return aIsHeld != isBeyondChance(b) ? !aIsHeld : a.changedAt < b.changedAt;
+    };
+    auto first = m_requests.end();
+    for (auto each = m_requests.begin(); each != m_requests.end(); ++each) {
+        const bool mayGo = !isCustomerFull || each->second.customer == customer;
+        if (mayGo && (first == m_requests.end() || goesBefore(each->second, first->second))) {
+            first = each;
+        }
+    }
+    erase(first);
+}
+
+void RequestQuarantine::erase(Requests::iterator request)
+{
+    const auto count = m_byCustomer.find(request->second.customer);
+    if (--count->second == 0) {
+        m_byCustomer.erase(count);
+    }
+    m_requests.erase(request);
+}
+
+void RequestQuarantine::forgetOld(TimePoint now)
+{
+    if (now - m_forgottenAt < ForgetEvery) {
+        return;
+    }
+    m_forgottenAt = now;
+    for (auto each = m_requests.begin(); each != m_requests.end();) {
+        const auto next = std::next(each);
+        if (now - each->second.changedAt > Memory) {
+            erase(each);
+        }
+        each = next;
+    }
+    m_endedEngines.clear();
+    for (const auto &[digest, request] : m_requests) {
+        for (const EngineEnd &end : request.ends) {
+            m_endedEngines.insert(end.engine);
+        }
+    }
+}
+
+bool RequestQuarantine::ended(const RequestDigest &digest, std::uint64_t customer,
+                              const EngineEnd &end)
+{
+    Request &request = requestFor(digest, customer, end.at);
+    const bool wasHeld = heldUntil(digest, request, end.at).has_value();
+    if (add(request, end)) {
+        request.tellsLeft = Repeats;
+        m_hasNews = true;
+    }
+    return !wasHeld && heldUntil(digest, request, end.at).has_value();
+}
+
+bool RequestQuarantine::answered(const RequestDigest &digest, TimePoint now)
+{
+    const auto known = m_requests.find(digest);
+    if (known == m_requests.end() || known->second.ends.empty()) {
+        return false;
+    }
+    takeBack(known->second, now);
+    known->second.tellsLeft = Repeats;
+    m_hasNews = true;
+    return true;
+}
+
+void RequestQuarantine::engineLives(std::uint64_t engine, TimePoint now)
+{
+    if (!m_endedEngines.contains(engine)) {
+        return;
+    }
+    for (auto &[digest, request] : m_requests) {
+        std::erase_if(request.ends, [&](const EngineEnd &end) {
+            return end.engine == engine && now - end.at > LateAnswers;
+        });
+    }
+}
+
+void RequestQuarantine::setFreed(std::vector<RequestDigest> freed)
+{
+    m_freed = std::move(freed);
+}
+
+std::vector<RequestDigest> RequestQuarantine::heard(const std::vector<QuarantineNews> &news,
+                                                    TimePoint now)
+{
+    std::vector<RequestDigest> nowHeld;
+    for (const QuarantineNews &each : news) {
+        Request &request = requestFor(each.digest, each.customer, now);
+        const bool wasHeld = heldUntil(each.digest, request, now).has_value();
+        if (each.answeredAge) {
+            takeBack(request, now - *each.answeredAge);
+        }
+        for (const QuarantineNews::End &end : each.ends) {
+            add(request, {end.engine, now - end.age, end.hadJustBegun});
+        }
+        if (!wasHeld && heldUntil(each.digest, request, now)) {
+            nowHeld.push_back(each.digest);
+        }
+    }
+    return nowHeld;
+}
+
+QuarantineNews RequestQuarantine::newsOf(const RequestDigest &digest, const Request &request,
+                                         TimePoint now)
+{
+    QuarantineNews news{digest, request.customer, std::nullopt, {}};
+    if (request.answeredAt) {
+        news.answeredAge = now - *request.answeredAt;
+    }
+    for (const EngineEnd &end : request.ends) {
+        news.ends.push_back({end.engine, now - end.at, end.hadJustBegun});
+    }
+    return news;
+}
+
+std::vector<QuarantineNews> RequestQuarantine::toTell(std::size_t nodes, std::size_t most,
+                                                      TimePoint now, Random &random)
+{
+    forgetOld(now);
+    const double since = m_toldAt ? secondsOf(now - *m_toldAt) : 0;
+    m_toldAt = now;
+    m_hasNews = false;
+    if (m_requests.empty()) {
+        return {};
+    }
+    const auto isWorthRefreshing = [now](const Request &request) {
+        return isBeyondChance(request) || now - request.changedAt < RefreshFor;
+    };
+    const auto refreshable = static_cast<double>(
+            std::count_if(m_requests.begin(), m_requests.end(),
+                          [&](const auto &each) { return isWorthRefreshing(each.second); }));
+    const double share =
+            RefreshPerSecond * since / static_cast<double>(std::max<std::size_t>(nodes, 1));
+    const double chance = refreshable > 0 ? share / refreshable : 0;
+    std::vector<QuarantineNews> news;
+    for (auto &[digest, request] : m_requests) {
+        if (news.size() >= most) {
+            m_hasNews = true;
+            break;
+        }
+        const bool isNew = request.tellsLeft > 0;
+        if (isNew || (isWorthRefreshing(request) && uniform(random) < chance)) {
+            news.push_back(newsOf(digest, request, now));
+            request.tellsLeft = std::max(0, request.tellsLeft - 1);
+        }
+    }
+    return news;
+}
+
+std::size_t RequestQuarantine::held(TimePoint now) const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_requests.begin(), m_requests.end(), [&](const auto &each) {
+                return heldUntil(each.first, each.second, now).has_value();
+            }));
+}
+
+std::size_t RequestQuarantine::endsUnder(const RequestDigest &digest) const
+{
+    const auto known = m_requests.find(digest);
+    return known == m_requests.end() ? 0 : known->second.ends.size();
+}
+
+} // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/policy/request_quarantine_test.cpp
@@ -0,0 +1,389 @@
+#include "vanilladyke/policy/request_quarantine.hpp"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+
+namespace vanilladyke {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+const TimePoint Start{seconds(1000)};
+
+RequestDigest work(std::uint64_t number)
+{
+    return {number, number * 31};
+}
+
+/// Tells all of one node's news to another, as datagrams do.
+void tell(RequestQuarantine &from, RequestQuarantine &to, TimePoint now)
+{
+    Random random(1);
+    const auto news = from.toTell(1, 1000, now, random);
+    static_cast<void>(to.heard(news, now));
+}
+
+// Every copy of a request that ends engines was sent on, by nodes that knew nothing of each other's
+// ends.
+TEST(RequestQuarantine, TwoEnginesThatEndedHoldARequestAtEveryNode)
+{
+    RequestQuarantine first(1);
+    RequestQuarantine second(2);
+    EXPECT_FALSE(first.ended(work(7), 5, {100, Start, true}));
+    EXPECT_FALSE(second.ended(work(7), 5, {101, Start + milliseconds(80), true}));
+    EXPECT_FALSE(first.heldUntil(work(7), Start + milliseconds(90)));
+    tell(first, second, Start + milliseconds(100));
+    tell(second, first, Start + milliseconds(100));
+    EXPECT_TRUE(first.heldUntil(work(7), Start + milliseconds(120)));
+    EXPECT_TRUE(second.heldUntil(work(7), Start + milliseconds(120)));
+    EXPECT_FALSE(first.heldUntil(work(8), Start + milliseconds(120)));
+}
+
+// Each request that ran beside a crash would be refused although it has done nothing.
+TEST(RequestQuarantine, OneEngineThatEndedHoldsNobody)
+{
+    RequestQuarantine quarantine;
+    EXPECT_FALSE(quarantine.ended(work(7), 5, {100, Start, true}));
+    EXPECT_FALSE(quarantine.ended(work(7), 5, {100, Start + milliseconds(1), true}));
+    EXPECT_FALSE(quarantine.heldUntil(work(7), Start + seconds(1)));
+}
+
+// A request that ends engines long after it began would never be held; a stream that lost two by
+// chance would.
+TEST(RequestQuarantine, LongRunsNeedAThirdEnd)
+{
+    RequestQuarantine quarantine;
+    EXPECT_FALSE(quarantine.ended(work(7), 5, {100, Start, false}));
+    EXPECT_FALSE(quarantine.ended(work(7), 5, {101, Start + seconds(1), false}));
+    EXPECT_TRUE(quarantine.ended(work(7), 5, {102, Start + seconds(2), true}));
+}
+
+// A request that many callers ask for would be refused to all of them after two crashes by chance.
+TEST(RequestQuarantine, AWholeAnswerTakesBackWhatCameBeforeIt)
+{
+    RequestQuarantine first(1);
+    RequestQuarantine second(2);
+    static_cast<void>(first.ended(work(7), 5, {100, Start, true}));
+    static_cast<void>(first.ended(work(7), 5, {101, Start + seconds(1), true}));
+    tell(first, second, Start + seconds(1));
+    ASSERT_TRUE(second.heldUntil(work(7), Start + seconds(1)));
+    EXPECT_TRUE(first.answered(work(7), Start + seconds(2)));
+    EXPECT_FALSE(first.answered(work(7), Start + seconds(2)));
+    tell(first, second, Start + seconds(2));
+    EXPECT_FALSE(second.heldUntil(work(7), Start + seconds(2)));
+    // A node that has not heard of the answer tells of the old ends again.
+    RequestQuarantine third(3);
+    static_cast<void>(third.ended(work(7), 5, {100, Start, true}));
+    tell(third, second, Start + seconds(3));
+    EXPECT_FALSE(second.ended(work(7), 5, {102, Start + seconds(4), true}));
+}
+
+// An engine that was only out of connections looked as if it had ended.
+TEST(RequestQuarantine, AnEngineThatAnswersLaterHadNotEnded)
+{
+    RequestQuarantine quarantine;
+    static_cast<void>(quarantine.ended(work(7), 5, {100, Start, true}));
+    static_cast<void>(quarantine.ended(work(7), 5, {101, Start, true}));
+    quarantine.engineLives(100, Start + milliseconds(500)); // written before it ended
+    ASSERT_TRUE(quarantine.heldUntil(work(7), Start + seconds(1)));
+    quarantine.engineLives(100, Start + seconds(2));
+    EXPECT_FALSE(quarantine.heldUntil(work(7), Start + seconds(2)));
+}
+
+// All nodes would try a held request at the same moment once its time is over, and lose an engine
+// each.
+TEST(RequestQuarantine, NodesLetARequestGoAtDifferentTimes)
+{
+    std::set<TimePoint> releases;
+    for (std::uint64_t node = 0; node < 9; ++node) {
+        RequestQuarantine quarantine(node * 7919);
+        static_cast<void>(quarantine.ended(work(7), 5, {100, Start, true}));
+        static_cast<void>(quarantine.ended(work(7), 5, {101, Start, true}));
+        const auto until = quarantine.heldUntil(work(7), Start);
+        ASSERT_TRUE(until);
+        EXPECT_GE(*until, Start + RequestQuarantine::HoldTime);
+        EXPECT_LE(*until, Start + RequestQuarantine::HoldTime + RequestQuarantine::ReleaseSpread);
+        releases.insert(*until);
+        // Once it is let go, a single end more holds it again.
+        EXPECT_FALSE(quarantine.heldUntil(work(7), *until));
+        EXPECT_TRUE(quarantine.ended(work(7), 5, {102, *until, true}));
+    }
+    EXPECT_GT(releases.size(), 7U);
+}
+
+TEST(RequestQuarantine, AnOperatorFreesARequest)
+{
+    RequestQuarantine quarantine;
+    static_cast<void>(quarantine.ended(work(7), 5, {100, Start, true}));
+    static_cast<void>(quarantine.ended(work(7), 5, {101, Start, true}));
+    quarantine.setFreed({work(7)});
+    EXPECT_FALSE(quarantine.heldUntil(work(7), Start));
+    EXPECT_FALSE(quarantine.ended(work(7), 5, {102, Start + seconds(1), true}));
+}
+
+// A caller with ever new requests that end engines would push out those of everybody else.
+TEST(RequestQuarantine, ACustomerWithEverNewRequestsPushesOutItsOwn)
+{
+    RequestQuarantine quarantine;
+    static_cast<void>(quarantine.ended(work(1), 5, {100, Start, true}));
+    static_cast<void>(quarantine.ended(work(1), 5, {101, Start, true}));
+    for (std::uint64_t i = 0; i < 5000; ++i) {
+        static_cast<void>(
+                quarantine.ended(work(10 + i), 6, {200 + i, Start + milliseconds(i), true}));
+    }
+    EXPECT_TRUE(quarantine.heldUntil(work(1), Start + seconds(6)));
+    EXPECT_EQ(quarantine.size(), RequestQuarantine::MostOfCustomer + 1);
+    for (std::uint64_t customer = 10; customer < 100; ++customer) {
+        for (std::uint64_t i = 0; i < 100; ++i) {
+            static_cast<void>(quarantine.ended(work(100000 * customer + i), customer,
+                                               {i, Start + seconds(7), true}));
+        }
+    }
+    EXPECT_LE(quarantine.size(), RequestQuarantine::MostRequests);
+    EXPECT_TRUE(quarantine.heldUntil(work(1), Start + seconds(8)));
+    EXPECT_EQ(quarantine.held(Start + seconds(8)), 1U);
+    Random random(1);
+    EXPECT_TRUE(quarantine.toTell(1, 10, Start + minutes(70), random).empty());
+    EXPECT_EQ(quarantine.size(), 0U);
+}
+
+// A node that was cut off while engines ended, or has just started, would send the next copy on.
+TEST(RequestQuarantine, ANodeThatComesLaterHearsOfWhatIsHeld)
+{
+    constexpr std::size_t Nodes = 295;
+    std::vector<RequestQuarantine> others;
+    for (std::size_t i = 0; i + 1 < Nodes; ++i) {
+        others.emplace_back(i);
+        static_cast<void>(others.back().ended(work(7), 5, {100, Start, true}));
+        static_cast<void>(others.back().ended(work(7), 5, {101, Start, true}));
+    }
+    Random random(3);
+    RequestQuarantine late(1000);
+    constexpr Duration Telling = milliseconds(2640); // between tellings of one of 295 nodes
+    std::size_t told = 0;
+    TimePoint now = Start + minutes(1);
+    // What they saw themselves is told out first; here all of them saw it.
+    for (int i = 0; i <= RequestQuarantine::Repeats; ++i) {
+        for (RequestQuarantine &each : others) {
+            static_cast<void>(each.toTell(Nodes, 40, now, random));
+        }
+        now += Telling;
+    }
+    for (RequestQuarantine &each : others) {
+        const auto news = each.toTell(Nodes, 40, now, random);
+        told += news.size();
+        static_cast<void>(late.heard(news, now));
+    }
+    EXPECT_TRUE(late.heldUntil(work(7), now));
+    EXPECT_LE(told, 60U); // about RefreshPerSecond, whatever the number of nodes
+}
+
+/// A small fleet, step by step: requests run at engines drawn at random, engines end, nodes tell
+/// each other of it every 80 ms and lose a datagram now and then. Callers come once more.
+class Replay
+{
+public:
+    struct Result
+    {
+        int asked = 0;
+        int refused = 0; ///< innocent attempts that were refused by the quarantine
+        int ended = 0;   ///< engines that the request ended
+        int late = 0;    ///< sends of it after the contact time
+    };
+
+    Replay(std::uint64_t seed, bool hasKiller, int crashes)
+        : m_random(seed)
+        , m_hasKiller(hasKiller)
+        , m_crashes(crashes)
+    {
+        for (std::uint64_t i = 0; i < Nodes; ++i) {
+            m_nodes.emplace_back(i);
+        }
+        m_backAt.fill(Start);
+    }
+
+    Result run()
+    {
+        for (TimePoint now = Start; now < Start + seconds(30); now += Step) {
+            step(now);
+        }
+        return m_result;
+    }
+
+private:
+    static constexpr std::size_t Nodes = 9;
+    static constexpr std::size_t Engines = 9;
+    static constexpr Duration Step = milliseconds(10);
+    static constexpr RequestDigest Killer{1, 1};
+
+    struct Running
+    {
+        RequestDigest digest;
+        std::size_t node = 0;
+        std::size_t engine = 0;
+        TimePoint begins;
+        TimePoint endsAt;
+        int sends = 1;
+        int attempt = 1;
+    };
+
+    bool chance(double part) { return uniform(m_random) < part; }
+    std::uint64_t idOf(std::size_t engine) const { return 100 * m_lives[engine] + engine; }
+
+    void send(RequestDigest digest, std::size_t node, int sends, int attempt, TimePoint now)
+    {
+        std::vector<std::size_t> live;
+        for (std::size_t i = 0; i < Engines; ++i) {
+            if (m_backAt[i] <= now) {
+                live.push_back(i);
+            }
+        }
+        if (live.empty()) {
+            return;
+        }
+        const TimePoint begins = now + milliseconds(20 + uniformBelow(m_random, 200));
+        const Duration lasts = digest == Killer
+                                       ? Duration(milliseconds(50))
+                                       : Duration(milliseconds(100 + uniformBelow(m_random, 900)));
+        m_running.push_back({digest, node, live[uniformBelow(m_random, live.size())], begins,
+                             begins + lasts, sends, attempt});
+        const bool isLate = m_thirdEnd && now > *m_thirdEnd + seconds(3);
+        m_result.late += digest == Killer && isLate ? 1 : 0;
+    }
+
+    void arrive(RequestDigest digest, int attempt, TimePoint now)
+    {
+        const std::size_t node = uniformBelow(m_random, Nodes);
+        const bool isHeld = m_nodes[node].heldUntil(digest, now).has_value();
+        if (digest != Killer) {
+            m_result.asked += attempt == 1 ? 1 : 0;
+            m_result.refused += isHeld ? 1 : 0;
+        }
+        if (!isHeld) {
+            send(digest, node, 1, attempt, now);
+        }
+    }
+
+    void end(std::size_t engine, TimePoint now)
+    {
+        const std::uint64_t id = idOf(engine);
+        ++m_lives[engine];
+        m_backAt[engine] = now + seconds(3);
+        std::vector<Running> lost;
+        std::erase_if(m_running, [&](const Running &each) {
+            const bool isThere = each.engine == engine;
+            if (isThere) {
+                lost.push_back(each);
+            }
+            return isThere;
+        });
+        for (const Running &each : lost) {
+            const bool hadJustBegun = now - each.begins < RequestQuarantine::JustBegun;
+            static_cast<void>(m_nodes[each.node].ended(each.digest, 5, {id, now, hadJustBegun}));
+            if (each.sends < 2 && !m_nodes[each.node].heldUntil(each.digest, now)) {
+                send(each.digest, each.node, each.sends + 1, each.attempt, now);
+            } else if (each.attempt < 2 && each.digest != Killer) {
+                arrive(each.digest, each.attempt + 1, now);
+            }
+        }
+    }
+
+    void step(TimePoint now)
+    {
+        const double perStep = secondsOf(Step);
+        while (chance(0.6)) { // 150 a second
+            arrive({2, ++m_number}, 1, now);
+        }
+        if (m_hasKiller && chance(8 * perStep)) {
+            arrive(Killer, 1, now);
+        }
+        for (int i = 0; i < m_crashes; ++i) {
+            if (chance(perStep / 3)) {
+                end(uniformBelow(m_random, Engines), now);
+            }
+        }
+        std::optional<std::size_t> ending;
+        std::erase_if(m_running, [&](const Running &each) {
+            const bool isOver = each.endsAt <= now;
+            if (isOver && each.digest != Killer) {
+                static_cast<void>(m_nodes[each.node].answered(each.digest, now));
+            }
+            if (isOver && each.digest == Killer) {
+                ending = each.engine;
+            }
+            return isOver && each.digest != Killer;
+        });
+        if (ending) {
+            end(*ending, now);
+            if (++m_result.ended == 3) {
+                m_thirdEnd = now;
+            }
+        }
+        if ((now - Start) % milliseconds(80) == Duration::zero()) {
+            exchangeNews(now);
+        }
+    }
+
+    void exchangeNews(TimePoint now)
+    {
+        for (std::size_t from = 0; from < Nodes; ++from) {
+            const auto news = m_nodes[from].toTell(Nodes, 40, now, m_random);
+            for (std::size_t to = 0; to < Nodes; ++to) {
+                if (to != from && !chance(0.03)) {
+                    static_cast<void>(m_nodes[to].heard(news, now));
+                }
+            }
+        }
+    }
+
+    Random m_random;
+    bool m_hasKiller;
+    int m_crashes;
+    std::vector<RequestQuarantine> m_nodes;
+    std::array<TimePoint, Engines> m_backAt{};
+    std::array<std::uint64_t, Engines> m_lives{};
+    std::vector<Running> m_running;
+    std::uint64_t m_number = 0;
+    std::optional<TimePoint> m_thirdEnd;
+    Result m_result;
+};
+
+// Nine engines end within a second, and again as soon as they are back, under copies of one
+// request.
+TEST(RequestQuarantine, ReplayOfARequestThatEndsEnginesStopsItSoon)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        const Replay::Result result = Replay(seed, true, 0).run();
+        RecordProperty("seed_" + std::to_string(seed),
+                       std::to_string(result.ended) + " ended, " + std::to_string(result.refused)
+                               + " of " + std::to_string(result.asked) + " refused");
+        EXPECT_LE(result.late, 3) << "seed " << seed;
+        EXPECT_LE(result.ended, 9) << "seed " << seed;
+    }
+}
+
+// Engines crash by chance, one each three seconds or three each three seconds: callers lose
+// engines, some two.
+TEST(RequestQuarantine, ReplayOfCrashesByChanceRefusesHardlyAnyInnocentRequest)
+{
+    int asked = 0;
+    int refused = 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        const Replay::Result calm = Replay(seed, false, 1).run();
+        const Replay::Result rough = Replay(seed, false, 3).run();
+        asked += calm.asked + rough.asked;
+        refused += calm.refused + rough.refused;
+    }
+    RecordProperty("refused", refused);
+    RecordProperty("asked", asked);
+    EXPECT_LE(refused * 1000, asked); // one in a thousand
+}
+
+} // namespace
+
+} // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/traffic/engine_ends_test.cpp
@@ -0,0 +1,62 @@
+#include "vanilladyke/traffic/engine_ends.hpp"
+
+#include <gtest/gtest.h>
+
+namespace vanilladyke {
+
+namespace {
+
+class EngineEndsTest : public ::testing::Test
+{
+protected:
+    /// Asks once for each of @p times, all at the same moment. @return how often it had ended
+    int ask(const Endpoint &endpoint, int times)
+    {
+        int ended = 0;
+        int answered = 0;
+        for (int i = 0; i < times; ++i) {
+            asio::co_spawn(
+                    context,
+                    [&]() -> asio::awaitable<void> {
+                        const bool hasEnded = co_await ends.hasEnded(EngineId("e"), endpoint);
+                        ended += hasEnded ? 1 : 0;
+                        ++answered;
+                    },
+                    asio::detached);
+        }
+        while (answered < times) {
+            context.run_one(); // the connection that is kept goes on waiting
+        }
+        return ended;
+    }
+
+    asio::io_context context;
+    Ticker ticker{context};
+    BackendPool pool{context, ticker};
+    EngineEnds ends{context, pool};
+};
+
+// A request that lost its connection would be held to have ended an engine that lives.
+TEST_F(EngineEndsTest, AnEngineThatListensHasNotEnded)
+{
+    Tcp::acceptor acceptor(context, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    EXPECT_EQ(ask({"127.0.0.1", acceptor.local_endpoint().port()}, 3), 0);
+    EXPECT_EQ(pool.opened(), 1U);
+    EXPECT_FALSE(ends.wasKnownEnded(EngineId("e"), MonotonicClock::now()));
+}
+
+TEST_F(EngineEndsTest, AnAddressWhereNobodyListensHasEnded)
+{
+    std::uint16_t port = 0;
+    {
+        Tcp::acceptor acceptor(context, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+        port = acceptor.local_endpoint().port();
+    }
+    EXPECT_EQ(ask({"127.0.0.1", port}, 3), 3);
+    EXPECT_EQ(pool.opened(), 1U);
+    EXPECT_TRUE(ends.wasKnownEnded(EngineId("e"), MonotonicClock::now()));
+}
+
+} // namespace
+
+} // namespace vanilladyke
--- a/src/vanilladyke/traffic/exchange.cpp
+++ b/src/vanilladyke/traffic/exchange.cpp
@@ -1,6 +1,7 @@
 #include "vanilladyke/traffic/exchange.hpp"
 
 #include "vanilladyke/base/log.hpp"
+#include "vanilladyke/model/fleet_index.hpp"
 
 #include <boost/beast/http/read.hpp>
 
@@ -58,16 +59,17 @@
     : m_state(state)
     , m_request(std::move(request))
     , m_sink(sink)
+    , m_openExchanges(state.openExchanges)
     , m_table(state.table)
     , m_timed(std::make_shared<Timed>())
     , m_wait(state.context)
 {
-    ++m_state.openExchanges;
+    m_openExchanges->insert(this);
 }
 
 Exchange::~Exchange()
 {
-    --m_state.openExchanges;
+    m_openExchanges->erase(this);
 }
 
 std::string_view Exchange::nameOf(TryEnd end)
@@ -108,6 +110,9 @@
         if (m_callerLeft || m_timedOut || m_deadline - now < LeastTimeForTry) {
             break;
         }
+        if (heldUntil(now)) {
+            break;
+        }
         const auto choice = m_state.book.choose(query(), now);
         if (!choice) {
             m_none = choice.error();
@@ -174,6 +179,9 @@
             return Refusal{RefusalReason::UnknownCustomer, "unknown key", Ran::No, std::nullopt};
         }
     }
+    if (const auto until = heldUntil(now)) {
+        return Refusal{RefusalReason::EndsEngines, "engines ended under it", Ran::No, until};
+    }
     m_service = RouteTable::pickService(*m_route, uniform(m_state.random));
     m_resumeAfter = m_request.lastEventId;
     // Waiting longer than half the target helps nobody: the caller can try another node.
@@ -330,8 +338,12 @@
     m_connection.reset();
     const bool begun = m_firstByteAt.has_value();
     const bool failed = end == TryEnd::Failed
-                        || ((end == TryEnd::Lost || end == TryEnd::Interrupted) && !m_callerLeft);
+                        || ((end == TryEnd::Lost || end == TryEnd::Interrupted) && !m_callerLeft
+                            && !m_isWithdrawn);
     m_state.book.ended(choice, begun, failed, MonotonicClock::now());
+    if (end == TryEnd::Delivered || end == TryEnd::Failed) {
+        noteWholeAnswer();
+    }
     if (end == TryEnd::NotExecuted) {
         --m_runs;
         m_exchange.apply(ExchangeEvent::RefusalReceived);
@@ -363,14 +375,71 @@
 asio::awaitable<void> Exchange::noteEnd(const BackendChoice &choice, TryEnd end, TimePoint sentAt)
 {
     m_engineEnded = false;
+    const TimePoint now = MonotonicClock::now();
     const bool isCutByServer = (end == TryEnd::Lost || end == TryEnd::Interrupted) && !m_callerLeft
-                               && !m_timedOut && !m_stalled;
+                               && !m_timedOut && !m_stalled && !m_isWithdrawn;
     const EngineId &engine = choice.backend.id;
-    const bool mayTell = isCutByServer && m_state.digester.isReady() && m_state.book.knows(engine)
+    const bool mayTell = isCutByServer && m_state.settings.quarantines && m_state.digester.isReady()
+                         && m_state.book.knows(engine)
                          && !m_state.ends.wasKnownEnded(engine, sentAt);
-    if (mayTell) {
-        m_engineEnded = co_await m_state.ends.hasEnded(engine, choice.backend.endpoint);
+    if (!mayTell) {
+        co_return;
+    }
+    const bool hadJustBegun = !m_firstByteAt || now - *m_firstByteAt < RequestQuarantine::JustBegun;
+    m_engineEnded = co_await m_state.ends.hasEnded(engine, choice.backend.endpoint);
+    if (!m_engineEnded) {
+        co_return;
+    }
+    const RequestDigest name = *digest();
+    const EngineEnd engineEnd{BackendBook::hashOf(engine), now, hadJustBegun};
+    m_state.metrics.count("engine_ends_under_requests_total");
+    if (m_state.quarantine.ended(name, customerHash(), engineEnd)) {
+        withdrawHeld(m_state, name);
+    }
+    m_state.tellPeers();
+}
+
+void Exchange::withdrawHeld(TrafficState &state, const RequestDigest &held)
+{
+    int withdrawn = 0;
+    for (Exchange *const each : *state.openExchanges) {
+        const bool waits = each->m_connection != nullptr && !each->m_firstByteAt;
+        if (waits && state.quarantine.concerns(each->customerHash()) && each->digest() == held) {
+            each->m_isWithdrawn = true;
+            each->abortTry();
+            ++withdrawn;
+        }
     }
+    state.metrics.count("requests_quarantined_total");
+    LogEvent("request_quarantined", Severity::Warning)
+            .field("digest", held.str())
+            .field("engines_ended", state.quarantine.endsUnder(held))
+            .field("withdrawn", withdrawn)
+            .field("held", state.quarantine.held(MonotonicClock::now()))
+            .field("suspected", state.quarantine.size());
+}
+
+std::uint64_t Exchange::customerHash() const
+{
+    return m_customer == nullptr ? 0 : hashOfName(m_customer->id.str());
+}
+
+std::optional<TimePoint> Exchange::heldUntil(TimePoint now) const
+{
+    const bool mayBeHeld = m_state.settings.quarantines && m_state.digester.isReady()
+                           && m_state.quarantine.concerns(customerHash());
+    return mayBeHeld ? m_state.quarantine.heldUntil(*digest(), now) : std::nullopt;
+}
+
+void Exchange::noteWholeAnswer()
+{
+    const bool mayBeSuspected =
+            m_state.digester.isReady() && m_state.quarantine.concerns(customerHash());
+    if (!mayBeSuspected || !m_state.quarantine.answered(*digest(), MonotonicClock::now())) {
+        return;
+    }
+    LogEvent("request_cleared").field("id", m_request.id).field("digest", digest()->str());
+    m_state.tellPeers();
 }
 
 std::optional<RequestDigest> Exchange::digest() const
@@ -492,6 +561,9 @@
 {
     const TimePoint now = MonotonicClock::now();
     const EngineId &id = choice.backend.id;
+    if (head.status != 421) { // another engine at the same address says that
+        m_state.quarantine.engineLives(BackendBook::hashOf(id), now);
+    }
     if (head.load) {
         m_state.book.reported(id, head.load->running, head.load->waiting, now);
     }
--- a/src/vanilladyke/traffic/exchange_answers.cpp
+++ b/src/vanilladyke/traffic/exchange_answers.cpp
@@ -177,6 +177,10 @@
         co_return delivered ? ExchangeEnd::Answered : ExchangeEnd::Broken;
     }
     const TimePoint now = MonotonicClock::now();
+    const std::optional<TimePoint> held = heldUntil(now);
+    if (held && m_exchange.ran() == Ran::No) {
+        co_return co_await refuse(503, toString(RefusalReason::EndsEngines), *held - now);
+    }
     if (m_exchange.ran() == Ran::No) {
         constexpr Duration LeastRetryAfter = std::chrono::milliseconds(100);
         const Duration after = std::max<Duration>(m_none.retryAt - now, LeastRetryAfter);
--- a/tests/integration/platform_crashes.py
+++ b/tests/integration/platform_crashes.py
@@ -1,5 +1,8 @@
 """Requests that end the engines that run them: nodes as real processes, engines of the stand-in."""
 
+import json
+import re
+import signal
 import threading
 import time
 
@@ -62,6 +65,42 @@
         self.assertLessEqual(self.repeats_after_contact(), FREE_REPEATS,
                              f"{len(self.fleet.ends)} engines ended")
 
+    def is_held(self, node, identity):
+        """Asks once more. @return whether the node refuses it, truthfully and for long"""
+        status, body, headers = self.ask_quietly(node, identity, KILLER, self.fleet.prompt())
+        if status != 503 or json.loads(body)["error"] != "ends_engines":
+            return False
+        self.assertEqual(json.loads(body)["ran"], "no")
+        self.assertGreater(float(headers["Retry-After"]), 60)
+        self.assertEqual(self.fleet.arrivals(identity), [])
+        return True
+
+    def test_a_held_request_is_refused_by_all_nodes_until_it_is_freed(self):
+        """Nodes that saw no end, or start later, go by what others tell; other requests of the same caller
+        are served; an operator lets a request go that was held wrongly."""
+        self.send_killers(1.5)
+        for node in self.nodes:
+            harness.wait_until(lambda n=node: self.is_held(n, f"held-{time.monotonic()}"), "held everywhere")
+        ends = len(self.fleet.ends)
+        late = self.fleet.ready_node("late")
+        harness.wait_until(lambda: "event=fleet_key_known" in late.log_text(), "the key")
+        harness.wait_until(lambda: "event=request_quarantined" in late.log_text(), "a new node is told")
+        self.assertTrue(self.is_held(late, "held-late"))
+        self.assertEqual(len(self.fleet.ends), ends)
+        harness.wait_until(lambda: self.ask_quietly(late, f"other-{time.monotonic()}", "other",
+                                                    self.fleet.prompt())[0] == 200, "other requests are served")
+        self.fleet.ends_under.clear()
+        digest = re.search(r"event=request_quarantined digest=([0-9a-f]{32})", late.log_text()).group(1)
+        with open(late.settings, encoding="utf-8") as settings:
+            changed = {**json.load(settings), "freed_requests": [digest]}
+        with open(late.settings, "w", encoding="utf-8") as settings:
+            json.dump(changed, settings)
+        late.popen.send_signal(signal.SIGHUP)
+        harness.wait_until(lambda: self.ask_quietly(late, f"freed-{time.monotonic()}", KILLER,
+                                                    self.fleet.prompt())[0] == 200, "it is let go")
+        harness.wait_until(lambda: self.ask_quietly(self.nodes[0], f"cleared-{time.monotonic()}", KILLER,
+                                                    self.fleet.prompt())[0] == 200, "a whole answer clears it")
+
 
 if __name__ == "__main__":
     harness.main()
