--- a/tests/integration/platform_fleet.py
+++ b/tests/integration/platform_fleet.py
@@ -196,6 +196,7 @@
         self.requests, self.runs, self.orders = [], [], []
         self.seconds = 0.0  # that a request runs
         self.full = False
+        self.limit = None  # requests a second that it names in its answers
         self.server = Server(("127.0.0.1", 0), Handler)
         self.server.owner = self
         self.port = self.server.server_address[1]
@@ -251,6 +252,8 @@
     def on_request(self, call, body):
         identity = call.headers["X-Vanilladyke-Attempt-Id"]
         common = {"X-Vanilladyke-Attempt-Id": identity, "X-Vanilladyke-Weight-Versions": str(self.version)}
+        if self.limit is not None:
+            common["Server-Limit"] = str(self.limit)
         with self.lock:
             self.requests.append((time.monotonic(), dict(call.headers)))
         wanted = call.headers.get("X-Vanilladyke-Expect-Version")
