Read the limit that an engine names, log it, and tell other nodes of it

Neither logs nor metrics could tell whether nodes don't read an engine's limit, each take it for their own, or forget it: no line names one. An answer that names another limit than before, or none any more, leaves event=engine_limit with the engine, the figure and how this node knows (an answer's id, or a peer); requests to engines with a limit are counted. policy/engine_limit holds what a node believes and what nodes tell each other; nothing goes by it yet.

--- a/include/vanilladyke/node/load_sharing.hpp
+++ b/include/vanilladyke/node/load_sharing.hpp
@@ -62,6 +62,7 @@
     /// A node that the list does not have takes its share of what all nodes may do.
     void countPeers();
     void passOn(wire::NodeLoad message);
+    void takeLimits(const wire::NodeLoad &message, TimePoint now);
     void takeQuarantined(const wire::NodeLoad &message, TimePoint now);
 
     TrafficState &m_state;
--- a/include/vanilladyke/policy/backend_book.hpp
+++ b/include/vanilladyke/policy/backend_book.hpp
@@ -3,6 +3,7 @@
 #include "vanilladyke/base/outcome.hpp"
 #include "vanilladyke/policy/backend_choice.hpp"
 #include "vanilladyke/policy/draining_work.hpp"
+#include "vanilladyke/policy/engine_limit.hpp"
 #include "vanilladyke/policy/fetch_share.hpp"
 #include "vanilladyke/policy/part_holders.hpp"
 #include "vanilladyke/policy/route_table.hpp"
@@ -85,6 +86,9 @@
     /// @brief No connection, or the server sheds: nothing goes there for a while.
     void close(const EngineId &id, TimePoint now);
     void reported(const EngineId &id, int running, int waiting, TimePoint now);
+    /// @brief An answer named the server's limit for all nodes together, or none.
+    /// @return whether it is another than before
+    bool limitNamed(const EngineId &id, std::optional<double> perSecond, TimePoint now);
     /// @brief An answer showed the version of the server's weights.
     void sawWeights(const EngineId &id, const ModelId &model, std::uint64_t version);
     /// @brief The server refused the version that was believed to be there.
@@ -96,6 +100,13 @@
 
     /// @brief What this node has to tell of servers, the busiest first.
     [[nodiscard]] std::vector<BackendLoadNews> ownLoad(std::size_t most, TimePoint now) const;
+    /// @brief What this node has to tell of servers that name a limit.
+    [[nodiscard]] std::vector<LimitNews> ownLimits(TimePoint now) const;
+    /// @return servers whose limit is another than before
+    std::vector<EngineId> heardLimits(std::uint64_t node, const std::vector<LimitNews> &news,
+                                      TimePoint now);
+    /// @brief The limit that a server names for all nodes together.
+    [[nodiscard]] std::optional<double> limitOf(const EngineId &id) const;
     /// @brief Where this node sent expensive shared parts since it was asked last.
     [[nodiscard]] std::vector<PlacementNews> takePlacements();
     [[nodiscard]] bool hasPlacements() const { return !m_placements.empty(); }
@@ -144,6 +155,7 @@
         TimePoint failureAt;
         TimePoint closedUntil;
         Duration lastClose{};
+        EngineLimit limit;
     };
     /// What another node has at a server.
     struct PeerPart
@@ -165,6 +177,8 @@
         TimePoint since;
     };
     using Goals = std::vector<Goal>;
+    /// When a server that can't take a request now may take one; none if it can.
+    [[nodiscard]] std::optional<TimePoint> opensLater(const State &state, TimePoint now) const;
     /// A server that is weighed for a request.
     struct Candidate
     {
--- a/include/vanilladyke/traffic/dialect.hpp
+++ b/include/vanilladyke/traffic/dialect.hpp
@@ -75,6 +75,8 @@
     std::optional<Duration> keepAlive; ///< how long the server keeps an idle connection
     std::optional<std::uint64_t> weights;
     std::optional<ReportedLoad> load;
+    /// Requests that the server takes from all nodes together; none: it names no limit.
+    std::optional<double> requestsPerSecond;
     std::string passedOn; ///< header lines for the caller, with line ends
 };
 
--- a/src/vanilladyke/node/load_sharing.cpp
+++ b/src/vanilladyke/node/load_sharing.cpp
@@ -17,6 +17,9 @@
 /// Requests under which engines ended, in one datagram.
 constexpr std::size_t MostQuarantined = 40;
 
+/// Engines that name limits, in one datagram.
+constexpr std::size_t MostLimits = 200;
+
 /// A node whose proof of the configuration is older does nothing for others.
 constexpr Duration OldestProof = std::chrono::milliseconds(3500);
 
@@ -44,6 +47,29 @@
     }
 }
 
+void write(const LimitNews &news, wire::BackendLimit *limit)
+{
+    limit->set_backend(news.backend);
+    limit->set_is_observed(news.isObserved);
+    limit->set_is_named(news.perSecond.has_value());
+    limit->set_per_second(news.perSecond.value_or(0));
+    limit->set_age_ms(millis(news.age));
+    limit->set_sent(news.sent);
+}
+
+LimitNews read(const wire::BackendLimit &limit)
+{
+    LimitNews news;
+    news.backend = limit.backend();
+    news.isObserved = limit.is_observed();
+    if (limit.is_named()) {
+        news.perSecond = limit.per_second();
+    }
+    news.age = std::chrono::milliseconds(limit.age_ms());
+    news.sent = limit.sent();
+    return news;
+}
+
 QuarantineNews read(const wire::QuarantinedRequest &request)
 {
     QuarantineNews news{
@@ -155,6 +181,11 @@
          m_state.quarantine.toTell(m_routes.size() + 1, MostQuarantined, now, m_state.random)) {
         write(each, message.add_quarantined());
     }
+    std::vector<LimitNews> limits = m_state.book.ownLimits(now);
+    limits.resize(std::min(limits.size(), MostLimits));
+    for (const LimitNews &each : limits) {
+        write(each, message.add_limits());
+    }
     const auto recipients = m_routes.recipients(m_state.random, now);
     m_port.send(message.SerializeAsString(), recipients.direct);
     message.set_pass_on(true);
@@ -226,11 +257,32 @@
         }
     }
     m_state.book.heardPlacements(placements, now);
+    if (message.limits_size() > 0) {
+        takeLimits(message, now);
+    }
     if (message.quarantined_size() > 0) {
         takeQuarantined(message, now);
     }
 }
 
+void LoadSharing::takeLimits(const wire::NodeLoad &message, TimePoint now)
+{
+    std::vector<LimitNews> news;
+    news.reserve(static_cast<std::size_t>(message.limits_size()));
+    for (const wire::BackendLimit &each : message.limits()) {
+        news.push_back(read(each));
+    }
+    for (const EngineId &changed : m_state.book.heardLimits(message.node(), news, now)) {
+        const std::optional<double> limit = m_state.book.limitOf(changed);
+        LogEvent("engine_limit")
+                .field("backend", changed.str())
+                .field("per_second", limit.value_or(0))
+                .field("named", limit.has_value())
+                .field("by", "peer")
+                .field("peer", message.address());
+    }
+}
+
 void LoadSharing::takeQuarantined(const wire::NodeLoad &message, TimePoint now)
 {
     std::vector<QuarantineNews> news;
--- a/src/vanilladyke/policy/backend_book.cpp
+++ b/src/vanilladyke/policy/backend_book.cpp
@@ -233,6 +233,7 @@
         return;
     }
     State &state = *known;
+    state.limit.sent(now);
     ++state.inFlight;
     if (state.unanswered++ == 0) {
         state.silentSince = now;
@@ -354,6 +355,43 @@
     state.reportedAt = now;
 }
 
+bool BackendBook::limitNamed(const EngineId &id, std::optional<double> perSecond, TimePoint now)
+{
+    State *const known = find(id);
+    return known != nullptr && known->limit.observed(perSecond, now);
+}
+
+std::vector<LimitNews> BackendBook::ownLimits(TimePoint now) const
+{
+    std::vector<LimitNews> news;
+    for (const auto &[id, state] : m_states) {
+        if (auto each = state.limit.toTell(now)) {
+            each->backend = state.hash;
+            news.push_back(*each);
+        }
+    }
+    return news;
+}
+
+std::vector<EngineId> BackendBook::heardLimits(std::uint64_t node,
+                                               const std::vector<LimitNews> &news, TimePoint now)
+{
+    std::vector<EngineId> changed;
+    for (const LimitNews &each : news) {
+        const auto known = m_byHash.find(each.backend);
+        if (known != m_byHash.end() && known->second->limit.heard(node, each, now)) {
+            changed.push_back(known->second->entry.id);
+        }
+    }
+    return changed;
+}
+
+std::optional<double> BackendBook::limitOf(const EngineId &id) const
+{
+    const auto known = m_states.find(id);
+    return known == m_states.end() ? std::nullopt : known->second.limit.perSecond();
+}
+
 void BackendBook::sawWeights(const EngineId &id, const ModelId &model, std::uint64_t version)
 {
     if (State *state = find(id)) {
--- /dev/null
+++ b/src/vanilladyke/policy/engine_limit_test.cpp
@@ -0,0 +1,239 @@
+#include "vanilladyke/policy/engine_limit.hpp"
+
+#include "vanilladyke/base/random.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <vector>
+
+namespace vanilladyke {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const TimePoint Start{seconds(1000)};
+
+/// The limit's own figures: what may come in some Window, from Contact after it was named.
+constexpr Duration Window = seconds(4);
+constexpr Duration Contact = seconds(3);
+constexpr double Allowed = 1.5;
+constexpr double AllowedExtra = 5;
+
+void tell(const EngineLimit &from, std::uint64_t node, EngineLimit &to, TimePoint now)
+{
+    if (const auto news = from.toTell(now)) {
+        static_cast<void>(to.heard(node, *news, now));
+    }
+}
+
+struct Load
+{
+    std::size_t nodes = 9;
+    double limit = 5;
+    double demand = 15; ///< requests a second that would go to the engine, over all nodes
+    Duration telling = milliseconds(80);
+    double lost = 0.03;   ///< of the datagrams
+    double hotPart = 0.2; ///< of the demand that comes to the first node
+};
+
+/// Nodes that want to send to one engine and tell each other each `telling`, at moments of their
+/// own.
+class Replay
+{
+public:
+    Replay(const Load &load, std::uint64_t seed)
+        : m_load(load)
+        , m_random(seed)
+        , m_nodes(load.nodes)
+    {
+        for (std::size_t i = 0; i < load.nodes; ++i) {
+            m_tellAt.push_back(Start + load.telling * uniformBelow(m_random, 1000) / 1000);
+        }
+    }
+
+    std::vector<TimePoint> run(Duration span)
+    {
+        for (TimePoint now = Start; now < Start + span; now += Step) {
+            if (uniform(m_random) < m_load.demand * secondsOf(Step)) {
+                const bool isHot = uniform(m_random) < m_load.hotPart;
+                want(isHot ? 0 : uniformBelow(m_random, m_nodes.size()), now);
+            }
+            for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+                if (m_tellAt[i] <= now) {
+                    m_tellAt[i] = now + m_load.telling;
+                    tellAll(i, now);
+                }
+            }
+            answer(now);
+        }
+        return m_sent;
+    }
+
+private:
+    static constexpr Duration Step = milliseconds(5);
+    static constexpr Duration AnswerTime = milliseconds(100);
+
+    void want(std::size_t node, TimePoint now)
+    {
+        if (m_nodes[node].allows(uniform(m_random), now)) {
+            m_nodes[node].sent(now);
+            m_sent.push_back(now);
+            m_open.push_back({node, now + AnswerTime});
+        }
+    }
+
+    void tellAll(std::size_t from, TimePoint now)
+    {
+        for (std::size_t to = 0; to < m_nodes.size(); ++to) {
+            if (to != from && uniform(m_random) >= m_load.lost) {
+                tell(m_nodes[from], from, m_nodes[to], now);
+            }
+        }
+    }
+
+    void answer(TimePoint now)
+    {
+        std::erase_if(m_open, [&](const auto &open) {
+            const bool isOver = open.second <= now;
+            if (isOver) {
+                static_cast<void>(m_nodes[open.first].observed(m_load.limit, now));
+            }
+            return isOver;
+        });
+    }
+
+    Load m_load;
+    Random m_random;
+    std::vector<EngineLimit> m_nodes;
+    std::vector<TimePoint> m_tellAt;
+    std::vector<TimePoint> m_sent;
+    std::vector<std::pair<std::size_t, TimePoint>> m_open;
+};
+
+std::size_t mostInWindow(const std::vector<TimePoint> &sent, TimePoint from)
+{
+    std::size_t most = 0;
+    for (auto first = sent.begin(); first != sent.end(); ++first) {
+        const auto last = std::upper_bound(first, sent.end(), *first + Window);
+        if (*first >= from) {
+            most = std::max(most, static_cast<std::size_t>(last - first));
+        }
+    }
+    return most;
+}
+
+void checkLoad(const Load &load, std::uint64_t seeds)
+{
+    constexpr Duration Span = seconds(40);
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        const std::vector<TimePoint> sent = Replay(load, seed).run(Span);
+        const double allowed = Allowed * secondsOf(Window) * load.limit + AllowedExtra;
+        EXPECT_LE(static_cast<double>(mostInWindow(sent, Start + Contact)), allowed)
+                << load.nodes << " nodes, limit " << load.limit << ", wanted " << load.demand
+                << ", seed " << seed;
+        const double used = static_cast<double>(sent.size()) / secondsOf(Span);
+        EXPECT_GE(used, 0.6 * std::min(load.limit, load.demand))
+                << load.nodes << " nodes, limit " << load.limit << ", wanted " << load.demand;
+    }
+}
+
+// Each node took the limit for its own, or sent what it wanted: the sum was several times the
+// limit.
+TEST(EngineLimit, ReplayOfNineNodesKeepsTheSum)
+{
+    for (const double limit : {0.5, 1.0, 2.5, 5.0, 20.0}) {
+        for (const double demand : {4.0, 15.0, 60.0}) {
+            checkLoad({9, limit, demand, milliseconds(100)}, 5);
+        }
+    }
+}
+
+// News of hundreds of nodes is half a second old: each would take the same token.
+TEST(EngineLimit, ReplayOfHundredsOfNodesKeepsTheSum)
+{
+    for (const double limit : {1.0, 5.0}) {
+        for (const double demand : {15.0, 60.0}) {
+            checkLoad({410, limit, demand, milliseconds(460)}, 1);
+        }
+    }
+}
+
+// Nodes that heard nothing of the engine themselves would send as before.
+TEST(EngineLimit, HoldsAtNodesThatOnlyHearOfIt)
+{
+    EngineLimit first;
+    EngineLimit second;
+    EXPECT_TRUE(first.observed(5, Start));
+    tell(first, 1, second, Start + milliseconds(50));
+    EXPECT_EQ(second.perSecond(), 5);
+    EXPECT_FALSE(second.allows(0, Start + milliseconds(60)));
+    EXPECT_TRUE(second.allows(0, Start + milliseconds(400)));
+    EXPECT_FALSE(second.toTell(Start + milliseconds(400)));
+}
+
+// A limit that is over went on at nodes that sent nothing there; an old word brought it back.
+TEST(EngineLimit, TheNewestAnswerOfAnyNodeDecides)
+{
+    EngineLimit first;
+    EngineLimit second;
+    static_cast<void>(first.observed(5, Start));
+    tell(first, 1, second, Start);
+    EXPECT_FALSE(
+            first.observed(std::nullopt, Start + milliseconds(100))); // written before the limit
+    EXPECT_EQ(first.perSecond(), 5);
+    EXPECT_TRUE(second.observed(8, Start + seconds(1)));
+    tell(second, 2, first, Start + seconds(1));
+    EXPECT_EQ(first.perSecond(), 8);
+    EXPECT_TRUE(first.observed(std::nullopt, Start + seconds(2)));
+    tell(second, 2, first, Start + seconds(2)); // named a second ago
+    EXPECT_FALSE(first.perSecond());
+    tell(first, 1, second, Start + seconds(2));
+    EXPECT_FALSE(second.perSecond());
+    EXPECT_TRUE(second.allows(0.99, Start + seconds(2)));
+    EngineLimit third;
+    tell(second, 2, third, Start + seconds(3));
+    tell(first, 1, third, Start + seconds(3));
+    EXPECT_FALSE(third.perSecond());
+    EXPECT_FALSE(first.toTell(Start + seconds(8)));
+}
+
+// An engine that takes nothing would never be asked again, and nobody would notice that its need is
+// over.
+TEST(EngineLimit, AnEngineThatTakesNothingIsAskedNowAndThen)
+{
+    EngineLimit limit;
+    static_cast<void>(limit.observed(0, Start));
+    EXPECT_FALSE(limit.allows(0, Start + seconds(3)));
+    EXPECT_LE(limit.opensAt(Start), Start + seconds(5));
+    EXPECT_TRUE(limit.allows(0, Start + seconds(5)));
+}
+
+// A datagram that is lost, or a node that began anew, would let through what others had sent
+// already.
+TEST(EngineLimit, CountsOfOthersMakeUpForLostDatagrams)
+{
+    EngineLimit first;
+    EngineLimit second;
+    static_cast<void>(first.observed(2, Start));
+    static_cast<void>(second.observed(2, Start));
+    const TimePoint now = Start + seconds(1);
+    first.sent(now);
+    first.sent(now); // its telling is lost
+    first.sent(now);
+    tell(first, 1, second, now);
+    EXPECT_FALSE(second.allows(0, now + milliseconds(900)));
+    tell(first, 1, second, now + milliseconds(900)); // the same count again
+    EXPECT_TRUE(second.allows(0, now + milliseconds(1100)));
+    EngineLimit anew; // counts from nothing
+    static_cast<void>(anew.observed(2, now));
+    anew.sent(now + seconds(1));
+    tell(anew, 1, second, now + seconds(1));
+    EXPECT_FALSE(second.allows(0, now + seconds(1)));
+}
+
+} // namespace
+
+} // namespace vanilladyke
--- a/src/vanilladyke/traffic/exchange.cpp
+++ b/src/vanilladyke/traffic/exchange.cpp
@@ -330,6 +330,10 @@
     m_connection = connection;
     const BackendQuery asked = query();
     m_state.book.sent(choice, asked, now);
+    if (m_state.book.limitOf(choice.backend.id)) {
+        m_state.metrics.count("requests_to_limited_engines_total");
+        m_state.tellPeers(); // others draw on the same limit
+    }
     if (choice.saveTo) {
         const std::string salt = cacheSalt(asked.model, choice.weights, asked.isolated);
         m_state.kept.toldSaved(KeptCacheView::keyOf(salt, asked.sharedPart), now);
@@ -567,6 +571,15 @@
     if (head.load) {
         m_state.book.reported(id, head.load->running, head.load->waiting, now);
     }
+    if (head.status != 421 && m_state.book.limitNamed(id, head.requestsPerSecond, now)) {
+        LogEvent("engine_limit")
+                .field("backend", id.str())
+                .field("per_second", head.requestsPerSecond.value_or(0))
+                .field("named", head.requestsPerSecond.has_value())
+                .field("by", "answer")
+                .field("id", m_request.id);
+        m_state.tellPeers();
+    }
     if (head.weights && !m_request.model.empty()) {
         m_state.book.sawWeights(id, m_request.model, *head.weights);
     }
