Send an engine no more than the limit that it names, over all nodes

Cause: nobody read the limit. Class: a figure of an answer that nobody reads; behind it a figure of the whole fleet, which each node would take for its own.

Evidence: arrivals at the limited engines show no step when the limit is named, and no code names the header.

Change: policy/engine_limit, one for each engine at each node. All nodes draw on one bucket that fills at the limit, each on its own copy: own sends, and what others tell of theirs with their load news (counts that only grow), empty it. Two that take one token before they hear of each other make a debt that all pay; where many compete a node takes a token by a chance that falls with the debts that it sees. The newest answer that any node got decides what the limit is and when it is over. An engine without a token is closed for a choice like one that sheds; scarce tokens cost, so that they go to prompts whose part lies there.

Why it works: the sum over nodes is bounded by the limit plus what is sent within one telling, whoever wants how much; nothing is divided, so nothing is wasted or starved, and a lost datagram is made up for by the next.

--- a/include/vanilladyke/policy/mechanism.hpp
+++ b/include/vanilladyke/policy/mechanism.hpp
@@ -29,6 +29,7 @@
     Withdrawal,       ///< a request that has not begun when its weights' time ends is withdrawn
     SecondSends,      ///< a request that may be repeated goes to a second engine
     Resumes,          ///< a stream that broke off goes on at another engine
+    EngineLimits,     ///< engines get no more than the limit that they name
     Quarantine,       ///< requests under which engines end are sent to no engine
     SharedReading,    ///< one node reads the store for others
 };
@@ -40,7 +41,7 @@
     std::string_view name;
 };
 
-inline constexpr std::array<MechanismName, 21> MechanismNames{{
+inline constexpr std::array<MechanismName, 22> MechanismNames{{
         {Mechanism::Homes, "homes"},
         {Mechanism::NestedHomes, "nested_homes"},
         {Mechanism::CopyCharge, "copy_charge"},
@@ -60,6 +61,7 @@
         {Mechanism::Withdrawal, "withdrawal"},
         {Mechanism::SecondSends, "second_sends"},
         {Mechanism::Resumes, "resumes"},
+        {Mechanism::EngineLimits, "engine_limits"},
         {Mechanism::Quarantine, "quarantine"},
         {Mechanism::SharedReading, "shared_reading"},
 }};
--- a/src/vanilladyke/app/mechanism_switches.cpp
+++ b/src/vanilladyke/app/mechanism_switches.cpp
@@ -73,6 +73,9 @@
     case Mechanism::Resumes:
         traffic.resumes = false;
         break;
+    case Mechanism::EngineLimits:
+        traffic.rates.keepsLimits = false;
+        break;
     case Mechanism::Quarantine:
         traffic.quarantines = false;
         break;
--- a/src/vanilladyke/policy/backend_choice.cpp
+++ b/src/vanilladyke/policy/backend_choice.cpp
@@ -116,6 +116,9 @@
     if (isSilent(state, now)) {
         charges += m_rates.silenceCost;
     }
+    if (state.limit.perSecond()) {
+        charges += m_rates.limitedCost * state.limit.scarcity(now);
+    }
     const bool isOld =
             goals != nullptr && std::any_of(goals->begin(), goals->end(), [&](const Goal &goal) {
                 return weights < goal.version && now - goal.since > OldWeightsGrace;
@@ -171,6 +174,18 @@
     *open = std::move(kept);
 }
 
+std::optional<TimePoint> BackendBook::opensLater(const State &state, TimePoint now) const
+{
+    const TimePoint closedUntil = std::max(state.closedUntil, state.loadingUntil);
+    if (closedUntil > now) {
+        return closedUntil;
+    }
+    if (!m_rates.keepsLimits || state.limit.allows(drawFor(state.hash, now), now)) {
+        return std::nullopt;
+    }
+    return state.limit.opensAt(now);
+}
+
 BackendBook::Weighed BackendBook::weigh(const BackendQuery &query, const Goals *goals,
                                         std::size_t more, TimePoint now, NoBackend *none) const
 {
@@ -197,9 +212,8 @@
         if (isTried || !mayBegin(*state, query, goals, now)) {
             continue;
         }
-        const TimePoint closedUntil = std::max(state->closedUntil, state->loadingUntil);
-        if (closedUntil > now) {
-            none->retryAt = std::min(none->retryAt, closedUntil);
+        if (const auto later = opensLater(*state, now)) {
+            none->retryAt = std::min(none->retryAt, *later);
             continue;
         }
         good += isSilent(*state, now) ? 0 : 1;
--- a/tests/integration/platform_limits.py
+++ b/tests/integration/platform_limits.py
@@ -1,5 +1,6 @@
 """Engines that name a limit: nodes as real processes, engines of the stand-in."""
 
+import json
 import threading
 import time
 
@@ -67,6 +68,46 @@
         self.assertGreater(sum(at > named_at + CONTACT_SECONDS for at in self.arrivals(limited)), 5,
                            "what it allows is used")
 
+    def test_a_limit_follows_what_the_engine_says_and_ends_with_it(self):
+        """The engine recovers and takes more, then names no limit any more; later it begins anew under another
+        id. Nodes that go on with an old limit leave it idle for good."""
+        limited = self.engines[0]
+        self.rise(limited, 5)
+        limited.limit = 0.5
+        for node in self.nodes:
+            harness.wait_until(lambda n=node: "event=engine_limit backend=llm-0 per_second=0.5" in n.log_text(),
+                               "all nodes know of it")
+        limited.limit = 8
+        for node in self.nodes:
+            harness.wait_until(lambda n=node: "event=engine_limit backend=llm-0 per_second=8" in n.log_text(),
+                               "all nodes know that it takes more")
+        limited.limit = None
+        for node in self.nodes:
+            harness.wait_until(lambda n=node: "event=engine_limit backend=llm-0 per_second=0 named=false"
+                               in n.log_text(), "all nodes know that it is over")
+        self.rise(limited, 100)
+        limited.limit = 0.5
+        self.rise(limited, 2)
+        limited.end()
+        harness.wait_until(lambda: any(each.name == "llm-0+" for each in self.fleet.engines), "it begins anew")
+        self.rise([each for each in self.fleet.engines if each.name == "llm-0+"][0], 50)
+
+    def test_where_every_engine_names_a_limit_callers_hear_so_at_once(self):
+        """What does not fit anywhere would wait for a token until its time is over."""
+        for each in self.engines:
+            each.limit = 1
+        harness.wait_until(lambda: any("outcome=no_backend" in node.log_text() for node in self.nodes), "refusals")
+        status, body, headers = 200, "", {}
+        while status == 200:
+            status, body, headers = self.fleet.ask(self.nodes[0], "/stream/x", f"o{time.monotonic()}",
+                                                   headers=self.fleet.prompt())
+        self.assertEqual((status, json.loads(body)["ran"]), (503, "no"))
+        self.assertIn("Retry-After", headers)
+        for each in self.engines:
+            each.limit = None
+        for each in self.engines:
+            self.rise(each, 20)
+
 
 if __name__ == "__main__":
     harness.main()
