--- a/tests/integration/platform_soak.py
+++ b/tests/integration/platform_soak.py
@@ -4,6 +4,7 @@
 success is whole and the caller's own, and engines get orders from one node at a time."""
 
 import collections
+import contextlib
 import json
 import os
 import random
@@ -16,6 +17,7 @@
 import platform_fleet
 
 STEPS = int(os.environ.get("SOAK_STEPS", "24"))
+ENDING = "ends the engine"  # the body of requests that end engines
 SEEDS = [int(seed) for seed in os.environ.get("SOAK_SEEDS", "11,12").split(",")]
 PROMISES_NOT_RUN = {408, 421, 429, 503}
 CALLERS = 6
@@ -51,6 +53,23 @@
         for name in self.links:
             harness.http_call(self.control, "POST", "/control/clear", json.dumps({"link": name}))
 
+    def trouble_engine(self, rng):
+        """One seeded piece of trouble of an engine's own: it ends, or names another limit or none."""
+        engine = rng.choice(self.fleet.engines)
+        what = rng.choice(["end", "limit", "limit", "no_limit", "ending_request"])
+        if what == "end":
+            engine.end()
+        elif what == "limit":
+            engine.limit = rng.choice([0, 0.5, 3, 12.5])
+        elif what == "no_limit":
+            engine.limit = None
+        else:
+            for i in range(4):
+                with contextlib.suppress(Exception):  # a connection that ends early promises nothing
+                    self.fleet.ask(rng.choice(self.fleet.nodes), "/stream/x", f"ending-{rng.getrandbits(32)}-{i}",
+                                   headers=self.fleet.prompt(), body=ENDING, timeout=6)
+        return f"{what} {engine.name}"
+
     def call(self, number, rng):
         """One request of a caller. Records what it was told."""
         kind = rng.choice(["call", "call", "fetch", "stream"])
@@ -107,7 +126,8 @@
 
     def soak(self, seed):
         self.seed, self.over, self.answers, self.lock, self.version = seed, False, {}, threading.Lock(), 1
-        rng = random.Random(seed)
+        rng, engine_rng = random.Random(seed), random.Random(f"{seed}/engines")
+        self.fleet.ends_under.add(ENDING.encode())
         for i in range(3):
             self.fleet.node(f"n{i}", self.store_port)
         for node in self.fleet.nodes:
@@ -118,8 +138,12 @@
         story = []
         for _ in range(STEPS):
             story.append(self.trouble(rng))
+            if engine_rng.random() < 0.5:
+                story.append(self.trouble_engine(engine_rng))
             time.sleep(rng.random() * 0.5)
         self.mend()
+        for engine in self.fleet.engines:
+            engine.limit = None
         self.over = True
         for each in callers:
             each.join()
@@ -160,7 +184,7 @@
                                f"{node.name} serves after the trouble; seed {seed}: {story}")
         if self.version > 1:
             harness.wait_until(lambda: all(each.version == self.version for each in self.fleet.engines
-                                           if each.service == "llm"), f"weights are brought; seed {seed}: {story}")
+                                           if each.service == "llm" and each.state != "gone"), f"weights are brought; seed {seed}: {story}")
         served = sum(status == 200 for _, status, _ in self.answers.values())
         print(f"seed {seed}: {len(self.answers)} requests, {served} answered, {len(story)} troubles", file=sys.stderr)
         self.assertGreater(served, 0)
