--- a/include/vanilladyke/policy/backend_book.hpp
+++ b/include/vanilladyke/policy/backend_book.hpp
@@ -107,6 +107,7 @@
                                       TimePoint now);
     /// @brief The limit that a server names for all nodes together.
     [[nodiscard]] std::optional<double> limitOf(const EngineId &id) const;
+    [[nodiscard]] std::size_t limitedEngines() const;
     /// @brief Where this node sent expensive shared parts since it was asked last.
     [[nodiscard]] std::vector<PlacementNews> takePlacements();
     [[nodiscard]] bool hasPlacements() const { return !m_placements.empty(); }
--- a/src/vanilladyke/policy/backend_book.cpp
+++ b/src/vanilladyke/policy/backend_book.cpp
@@ -392,6 +392,14 @@
     return known == m_states.end() ? std::nullopt : known->second.limit.perSecond();
 }
 
+std::size_t BackendBook::limitedEngines() const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_states.begin(), m_states.end(), [](const auto &item) {
+                return item.second.limit.perSecond().has_value();
+            }));
+}
+
 void BackendBook::sawWeights(const EngineId &id, const ModelId &model, std::uint64_t version)
 {
     if (State *state = find(id)) {
--- a/src/vanilladyke/traffic/traffic_server.cpp
+++ b/src/vanilladyke/traffic/traffic_server.cpp
@@ -138,6 +138,11 @@
             status = isReady() ? 200 : 503;
         } else if (m_settings.metrics && target == "/metrics") {
             status = 200;
+            const TimePoint now = MonotonicClock::now();
+            m_state.metrics.gauge("requests_quarantined",
+                                  static_cast<double>(m_state.quarantine.held(now)));
+            m_state.metrics.gauge("engines_limited",
+                                  static_cast<double>(m_state.book.limitedEngines()));
             body = m_state.metrics.text() + (metricsText ? metricsText() : std::string());
         }
         std::string answer = "HTTP/1.1 " + std::to_string(status) + " "
