Ask an engine anew when a connection breaks a moment later

What a check of an engine showed was held for half a second: an engine that had reset one connection and ended within that time counted as alive. Now for 50 ms, which is what connections lost at the same moment need. Found by reading; linter and format of two tests besides.

--- a/include/vanilladyke/policy/backend_choice.hpp
+++ b/include/vanilladyke/policy/backend_choice.hpp
@@ -47,8 +47,8 @@
     Millis failureCost{1500}; ///< charge for a server that fails everything
     Millis silenceCost{3000}; ///< charge for a server that answers nothing
     /// Charge for one of the few requests that a server with a limit takes, while they are scarce:
-    /// left to those that have their prompt's part there. Were nothing ever sent there, nobody would
-    /// notice that the limit is over.
+    /// left to those that have their prompt's part there. Were nothing ever sent there, nobody
+    /// would notice that the limit is over.
     Millis limitedCost{40};
     // Each of these is false only where a mechanism is switched off to measure what it is worth.
     bool homesByBeginning = true;
--- a/include/vanilladyke/traffic/engine_ends.hpp
+++ b/include/vanilladyke/traffic/engine_ends.hpp
@@ -20,8 +20,9 @@
 public:
     /// An engine that lives, or a host that is reached, answers sooner from any data centre near.
     static constexpr Duration Patience = std::chrono::milliseconds(150);
-    /// What a check showed holds for others that lost the same engine at that moment.
-    static constexpr Duration ResultLife = std::chrono::milliseconds(500);
+    /// What a check showed holds for others that lost the same engine at that moment; a little
+    /// later the engine may have ended after all.
+    static constexpr Duration ResultLife = std::chrono::milliseconds(50);
 
     EngineEnds(asio::io_context &context, BackendPool &pool);
 
--- a/src/vanilladyke/policy/engine_limit_test.cpp
+++ b/src/vanilladyke/policy/engine_limit_test.cpp
@@ -14,7 +14,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const TimePoint Start{seconds(1000)};
+constexpr TimePoint Start{seconds(1000)};
 
 /// The limit's own figures: what may come in some Window, from Contact after it was named.
 constexpr Duration Window = seconds(4);
--- a/src/vanilladyke/policy/request_quarantine_test.cpp
+++ b/src/vanilladyke/policy/request_quarantine_test.cpp
@@ -13,7 +13,7 @@
 using std::chrono::minutes;
 using std::chrono::seconds;
 
-const TimePoint Start{seconds(1000)};
+constexpr TimePoint Start{seconds(1000)};
 
 RequestDigest work(std::uint64_t number)
 {
