Take an engine's token when the request leaves, not when the engine is chosen

Between the choice of an engine that names a limit and the request lies a new connection, up to half a second where the engine is slow. Requests that are chosen side by side meanwhile would all go out on one token. Found by reading; the limit is looked at again right before the send, and the request chooses anew. The test is new with the function that it tests; no run showed the fault.

--- a/include/vanilladyke/policy/backend_book.hpp
+++ b/include/vanilladyke/policy/backend_book.hpp
@@ -107,6 +107,9 @@
                                       TimePoint now);
     /// @brief The limit that a server names for all nodes together.
     [[nodiscard]] std::optional<double> limitOf(const EngineId &id) const;
+    /// @brief Whether the server's limit still has room: others may have gone there since the
+    /// choice.
+    [[nodiscard]] bool hasRoom(const EngineId &id, TimePoint now) const;
     [[nodiscard]] std::size_t limitedEngines() const;
     /// @brief Where this node sent expensive shared parts since it was asked last.
     [[nodiscard]] std::vector<PlacementNews> takePlacements();
--- a/src/vanilladyke/policy/backend_book.cpp
+++ b/src/vanilladyke/policy/backend_book.cpp
@@ -392,6 +392,12 @@
     return known == m_states.end() ? std::nullopt : known->second.limit.perSecond();
 }
 
+bool BackendBook::hasRoom(const EngineId &id, TimePoint now) const
+{
+    const auto known = m_states.find(id);
+    return known == m_states.end() || !m_rates.keepsLimits || known->second.limit.allows(0, now);
+}
+
 std::size_t BackendBook::limitedEngines() const
 {
     return static_cast<std::size_t>(
--- a/src/vanilladyke/policy/backend_book_test.cpp
+++ b/src/vanilladyke/policy/backend_book_test.cpp
@@ -56,6 +56,22 @@
     return query;
 }
 
+// Guards against requests that wait for their connections side by side and all go out on one token.
+TEST(BackendBook, ATokenThatAnotherRequestTookMeanwhileIsGone)
+{
+    BackendBook book(hereCentre, {});
+    book.setBackends(fleet(1));
+    EXPECT_TRUE(book.limitNamed(EngineId("e0"), 2, at(0)));
+    EXPECT_FALSE(book.choose(shortPrompt(1), at(10)));
+    const auto first = book.choose(shortPrompt(1), at(600));
+    const auto second = book.choose(shortPrompt(2), at(600));
+    ASSERT_TRUE(first && second);
+    EXPECT_TRUE(book.hasRoom(EngineId("e0"), at(601)));
+    book.sent(*first, shortPrompt(1), at(601));
+    EXPECT_FALSE(book.hasRoom(EngineId("e0"), at(602)));
+    EXPECT_EQ(book.limitedEngines(), 1U);
+}
+
 // Guards against calls of a plain service that are refused or sent on since each one ahead of them
 // was taken to cost 30 ms, whatever the service's calls take.
 TEST(BackendBook, ACallWithoutASlotWaitsForTheServicesOwnCalls)
