Name the digest of a request's work apart from the digest of a claim

Two types were called RequestDigest, in one namespace and one program: the new struct, and the id of a claim's request. No source included both until now, so that nothing failed to compile, and both had a std::hash: the linker was free to take either. Found when the older path was to use it.

--- a/include/vanilladyke/model/request_digest.hpp
+++ b/include/vanilladyke/model/work_digest.hpp
@@ -22,21 +22,21 @@
 };
 
 /// @brief 128 bits that name a request's work.
-struct RequestDigest
+struct WorkDigest
 {
     std::uint64_t high = 0;
     std::uint64_t low = 0;
 
-    auto operator<=>(const RequestDigest &) const = default;
+    auto operator<=>(const WorkDigest &) const = default;
     /// @return 32 hexadecimal digits
     [[nodiscard]] std::string str() const;
 };
 
 /// @return none if the text is not 32 hexadecimal digits
-[[nodiscard]] std::optional<RequestDigest> parseRequestDigest(std::string_view text);
+[[nodiscard]] std::optional<WorkDigest> parseWorkDigest(std::string_view text);
 
 /// @brief Digests of one fleet. Keyed, so that no caller can make two requests that collide.
-class RequestDigester
+class WorkDigester
 {
 public:
     /// @param fleetKey any bytes that all nodes share and no caller knows
@@ -44,7 +44,7 @@
     /// @brief Whether digests agree with those of other nodes.
     [[nodiscard]] bool isReady() const { return m_key.has_value(); }
     /// @brief Takes a millisecond for some megabytes of body. Needs a key.
-    [[nodiscard]] RequestDigest digest(const RequestWork &work) const;
+    [[nodiscard]] WorkDigest digest(const RequestWork &work) const;
 
 private:
     static constexpr std::size_t KeyBytes = 32;
@@ -56,9 +56,9 @@
 
 /// Digests are keyed hashes already.
 template <>
-struct std::hash<vanilladyke::RequestDigest>
+struct std::hash<vanilladyke::WorkDigest>
 {
-    std::size_t operator()(const vanilladyke::RequestDigest &digest) const noexcept
+    std::size_t operator()(const vanilladyke::WorkDigest &digest) const noexcept
     {
         return static_cast<std::size_t>(digest.low);
     }
--- a/include/vanilladyke/policy/request_quarantine.hpp
+++ b/include/vanilladyke/policy/request_quarantine.hpp
@@ -2,7 +2,7 @@
 
 #include "vanilladyke/base/random.hpp"
 #include "vanilladyke/base/time.hpp"
-#include "vanilladyke/model/request_digest.hpp"
+#include "vanilladyke/model/work_digest.hpp"
 
 #include <optional>
 #include <unordered_map>
@@ -50,7 +50,7 @@
         bool hadJustBegun = false;
     };
 
-    RequestDigest digest;
+    WorkDigest digest;
     std::uint64_t customer = 0;          ///< hash of its id
     std::optional<Duration> answeredAge; ///< since the last whole answer
     std::vector<End> ends;
@@ -90,21 +90,20 @@
         return m_byCustomer.contains(customer);
     }
     /// @brief Until when the request is sent to no engine; none if it may be sent.
-    [[nodiscard]] std::optional<TimePoint> heldUntil(const RequestDigest &digest,
-                                                     TimePoint now) const;
+    [[nodiscard]] std::optional<TimePoint> heldUntil(const WorkDigest &digest, TimePoint now) const;
 
     /// @brief This node saw an engine end under the request.
     /// @return whether the request is held from now on, and was not before
-    bool ended(const RequestDigest &digest, std::uint64_t customer, const EngineEnd &end);
+    bool ended(const WorkDigest &digest, std::uint64_t customer, const EngineEnd &end);
     /// @brief An engine answered the request whole. @return whether anything was held against it
-    bool answered(const RequestDigest &digest, TimePoint now);
+    bool answered(const WorkDigest &digest, TimePoint now);
     /// @brief The engine answered. If it was believed to have ended before LateAnswers, it had not.
     void engineLives(std::uint64_t engine, TimePoint now);
     /// @brief Requests that an operator let go; nothing is held against them from now on.
-    void setFreed(std::vector<RequestDigest> freed);
+    void setFreed(std::vector<WorkDigest> freed);
 
     /// @brief What another node told. @return requests that are held from now on
-    std::vector<RequestDigest> heard(const std::vector<QuarantineNews> &news, TimePoint now);
+    std::vector<WorkDigest> heard(const std::vector<QuarantineNews> &news, TimePoint now);
     /// @brief Whether there are ends that were not told yet.
     [[nodiscard]] bool hasNews() const { return m_hasNews; }
     /// @param nodes all that tell, with this one
@@ -115,7 +114,7 @@
     [[nodiscard]] std::size_t size() const { return m_requests.size(); }
     [[nodiscard]] std::size_t held(TimePoint now) const;
     /// @brief Engines that are known to have ended under the request.
-    [[nodiscard]] std::size_t endsUnder(const RequestDigest &digest) const;
+    [[nodiscard]] std::size_t endsUnder(const WorkDigest &digest) const;
 
 private:
     /// Older ends decide nothing more.
@@ -129,28 +128,28 @@
         TimePoint changedAt;
         int tellsLeft = 0;
     };
-    using Requests = std::unordered_map<RequestDigest, Request>;
+    using Requests = std::unordered_map<WorkDigest, Request>;
 
     [[nodiscard]] static bool isBeyondChance(const Request &request);
-    [[nodiscard]] std::optional<TimePoint> heldUntil(const RequestDigest &digest,
+    [[nodiscard]] std::optional<TimePoint> heldUntil(const WorkDigest &digest,
                                                      const Request &request, TimePoint now) const;
-    [[nodiscard]] bool isFreed(const RequestDigest &digest) const;
+    [[nodiscard]] bool isFreed(const WorkDigest &digest) const;
     /// @return whether the end is news
     bool add(Request &request, const EngineEnd &end);
     static void takeBack(Request &request, TimePoint answeredAt);
-    Request &requestFor(const RequestDigest &digest, std::uint64_t customer, TimePoint now);
+    Request &requestFor(const WorkDigest &digest, std::uint64_t customer, TimePoint now);
     /// Makes room for a request of the customer.
     void makeRoom(std::uint64_t customer, TimePoint now);
     void erase(Requests::iterator request);
     void forgetOld(TimePoint now);
-    [[nodiscard]] static QuarantineNews newsOf(const RequestDigest &digest, const Request &request,
+    [[nodiscard]] static QuarantineNews newsOf(const WorkDigest &digest, const Request &request,
                                                TimePoint now);
 
     std::uint64_t m_self;
     Requests m_requests;
     std::unordered_map<std::uint64_t, std::size_t> m_byCustomer;
     std::unordered_set<std::uint64_t> m_endedEngines; ///< that requests may name
-    std::vector<RequestDigest> m_freed;
+    std::vector<WorkDigest> m_freed;
     std::optional<TimePoint> m_toldAt;
     TimePoint m_forgottenAt;
     bool m_hasNews = false;
--- a/include/vanilladyke/traffic/exchange.hpp
+++ b/include/vanilladyke/traffic/exchange.hpp
@@ -42,7 +42,7 @@
     void callerLeft();
     /// @brief Takes the request back from the engine where it waits, on every open exchange that
     /// carries it.
-    static void withdrawHeld(TrafficState &state, const RequestDigest &held);
+    static void withdrawHeld(TrafficState &state, const WorkDigest &held);
 
 private:
     /// Less than this is not enough to connect, ask and answer.
@@ -88,7 +88,7 @@
     /// A server answered the request whole.
     void noteWholeAnswer();
     /// Names the work, as other nodes do; none until the fleet's key is known.
-    [[nodiscard]] std::optional<RequestDigest> digest() const;
+    [[nodiscard]] std::optional<WorkDigest> digest() const;
     [[nodiscard]] asio::awaitable<TryEnd> converse(const BackendChoice &choice,
                                                    const BackendConnectionPtr &connection);
     [[nodiscard]] asio::awaitable<TryEnd> relayEvents(const BackendChoice &choice,
--- a/include/vanilladyke/traffic/traffic_state.hpp
+++ b/include/vanilladyke/traffic/traffic_state.hpp
@@ -2,7 +2,7 @@
 
 #include "vanilladyke/base/metrics.hpp"
 #include "vanilladyke/base/random.hpp"
-#include "vanilladyke/model/request_digest.hpp"
+#include "vanilladyke/model/work_digest.hpp"
 #include "vanilladyke/policy/backend_book.hpp"
 #include "vanilladyke/policy/kept_cache_view.hpp"
 #include "vanilladyke/policy/request_quarantine.hpp"
@@ -35,7 +35,7 @@
     bool sendsAgain = true;  ///< what may be repeated, to a second server
     bool resumes = true;     ///< streams that broke off, at another server
     bool quarantines = true; ///< requests under which engines end
-    std::vector<RequestDigest> freedRequests; ///< let go by an operator
+    std::vector<WorkDigest> freedRequests; ///< let go by an operator
 };
 
 /// @brief State of the traffic thread. Only that thread touches it.
@@ -71,7 +71,7 @@
     BackendBook book;
     KeptCacheView kept;
     SecondSendBudget budget;
-    RequestDigester digester;
+    WorkDigester digester;
     RequestQuarantine quarantine;
     Random random;
     Metrics metrics;
--- a/src/vanilladyke/app/node_settings.cpp
+++ b/src/vanilladyke/app/node_settings.cpp
@@ -73,7 +73,7 @@
 }
 
 /// Requests that an operator lets go although engines ended under them.
-void readFreed(JsonReader &reader, std::vector<RequestDigest> *freed)
+void readFreed(JsonReader &reader, std::vector<WorkDigest> *freed)
 {
     if (!reader.has("freed_requests")) {
         return;
@@ -81,7 +81,7 @@
     std::vector<std::string> texts;
     reader.texts("freed_requests", &texts);
     for (const std::string &text : texts) {
-        if (const auto digest = parseRequestDigest(text)) {
+        if (const auto digest = parseWorkDigest(text)) {
             freed->push_back(*digest);
         } else {
             reader.fail("freed_requests", "no digest of 32 hexadecimal digits: " + text);
--- a/src/vanilladyke/model/request_digest.cpp
+++ b/src/vanilladyke/model/work_digest.cpp
@@ -1,4 +1,4 @@
-#include "vanilladyke/model/request_digest.hpp"
+#include "vanilladyke/model/work_digest.hpp"
 
 #include <sodium.h>
 
@@ -33,33 +33,33 @@
 
 } // namespace
 
-std::string RequestDigest::str() const
+std::string WorkDigest::str() const
 {
     return hexOf(high) + hexOf(low);
 }
 
-std::optional<RequestDigest> parseRequestDigest(std::string_view text)
+std::optional<WorkDigest> parseWorkDigest(std::string_view text)
 {
-    RequestDigest digest;
+    WorkDigest digest;
     const bool isWhole = text.size() == 2 * HexOfHalf
                          && readHex(text.substr(0, HexOfHalf), &digest.high)
                          && readHex(text.substr(HexOfHalf), &digest.low);
     return isWhole ? std::optional(digest) : std::nullopt;
 }
 
-void RequestDigester::setKey(std::string_view fleetKey)
+void WorkDigester::setKey(std::string_view fleetKey)
 {
     // A key of its own: the fleet's key also seals datagrams.
-    constexpr std::string_view Purpose = "vanilladyke request digest";
+    constexpr std::string_view Purpose = "vanilladyke work digest";
     std::array<unsigned char, KeyBytes> key{};
     crypto_generichash(key.data(), key.size(), bytesOf(Purpose), Purpose.size(), bytesOf(fleetKey),
                        std::min<std::size_t>(fleetKey.size(), crypto_generichash_KEYBYTES_MAX));
     m_key = key;
 }
 
-RequestDigest RequestDigester::digest(const RequestWork &work) const
+WorkDigest WorkDigester::digest(const RequestWork &work) const
 {
-    std::array<unsigned char, sizeof(RequestDigest)> out{};
+    std::array<unsigned char, sizeof(WorkDigest)> out{};
     crypto_generichash_state state;
     crypto_generichash_init(&state, m_key->data(), m_key->size(), out.size());
     // With the length before each field no two requests share their bytes.
@@ -71,7 +71,7 @@
         crypto_generichash_update(&state, bytesOf(field), field.size());
     }
     crypto_generichash_final(&state, out.data(), out.size());
-    RequestDigest digest;
+    WorkDigest digest;
     std::memcpy(&digest.high, out.data(), sizeof digest.high);
     std::memcpy(&digest.low, out.data() + sizeof digest.high, sizeof digest.low);
     return digest;
--- a/src/vanilladyke/model/request_digest_test.cpp
+++ b/src/vanilladyke/model/work_digest_test.cpp
@@ -1,4 +1,4 @@
-#include "vanilladyke/model/request_digest.hpp"
+#include "vanilladyke/model/work_digest.hpp"
 
 #include <gtest/gtest.h>
 
@@ -8,10 +8,10 @@
 
 // Copies under other ids and at other nodes have to be recognized; other work must not be taken for
 // them.
-TEST(RequestDigest, NamesTheWorkAndNothingElse)
+TEST(WorkDigest, NamesTheWorkAndNothingElse)
 {
-    RequestDigester here;
-    RequestDigester there;
+    WorkDigester here;
+    WorkDigester there;
     EXPECT_FALSE(here.isReady());
     here.setKey("key of the fleet");
     there.setKey("key of the fleet");
@@ -30,13 +30,13 @@
     EXPECT_NE(here.digest(work), there.digest(work));
 }
 
-TEST(RequestDigest, IsReadAsItIsWritten)
+TEST(WorkDigest, IsReadAsItIsWritten)
 {
-    const RequestDigest digest{0x0123456789abcdefULL, 7};
+    const WorkDigest digest{0x0123456789abcdefULL, 7};
     EXPECT_EQ(digest.str(), "0123456789abcdef0000000000000007");
-    EXPECT_EQ(parseRequestDigest(digest.str()), digest);
-    EXPECT_FALSE(parseRequestDigest("0123"));
-    EXPECT_FALSE(parseRequestDigest("0123456789abcdef000000000000000x"));
+    EXPECT_EQ(parseWorkDigest(digest.str()), digest);
+    EXPECT_FALSE(parseWorkDigest("0123"));
+    EXPECT_FALSE(parseWorkDigest("0123456789abcdef000000000000000x"));
 }
 
 } // namespace
--- a/src/vanilladyke/node/load_sharing.cpp
+++ b/src/vanilladyke/node/load_sharing.cpp
@@ -290,7 +290,7 @@
     for (const wire::QuarantinedRequest &each : message.quarantined()) {
         news.push_back(read(each));
     }
-    for (const RequestDigest &held : m_state.quarantine.heard(news, now)) {
+    for (const WorkDigest &held : m_state.quarantine.heard(news, now)) {
         Exchange::withdrawHeld(m_state, held);
     }
 }
--- a/src/vanilladyke/policy/request_quarantine.cpp
+++ b/src/vanilladyke/policy/request_quarantine.cpp
@@ -20,19 +20,18 @@
     return justBegun >= EndsJustBegun || request.ends.size() >= EndsInAll;
 }
 
-bool RequestQuarantine::isFreed(const RequestDigest &digest) const
+bool RequestQuarantine::isFreed(const WorkDigest &digest) const
 {
     return std::find(m_freed.begin(), m_freed.end(), digest) != m_freed.end();
 }
 
-std::optional<TimePoint> RequestQuarantine::heldUntil(const RequestDigest &digest,
-                                                      TimePoint now) const
+std::optional<TimePoint> RequestQuarantine::heldUntil(const WorkDigest &digest, TimePoint now) const
 {
     const auto known = m_requests.find(digest);
     return known == m_requests.end() ? std::nullopt : heldUntil(digest, known->second, now);
 }
 
-std::optional<TimePoint> RequestQuarantine::heldUntil(const RequestDigest &digest,
+std::optional<TimePoint> RequestQuarantine::heldUntil(const WorkDigest &digest,
                                                       const Request &request, TimePoint now) const
 {
     if (!isBeyondChance(request) || isFreed(digest)) {
@@ -76,7 +75,7 @@
     std::erase_if(request.ends, [&](const EngineEnd &end) { return end.at <= answeredAt; });
 }
 
-RequestQuarantine::Request &RequestQuarantine::requestFor(const RequestDigest &digest,
+RequestQuarantine::Request &RequestQuarantine::requestFor(const WorkDigest &digest,
                                                           std::uint64_t customer, TimePoint now)
 {
     const auto known = m_requests.find(digest);
@@ -144,7 +143,7 @@
     }
 }
 
-bool RequestQuarantine::ended(const RequestDigest &digest, std::uint64_t customer,
+bool RequestQuarantine::ended(const WorkDigest &digest, std::uint64_t customer,
                               const EngineEnd &end)
 {
     Request &request = requestFor(digest, customer, end.at);
@@ -156,7 +155,7 @@
     return !wasHeld && heldUntil(digest, request, end.at).has_value();
 }
 
-bool RequestQuarantine::answered(const RequestDigest &digest, TimePoint now)
+bool RequestQuarantine::answered(const WorkDigest &digest, TimePoint now)
 {
     const auto known = m_requests.find(digest);
     if (known == m_requests.end() || known->second.ends.empty()) {
@@ -180,15 +179,15 @@
     }
 }
 
-void RequestQuarantine::setFreed(std::vector<RequestDigest> freed)
+void RequestQuarantine::setFreed(std::vector<WorkDigest> freed)
 {
     m_freed = std::move(freed);
 }
 
-std::vector<RequestDigest> RequestQuarantine::heard(const std::vector<QuarantineNews> &news,
-                                                    TimePoint now)
+std::vector<WorkDigest> RequestQuarantine::heard(const std::vector<QuarantineNews> &news,
+                                                 TimePoint now)
 {
-    std::vector<RequestDigest> nowHeld;
+    std::vector<WorkDigest> nowHeld;
     for (const QuarantineNews &each : news) {
         Request &request = requestFor(each.digest, each.customer, now);
         const bool wasHeld = heldUntil(each.digest, request, now).has_value();
@@ -205,7 +204,7 @@
     return nowHeld;
 }
 
-QuarantineNews RequestQuarantine::newsOf(const RequestDigest &digest, const Request &request,
+QuarantineNews RequestQuarantine::newsOf(const WorkDigest &digest, const Request &request,
                                          TimePoint now)
 {
     QuarantineNews news{digest, request.customer, std::nullopt, {}};
@@ -260,7 +259,7 @@
             }));
 }
 
-std::size_t RequestQuarantine::endsUnder(const RequestDigest &digest) const
+std::size_t RequestQuarantine::endsUnder(const WorkDigest &digest) const
 {
     const auto known = m_requests.find(digest);
     return known == m_requests.end() ? 0 : known->second.ends.size();
--- a/src/vanilladyke/policy/request_quarantine_test.cpp
+++ b/src/vanilladyke/policy/request_quarantine_test.cpp
@@ -15,7 +15,7 @@
 
 constexpr TimePoint Start{seconds(1000)};
 
-RequestDigest work(std::uint64_t number)
+WorkDigest work(std::uint64_t number)
 {
     return {number, number * 31};
 }
@@ -219,11 +219,11 @@
     static constexpr std::size_t Nodes = 9;
     static constexpr std::size_t Engines = 9;
     static constexpr Duration Step = milliseconds(10);
-    static constexpr RequestDigest Killer{1, 1};
+    static constexpr WorkDigest Killer{1, 1};
 
     struct Running
     {
-        RequestDigest digest;
+        WorkDigest digest;
         std::size_t node = 0;
         std::size_t engine = 0;
         TimePoint begins;
@@ -235,7 +235,7 @@
     bool chance(double part) { return uniform(m_random) < part; }
     std::uint64_t idOf(std::size_t engine) const { return 100 * m_lives[engine] + engine; }
 
-    void send(RequestDigest digest, std::size_t node, int sends, int attempt, TimePoint now)
+    void send(WorkDigest digest, std::size_t node, int sends, int attempt, TimePoint now)
     {
         std::vector<std::size_t> live;
         for (std::size_t i = 0; i < Engines; ++i) {
@@ -256,7 +256,7 @@
         m_result.late += digest == Killer && isLate ? 1 : 0;
     }
 
-    void arrive(RequestDigest digest, int attempt, TimePoint now)
+    void arrive(WorkDigest digest, int attempt, TimePoint now)
     {
         const std::size_t node = uniformBelow(m_random, Nodes);
         const bool isHeld = m_nodes[node].heldUntil(digest, now).has_value();
--- a/src/vanilladyke/traffic/exchange.cpp
+++ b/src/vanilladyke/traffic/exchange.cpp
@@ -399,7 +399,7 @@
     if (!m_engineEnded) {
         co_return;
     }
-    const RequestDigest name = *digest();
+    const WorkDigest name = *digest();
     const EngineEnd engineEnd{BackendBook::hashOf(engine), now, hadJustBegun};
     m_state.metrics.count("engine_ends_under_requests_total");
     if (m_state.quarantine.ended(name, customerHash(), engineEnd)) {
@@ -408,7 +408,7 @@
     m_state.tellPeers();
 }
 
-void Exchange::withdrawHeld(TrafficState &state, const RequestDigest &held)
+void Exchange::withdrawHeld(TrafficState &state, const WorkDigest &held)
 {
     int withdrawn = 0;
     for (Exchange *const each : *state.openExchanges) {
@@ -451,7 +451,7 @@
     m_state.tellPeers();
 }
 
-std::optional<RequestDigest> Exchange::digest() const
+std::optional<WorkDigest> Exchange::digest() const
 {
     if (!m_state.digester.isReady()) {
         return std::nullopt;
