Send a request under which engines end to no engine any more on the own interface, too

The same cause elsewhere: under `serve`, a conversation goes on at another engine for free when its engine is gone, as often as a frame came meanwhile or twelve times without, and a copy begins anew. Seen with a stand-in that learned to crash when it begins a request with a given text: three sends of one request ended 23 engine lives at five engines; each started again under it.

QuarantineDesk puts the same policy behind a lock for all conversations of a node. An engine ended if its connection broke and the next attempt there found nobody, another incarnation, or a stream that it does not know.

Nodes of the own interface don't tell each other: each loses two engines by itself.

--- a/include/vanilladyke/gateway/traffic_control.hpp
+++ b/include/vanilladyke/gateway/traffic_control.hpp
@@ -4,6 +4,7 @@
 #include "vanilladyke/gateway/admission_control.hpp"
 #include "vanilladyke/gateway/engine_slots.hpp"
 #include "vanilladyke/gateway/placer.hpp"
+#include "vanilladyke/gateway/quarantine_desk.hpp"
 #include "vanilladyke/policy/retry_budget.hpp"
 
 #include <mutex>
@@ -49,6 +50,7 @@
     EngineSlots engines;
     Placer placer;
     SharedRetryBudgets retries;
+    QuarantineDesk quarantine;
     AdmissionControl admission;
 };
 
--- a/src/vanilladyke/gateway/conversation.cpp
+++ b/src/vanilladyke/gateway/conversation.cpp
@@ -122,6 +122,9 @@
 /// Begins a stream on an engine that is placed anew. @return a refusal if there is no hope of one
 std::optional<Refusal> Conversation::chooseEngine(TimePoint now)
 {
+    if (auto refusal = refuseHeld(now)) {
+        return refusal;
+    }
     const std::shared_ptr<const Fleet> fleet = m_environment.fleet.current();
     EngineSlots &slots = m_environment.control.engines;
     std::vector<EngineId> closed = slots.closedFor(m_context.model, *fleet, m_excluded, now);
@@ -137,6 +140,8 @@
                        slots.firstReturn(m_context.model, *fleet, now)};
     }
     m_call.engine = placed->engine;
+    m_firstFrameAt.reset();
+    m_brokenOff.reset();
     m_use = std::make_unique<EngineUse>(slots, m_call.engine.id, m_context.model);
     m_work = std::move(placed->work);
     m_predictedFirstToken = placed->firstToken;
@@ -239,6 +244,11 @@
     if (m_context.slot && frame.end) {
         m_context.slot->completed();
     }
+    if (frame.end) {
+        m_environment.control.quarantine.answered(m_context, now);
+    }
+    m_firstFrameAt = m_firstFrameAt.value_or(now);
+    m_brokenOff.reset();
     if (m_work) {
         teachPlacement(frame);
     }
@@ -306,12 +316,46 @@
             .field("next", toString(step));
 }
 
+/// A broken connection alone shows no end: the engine must be another one or nobody afterwards.
+void Conversation::noteEngineEnd(const ExchangeFailure &why, TimePoint now)
+{
+    if (why.error == ExchangeError::Reset && !m_brokenOff) {
+        const bool hadJustBegun =
+                !m_firstFrameAt || now - *m_firstFrameAt < RequestQuarantine::JustBegun;
+        m_brokenOff = BrokenOff{now, hadJustBegun};
+    }
+    const bool isNobodyThere = why.error == ExchangeError::ConnectFailed
+                               || why.error == ExchangeError::Rejected
+                               || why.error == ExchangeError::Mismatch;
+    if (m_brokenOff && (isNobodyThere || !engineLives())) {
+        m_environment.control.quarantine.engineEnded(m_context, m_call.engine, *m_brokenOff);
+        m_brokenOff.reset();
+    }
+}
+
+std::optional<Refusal> Conversation::refuseHeld(TimePoint now)
+{
+    const auto until = m_environment.control.quarantine.heldUntil(m_context, now);
+    if (!until) {
+        return std::nullopt;
+    }
+    Refusal refusal = giveUp("engines ended when they ran this request");
+    refusal.reason = RefusalReason::EndsEngines;
+    refusal.retryAt = until;
+    return refusal;
+}
+
 /// The attempt under way is over. @return the refusal that ends the conversation, if it must end
 std::optional<Refusal> Conversation::breakOff(const ExchangeFailure &why)
 {
     const TimePoint now = MonotonicClock::now();
     m_state.apply(eventOf(why.error));
     observe(true, {});
+    noteEngineEnd(why, now);
+    if (auto refusal = refuseHeld(now)) {
+        logAttemptEnd(why, RecoveryStep::GiveUp);
+        return refusal;
+    }
     if (m_progress) {
         m_giveUpAt = now + RescueWithin;
     } else {
--- a/src/vanilladyke/gateway/conversation.hpp
+++ b/src/vanilladyke/gateway/conversation.hpp
@@ -70,6 +70,10 @@
     void noteFrame(const StreamFrame &frame);
     void teachPlacement(const StreamFrame &frame);
     void observe(bool failed, Duration took) const;
+    /// @brief Notes whether the engine ended under the request.
+    void noteEngineEnd(const ExchangeFailure &why, TimePoint now);
+    /// @return why the request is sent to no engine, if it is held
+    [[nodiscard]] std::optional<Refusal> refuseHeld(TimePoint now);
     void logAttemptEnd(const ExchangeFailure &why, RecoveryStep step) const;
     [[nodiscard]] TimePoint silentAt() const;
     [[nodiscard]] bool engineLives() const;
@@ -90,6 +94,8 @@
     Duration m_predictedFirstToken{};
     TimePoint m_attemptedAt;
     std::vector<EngineId> m_excluded;
+    std::optional<TimePoint> m_firstFrameAt; ///< from the engine of the stream under way
+    std::optional<BrokenOff> m_brokenOff;    ///< that engine, and nothing came from it since
     std::uint32_t m_fruitlessHere = 0;
     std::uint32_t m_fruitless = 0;
     bool m_progress = false; ///< the attempt under way has brought a frame
--- /dev/null
+++ b/src/vanilladyke/gateway/quarantine_desk.cpp
@@ -0,0 +1,71 @@
+#include "vanilladyke/gateway/quarantine_desk.hpp"
+
+#include "vanilladyke/base/log.hpp"
+#include "vanilladyke/base/random.hpp"
+
+namespace vanilladyke {
+
+namespace {
+
+/// Differs between lives of one engine.
+std::uint64_t lifeOf(const EngineView &engine)
+{
+    const auto incarnation = static_cast<std::uint64_t>(engine.incarnation);
+    return hashOfName(engine.id.str() + "/" + std::to_string(incarnation));
+}
+
+std::uint64_t hashOf(const CustomerId &customer)
+{
+    return hashOfName(customer.str());
+}
+
+} // namespace
+
+QuarantineDesk::QuarantineDesk()
+{
+    std::string key;
+    for (int i = 0; i < 4; ++i) {
+        key += std::to_string(entropySeed()) + "/";
+    }
+    m_digester.setKey(key);
+}
+
+WorkDigest QuarantineDesk::digestOf(const RequestContext &context) const
+{
+    return m_digester.digest({context.customer.str(), "POST", "", context.path, context.body});
+}
+
+std::optional<TimePoint> QuarantineDesk::heldUntil(const RequestContext &context,
+                                                   TimePoint now) const
+{
+    const std::lock_guard lock(m_mutex);
+    const bool mayBeHeld = m_quarantine.concerns(hashOf(context.customer));
+    return mayBeHeld ? m_quarantine.heldUntil(digestOf(context), now) : std::nullopt;
+}
+
+void QuarantineDesk::engineEnded(const RequestContext &context, const EngineView &engine,
+                                 const BrokenOff &brokenOff)
+{
+    const WorkDigest digest = digestOf(context);
+    const std::lock_guard lock(m_mutex);
+    const bool isHeld = m_quarantine.ended(digest, hashOf(context.customer),
+                                           {lifeOf(engine), brokenOff.at, brokenOff.hadJustBegun});
+    LogEvent("engine_ended_under_request", Severity::Warning)
+            .field("request", context.id.str())
+            .field("engine", engine.id.str())
+            .field("digest", digest.str())
+            .field("just_begun", brokenOff.hadJustBegun)
+            .field("engines_ended", m_quarantine.endsUnder(digest))
+            .field("held", isHeld);
+}
+
+void QuarantineDesk::answered(const RequestContext &context, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    const bool mayBeSuspected = m_quarantine.concerns(hashOf(context.customer));
+    if (mayBeSuspected && m_quarantine.answered(digestOf(context), now)) {
+        LogEvent("request_cleared").field("request", context.id.str());
+    }
+}
+
+} // namespace vanilladyke
--- a/tests/integration/streams.py
+++ b/tests/integration/streams.py
@@ -170,6 +170,27 @@
         error = json.loads(body.split("event: error\ndata: ")[1].splitlines()[0])["error"]
         self.assertEqual(error["ran"], "unknown")
 
+    def test_a_request_that_ends_engines_is_not_sent_on_and_on(self):
+        """A request crashes each engine that begins it, and its caller comes again. The node would take
+        one engine after the other for it, and all that runs there."""
+        self.start(engines=5)
+        for port in self.ports:
+            harness.faults(port, crash_under="ends engines", crash_down_ms=3000)
+        answers = []
+        for _ in range(3):
+            response = harness.open_stream(self.nodes[0].port, "this ends engines", 20).getresponse()
+            answers.append(response.read().decode())
+        lost = [run for port in self.ports for run in self.runs_once_up(port) if run["state"] == "lost"]
+        self.assertLessEqual(len(lost), 2, answers)
+        error = json.loads(answers[-1])["error"]
+        self.assertEqual((error["reason"], error["ran"]), ("ends_engines", "no"))
+        self.assert_whole(self.open(tokens=20), tokens=20)
+
+    @staticmethod
+    def runs_once_up(port):
+        harness.wait_until(lambda: harness.http_call(port, "GET", "/control/log")[0] == 200, "the engine is back")
+        return harness.runs(port)
+
 
 if __name__ == "__main__":
     harness.main()
--- a/tests/standins/engine.cpp
+++ b/tests/standins/engine.cpp
@@ -15,6 +15,7 @@
 #include <atomic>
 #include <csignal>
 #include <functional>
+#include <thread>
 
 using namespace standin;
 
@@ -31,6 +32,8 @@
     std::uint32_t stray = 0; ///< frames of the exchange before, put in among the right ones
     std::uint32_t cutAt = 0;
     std::uint32_t cutCount = 0;
+    std::string crashUnder; ///< text in a request's body; empty: none
+    Milliseconds crashDown{300};
 };
 
 /// One connection that reads a stream.
@@ -121,6 +124,12 @@
     stream->start = stream->produced = start;
     stream->wanted = start + body.value("max_tokens", 16U);
     m_batch.add(stream);
+    if (!m_faults.crashUnder.empty()
+        && request.body.find(m_faults.crashUnder) != std::string::npos) {
+        std::thread([this, down = m_faults.crashDown] {
+            setFaults({{"crash", true}, {"down_ms", down.count()}});
+        }).detach();
+    }
     return stream;
 }
 
@@ -248,6 +257,7 @@
 
 /// {"crash":true,"down_ms":T} {"freeze_ms":T, -1 for good} {"slow":F} {"cross":N} {"stray":N}
 /// {"drop_events":N} {"cut_at":TOKEN,"cut_count":N} {"refuse_ms":T}
+/// {"crash_under":TEXT,"crash_down_ms":T}: crashes when it begins a request whose body has the text
 void Engine::setFaults(const nlohmann::json &faults)
 {
     const int freeze = faults.value("freeze_ms", 0);
@@ -263,6 +273,9 @@
         }
         m_batch.slowness = faults.value("slow", m_batch.slowness);
         m_batch.cache.dropEvents(faults.value("drop_events", 0U));
+        m_faults.crashUnder = faults.value("crash_under", m_faults.crashUnder);
+        m_faults.crashDown =
+                Milliseconds(faults.value("crash_down_ms", m_faults.crashDown.count()));
         m_faults.cross = faults.value("cross", m_faults.cross);
         m_faults.stray = faults.value("stray", m_faults.stray);
         if (faults.contains("cut_at")) {
