Log by what age new weights are dated, and how long a request's weights had left when it was sent

Cause: requests began on weights whose time was over, at nodes that were well and whose clocks were right.

No decision changes.

--- a/include/vanilladyke/node/state_follower.hpp
+++ b/include/vanilladyke/node/state_follower.hpp
@@ -93,7 +93,9 @@
     /// Why this node reads the topic itself.
     [[nodiscard]] CallCause whyRead(const Topic &topic) const;
     /// @param age how long ago the record was written, at most
-    void applyOperator(std::uint64_t offset, const std::string &record, Duration age);
+    /// @param by who told of it, for the log
+    void applyOperator(std::uint64_t offset, const std::string &record, Duration age,
+                       std::string_view by);
     void applyBackend(std::uint64_t offset, std::string record);
     void proveOperator(TimePoint at);
     void take(const SharedNews &news, TimePoint askedAt);
--- a/include/vanilladyke/traffic/exchange.hpp
+++ b/include/vanilladyke/traffic/exchange.hpp
@@ -143,6 +143,7 @@
     std::optional<TimePoint> m_firstByteAt;
     NoBackend m_none;
     std::optional<BackendChoice> m_choice; ///< of the last try
+    std::optional<Duration> m_weightsLeft; ///< at the last try, if newer weights were named
     int m_sends = 0;                       ///< requests that reached a server
     int m_runs = 0;                        ///< of them, those that may have run
     int m_status = 0;
--- a/src/vanilladyke/node/control_plane.cpp
+++ b/src/vanilladyke/node/control_plane.cpp
@@ -54,6 +54,11 @@
         });
     };
     news.aged = [this](const WeightsAge &weights) {
+        LogEvent("weights_dated")
+                .field("model", weights.model.str())
+                .field("version", weights.version)
+                .field("by", "lease")
+                .field("age_ms", weights.age);
         tell([weights](TrafficState &traffic) {
             traffic.book.setGoal(weights.model, weights.version,
                                  MonotonicClock::now() - weights.age);
@@ -127,6 +132,11 @@
     // A node that has just started can't tell how long ago; half of the time allowed is a guess
     // that neither closes all engines on older weights at once nor keeps them open too long.
     const Duration old = age.value_or(m_traffic.settings.rates.weightsTime / 2);
+    LogEvent("weights_dated")
+            .field("model", model.str())
+            .field("version", version)
+            .field("by", age ? "record" : "guess")
+            .field("age_ms", old);
     tell([model, version, old](TrafficState &traffic) {
         traffic.book.setGoal(model, version, MonotonicClock::now() - old);
     });
--- a/src/vanilladyke/node/state_follower.cpp
+++ b/src/vanilladyke/node/state_follower.cpp
@@ -241,7 +241,7 @@
             m_operator.mustRead = true;
             return;
         }
-        applyOperator(change.offset, *record, age);
+        applyOperator(change.offset, *record, age, "peer");
         m_operator.next = change.offset + 1;
     }
     m_operator.next = news.next;
@@ -332,7 +332,7 @@
     backOff.succeeded();
     for (std::uint64_t offset = from; offset < next; ++offset) {
         if (offset >= m_operator.next) { // another node may have told of it meanwhile
-            applyOperator(offset, page->records[offset - from], age);
+            applyOperator(offset, page->records[offset - from], age, "store");
         }
     }
     m_operator.mustRead = false;
@@ -343,9 +343,16 @@
     }
 }
 
-void StateFollower::applyOperator(std::uint64_t offset, const std::string &record, Duration age)
+void StateFollower::applyOperator(std::uint64_t offset, const std::string &record, Duration age,
+                                  std::string_view by)
 {
     const auto keyed = m_translator.split(record);
+    LogEvent("operator_record")
+            .field("key", keyed ? keyed->key : std::string("unreadable"))
+            .field("offset", offset)
+            .field("by", by)
+            .field("age_ms", age)
+            .field("proof_age_ms", BootClock::now() - m_operator.provedAt);
     if (keyed) {
         m_translator.applyOperator(*keyed, age, m_listener);
     }
--- a/src/vanilladyke/traffic/exchange.cpp
+++ b/src/vanilladyke/traffic/exchange.cpp
@@ -334,6 +334,8 @@
     m_firstByteAt.reset();
     m_connection = connection;
     const BackendQuery asked = query();
+    const auto weightsEnd = m_state.book.weightsEnd(choice.backend.id, m_request.model);
+    m_weightsLeft = weightsEnd ? std::optional(*weightsEnd - now) : std::nullopt;
     m_state.book.sent(choice, asked, now);
     if (m_state.book.limitOf(choice.backend.id)) {
         m_state.metrics.count("requests_to_limited_engines_total");
