Date new weights by the last proof, however promptly the store answers as a rule

Cause: `StateFollower::readOperator` took a record for 0.2 s old if the call that brought it followed another one at once. The store may pass a waiting call over: it takes no notice of it while it writes the record, and answers at the end of the wait, with the record in the answer. The record was 1.7 s old then. The margins against late news, 1.5 s for choices and 0.8 s for what waits, are smaller than that.

Change: all that had been written before the last proof is known, so what comes now is younger than that; nothing else is sure, and the age is dated so. The same in a listing by a node that followed the records before, which only guessed half of the time allowed. Engines on old weights are closed up to one wait sooner than they have to be.

Tests that failed before: StateFollowerTest.WhatAnAnswerBringsLateIsDatedByTheLastProof, StateFollowerTest.WhatAListingBringsToANodeThatFollowedIsDatedByTheLastProof.

--- a/include/vanilladyke/node/state_follower.hpp
+++ b/include/vanilladyke/node/state_follower.hpp
@@ -121,7 +121,6 @@
     Topic m_operator;
     Topic m_backends;
     TimePoint m_listedAt = TimePoint(); ///< when the operator's records were
-    TimePoint m_answeredAt;             ///< the last call for the operator's records
     bool m_stopped = false;
 };
 
--- a/src/vanilladyke/node/state_follower.cpp
+++ b/src/vanilladyke/node/state_follower.cpp
@@ -23,8 +23,6 @@
 /// Of the same time: what was just listed is young enough. Meanwhile a node that starts finds
 /// others that read the store already.
 constexpr double SettlePart = 0.4;
-/// What a record needs at most from being written to a call that waits for it.
-constexpr Duration PromptAnswer = std::chrono::milliseconds(200);
 /// Entries are written at each heartbeat, so that waiting for one would be a call for each. Of the
 /// time in which a leaving server has to be known; the rest is for one call that is not answered.
 constexpr double BackendsPart = 0.42;
@@ -286,14 +284,17 @@
     if (!newest) {
         co_return false;
     }
+    // A node that followed the records before knows that what it finds now is younger.
+    const bool hasProof = m_operator.provedAt != TimePoint::min();
+    const auto age =
+            hasProof ? std::optional(BootClock::now() - m_operator.provedAt) : std::nullopt;
     m_operator.next = newest->end;
     m_operator.relay.restartWithAll(newest->end);
     for (const KeyedRecord &record : newest->items) {
-        m_translator.applyOperator(record, std::nullopt, m_listener);
+        m_translator.applyOperator(record, age, m_listener);
         m_operator.relay.changed(record.offset, packRecord(m_translator.join(record)), record.key);
     }
     m_listedAt = sentAt;
-    m_answeredAt = BootClock::now();
     proveOperator(sentAt);
     co_return true;
 }
@@ -324,11 +325,9 @@
         co_return;
     }
     const std::uint64_t next = from + page->records.size();
-    // The store answers at once, unless calls before this one failed or this node was not waiting
-    // for it: then a record may be as old as the last proof.
-    const bool isPrompt = !backOff.down() && sentAt - m_answeredAt <= PromptAnswer;
-    const Duration age = isPrompt ? PromptAnswer : BootClock::now() - m_operator.provedAt;
-    m_answeredAt = BootClock::now();
+    // All that was written before the last proof is known: what comes now is younger. That is all
+    // that is sure, however promptly the store answers as a rule.
+    const Duration age = BootClock::now() - m_operator.provedAt;
     backOff.succeeded();
     for (std::uint64_t offset = from; offset < next; ++offset) {
         if (offset >= m_operator.next) { // another node may have told of it meanwhile
--- a/src/vanilladyke/node/state_follower_test.cpp
+++ b/src/vanilladyke/node/state_follower_test.cpp
@@ -38,12 +38,27 @@
                                                           Duration wait) override
     {
         ++calls;
+        if (wait > Duration::zero()) {
+            ++waitsBegun;
+            waits.insert(wait);
+        } else if (failsPlainReads && topic == StateTopic::Operator) {
+            co_return failure(StoreError::Unavailable);
+        }
+        const bool isThere = topics[topic].size() > from;
         const TimePoint until = MonotonicClock::now() + wait;
-        while (topics[topic].size() == from && MonotonicClock::now() < until) {
+        ++waiting;
+        const auto waitsOn = [&] {
+            return leavesOut || (!isThere && (topics[topic].size() == from || passesOver));
+        };
+        while (waitsOn() && MonotonicClock::now() < until) {
             asio::steady_timer timer(m_context, milliseconds(20));
             ErrorCode ignored;
             co_await timer.async_wait(into(ignored));
         }
+        --waiting;
+        if (leavesOut && wait > Duration::zero()) {
+            co_return RecordPage{from, {}};
+        }
         while (isSilent) {
             asio::steady_timer timer(m_context, milliseconds(100));
             ErrorCode ignored;
@@ -52,6 +67,10 @@
         if (isDown) {
             co_return failure(StoreError::Unavailable);
         }
+        if (isExpired && topic == StateTopic::Operator) {
+            isExpired = false;
+            co_return failure(StoreError::Expired);
+        }
         RecordPage page;
         page.end = topics[topic].size();
         page.records.assign(topics[topic].begin() + static_cast<std::ptrdiff_t>(from),
@@ -73,7 +92,14 @@
     std::map<StateTopic, std::vector<std::string>> topics;
     int calls = 0;
     bool isDown = false;
-    bool isSilent = false; ///< no read is answered any more
+    bool isSilent = false;        ///< no read is answered any more
+    bool passesOver = false;      ///< a call that waits is not told of a record before its end
+    bool leavesOut = false;       ///< nor then
+    bool isExpired = false;       ///< the next read of the operator's records comes too late
+    bool failsPlainReads = false; ///< calls for the operator's records that don't wait
+    int waiting = 0;              ///< calls that wait now
+    int waitsBegun = 0;           ///< calls that were to wait
+    std::set<Duration> waits;     ///< how long calls were to wait
 
 private:
     asio::io_context &m_context;
@@ -329,6 +355,35 @@
     EXPECT_LE(m_askingListener.writtenAt, proved + Applying);
 }
 
+// The store took no notice of a call that began while the record was written, and answered at its
+// end. Taken for young, the record lets requests begin on old weights after their time is over.
+TEST_F(StateFollowerTest, WhatAnAnswerBringsLateIsDatedByTheLastProof)
+{
+    m_store.passesOver = true;
+    m_reader.start();
+    // The call follows another one at once, as in a node that has run for a while.
+    ASSERT_TRUE(reach([this] { return m_store.waitsBegun > 1 && m_store.waiting > 0; }));
+    const TimePoint before = BootClock::now();
+    m_store.topics[StateTopic::Operator].push_back("version=2");
+    ASSERT_TRUE(reach([this] { return m_readerListener.named > 0; }));
+    EXPECT_LE(m_readerListener.writtenAt, before);
+    EXPECT_GT(m_readerListener.writtenAt, TimePoint::min());
+}
+
+// The history was dropped while weights were named. The node has followed the records until then;
+// taken for one that knows nothing of their age, it would only guess.
+TEST_F(StateFollowerTest, WhatAListingBringsToANodeThatFollowedIsDatedByTheLastProof)
+{
+    m_reader.start();
+    ASSERT_TRUE(reach([this] { return m_store.waiting > 0; }));
+    const TimePoint before = BootClock::now();
+    m_store.topics[StateTopic::Operator].push_back("version=2");
+    m_store.isExpired = true;
+    ASSERT_TRUE(reach([this] { return m_readerListener.named > 0; }));
+    EXPECT_LE(m_readerListener.writtenAt, before);
+    EXPECT_GT(m_readerListener.writtenAt, TimePoint::min());
+}
+
 // Nodes that start together would otherwise each list, write and list again.
 TEST_F(StateFollowerTest, ANodeThatKnowsOthersListsThemOnce)
 {
