Read at once what another node knows when the store passes a call over; spread the waits

What callers see: a change of the configuration, a key that was taken away or new weights are known at one node up to 1.7 s later than at all others. With the 2 s in which a change has to be in force, 0.3 s are left.

Cause: the store passes a waiting call over if it began a few milliseconds before a record is written, and answers it at its end.

Change: each datagram to other nodes carries the offset up to which the operator's records are known (3 bytes). A node that hears of a higher one while a call of its own waits gives that call 150 ms and then reads, on a connection of its own. Until it has read, its own answers prove nothing: an answer that leaves a record out must not stand for the age of keys. An offset that the store itself refutes is forgotten and logged. Waits are drawn from 0.8 to 1 of their length. New log line `operator_wait_passed_over`, new cause `peer_knows_more` of store calls.

--- a/include/vanilladyke/node/load_sharing.hpp
+++ b/include/vanilladyke/node/load_sharing.hpp
@@ -38,6 +38,8 @@
     void setPeers(const std::vector<Endpoint> &peers);
     void setKey(std::string key) { m_port.setKey(std::move(key)); }
     HeardNode heardNode = [](std::uint64_t, std::uint64_t, const Endpoint &) {};
+    /// @brief Another node knows the operator's records up to a higher offset than any before it.
+    std::function<void(std::uint64_t)> heardOperatorNext = [](std::uint64_t) {};
     /// @brief Sends if it is time to.
     void step(TimePoint now);
     /// @brief Sends at the next step, at most as often as news of placements: an engine's state
@@ -75,6 +77,7 @@
     std::unordered_map<std::uint64_t, Heard> m_heard;
     TimePoint m_nextAt;
     TimePoint m_toldAt;
+    std::uint64_t m_heardOperatorNext = 0;
     bool m_hasUrgentNews = false;
 };
 
--- a/include/vanilladyke/node/record_store.hpp
+++ b/include/vanilladyke/node/record_store.hpp
@@ -56,7 +56,8 @@
     FleetKey, ///< with which nodes sign what they tell each other
 };
 
-/// @brief Calls of the store; each topic has a connection of its own.
+/// @brief Calls of the store; each topic has a connection of its own, and calls for the operator's
+/// records that don't wait have another one, beside the call that does.
 class RecordStore
 {
 public:
--- a/include/vanilladyke/node/state_follower.hpp
+++ b/include/vanilladyke/node/state_follower.hpp
@@ -6,6 +6,8 @@
 #include "vanilladyke/policy/reading_turn.hpp"
 #include "vanilladyke/policy/record_relay.hpp"
 
+#include <atomic>
+
 namespace vanilladyke {
 
 /// @brief What a node says of itself to others.
@@ -54,6 +56,11 @@
     /// @brief How to ask other nodes; until then this node reads for itself.
     void setAskPeer(AskPeer ask) { m_ask = std::move(ask); }
     void heardNode(std::uint64_t node, std::uint64_t dataCentre, const Endpoint &endpoint);
+    /// @brief Another node knows the operator's records up to this offset. If a call of this node's
+    /// own that waits for them was passed over, it is not waited for.
+    void heardOperatorNext(std::uint64_t next);
+    /// @brief Up to which offset this node knows the operator's records. From any thread.
+    [[nodiscard]] std::uint64_t operatorNext() const { return m_operatorNext; }
     /// @brief This node's place among those that stand by for what one node does for all, the
     /// first has 0. @return none if it is not among them
     [[nodiscard]] std::optional<std::size_t> standbyRank() const;
@@ -98,6 +105,11 @@
                        std::string_view by);
     void applyBackend(std::uint64_t offset, std::string record);
     void proveOperator(TimePoint at);
+    /// @param from offset of the page's first record
+    /// @param provedAt the page shows all that was written before
+    void takeOperatorPage(const RecordPage &page, std::uint64_t from, TimePoint provedAt);
+    void knowOperatorUpTo(std::uint64_t next);
+    [[nodiscard]] asio::awaitable<void> catchUp();
     void take(const SharedNews &news, TimePoint askedAt);
     static void mustRead(Topic *topic, const std::optional<RecordRelay::News> &news,
                          TimePoint askedAt);
@@ -121,6 +133,10 @@
     Topic m_operator;
     Topic m_backends;
     TimePoint m_listedAt = TimePoint(); ///< when the operator's records were
+    std::uint64_t m_heardNext = 0;      ///< up to which another node knows the operator's records
+    std::uint64_t m_refutedNext = 0;    ///< the store ends before what was heard up to here
+    bool m_isCatchingUp = false;        ///< with what another node knows
+    std::atomic<std::uint64_t> m_operatorNext{0};
     bool m_stopped = false;
 };
 
--- a/include/vanilladyke/node/store_calls.hpp
+++ b/include/vanilladyke/node/store_calls.hpp
@@ -30,6 +30,7 @@
     Alone,            ///< it hears of too few nodes to share
     OldProof,         ///< what the node that it asks proves is too old
     PeerCouldNotTell, ///< that node knows too little, or too much for an answer
+    PeerKnowsMore,    ///< a call of its own was passed over
     Rollout,          ///< new weights are to be brought to engines
 };
 
@@ -55,7 +56,7 @@
 private:
     static constexpr std::size_t Calls = 4;
     static constexpr std::size_t Topics = 5;
-    static constexpr std::size_t Causes = 7;
+    static constexpr std::size_t Causes = 8;
 
     Metrics &m_metrics;
     std::array<std::array<std::array<std::uint64_t, Causes>, Topics>, Calls> m_counts{};
--- a/include/vanilladyke/traffic/traffic_state.hpp
+++ b/include/vanilladyke/traffic/traffic_state.hpp
@@ -85,6 +85,8 @@
     /// Shared: an exchange may outlive the state while a context is taken down.
     std::shared_ptr<std::unordered_set<Exchange *>> openExchanges =
             std::make_shared<std::unordered_set<Exchange *>>();
+    /// Up to which offset this node knows the operator's records.
+    std::function<std::uint64_t()> operatorNext = [] { return std::uint64_t{0}; };
     std::function<void(const std::vector<Endpoint> &)> peersChanged; ///< nodes came or went
     std::function<void()> tellPeers = [] {}; ///< news of servers that others should have at once
 };
--- a/src/vanilladyke/app/node_command.cpp
+++ b/src/vanilladyke/app/node_command.cpp
@@ -69,6 +69,7 @@
         , m_stopTimer(m_trafficContext)
     {
         m_traffic.configAge = [this] { return m_control.proof().age(); };
+        m_traffic.operatorNext = [this] { return m_follower.operatorNext(); };
         SecondSendTerms terms = settings.control.secondSends;
         terms.nodes = NodesBeforeTheList;
         m_traffic.nodes = NodesBeforeTheList;
@@ -134,6 +135,9 @@
                 m_follower.heardNode(node, centre, endpoint);
             });
         };
+        m_sharing.heardOperatorNext = [this](std::uint64_t next) {
+            asio::post(m_controlContext, [this, next] { m_follower.heardOperatorNext(next); });
+        };
         m_control.standbyRank = [this] { return m_follower.standbyRank(); };
         m_control.otherNodes = [this] { return m_follower.otherNodes(); };
         m_follower.fleetKeyKnown = [this](const std::string &key) {
--- a/src/vanilladyke/node/load_sharing.cpp
+++ b/src/vanilladyke/node/load_sharing.cpp
@@ -156,6 +156,7 @@
     message.set_questions_port(reachesStore ? m_questionsPort : 0);
     message.set_sequence(++m_sequence);
     message.set_address(m_port.listen().str());
+    message.set_operator_next(m_state.operatorNext());
     for (const BackendLoadNews &each : m_state.book.ownLoad(MostBackends, now)) {
         wire::BackendLoad *load = message.add_backends();
         load->set_backend(each.backend);
@@ -236,6 +237,10 @@
                   {origin->address().to_string(),
                    static_cast<std::uint16_t>(message.questions_port())});
     }
+    if (message.operator_next() > m_heardOperatorNext) {
+        m_heardOperatorNext = message.operator_next();
+        heardOperatorNext(m_heardOperatorNext);
+    }
     std::vector<BackendLoadNews> news;
     news.reserve(static_cast<std::size_t>(message.backends_size()));
     for (const wire::BackendLoad &load : message.backends()) {
--- a/src/vanilladyke/node/state_follower.cpp
+++ b/src/vanilladyke/node/state_follower.cpp
@@ -23,6 +23,12 @@
 /// Of the same time: what was just listed is young enough. Meanwhile a node that starts finds
 /// others that read the store already.
 constexpr double SettlePart = 0.4;
+/// Of a wait, drawn for each call: all nodes begin their next call when a record comes, and a
+/// moment in which the store takes no notice of a call must not be the same for all of them.
+constexpr double ShortestWaitPart = 0.8;
+/// Another node has a record that a call of this node's own waits for. The answer is most likely on
+/// its way; if it isn't after this, the store has passed the call over.
+constexpr Duration PassedOverAfter = std::chrono::milliseconds(150);
 /// Entries are written at each heartbeat, so that waiting for one would be a call for each. Of the
 /// time in which a leaving server has to be known; the rest is for one call that is not answered.
 constexpr double BackendsPart = 0.42;
@@ -242,14 +248,14 @@
         applyOperator(change.offset, *record, age, "peer");
         m_operator.next = change.offset + 1;
     }
-    m_operator.next = news.next;
-    m_operator.relay.readUpTo(m_operator.next);
+    knowOperatorUpTo(news.next);
     proveOperator(askedAt - news.age);
 }
 
 void StateFollower::proveOperator(TimePoint at)
 {
-    if (at > m_operator.provedAt) {
+    // While another node knows of more, the store has left a record out of an answer.
+    if (at > m_operator.provedAt && m_operator.next >= m_heardNext) {
         m_operator.provedAt = at;
         m_operator.relay.proved(at);
         m_listener.configurationProved(at);
@@ -288,8 +294,8 @@
     const bool hasProof = m_operator.provedAt != TimePoint::min();
     const auto age =
             hasProof ? std::optional(BootClock::now() - m_operator.provedAt) : std::nullopt;
-    m_operator.next = newest->end;
     m_operator.relay.restartWithAll(newest->end);
+    knowOperatorUpTo(newest->end);
     for (const KeyedRecord &record : newest->items) {
         m_translator.applyOperator(record, age, m_listener);
         m_operator.relay.changed(record.offset, packRecord(m_translator.join(record)), record.key);
@@ -312,7 +318,9 @@
 {
     const TimePoint sentAt = BootClock::now();
     const std::uint64_t from = m_operator.next;
-    const Duration wait = readsForOthers() ? waitForOthers(sentAt) : OperatorWait;
+    const Duration longest = readsForOthers() ? waitForOthers(sentAt) : OperatorWait;
+    const double part = ShortestWaitPart + (1 - ShortestWaitPart) * uniform(m_random);
+    const Duration wait = partOf(longest, part);
     m_calls.count(StoreCall::Wait, StoreTopic::Operator, whyRead(m_operator));
     m_operator.isReading = true;
     const auto page = co_await m_store.read(StateTopic::Operator, from, wait);
@@ -324,22 +332,67 @@
         }
         co_return;
     }
-    const std::uint64_t next = from + page->records.size();
+    backOff.succeeded();
+    m_operator.mustRead = false;
+    takeOperatorPage(*page, from, provedBy(*page, sentAt, wait, BootClock::now()));
+}
+
+void StateFollower::takeOperatorPage(const RecordPage &page, std::uint64_t from, TimePoint provedAt)
+{
     // All that was written before the last proof is known: what comes now is younger. That is all
     // that is sure, however promptly the store answers as a rule.
     const Duration age = BootClock::now() - m_operator.provedAt;
-    backOff.succeeded();
-    for (std::uint64_t offset = from; offset < next; ++offset) {
-        if (offset >= m_operator.next) { // another node may have told of it meanwhile
-            applyOperator(offset, page->records[offset - from], age, "store");
+    for (std::size_t i = 0; i < page.records.size(); ++i) {
+        if (from + i >= m_operator.next) { // another node may have told of it meanwhile
+            applyOperator(from + i, page.records[i], age, "store");
         }
     }
-    m_operator.mustRead = false;
-    m_operator.next = std::max(m_operator.next, next);
-    m_operator.relay.readUpTo(m_operator.next);
-    if (m_operator.next >= page->end) {
-        proveOperator(provedBy(*page, sentAt, wait, BootClock::now()));
+    knowOperatorUpTo(std::max(m_operator.next, from + page.records.size()));
+    if (m_operator.next >= page.end) {
+        proveOperator(provedAt);
+    }
+}
+
+void StateFollower::knowOperatorUpTo(std::uint64_t next)
+{
+    m_operator.next = next;
+    m_operator.relay.readUpTo(next);
+    m_operatorNext = next;
+}
+
+void StateFollower::heardOperatorNext(std::uint64_t next)
+{
+    if (next > m_refutedNext) {
+        m_heardNext = std::max(m_heardNext, next);
+    }
+    if (m_heardNext > m_operator.next && m_operator.isReading && !m_isCatchingUp) {
+        asio::co_spawn(m_context, catchUp(), asio::detached);
+    }
+}
+
+asio::awaitable<void> StateFollower::catchUp()
+{
+    m_isCatchingUp = true;
+    co_await pause(PassedOverAfter);
+    if (m_operator.isListed && m_operator.isReading && m_operator.next < m_heardNext) {
+        const std::uint64_t heard = m_heardNext;
+        const std::uint64_t from = m_operator.next;
+        const TimePoint sentAt = BootClock::now();
+        LogEvent("operator_wait_passed_over").field("next", from).field("heard", heard);
+        m_calls.count(StoreCall::Read, StoreTopic::Operator, CallCause::PeerKnowsMore);
+        const auto page = co_await m_store.read(StateTopic::Operator, from, Duration::zero());
+        if (page && page->end < heard) {
+            LogEvent("heard_offset_wrong", Severity::Error)
+                    .field("heard", heard)
+                    .field("end", page->end);
+            m_refutedNext = heard;
+            m_heardNext = 0;
+        }
+        if (page) {
+            takeOperatorPage(*page, from, sentAt);
+        }
     }
+    m_isCatchingUp = false;
 }
 
 void StateFollower::applyOperator(std::uint64_t offset, const std::string &record, Duration age,
--- a/src/vanilladyke/node/state_follower_test.cpp
+++ b/src/vanilladyke/node/state_follower_test.cpp
@@ -384,6 +384,57 @@
     EXPECT_GT(m_readerListener.writtenAt, TimePoint::min());
 }
 
+// A call for the operator's records was passed over. A node that waits for its end serves a route
+// that was taken away for nearly two seconds more, though others know better.
+TEST_F(StateFollowerTest, ANodeWhoseCallWasPassedOverReadsWhatOthersKnow)
+{
+    m_store.passesOver = true;
+    m_reader.start();
+    ASSERT_TRUE(reach([this] { return m_store.waiting > 0; }));
+    m_store.topics[StateTopic::Operator].push_back("version=2");
+    m_reader.heardOperatorNext(1);
+    ASSERT_TRUE(reach([this] { return m_readerListener.named > 0; }));
+    EXPECT_GT(m_store.waiting, 0) << "the call that was passed over still waits";
+    EXPECT_EQ(m_reader.operatorNext(), 1U);
+}
+
+// The store leaves a record out of its answer. A node that takes the answer for a proof goes on
+// letting requests pass with a key that was taken away.
+TEST_F(StateFollowerTest, NothingIsProvedWhileAnotherNodeKnowsMore)
+{
+    m_store.leavesOut = true;
+    m_store.failsPlainReads = true;
+    m_reader.start();
+    ASSERT_TRUE(reach([this] { return m_store.waiting > 0; }));
+    m_store.topics[StateTopic::Operator].push_back("key taken away");
+    m_reader.heardOperatorNext(1);
+    const TimePoint heardAt = BootClock::now();
+    const int calls = m_store.calls;
+    ASSERT_TRUE(reach([&] { return m_store.calls > calls + 4; }));
+    EXPECT_LT(m_readerListener.provedAt, heardAt);
+    m_store.leavesOut = false;
+    EXPECT_TRUE(reach([&] { return m_readerListener.provedAt > heardAt; }));
+}
+
+// Another node tells an offset that the store never had. Were it believed, no proof would count any
+// more and every request with a key would be refused.
+TEST_F(StateFollowerTest, AnOffsetThatTheStoreRefutesIsForgotten)
+{
+    m_reader.start();
+    ASSERT_TRUE(reach([this] { return m_store.waiting > 0; }));
+    m_reader.heardOperatorNext(1000);
+    const TimePoint heardAt = BootClock::now();
+    EXPECT_TRUE(reach([&] { return m_readerListener.provedAt > heardAt; }));
+}
+
+// All nodes begin their next call when a record comes. With waits of one length they go on in step,
+// and a moment in which the store takes no notice of a call is the same for all.
+TEST_F(StateFollowerTest, WaitsDifferInLength)
+{
+    m_reader.start();
+    EXPECT_TRUE(reach([this] { return m_store.waits.size() > 2; }));
+}
+
 // Nodes that start together would otherwise each list, write and list again.
 TEST_F(StateFollowerTest, ANodeThatKnowsOthersListsThemOnce)
 {
--- a/src/vanilladyke/node/store_calls.cpp
+++ b/src/vanilladyke/node/store_calls.cpp
@@ -11,8 +11,9 @@
 constexpr std::array<std::string_view, 4> CallNames{"list", "read", "wait", "append"};
 constexpr std::array<std::string_view, 5> TopicNames{"operator", "backends", "nodes", "fleet_key",
                                                      "lease"};
-constexpr std::array<std::string_view, 7> CauseNames{
-        "start", "follow", "for_others", "alone", "old_proof", "peer_could_not_tell", "rollout"};
+constexpr std::array<std::string_view, 8> CauseNames{
+        "start",           "follow", "for_others", "alone", "old_proof", "peer_could_not_tell",
+        "peer_knows_more", "rollout"};
 
 template <typename Enum>
 std::size_t indexOf(Enum value)
--- a/tests/integration/platform_fleet.py
+++ b/tests/integration/platform_fleet.py
@@ -86,6 +86,9 @@
         self.down = False
         self.calls = 0
         self.lose_answers = 0
+        self.waiters = {}  # calls that wait, by topic
+        self.waited = {}  # how many calls have been answered after a wait, by topic
+        self.passed_over = set()  # of them, those that take no notice of a record
         self.page_items = 500
         self.busy_pages = 0  # so many later pages of a listing are refused
         self.first_pages = []  # topics whose listing was begun
@@ -117,6 +120,21 @@
                 latest[key] = (value, offset)
         return latest
 
+    def waiting(self, topic):
+        """Calls that wait for the topic's next record."""
+        with self.changed:
+            return len(self.waiters.get(topic, []))
+
+    def newest_wait(self, topic):
+        """When the last call that waits now came."""
+        with self.changed:
+            return max(since for since, _ in self.waiters[topic])
+
+    def pass_over(self, topic):
+        """The last call that waits now takes no notice of a record before its end."""
+        with self.changed:
+            self.passed_over.add(max(self.waiters[topic], key=lambda waiter: waiter[0]))
+
     def forget(self, topic):
         """The history is dropped; only the newest record of each key is left."""
         with self.changed:
@@ -156,8 +174,14 @@
             if start < self.first.get(topic, 0):
                 call.answer(410, {"first": self.first[topic]})
                 return
-            while len(self.topics.get(topic, [])) <= start and time.monotonic() < deadline and not self.down:
+            waiter = (time.monotonic(), object())
+            self.waiters.setdefault(topic, []).append(waiter)
+            while ((len(self.topics.get(topic, [])) <= start or waiter in self.passed_over)
+                   and time.monotonic() < deadline and not self.down):
                 self.changed.wait(max(deadline - time.monotonic(), 0.001))
+            self.waiters[topic].remove(waiter)
+            self.waited[topic] = self.waited.get(topic, 0) + 1
+            self.passed_over.discard(waiter)
             records = self.topics.get(topic, [])[start:]
             end = len(self.topics.get(topic, []))
         body = struct.pack(">QQ", end, self.first.get(topic, 0))
--- /dev/null
+++ b/tests/integration/platform_weights.py
@@ -0,0 +1,48 @@
+"""When nodes believe that new weights were named: real processes against a stand-in of the store."""
+
+import datetime
+import re
+import time
+
+import harness
+import platform_fleet
+
+
+class PlatformWeights(platform_fleet.FleetTest):
+    def setUp(self):
+        super().setUp()
+        self.engines = [self.fleet.engine(f"llm-{i}", load_seconds=600) for i in range(3)]
+        self.nodes = [self.fleet.ready_node(f"n{i}") for i in range(3)]
+        for node in self.nodes:
+            harness.wait_until(lambda n=node: "event=fleet_key_known" in n.log_text(), "nodes hear each other")
+
+    @staticmethod
+    def dates(node, version, by=r"\S+"):
+        """When the node believed that the version had been named, in the order of its lines."""
+        pattern = rf"time=(\S+) .*event=weights_dated model=m version={version} by={by} age_ms=([\d.]+)"
+        found = re.findall(pattern, node.log_text())
+        return [datetime.datetime.fromisoformat(at.replace("Z", "+00:00")).timestamp() - float(age) / 1000
+                for at, age in found]
+
+    def name(self, version):
+        self.fleet.name_weights(version)
+        return time.time()
+
+    def test_a_node_whose_call_was_passed_over_dates_weights_as_others_do(self):
+        """The store takes no notice of one node's call while it writes the record, and answers it at its end. A
+        node that takes the record for young sends requests to engines whose weights are too old."""
+        store = self.fleet.store
+        harness.wait_until(lambda: store.waited.get("keyed.op", 0) > 9 and store.waiting("keyed.op") == 3
+                           and time.monotonic() - store.newest_wait("keyed.op") < 0.5,
+                           "all wait, as in nodes that have run for a while, and one has just begun to")
+        store.pass_over("keyed.op")
+        named_at = self.name(2)
+        for node in self.nodes:
+            harness.wait_until(lambda n=node: self.dates(n, 2, "record"), "all have read it")
+            self.assertLessEqual(self.dates(node, 2, "record")[0], named_at + 0.05)
+        texts = [node.log_text() for node in self.nodes]
+        self.assertEqual(sum("event=operator_wait_passed_over" in text for text in texts), 1)
+
+
+if __name__ == "__main__":
+    harness.main()
