Tell other nodes when weights were named; a node that starts no longer guesses for long

What callers would see: requests that begin on weights whose time is over, at a node that was started in the middle of a rollout, was cut off while a version was named, or whose proof was wrong.

Cause: a node that starts finds only the newest version and guesses that it was named half of the allowed time ago: up to 7.5 s too late, and engines two versions behind stay open until the time of the newest is over. The lease told other nodes of the newest version only, and only those that take part in it. Others knew better and were not asked.

Change: policy/weights_dates keeps for each version two moments: the last reading without it and the first at which some node had it; engines are closed by the earlier one. Nodes tell each other both each 0.4 s for all versions that still decide something; a guess is not told and gives way to what is told; a node's own bound is capped by what another one had before. Ages are rounded up, and bounds of others are never taken for later ones of one's own, since a late datagram makes them look younger. The time at which old weights begin to cost counts from the first node that had newer ones. `weights_dated` says by whom.

--- a/include/vanilladyke/node/load_sharing.hpp
+++ b/include/vanilladyke/node/load_sharing.hpp
@@ -77,6 +77,7 @@
     std::unordered_map<std::uint64_t, Heard> m_heard;
     TimePoint m_nextAt;
     TimePoint m_toldAt;
+    TimePoint m_weightsToldAt;
     std::uint64_t m_heardOperatorNext = 0;
     bool m_hasUrgentNews = false;
 };
--- a/include/vanilladyke/policy/backend_book.hpp
+++ b/include/vanilladyke/policy/backend_book.hpp
@@ -7,6 +7,7 @@
 #include "vanilladyke/policy/fetch_share.hpp"
 #include "vanilladyke/policy/part_holders.hpp"
 #include "vanilladyke/policy/route_table.hpp"
+#include "vanilladyke/policy/weights_dates.hpp"
 
 #include <deque>
 #include <unordered_map>
@@ -39,6 +40,13 @@
 ///   the platform's time for them is over. Engines with a second's queue close a second sooner.
 namespace vanilladyke {
 
+/// @brief Weights that were named for a model.
+struct NamedWeights
+{
+    ModelId model;
+    WeightsDate date;
+};
+
 /// @brief What one node knows of the backend servers from its own traffic. Pure.
 class BackendBook
 {
@@ -53,7 +61,8 @@
     static constexpr Duration FailureHalfLife = std::chrono::seconds(3);
     static constexpr Duration FirstClose = std::chrono::milliseconds(250);
     static constexpr Duration LongestClose = std::chrono::seconds(2);
-    static constexpr Duration OldWeightsGrace = std::chrono::milliseconds(1000);
+    /// After newer weights were known somewhere: an answer on the older ones costs nothing yet.
+    static constexpr Duration OldWeightsGrace = std::chrono::milliseconds(800);
     /// Before the time of replaced weights is over: news of them comes late, and clocks differ.
     static constexpr Duration OldWeightsMargin = std::chrono::milliseconds(1500);
     static constexpr std::size_t WholeUpTo = 24; ///< servers of a service that are all weighed
@@ -68,8 +77,11 @@
     void setBackends(const std::vector<BackendEntry> &serving);
     /// @brief Replaces the rates of transfers that the configuration tells.
     void setTransferRates(const TransferRates &rates);
-    /// @brief New weights were named. @param since when this node learned of them
-    void setGoal(const ModelId &model, std::uint64_t version, TimePoint since);
+    /// @brief New weights were named, or it was learned when.
+    /// @return whether anything changed by it
+    bool weightsNamed(const NamedWeights &weights, DateGrounds grounds, TimePoint now);
+    /// @brief What other nodes may rely on of the weights that were named.
+    [[nodiscard]] std::vector<NamedWeights> namedWeights() const;
 
     [[nodiscard]] tl::expected<BackendChoice, NoBackend> choose(const BackendQuery &query,
                                                                 TimePoint now) const;
@@ -173,14 +185,6 @@
         TimePoint heardAt;
         std::vector<PeerPart> parts;
     };
-    /// Weights that were named for a model, oldest first. Each closes what is older than itself
-    /// when its own time is over, however many were named after it.
-    struct Goal
-    {
-        std::uint64_t version = 0;
-        TimePoint since;
-    };
-    using Goals = std::vector<Goal>;
     /// When a server that can't take a request now may take one; none if it can.
     [[nodiscard]] std::optional<TimePoint> opensLater(const State &state, TimePoint now) const;
     /// A server that is weighed for a request.
@@ -210,8 +214,8 @@
     };
 
     /// @param more how many servers are weighed beside those that always are
-    [[nodiscard]] Weighed weigh(const BackendQuery &query, const Goals *goals, std::size_t more,
-                                TimePoint now, NoBackend *none) const;
+    [[nodiscard]] Weighed weigh(const BackendQuery &query, const WeightsDates *dates,
+                                std::size_t more, TimePoint now, NoBackend *none) const;
     /// @return 0 if none were named
     [[nodiscard]] std::uint64_t newestWeights(const ModelId &model) const;
     /// Leaves the first homes of the order, the first that have the newest weights, those that were
@@ -227,12 +231,11 @@
     /// A request at the server has begun, or will not.
     static void waitsNoMore(State &state, const BackendChoice &choice);
     [[nodiscard]] Millis chargesOf(const State &state, const BackendQuery &query,
-                                   const Goals *goals, TimePoint now) const;
+                                   const WeightsDates *dates, TimePoint now) const;
     [[nodiscard]] static Millis readTime(const State &state, double tokens, TimePoint now);
     [[nodiscard]] bool isSilent(const State &state, TimePoint now) const;
-    [[nodiscard]] std::optional<TimePoint> endOf(std::uint64_t weights, const Goals *goals) const;
-    [[nodiscard]] bool mayBegin(const State &state, const BackendQuery &query, const Goals *goals,
-                                TimePoint now) const;
+    [[nodiscard]] bool mayBegin(const State &state, const BackendQuery &query,
+                                const WeightsDates *dates, TimePoint now) const;
     /// A number in [0, 1) that differs between requests for the same part.
     [[nodiscard]] static double drawFor(std::uint64_t part, TimePoint now);
     [[nodiscard]] Reading readingAt(const State &engine, const State &home,
@@ -260,7 +263,7 @@
     /// Servers of each service in this node's own order. They stand in m_states.
     std::unordered_map<ServiceId, std::vector<const State *>> m_byService;
     std::unordered_map<std::uint64_t, State *> m_byHash;
-    std::unordered_map<ModelId, Goals> m_goals;
+    std::unordered_map<ModelId, WeightsDates> m_weightsDates;
     std::unordered_map<std::uint64_t, Peer> m_peers;
     PartHolders m_holders;
     FetchShare m_fetches;
--- a/include/vanilladyke/traffic/traffic_state.hpp
+++ b/include/vanilladyke/traffic/traffic_state.hpp
@@ -62,6 +62,10 @@
         return table != nullptr && configAge() <= settings.keysValidFor;
     }
 
+    /// @brief Takes in when weights were named, and logs it if that is news.
+    /// @param by who told, for the log
+    void dateWeights(const NamedWeights &weights, DateGrounds grounds, std::string_view by);
+
     asio::io_context &context;
     Ticker ticker;
     BackendPool pool;
--- a/src/vanilladyke/node/control_plane.cpp
+++ b/src/vanilladyke/node/control_plane.cpp
@@ -54,14 +54,10 @@
         });
     };
     news.aged = [this](const WeightsAge &weights) {
-        LogEvent("weights_dated")
-                .field("model", weights.model.str())
-                .field("version", weights.version)
-                .field("by", "lease")
-                .field("age_ms", weights.age);
-        tell([weights](TrafficState &traffic) {
-            traffic.book.setGoal(weights.model, weights.version,
-                                 MonotonicClock::now() - weights.age);
+        const TimePoint knownAt = MonotonicClock::now() - weights.age;
+        const NamedWeights named{weights.model, {weights.version, knownAt, knownAt}};
+        tell([named](TrafficState &traffic) {
+            traffic.dateWeights(named, DateGrounds::Told, "lease");
         });
     };
     return news;
@@ -129,16 +125,21 @@
                                 std::optional<Duration> age)
 {
     m_weights.weightsNamed(model, version, BootClock::now());
+    // Taken here: the traffic thread may come to it late.
+    const TimePoint now = MonotonicClock::now();
+    if (age) {
+        const NamedWeights named{model, {version, now - *age, now}};
+        tell([named](TrafficState &traffic) {
+            traffic.dateWeights(named, DateGrounds::Read, "record");
+        });
+        return;
+    }
     // A node that has just started can't tell how long ago; half of the time allowed is a guess
     // that neither closes all engines on older weights at once nor keeps them open too long.
-    const Duration old = age.value_or(m_traffic.settings.rates.weightsTime / 2);
-    LogEvent("weights_dated")
-            .field("model", model.str())
-            .field("version", version)
-            .field("by", age ? "record" : "guess")
-            .field("age_ms", old);
-    tell([model, version, old](TrafficState &traffic) {
-        traffic.book.setGoal(model, version, MonotonicClock::now() - old);
+    const TimePoint guess = now - m_traffic.settings.rates.weightsTime / 2;
+    const NamedWeights named{model, {version, guess, guess}};
+    tell([named](TrafficState &traffic) {
+        traffic.dateWeights(named, DateGrounds::Guess, "guess");
     });
 }
 
--- a/src/vanilladyke/node/load_sharing.cpp
+++ b/src/vanilladyke/node/load_sharing.cpp
@@ -23,6 +23,13 @@
 /// A node whose proof of the configuration is older does nothing for others.
 constexpr Duration OldestProof = std::chrono::milliseconds(3500);
 
+/// What is known of named weights changes a few times a minute; a node that starts hears it within
+/// this time, or twice if a datagram is lost.
+constexpr Duration TellWeightsEvery = std::chrono::milliseconds(400);
+
+/// Ages in milliseconds end here; nothing is decided by older ones.
+constexpr Duration OldestTold = std::chrono::hours(24);
+
 /// The control thread needs to hear no more often that a node lives.
 constexpr Duration PassOnEvery = std::chrono::seconds(1);
 
@@ -32,6 +39,22 @@
     return static_cast<std::uint32_t>(std::max<std::int64_t>(count, 0));
 }
 
+void write(const NamedWeights &weights, TimePoint now, wire::NamedWeights *out)
+{
+    out->set_model(weights.model.str());
+    out->set_version(weights.date.version);
+    // Rounded up: the receiver's bound must not be later than this node's.
+    out->set_named_age_ms(millis(std::min(now - weights.date.namedAfter, OldestTold)) + 1);
+    out->set_known_age_ms(millis(std::min(now - weights.date.knownAt, OldestTold)));
+}
+
+NamedWeights read(const wire::NamedWeights &weights, TimePoint now)
+{
+    return {ModelId(weights.model()),
+            {weights.version(), now - std::chrono::milliseconds(weights.named_age_ms()),
+             now - std::chrono::milliseconds(weights.known_age_ms())}};
+}
+
 void write(const QuarantineNews &news, wire::QuarantinedRequest *request)
 {
     request->set_digest_high(news.digest.high);
@@ -157,6 +180,12 @@
     message.set_sequence(++m_sequence);
     message.set_address(m_port.listen().str());
     message.set_operator_next(m_state.operatorNext());
+    if (now >= m_weightsToldAt + TellWeightsEvery) {
+        m_weightsToldAt = now;
+        for (const NamedWeights &each : m_state.book.namedWeights()) {
+            write(each, now, message.add_named_weights());
+        }
+    }
     for (const BackendLoadNews &each : m_state.book.ownLoad(MostBackends, now)) {
         wire::BackendLoad *load = message.add_backends();
         load->set_backend(each.backend);
@@ -241,6 +270,9 @@
         m_heardOperatorNext = message.operator_next();
         heardOperatorNext(m_heardOperatorNext);
     }
+    for (const wire::NamedWeights &each : message.named_weights()) {
+        m_state.dateWeights(read(each, now), DateGrounds::Told, "peer");
+    }
     std::vector<BackendLoadNews> news;
     news.reserve(static_cast<std::size_t>(message.backends_size()));
     for (const wire::BackendLoad &load : message.backends()) {
--- a/src/vanilladyke/policy/backend_book.cpp
+++ b/src/vanilladyke/policy/backend_book.cpp
@@ -194,18 +194,20 @@
     });
 }
 
-void BackendBook::setGoal(const ModelId &model, std::uint64_t version, TimePoint since)
+bool BackendBook::weightsNamed(const NamedWeights &weights, DateGrounds grounds, TimePoint now)
 {
-    Goals &goals = m_goals[model];
-    if (goals.empty() || version > goals.back().version) {
-        goals.push_back({version, since});
-    } else if (version == goals.back().version) {
-        goals.back().since = std::min(goals.back().since, since);
-    }
-    // What is older than one whose time is over decides nothing any more.
-    while (goals.size() > 1 && since - goals[1].since > m_rates.weightsTime) {
-        goals.erase(goals.begin());
+    return m_weightsDates[weights.model].add(weights.date, grounds, now, m_rates.weightsTime);
+}
+
+std::vector<NamedWeights> BackendBook::namedWeights() const
+{
+    std::vector<NamedWeights> result;
+    for (const auto &[model, dates] : m_weightsDates) {
+        for (const WeightsDate &date : dates.toTell()) {
+            result.push_back({model, date});
+        }
     }
+    return result;
 }
 
 std::uint64_t BackendBook::weightsOf(const State &state, const ModelId &model)
@@ -419,10 +421,10 @@
     if (state == nullptr) {
         return;
     }
-    const auto goal = m_goals.find(model);
-    if (goal != m_goals.end() && weightsOf(*state, model) < goal->second.back().version) {
+    const std::uint64_t newest = newestWeights(model);
+    if (weightsOf(*state, model) < newest) {
         // Most likely the engine was brought to the newest weights meanwhile.
-        learnWeights(*state, model, goal->second.back().version);
+        learnWeights(*state, model, newest);
         return;
     }
     close(id, now);
--- a/src/vanilladyke/policy/backend_choice.cpp
+++ b/src/vanilladyke/policy/backend_choice.cpp
@@ -35,34 +35,23 @@
     return keyOf(homePart.empty() ? sharedPart : homePart);
 }
 
-std::optional<TimePoint> BackendBook::endOf(std::uint64_t weights, const Goals *goals) const
-{
-    std::optional<TimePoint> end;
-    if (goals != nullptr) {
-        for (const Goal &goal : *goals) {
-            const TimePoint over = goal.since + m_rates.weightsTime;
-            if (weights < goal.version && (!end || over < *end)) {
-                end = over;
-            }
-        }
-    }
-    return end;
-}
-
 std::optional<TimePoint> BackendBook::weightsEnd(const EngineId &id, const ModelId &model) const
 {
     const auto state = m_states.find(id);
-    const auto goals = m_goals.find(model);
-    if (state == m_states.end() || goals == m_goals.end()) {
+    const auto dates = m_weightsDates.find(model);
+    if (state == m_states.end() || dates == m_weightsDates.end()) {
         return std::nullopt;
     }
-    return endOf(weightsOf(state->second, model), &goals->second);
+    return dates->second.endOf(weightsOf(state->second, model), m_rates.weightsTime);
 }
 
-bool BackendBook::mayBegin(const State &state, const BackendQuery &query, const Goals *goals,
+bool BackendBook::mayBegin(const State &state, const BackendQuery &query, const WeightsDates *dates,
                            TimePoint now) const
 {
-    const std::optional<TimePoint> end = endOf(weightsOf(state, query.model), goals);
+    if (dates == nullptr) {
+        return true;
+    }
+    const auto end = dates->endOf(weightsOf(state, query.model), m_rates.weightsTime);
     if (!end) {
         return true;
     }
@@ -104,8 +93,8 @@
            + over * perSlot + slotsUsed * PlainCall;
 }
 
-Millis BackendBook::chargesOf(const State &state, const BackendQuery &query, const Goals *goals,
-                              TimePoint now) const
+Millis BackendBook::chargesOf(const State &state, const BackendQuery &query,
+                              const WeightsDates *dates, TimePoint now) const
 {
     const std::uint64_t weights = weightsOf(state, query.model);
     Millis charges = state.entry.dataCentre == m_here ? Millis::zero() : m_rates.otherCentre;
@@ -119,11 +108,7 @@
     if (state.limit.perSecond()) {
         charges += m_rates.limitedCost * state.limit.scarcity(now);
     }
-    const bool isOld =
-            goals != nullptr && std::any_of(goals->begin(), goals->end(), [&](const Goal &goal) {
-                return weights < goal.version && now - goal.since > OldWeightsGrace;
-            });
-    if (isOld) {
+    if (dates != nullptr && dates->isReplaced(weights, now - OldWeightsGrace)) {
         charges += m_rates.oldWeightsPart * Millis(query.target);
     }
     return charges;
@@ -141,8 +126,8 @@
 
 std::uint64_t BackendBook::newestWeights(const ModelId &model) const
 {
-    const auto goals = m_goals.find(model);
-    return goals == m_goals.end() || goals->second.empty() ? 0 : goals->second.back().version;
+    const auto dates = m_weightsDates.find(model);
+    return dates == m_weightsDates.end() ? 0 : dates->second.newest();
 }
 
 void BackendBook::keepHomes(const BackendQuery &query, std::size_t more, TimePoint now,
@@ -186,7 +171,7 @@
     return state.limit.opensAt(now);
 }
 
-BackendBook::Weighed BackendBook::weigh(const BackendQuery &query, const Goals *goals,
+BackendBook::Weighed BackendBook::weigh(const BackendQuery &query, const WeightsDates *dates,
                                         std::size_t more, TimePoint now, NoBackend *none) const
 {
     const std::vector<const State *> &all = m_byService.at(query.service);
@@ -209,7 +194,7 @@
         }
         const bool isTried = std::find(query.exclude.begin(), query.exclude.end(), state->entry.id)
                              != query.exclude.end();
-        if (isTried || !mayBegin(*state, query, goals, now)) {
+        if (isTried || !mayBegin(*state, query, dates, now)) {
             continue;
         }
         if (const auto later = opensLater(*state, now)) {
@@ -228,7 +213,7 @@
     }
     for (Candidate &each : result.open) {
         each.waits = waitOf(*each.state, query.urgency, now);
-        each.cost = each.waits + chargesOf(*each.state, query, goals, now);
+        each.cost = each.waits + chargesOf(*each.state, query, dates, now);
     }
     return result;
 }
@@ -321,15 +306,15 @@
     if (service == m_byService.end() || service->second.empty()) {
         return tl::make_unexpected(NoBackend{false, now + UnknownPause});
     }
-    const auto goalFound = m_goals.find(query.model);
-    const bool hasGoals = !query.model.empty() && goalFound != m_goals.end();
-    const Goals *goals = hasGoals ? &goalFound->second : nullptr;
+    const auto datesFound = m_weightsDates.find(query.model);
+    const bool hasDates = !query.model.empty() && datesFound != m_weightsDates.end();
+    const WeightsDates *dates = hasDates ? &datesFound->second : nullptr;
     NoBackend none{true, now + LongestClose};
-    std::optional<BackendChoice> chosen = best(query, weigh(query, goals, 0, now, &none), now);
+    std::optional<BackendChoice> chosen = best(query, weigh(query, dates, 0, now, &none), now);
     const Millis mostWait = m_rates.mostWaitTargets * Millis(query.target);
     if (!chosen || chosen->waits > mostWait) {
         // It would be refused: others may have room, though they read more of its prompt.
-        Weighed wider = weigh(query, goals, m_rates.reach, now, &none);
+        Weighed wider = weigh(query, dates, m_rates.reach, now, &none);
         const auto crowded =
                 std::partition(wider.open.begin(), wider.open.end(),
                                [&](const Candidate &each) { return each.waits <= mostWait; });
--- /dev/null
+++ b/src/vanilladyke/policy/weights_dates.cpp
@@ -0,0 +1,100 @@
+#include "vanilladyke/policy/weights_dates.hpp"
+
+#include <algorithm>
+
+namespace vanilladyke {
+
+namespace {
+
+/// Another node may have had the weights at a time that an own reading takes for too early, if the
+/// store left a record out of an answer: then the reading proves nothing.
+TimePoint sinceOf(const WeightsDate &date)
+{
+    return std::min(date.namedAfter, date.knownAt);
+}
+
+} // namespace
+
+WeightsDates::Entries::iterator WeightsDates::placeOf(std::uint64_t version)
+{
+    return std::lower_bound(
+            m_entries.begin(), m_entries.end(), version,
+            [](const Entry &entry, std::uint64_t wanted) { return entry.date.version < wanted; });
+}
+
+bool WeightsDates::add(const WeightsDate &date, DateGrounds grounds, TimePoint now,
+                       Duration allowed)
+{
+    const auto place = placeOf(date.version);
+    if (place != m_entries.end() && place->date.version == date.version) {
+        return improve(&*place, date, grounds);
+    }
+    m_entries.insert(place, Entry{date, grounds});
+    forgetDecided(now, allowed);
+    const auto kept = placeOf(date.version);
+    return kept != m_entries.end() && kept->date.version == date.version;
+}
+
+bool WeightsDates::improve(Entry *entry, const WeightsDate &date, DateGrounds grounds)
+{
+    const WeightsDate before = entry->date;
+    if (entry->grounds == DateGrounds::Guess && grounds != DateGrounds::Guess) {
+        *entry = Entry{date, grounds};
+        return entry->date != before;
+    }
+    if (grounds == DateGrounds::Guess) {
+        return false;
+    }
+    if (grounds == entry->grounds) {
+        entry->date.namedAfter = std::min(entry->date.namedAfter, date.namedAfter);
+    } else if (grounds == DateGrounds::Read) {
+        entry->date.namedAfter = date.namedAfter;
+        entry->grounds = grounds;
+    }
+    entry->date.knownAt = std::min(entry->date.knownAt, date.knownAt);
+    return entry->date != before;
+}
+
+void WeightsDates::forgetDecided(TimePoint now, Duration allowed)
+{
+    while (m_entries.size() > 1 && now - sinceOf(m_entries[1].date) > allowed) {
+        m_entries.erase(m_entries.begin());
+    }
+}
+
+std::optional<TimePoint> WeightsDates::endOf(std::uint64_t version, Duration allowed) const
+{
+    std::optional<TimePoint> end;
+    for (const Entry &entry : m_entries) {
+        const TimePoint over = sinceOf(entry.date) + allowed;
+        if (version < entry.date.version && (!end || over < *end)) {
+            end = over;
+        }
+    }
+    return end;
+}
+
+bool WeightsDates::isReplaced(std::uint64_t version, TimePoint time) const
+{
+    return std::any_of(m_entries.begin(), m_entries.end(), [&](const Entry &entry) {
+        return version < entry.date.version && entry.date.knownAt < time;
+    });
+}
+
+std::uint64_t WeightsDates::newest() const
+{
+    return m_entries.empty() ? 0 : m_entries.back().date.version;
+}
+
+std::vector<WeightsDate> WeightsDates::toTell() const
+{
+    std::vector<WeightsDate> result;
+    for (const Entry &entry : m_entries) {
+        if (entry.grounds != DateGrounds::Guess) {
+            result.push_back({entry.date.version, sinceOf(entry.date), entry.date.knownAt});
+        }
+    }
+    return result;
+}
+
+} // namespace vanilladyke
--- a/tests/integration/platform_weights.py
+++ b/tests/integration/platform_weights.py
@@ -2,11 +2,14 @@
 
 import datetime
 import re
+import signal
 import time
 
 import harness
 import platform_fleet
 
+MARGIN_SECONDS = 0.8  # what waits at an engine is withdrawn so long before the time that a node believes in
+
 
 class PlatformWeights(platform_fleet.FleetTest):
     def setUp(self):
@@ -43,6 +46,22 @@
         texts = [node.log_text() for node in self.nodes]
         self.assertEqual(sum("event=operator_wait_passed_over" in text for text in texts), 1)
 
+    def test_a_node_that_starts_learns_when_weights_were_named(self):
+        """A node is killed, two versions are named while it is away, and it finds only the newest, of an unknown
+        age. Its guess would keep engines open to requests after their time."""
+        away = self.nodes[2]
+        away.popen.send_signal(signal.SIGKILL)
+        away.popen.wait()
+        named = {version: self.name(version) for version in (2, 3)}
+        for version in named:
+            harness.wait_until(lambda v=version: all(self.dates(n, v, "record") for n in self.nodes[:2]), "both know")
+        harness.wait_until(lambda: time.time() > named[3] + 2, "the guess would be wrong")
+        back = self.fleet.restart(away)
+        for version, named_at in named.items():
+            harness.wait_until(lambda v=version: self.dates(back, v, "peer"), "another node has told")
+            self.assertLessEqual(self.dates(back, version, "peer")[-1], named_at + MARGIN_SECONDS)
+            self.assertGreater(self.dates(back, version, "peer")[-1], named_at - 5, "no guess any more")
+
 
 if __name__ == "__main__":
     harness.main()
