Withdraw a resumed stream, too, before the time of old weights is over

What callers would see: a stream that broke off and waits to go on at an engine on old weights begins there when their time is over.

Cause: `Exchange::beginBy` left out every exchange whose caller has a head already, and a resumed stream waits at an engine like any other request until it has its first byte there.

Change: only a first byte of the present try counts as begun.

Test that failed before: ExchangeTest.AResumedStreamIsWithdrawnBeforeTheTimeOfOldWeightsIsOver (the caller's stream ended broken at its deadline; now it goes on at an engine on new weights).

--- a/src/vanilladyke/traffic/exchange.cpp
+++ b/src/vanilladyke/traffic/exchange.cpp
@@ -636,7 +636,7 @@
 
 std::optional<TimePoint> Exchange::beginBy() const
 {
-    const bool waits = m_connection != nullptr && !m_firstByteAt && !m_headWritten && m_choice;
+    const bool waits = m_connection != nullptr && !m_firstByteAt && m_choice;
     if (!waits || !m_state.settings.withdraws) {
         return std::nullopt;
     }
--- a/src/vanilladyke/traffic/exchange_test.cpp
+++ b/src/vanilladyke/traffic/exchange_test.cpp
@@ -83,6 +83,7 @@
         request.arrived = now;
         request.host = std::string(fields["Host"]);
         request.id = std::string(fields["Id"]);
+        request.model = ModelId(std::string(fields["Model"]));
         request.passedOn = "Id: " + request.id + "\r\n";
         if (fields.count("Key") > 0) {
             request.key = std::string(fields["Key"]);
@@ -157,7 +158,7 @@
     }
 
     void put(RequestKind kind, bool isResumable, Duration timeout = std::chrono::seconds(5),
-             Duration target = std::chrono::seconds(2))
+             Duration target = std::chrono::seconds(2), int mostBackends = 2)
     {
         RoutingConfig config;
         Route route;
@@ -169,7 +170,7 @@
         route.timeout = timeout;
         route.targetLatency = target;
         route.longestPause = std::chrono::seconds(1);
-        route.mostBackends = 2;
+        route.mostBackends = mostBackends;
         route.split = {{ServiceId("s"), 1}};
         config.routes = {route};
         config.customers = {{CustomerId("c"), {"k"}, std::nullopt, false}};
@@ -540,6 +541,38 @@
     EXPECT_EQ(slow.seen.size(), 1U);
 }
 
+// A stream broke off and waits to go on at an engine on old weights, whose time runs out meanwhile.
+// It would begin there on weights that no request may begin on any more.
+TEST_F(ExchangeTest, AResumedStreamIsWithdrawnBeforeTheTimeOfOldWeightsIsOver)
+{
+    put(RequestKind::Stream, true, std::chrono::seconds(5), std::chrono::seconds(2), 3);
+    serve([](const SeenRequest &seen) {
+        return ScriptedAnswer{streamHead(seen.fields.at("Id")) + eventChunk(1), Then::Close};
+    });
+    auto &old = serve([](const SeenRequest &) { return ScriptedAnswer{"", Then::Silence}; });
+    serve([](const SeenRequest &seen) {
+        return ScriptedAnswer{streamHead(seen.fields.at("Id")) + eventChunk(2) + "0\r\n\r\n",
+                              Then::KeepOpen};
+    });
+    const ModelId model("m");
+    for (std::size_t i = 0; i < m_entries.size(); ++i) {
+        m_entries[i].weights[model] = i == 2 ? 2 : 1;
+    }
+    m_state.book.setBackends(m_entries);
+    const TimePoint now = MonotonicClock::now();
+    constexpr Duration Left = milliseconds(2500); // open to choices, soon to be withdrawn from
+    const TimePoint namedAt = now + Left - m_state.settings.rates.weightsTime;
+    m_state.book.weightsNamed({model, {2, namedAt, namedAt}}, DateGrounds::Read, now);
+    m_state.book.loading(EngineId("e3"), now + Left / 2);
+    connect();
+    send("POST /a/x HTTP/1.1\r\nHost: h\r\nKey: k\r\nModel: m\r\nId: 1\r\nContent-Length: "
+         "2\r\n\r\nhi");
+    EXPECT_EQ(receive(), 200);
+    EXPECT_EQ(m_body, "id: 1\ndata: d\n\nid: 2\ndata: d\n\n");
+    EXPECT_EQ(old.seen.size(), 1U);
+    EXPECT_EQ(old.closedByPeer, 1);
+}
+
 // The first engine crashed and the second one is slow; the route allows no third.
 TEST_F(ExchangeTest, TheLastServerThatTheRouteAllowsIsWaitedFor)
 {
