--- a/include/vanilladyke/node/record_store.hpp
+++ b/include/vanilladyke/node/record_store.hpp
@@ -81,7 +81,7 @@
     [[nodiscard]] virtual std::optional<KeyedRecord> split(std::string_view record) const = 0;
     /// @brief The record as it lies in the topic.
     [[nodiscard]] virtual std::string join(const KeyedRecord &record) const = 0;
-    /// @param isNews it was written just now
+    /// @param age how long ago it was written, at most; none: nobody knows
     virtual void applyOperator(const KeyedRecord &record, std::optional<Duration> age,
                                StateListener &listener) const = 0;
     /// @return whether anything but the server's sign of life changed
