Split the state follower by job

Change: OperatorFollower and BackendsFollower follow one topic each; findFleetKey() and followNodeList() do their one task; ReadSharing decides between the store and the reader; FollowedTopic and FollowContext hold what the followers share, among it the one random generator, so that draws keep their order. StateFollower starts them and asks the reader; its public functions are the same. Constants stand where they are used. One order differs without effect: an answer of the reader is marked as lacking the backend entries after its operator's records are applied rather than before; neither step reads what the other writes.

--- /dev/null
+++ b/src/vanilladyke/node/backends_follower.cpp
@@ -0,0 +1,135 @@
+#include "vanilladyke/node/backends_follower.hpp"
+
+#include "vanilladyke/node/boot_clock.hpp"
+
+namespace vanilladyke {
+
+namespace {
+
+/// Poll interval for entries, as a fraction of the time within which a draining server has to be
+/// removed; the rest is left for one call without an answer. Entries are written at each heartbeat,
+/// so that a waiting call would return for each of them.
+constexpr double PollFraction = 0.42;
+/// The same for a node that reads for others, which ask it only afterwards.
+constexpr double ReaderPollFraction = 0.25;
+
+} // namespace
+
+asio::awaitable<void> BackendsFollower::follow()
+{
+    BackOff backOff(FollowContext::RetryIntervals);
+    while (!m_context.isStopped) {
+        if (!m_topic.isListed) {
+            m_topic.isListed = co_await list();
+            if (!m_topic.isListed) {
+                co_await m_context.failed(backOff);
+            }
+            continue;
+        }
+        const Duration limit = fractionOf(m_context.limits.drain, PollFraction);
+        if (m_sharing.isShared(m_topic, limit)) {
+            co_await m_context.pause(ReadSharing::AskInterval / 4);
+            continue;
+        }
+        const double fraction = m_sharing.readsForOthers() ? ReaderPollFraction : PollFraction;
+        const Duration age = BootClock::now() - m_topic.provedAt;
+        const Duration rest = fractionOf(m_context.limits.drain, fraction) - age;
+        if (rest > Duration::zero()) {
+            co_await m_context.pause(rest);
+        }
+        co_await read(backOff);
+    }
+}
+
+bool BackendsFollower::isTooOld(const std::optional<RecordRelay::Updates> &updates) const
+{
+    return updates && updates->age >= fractionOf(m_context.limits.drain, PollFraction);
+}
+
+void BackendsFollower::applyAnswer(const std::optional<RecordRelay::Updates> &updates,
+                                   TimePoint requestedAt)
+{
+    m_topic.answered(updates, requestedAt);
+    if (updates && updates->next >= m_topic.next) {
+        applyUpdates(*updates, requestedAt);
+    }
+}
+
+asio::awaitable<bool> BackendsFollower::list()
+{
+    const TimePoint sentAt = BootClock::now();
+    m_context.calls.count(StoreCall::List, StoreTopic::Backends, CallCause::Start);
+    const auto newest = co_await m_context.store.newest(StateTopic::Backends);
+    if (!newest) {
+        co_return false;
+    }
+    std::map<EngineId, bool> present;
+    for (const KeyedRecord &record : newest->items) {
+        present[EngineId(record.key)] = true;
+        m_context.translator.applyBackend(record, m_context.listener);
+    }
+    m_context.listener.backendsListed(present);
+    m_topic.next = newest->end;
+    m_topic.relay.restart(newest->end);
+    m_topic.provedAt = sentAt;
+    m_topic.relay.addFreshnessProof(sentAt);
+    co_return true;
+}
+
+asio::awaitable<void> BackendsFollower::read(BackOff &backOff)
+{
+    const TimePoint sentAt = BootClock::now();
+    const std::uint64_t from = m_topic.next;
+    m_context.calls.count(StoreCall::Read, StoreTopic::Backends, m_sharing.readCause(m_topic));
+    m_topic.isReading = true;
+    const auto page = co_await m_context.store.read(StateTopic::Backends, from, Duration::zero());
+    m_topic.isReading = false;
+    if (!page) {
+        m_topic.isListed = page.error() != StoreError::Expired;
+        if (m_topic.isListed) {
+            co_await m_context.failed(backOff);
+        }
+        co_return;
+    }
+    backOff.succeeded();
+    const std::uint64_t next = from + page->records.size();
+    for (std::uint64_t offset = from; offset < next; ++offset) {
+        if (offset >= m_topic.next) {
+            apply(offset, page->records[offset - from]);
+        }
+    }
+    m_topic.mustRead = false;
+    setNext(std::max(m_topic.next, next));
+    if (m_topic.next >= page->end) {
+        m_topic.provedAt = std::max(m_topic.provedAt, sentAt);
+        m_topic.relay.addFreshnessProof(sentAt);
+    }
+}
+
+void BackendsFollower::apply(std::uint64_t offset, std::string record)
+{
+    const auto keyed = m_context.translator.split(record);
+    if (keyed && m_context.translator.applyBackend(*keyed, m_context.listener)) {
+        m_topic.relay.addChange(offset, std::move(record));
+    }
+}
+
+void BackendsFollower::setNext(std::uint64_t next)
+{
+    m_topic.next = next;
+    m_topic.relay.readUpTo(next);
+}
+
+void BackendsFollower::applyUpdates(const RecordRelay::Updates &updates, TimePoint requestedAt)
+{
+    for (const RecordRelay::Change &change : updates.changes) {
+        if (change.offset >= m_topic.next) {
+            apply(change.offset, change.record);
+        }
+    }
+    setNext(updates.next);
+    m_topic.provedAt = std::max(m_topic.provedAt, requestedAt - updates.age);
+    m_topic.relay.addFreshnessProof(m_topic.provedAt);
+}
+
+} // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/node/follow_context.cpp
@@ -0,0 +1,25 @@
+#include "vanilladyke/node/follow_context.hpp"
+
+namespace vanilladyke {
+
+Duration fractionOf(Duration span, double fraction)
+{
+    return spanOfSeconds(secondsOf(span) * fraction);
+}
+
+asio::awaitable<void> FollowContext::pause(Duration span)
+{
+    asio::steady_timer timer(io, span);
+    ErrorCode ignored;
+    co_await timer.async_wait(redirectError(ignored));
+}
+
+asio::awaitable<void> FollowContext::failed(BackOff &backOff)
+{
+    listener.storeFailed();
+    const TimePoint now = MonotonicClock::now();
+    backOff.failed(now, random);
+    co_await pause(backOff.retryAt() - now);
+}
+
+} // namespace vanilladyke
