--- a/src/vanilladyke/app/node_command.cpp
+++ b/src/vanilladyke/app/node_command.cpp
@@ -6,6 +6,7 @@
 #include "platform/lease_log.hpp"
 #include "platform/state_store.hpp"
 #include "vanilladyke/app/command.hpp"
+#include "vanilladyke/app/log_level.hpp"
 #include "vanilladyke/app/node_settings.hpp"
 #include "vanilladyke/app/settings.hpp"
 #include "vanilladyke/base/log.hpp"
@@ -37,17 +38,6 @@
 /// exceeded hundreds of times.
 constexpr std::size_t AssumedNodeCount = 1000;
 
-Severity severityOf(const std::string &level)
-{
-    if (level == "debug") {
-        return Severity::Debug;
-    }
-    if (level == "warning") {
-        return Severity::Warning;
-    }
-    return level == "error" ? Severity::Error : Severity::Info;
-}
-
 /// A node: the traffic side and the control side, each on its own thread.
 class RoutingNode
 {
--- a/src/vanilladyke/app/serve.cpp
+++ b/src/vanilladyke/app/serve.cpp
@@ -1,5 +1,6 @@
 #include "vanilladyke/app/serve.hpp"
 
+#include "vanilladyke/app/log_level.hpp"
 #include "vanilladyke/app/node.hpp"
 #include "vanilladyke/app/peer_setup.hpp"
 #include "vanilladyke/app/shutdown.hpp"
@@ -13,17 +14,6 @@
 
 namespace {
 
-Severity severityOf(const std::string &level)
-{
-    if (level == "debug") {
-        return Severity::Debug;
-    }
-    if (level == "warning") {
-        return Severity::Warning;
-    }
-    return level == "error" ? Severity::Error : Severity::Info;
-}
-
 /// Returns the first TLS file in the settings that can't be read, or nullopt if all can.
 std::optional<FieldError> unreadableTlsFile(const HostSettings &settings)
 {
