Ask another server before a request is withdrawn from expiring weights

What callers saw: 502, or a stream cut in the middle, for a request that waited at an engine on old weights and would have begun before their end.

A waiting try was closed 0.8 s before the end of its server's weights without asking whether any other server could take the request, or whether it may run again. "Waiting" held for an answer of which the head or half of the body had arrived, and an event that had been read from the socket while its coroutine waited for its turn was not seen.

Change: a waiting try is hedged 0.4 s before it would be withdrawn. It is withdrawn 0.8 s before the end if another server has been asked and has not refused, else 0.4 s before the end. A try whose server has sent the head of its answer is not waiting. What must hold of weights is unchanged: what can't begin in time is withdrawn.

--- a/include/vanilladyke/traffic/backend_try.hpp
+++ b/include/vanilladyke/traffic/backend_try.hpp
@@ -86,8 +86,8 @@
     [[nodiscard]] const AnswerHead &head() const { return m_head; }
     [[nodiscard]] AbortReason abortReason() const { return m_abortReason; }
     [[nodiscard]] bool isAborted() const { return m_abortReason != AbortReason::None; }
-    /// @brief Whether the request was sent and the start of the answer was not received.
-    [[nodiscard]] bool isWaiting() const { return m_sentAt && !m_beganAt; }
+    /// @brief Whether the request was sent and the server has not begun to answer it.
+    [[nodiscard]] bool isWaiting() const { return m_sentAt && !m_hasHead; }
     /// @brief When the request was sent; none if it was not.
     [[nodiscard]] std::optional<TimePoint> sentAt() const { return m_sentAt; }
     /// @brief When the answer started; none if it has not.
@@ -119,6 +119,7 @@
     std::optional<TimePoint> m_sentAt;
     std::optional<TimePoint> m_beganAt;
     AbortReason m_abortReason = AbortReason::None;
+    bool m_hasHead = false;  ///< m_head is of the answer to this request
     bool m_sawStray = false; ///< an answer to another request arrived on the connection
 };
 
--- a/include/vanilladyke/traffic/exchange.hpp
+++ b/include/vanilladyke/traffic/exchange.hpp
@@ -127,8 +127,9 @@
     /// begun to answer; null if none has
     [[nodiscard]] asio::awaitable<BackendTryPtr> takeSuccessor();
     [[nodiscard]] std::vector<BackendTryPtr> openTries() const;
-    /// When a waiting try is withdrawn from expiring weights; none if nothing limits it.
-    [[nodiscard]] std::optional<TimePoint> withdrawalTime(const BackendTry &attempt) const;
+    /// Schedules the hedge of a waiting try whose weights expire. @return when it is withdrawn
+    [[nodiscard]] std::optional<TimePoint> scheduleWithdrawal(const BackendTry &attempt,
+                                                              TimePoint now);
     /// Sets the time by which a server has to send its next data; none: only the deadline applies.
     void setAnswerDeadline(std::optional<TimePoint> until);
     /// Called when the timer expires: ends the request at its deadline, withdraws tries from
--- a/src/vanilladyke/traffic/backend_try.cpp
+++ b/src/vanilladyke/traffic/backend_try.cpp
@@ -145,6 +145,7 @@
             }
             continue;
         }
+        m_hasHead = true;
         recordHead();
         co_return co_await receiveBodyStart();
     }
@@ -286,7 +287,8 @@
         return false;
     }
     ErrorCode ignored;
-    return m_connection->socket.available(ignored) > 0;
+    // A read that has completed may still wait for its turn in the event loop.
+    return m_connection->buffer.size() > 0 || m_connection->socket.available(ignored) > 0;
 }
 
 } // namespace vanilladyke
--- a/src/vanilladyke/traffic/exchange_hedging.cpp
+++ b/src/vanilladyke/traffic/exchange_hedging.cpp
@@ -12,8 +12,16 @@
 /// Extension of a try's deadline while received bytes are unread: they are read within a few
 /// iterations of the event loop.
 constexpr Duration UnreadDataExtension = std::chrono::milliseconds(100);
-/// Covers the time to remove a request from an engine's queue and the delay of weights updates.
+/// A waiting try is withdrawn this long before the end of its server's weights if another server
+/// can take its place. Covers the time to remove a request from an engine's queue and the delay of
+/// weights updates.
 constexpr Duration WithdrawMargin = std::chrono::milliseconds(800);
+/// The same if no other server can: the request may still begin in time. Covers the time to remove
+/// it from the queue.
+constexpr Duration LastWithdrawMargin = std::chrono::milliseconds(400);
+/// A waiting try is hedged this long before it is withdrawn, so that another server can answer in
+/// its place.
+constexpr Duration HedgeBeforeWithdrawal = std::chrono::milliseconds(400);
 /// Interval at which a waiting request is checked for newly announced weights.
 constexpr Duration WeightsCheckInterval = std::chrono::seconds(1);
 /// Interval at which a second server is looked for again while a try is silent.
@@ -50,19 +58,27 @@
         // New weights may be announced while the request waits.
         next = std::min(next, now + WeightsCheckInterval);
         if (m_current != nullptr) {
-            next = std::min(next, withdrawalTime(*m_current).value_or(next));
+            next = std::min(next, scheduleWithdrawal(*m_current, now).value_or(next));
         }
         for (const BackendTryPtr &hedge : m_hedges) {
-            next = std::min(next, withdrawalTime(*hedge).value_or(next));
+            next = std::min(next, scheduleWithdrawal(*hedge, now).value_or(next));
         }
     }
     m_deadlineTimer->dueAt = std::min(next, m_answerDeadline.value_or(next));
 }
 
-std::optional<TimePoint> Exchange::withdrawalTime(const BackendTry &attempt) const
+std::optional<TimePoint> Exchange::scheduleWithdrawal(const BackendTry &attempt, TimePoint now)
 {
     const std::optional<TimePoint> end = weightsEnd(attempt);
-    return end ? std::optional(*end - WithdrawMargin) : std::nullopt;
+    if (!end) {
+        return std::nullopt;
+    }
+    const TimePoint withdrawnAt = *end - WithdrawMargin;
+    const TimePoint hedgedAt = withdrawnAt - HedgeBeforeWithdrawal;
+    if (hedgedAt > now) {
+        m_answerDeadline = std::min(m_answerDeadline.value_or(hedgedAt), hedgedAt);
+    }
+    return withdrawnAt;
 }
 
 void Exchange::onDeadline()
@@ -91,9 +107,15 @@
 
 void Exchange::withdrawExpiring(TimePoint now)
 {
-    for (const BackendTryPtr &attempt : openTries()) {
+    const std::vector<BackendTryPtr> tries = openTries();
+    const bool hasReplacement =
+            std::any_of(tries.begin(), tries.end(), [this](const BackendTryPtr &each) {
+                return each->sentAt() && !weightsEnd(*each);
+            });
+    const Duration margin = hasReplacement ? WithdrawMargin : LastWithdrawMargin;
+    for (const BackendTryPtr &attempt : tries) {
         const std::optional<TimePoint> end = weightsEnd(*attempt);
-        if (end && now >= *end - WithdrawMargin && !attempt->hasUnreadData()) {
+        if (end && now >= *end - margin && !attempt->hasUnreadData()) {
             m_state.metrics.count("requests_withdrawn_total");
             attempt->abort(AbortReason::WeightsExpire);
         }
--- a/src/vanilladyke/traffic/exchange_test.cpp
+++ b/src/vanilladyke/traffic/exchange_test.cpp
@@ -941,6 +941,73 @@
     EXPECT_EQ(m_body, TwoEvents);
 }
 
+// Guards against withdrawing a resumed stream that may not be sent to a further server.
+TEST_F(HeldAnswerTest, AResumedStreamIsNotWithdrawnIfTheRouteAllowsNoFurtherServer)
+{
+    setRoute(RequestKind::Stream, true, std::chrono::seconds(5), std::chrono::seconds(2), 2);
+    addBackend([](const ReceivedRequest &received) {
+        return ScriptedAnswer{streamHead(received.fields.at("Id")) + eventChunk(1),
+                              NextAction::Close};
+    });
+    addBackend([this](const ReceivedRequest &received) {
+        return ScriptedAnswer{"",
+                              NextAction::KeepOpen,
+                              {},
+                              {{streamHead(received.fields.at("Id")) + eventChunk(2) + "0\r\n\r\n",
+                                leavesOr(2)}}};
+    });
+    setWeights({1, 1});
+    announce(milliseconds(1600));
+    EXPECT_EQ(askModel("1"), 200);
+    EXPECT_EQ(m_body, TwoEvents);
+}
+
+// Guards against withdrawing a resumed stream if the retry budget allows no further retry.
+TEST_F(HeldAnswerTest, AResumedStreamIsNotWithdrawnIfNoRetryIsLeft)
+{
+    setRoute(RequestKind::Stream, true, std::chrono::seconds(5), std::chrono::seconds(2), 3);
+    allowOneRetry();
+    addBackend([](const ReceivedRequest &received) {
+        return ScriptedAnswer{streamHead(received.fields.at("Id")) + eventChunk(1),
+                              NextAction::Close};
+    });
+    addBackend([this](const ReceivedRequest &received) {
+        return ScriptedAnswer{"",
+                              NextAction::KeepOpen,
+                              {},
+                              {{streamHead(received.fields.at("Id")) + eventChunk(2) + "0\r\n\r\n",
+                                leavesOr(2)}}};
+    });
+    setWeights({1, 1});
+    announce(milliseconds(1600));
+    EXPECT_EQ(askModel("1"), 200);
+    EXPECT_EQ(m_body, TwoEvents);
+}
+
+// Guards against withdrawing a request that may run once only: it cannot be sent elsewhere.
+TEST_F(HeldAnswerTest, AnUnsafeRequestIsNotWithdrawnWithoutAReplacement)
+{
+    setRoute(RequestKind::Unsafe, false, std::chrono::seconds(3));
+    addBackend(heldUntilLeft());
+    addBackend(good);
+    setWeights({1, 1});
+    announce(milliseconds(1600));
+    EXPECT_EQ(askModel("1"), 200);
+    EXPECT_EQ(m_body, "held");
+}
+
+// Guards against withdrawing a request for a server that refuses.
+TEST_F(HeldAnswerTest, AWithdrawnRequestIsNotLostIfTheOtherServerRefuses)
+{
+    setRoute(RequestKind::Safe, false, std::chrono::seconds(3));
+    addBackend(heldUntilLeft());
+    addBackend(refused);
+    setWeights({1, 2});
+    announce(milliseconds(1600));
+    EXPECT_EQ(askModel("1"), 200);
+    EXPECT_EQ(m_body, "held");
+}
+
 // Guards against ending a paused stream whose events have no ids in favour of another server, which
 // could not resume it.
 TEST_F(HeldAnswerTest, APausedStreamWithoutEventIdsGoesOn)
@@ -958,6 +1025,25 @@
     EXPECT_EQ(m_body, "data: d\n\ndata: d\n\n");
 }
 
+// Guards against withdrawing a request from expiring weights before another server was asked: that
+// one refuses, and the first server begins in time after all.
+TEST_F(HeldAnswerTest, AnotherServerIsAskedBeforeARequestIsWithdrawn)
+{
+    setRoute(RequestKind::Safe, false, std::chrono::seconds(3));
+    addBackend([this](const ReceivedRequest &received) {
+        const auto isHedged = [this] { return !m_backends[1]->received.empty(); };
+        return ScriptedAnswer{"",
+                              NextAction::KeepOpen,
+                              {},
+                              {{answer(received.fields.at("Id"), "held"), isHedged}}};
+    });
+    addBackend(refused);
+    setWeights({1, 2});
+    announce(milliseconds(1600));
+    EXPECT_EQ(askModel("1"), 200);
+    EXPECT_EQ(m_body, "held");
+}
+
 // Guards against a request that goes on at a silent server after another one has begun to answer:
 // the work would be done twice.
 TEST_F(HeldAnswerTest, ASilentServerIsLeftAsSoonAsAnotherOneAnswers)
@@ -999,6 +1085,24 @@
     runUntil([&] { return first.closedByPeer == 1 && second.closedByPeer == 1; });
 }
 
+// Guards against withdrawing an answer that has begun to arrive.
+TEST_F(HeldAnswerTest, AnAnswerThatHasBegunIsNotWithdrawn)
+{
+    setRoute(RequestKind::Unsafe, false, std::chrono::seconds(3));
+    addBackend([this](const ReceivedRequest &received) {
+        const std::string bytes = answer(received.fields.at("Id"), "held");
+        const std::size_t half = bytes.size() - 2;
+        return ScriptedAnswer{bytes.substr(0, half),
+                              NextAction::KeepOpen,
+                              {},
+                              {{bytes.substr(half), leavesOr(1)}}};
+    });
+    setWeights({1});
+    announce(milliseconds(1600));
+    EXPECT_EQ(askModel("1"), 200);
+    EXPECT_EQ(m_body, "held");
+}
+
 // Guards against discarding bytes that arrived in the iteration of the event loop that gives up.
 TEST_F(HeldAnswerTest, BytesThatArriveWithTheDecisionToGiveUpAreDelivered)
 {
@@ -1022,6 +1126,39 @@
     EXPECT_EQ(m_body, TwoEvents);
 }
 
+// Guards against cutting a resumed stream whose event arrived in the iteration of the event loop
+// that withdraws it.
+TEST_F(HeldAnswerTest, AnEventThatArrivesWithTheWithdrawalDoesNotEndTheStream)
+{
+    setRoute(RequestKind::Stream, true, std::chrono::seconds(5), std::chrono::seconds(2), 2);
+    addBackend([](const ReceivedRequest &received) {
+        return ScriptedAnswer{streamHead(received.fields.at("Id")) + eventChunk(1),
+                              NextAction::Close};
+    });
+    TimePoint announced;
+    addBackend([this, &announced](const ReceivedRequest &received) {
+        const auto nearlyDue = [&announced] {
+            return MonotonicClock::now() - announced >= milliseconds(780);
+        };
+        const auto blocksLoopBeyondDue = [&announced] {
+            while (MonotonicClock::now() - announced < milliseconds(850)) {
+            }
+            return true;
+        };
+        return ScriptedAnswer{"",
+                              NextAction::KeepOpen,
+                              {},
+                              {{streamHead(received.fields.at("Id")) + eventChunk(2), nearlyDue},
+                               {"", blocksLoopBeyondDue},
+                               {"0\r\n\r\n", leavesOr(2, milliseconds(1200))}}};
+    });
+    setWeights({1, 1});
+    announced = MonotonicClock::now();
+    announce(milliseconds(1600));
+    EXPECT_EQ(askModel("1"), 200);
+    EXPECT_EQ(m_body, TwoEvents);
+}
+
 // Guards against giving up a stream whose head has arrived but no event yet.
 TEST_F(HeldAnswerTest, AStreamWhoseHeadHasArrivedIsNotLost)
 {
