Let an interrupted stream wait for a server until its deadline

What callers saw: an engine broke off a stream, the others were busy for a second, and the node closed the caller's connection 0.8 s later, with seconds left.

Cause: an interrupted stream waited 0.9 s for a server, and an exclusion that ends later than that counted as "none is left". The caller's part of the answer was lost although a server had room a moment later.

Change: it waits until the request's deadline.

Before: AnInterruptedStreamWaitsForAServerThatHasRoomBeforeTheDeadline is cut at 0.8 s.

--- a/src/vanilladyke/traffic/exchange.cpp
+++ b/src/vanilladyke/traffic/exchange.cpp
@@ -5,12 +5,6 @@
 /// The part of Exchange that admits a request and decides on the sequence of its tries.
 namespace vanilladyke {
 
-namespace {
-
-constexpr Duration ResumeWaitTime = std::chrono::milliseconds(900);
-
-} // namespace
-
 Exchange::Exchange(TrafficState &state, CallerRequest request, AnswerSink &sink)
     : m_state(state)
     , m_request(std::make_shared<const CallerRequest>(std::move(request)))
@@ -53,7 +47,7 @@
         const TimePoint now = MonotonicClock::now();
         if (attempt == nullptr && mayTryAgain(now)) {
             if (end == TryResult::Interrupted) {
-                m_waitUntil = now + ResumeWaitTime;
+                m_waitUntil = m_deadline; // the caller has a part of the answer already
             }
             attempt = co_await nextTry();
         }
--- a/src/vanilladyke/traffic/exchange_test.cpp
+++ b/src/vanilladyke/traffic/exchange_test.cpp
@@ -1159,6 +1159,29 @@
     EXPECT_EQ(m_body, TwoEvents);
 }
 
+// Guards against cutting an interrupted stream long before its deadline while all servers are busy.
+TEST_F(HeldAnswerTest, AnInterruptedStreamWaitsForAServerThatHasRoomBeforeTheDeadline)
+{
+    setSlowStream(2, milliseconds(5000));
+    std::optional<TimePoint> interrupted;
+    const auto busy = [&interrupted](const ReceivedRequest &received) {
+        if (!received.fields.contains("Resume")) {
+            interrupted = MonotonicClock::now();
+            return ScriptedAnswer{streamHead(received.fields.at("Id")) + eventChunk(1),
+                                  NextAction::Reset};
+        }
+        const bool hasRoom = MonotonicClock::now() - *interrupted > milliseconds(1100);
+        return hasRoom ? ScriptedAnswer{streamHead(received.fields.at("Id")) + eventChunk(2)
+                                                + "0\r\n\r\n",
+                                        NextAction::KeepOpen}
+                       : refused(received);
+    };
+    addBackend(busy);
+    addBackend(busy);
+    EXPECT_EQ(ask("1"), 200);
+    EXPECT_EQ(m_body, TwoEvents);
+}
+
 // Guards against giving up a stream whose head has arrived but no event yet.
 TEST_F(HeldAnswerTest, AStreamWhoseHeadHasArrivedIsNotLost)
 {
