Start no hedge for an answer that is being written; end leftover tries with the request

Cause: found by reading the hedging once more. The time limit of the first byte stayed set while a complete answer, or the last event of a stream, was being written to a slow caller, and while a request without an open try waited for a server. A hedge could then start that nobody needed; one that began to answer after the request had its final answer was never recorded as ended, so that its server counted as busy for good on this node.

Change: the limit is cleared when an answer starts, when its last event is written and before each try; hedges end with the request; a server failure (5xx) no longer depends on the order of these steps.

--- a/include/vanilladyke/traffic/exchange.hpp
+++ b/include/vanilladyke/traffic/exchange.hpp
@@ -67,6 +67,8 @@
     /// Chooses the server of the next try, waiting for one if necessary. @return null if the
     /// request has to end without another try
     [[nodiscard]] asio::awaitable<BackendTryPtr> nextTry();
+    /// Ends the tries that are still open when the request has its final answer.
+    [[nodiscard]] asio::awaitable<void> endOpenTries();
     /// Waits until a server may be available. @return false if there is no time left for that
     [[nodiscard]] asio::awaitable<bool> waitForBackend(const NoBackend &none);
     /// Whether the request may be sent to a further server, after the last try or beside a silent
@@ -195,6 +197,7 @@
     int m_status = 0;
     bool m_callerDisconnected = false;
     bool m_timedOut = false;
+    bool m_isOver = false;    ///< the request has its final answer
     bool m_isTooLate = false; ///< predicted wait too long at the best server
     bool m_headWritten = false;
     bool m_budgetSpent = false;
--- a/src/vanilladyke/traffic/exchange.cpp
+++ b/src/vanilladyke/traffic/exchange.cpp
@@ -40,7 +40,7 @@
         const TryResult end = co_await perform(attempt);
         if (end == TryResult::Delivered) {
             log(m_status, "answered");
-            m_deadlineTimer->dueAt.reset();
+            co_await endOpenTries();
             co_return ExchangeResult::Answered;
         }
         attempt = co_await takeSuccessor();
@@ -52,8 +52,9 @@
             attempt = co_await nextTry();
         }
     }
-    m_deadlineTimer->dueAt.reset();
-    co_return co_await finishUnanswered();
+    const ExchangeResult result = co_await finishUnanswered();
+    co_await endOpenTries();
+    co_return result;
 }
 
 std::optional<Refusal> Exchange::admit()
@@ -99,6 +100,17 @@
     return std::nullopt;
 }
 
+asio::awaitable<void> Exchange::endOpenTries()
+{
+    m_isOver = true;
+    m_deadlineTimer->dueAt.reset();
+    dropHedges();
+    if (const BackendTryPtr unused = std::exchange(m_successor, nullptr)) {
+        unused->abort(AbortReason::Unneeded);
+        co_await finishTry(unused, TryResult::Lost);
+    }
+}
+
 asio::awaitable<BackendTryPtr> Exchange::nextTry()
 {
     for (;;) {
--- a/src/vanilladyke/traffic/exchange_answers.cpp
+++ b/src/vanilladyke/traffic/exchange_answers.cpp
@@ -51,6 +51,12 @@
     const AnswerHead &head = attempt->head();
     m_firstByteAt = attempt->beganAt();
     m_status = head.status;
+    if (head.status >= 500) {
+        m_failure = Failure{head, attempt->takeBody()};
+        co_return TryResult::Failed;
+    }
+    dropHedges();
+    setAnswerDeadline(std::nullopt);
     const bool isSuccess = head.status >= 200 && head.status < 300;
     if (isSuccess && m_route->kind == RequestKind::Stream) {
         const TryResult end = co_await relayEvents(attempt);
@@ -60,11 +66,6 @@
         co_return end;
     }
     const std::string body = attempt->takeBody();
-    if (head.status >= 500) {
-        m_failure = Failure{head, body};
-        co_return TryResult::Failed;
-    }
-    dropHedges();
     attempt->release();
     const bool delivered = co_await deliver(head, body);
     co_return delivered ? TryResult::Delivered : TryResult::Interrupted;
@@ -81,13 +82,15 @@
         if (!bytes.empty()) {
             dropHedges();
         }
-        if (!bytes.empty() && isRepeatable()) {
+        const bool isLast = hasRead && attempt->isWhole();
+        if (isLast) {
+            setAnswerDeadline(std::nullopt);
+        } else if (!bytes.empty() && isRepeatable()) {
             // Set before the event is forwarded. Otherwise the deadline for the first event could
             // expire during the write and hedge a stream that is on time.
             setAnswerDeadline(MonotonicClock::now() + streamTimeout);
         }
         std::string whole = m_events.feed(bytes);
-        const bool isLast = hasRead && attempt->isWhole();
         if (isLast && m_events.hasPending()) {
             if (attempt->endsWithConnection()) {
                 co_return m_headWritten ? TryResult::Interrupted : TryResult::Lost;
--- a/src/vanilladyke/traffic/exchange_hedging.cpp
+++ b/src/vanilladyke/traffic/exchange_hedging.cpp
@@ -125,6 +125,9 @@
 void Exchange::onSilence(TimePoint now)
 {
     const std::vector<BackendTryPtr> tries = openTries();
+    if (tries.empty()) {
+        return;
+    }
     const bool hasData = std::any_of(tries.begin(), tries.end(), [](const BackendTryPtr &each) {
         return each->hasUnreadData();
     });
@@ -161,16 +164,16 @@
 
 void Exchange::startHedge(const BackendChoice &choice, TimePoint now)
 {
-    const BackendTryPtr silent = m_current;
+    const BackendTryPtr silent = openTries().front();
     const BackendTryPtr hedge = makeTry(choice);
     m_hedges.push_back(hedge);
     ++m_hedgesStarted;
     m_state.metrics.count("hedges_total");
     LogEvent("request_hedged")
             .field("id", m_request->id)
-            .field("backend", silent ? silent->choice().backend.id.str() : "none")
-            .field("after_ms", silent ? now - *silent->sentAt() : Duration::zero())
-            .field("began", silent && silent->beganAt().has_value())
+            .field("backend", silent->choice().backend.id.str())
+            .field("after_ms", now - silent->sentAt().value_or(now))
+            .field("began", silent->beganAt().has_value())
             .field("second", choice.backend.id.str())
             .field("wait_ms", std::chrono::duration_cast<Duration>(choice.wait))
             .field("sends", m_sends);
@@ -186,6 +189,9 @@
 {
     std::optional<TryResult> end = co_await startTry(hedge);
     std::erase(m_hedges, hedge);
+    if (!end && m_isOver) {
+        hedge->abort(AbortReason::Unneeded);
+    }
     if (!end && hedge->isAborted()) {
         end = TryResult::Lost;
     }
--- a/src/vanilladyke/traffic/exchange_tries.cpp
+++ b/src/vanilladyke/traffic/exchange_tries.cpp
@@ -27,6 +27,7 @@
 {
     m_current = attempt;
     m_choice = attempt->choice();
+    setAnswerDeadline(std::nullopt);
     std::optional<TryResult> end;
     if (!attempt->beganAt()) {
         end = co_await startTry(attempt);
