A burst of callers waits in the kernel's queue instead of being reset

Cause: cpp-httplib listens with a backlog of 5 (ss shows 5). When it is full the kernel drops SYNs; when also five handshakes are half open, it answers with SYN cookies and keeps no state. If the queue is full when the caller's ACK and head come, both are dropped; the body, a segment of its own, then matches no cookie, and the kernel resets the connection. No stop is needed for it. The steps inside the kernel are inferred from its counts, no packets were captured. Change: the node listens a second time with SOMAXCONN, which changes only the backlog. harness.Process can hold up a process. Conclusion: the port for operators and the stand-ins still listen with 5.

--- a/src/vanilladyke/gateway/caller_server.cpp
+++ b/src/vanilladyke/gateway/caller_server.cpp
@@ -8,6 +8,8 @@
 
 #include <httplib.h>
 
+#include <sys/socket.h>
+
 #include <atomic>
 
 namespace vanilladyke {
@@ -146,6 +148,7 @@
     ServiceHandler services;
     std::unique_ptr<httplib::Server> ownedServer;
     httplib::Server &server;
+    int listeningSocket = -1;
 };
 
 /// Counts the request as open until the server's logger runs, after the response's last byte.
@@ -289,7 +292,10 @@
 {
     m_private->server.new_task_queue = [] { return new httplib::ThreadPool(TrafficThreads); };
     m_private->server.set_tcp_nodelay(true);
-    m_private->server.set_socket_options(setExclusivePort);
+    m_private->server.set_socket_options([this](int socket) {
+        setExclusivePort(socket);
+        m_private->listeningSocket = socket;
+    });
     m_private->route();
 }
 
@@ -302,7 +308,14 @@
 
 bool CallerServer::bind(const Endpoint &endpoint)
 {
-    return m_private->server.bind_to_port(endpoint.host, endpoint.port);
+    if (!m_private->server.bind_to_port(endpoint.host, endpoint.port)) {
+        return false;
+    }
+    // The library listens with a backlog of 5. When more callers than that connect at once, the
+    // kernel drops their SYNs, so that they wait for a second, and resets connections that it
+    // accepted with a SYN cookie. A second listen() changes only the backlog; the kernel lowers it
+    // to its own limit.
+    return ::listen(m_private->listeningSocket, SOMAXCONN) == 0;
 }
 
 void CallerServer::run()
--- a/tests/integration/edges.py
+++ b/tests/integration/edges.py
@@ -2,11 +2,13 @@
 
 import json
 import random
+import select
 import socket
 
 import harness
 
 SEED = 20261202
+BURST = 100  # below the smallest limit on a backlog that a kernel has by default, 128
 
 
 class Edges(harness.ClusterTest):
@@ -85,6 +87,49 @@
         self.assertEqual(answer["usage"]["completion_tokens"], 5)
         self.assertGreater(answer["usage"]["prompt_tokens"], 20_000)
 
+    def connect_while_held_up(self, count):
+        """Callers whose connections are open although the node runs no instruction."""
+        callers = []
+        for _ in range(count):
+            caller = socket.socket()
+            self.addCleanup(caller.close)
+            caller.setblocking(False)
+            caller.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            caller.connect_ex(("127.0.0.1", self.node.port))
+            callers.append(caller)
+
+        def connected():
+            writable = select.select([], callers, [], 0)[1]
+            return len(writable) == count and not any(
+                caller.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) for caller in callers)
+
+        harness.wait_until(connected, f"{count} callers connected")
+        return callers
+
+    def test_a_burst_of_callers_waits_while_a_node_is_held_up(self):
+        """Many callers connect at once while a node gets no processor. Where the kernel's queue of
+        connections is full, some wait for a second, and others are reset: with SYN cookies the kernel
+        has no state of a connection whose first segments found the queue full, and it resets the
+        connection at the next segment. So head and body are sent apart, as HTTP clients send them."""
+        body = json.dumps({"model": "copy", "stream": True, "max_tokens": 5,
+                           "messages": [{"role": "user", "content": "all at once"}]}).encode()
+        head = (f"POST /v1/chat/completions HTTP/1.1\r\nHost: node\r\nAuthorization: Bearer brand-key\r\n"
+                f"Connection: close\r\nContent-Length: {len(body)}\r\n\r\n").encode()
+        self.node.hold_up()
+        callers = self.connect_while_held_up(BURST)
+        for part in (head, body):
+            for caller in callers:
+                caller.sendall(part)
+        self.node.go_on()
+        for caller in callers:
+            caller.settimeout(harness.WAIT_SECONDS)
+            response = harness.http.client.HTTPResponse(caller)
+            response.begin()
+            answer = response.read().decode()
+            self.assertEqual(response.status, 200, answer)
+            self.assertEqual(harness.streamed_text(answer),
+                             ("".join(harness.expected_tokens("all at once", 5)), True))
+
 
 if __name__ == "__main__":
     harness.main()
--- a/tests/integration/harness.py
+++ b/tests/integration/harness.py
@@ -118,6 +118,14 @@
         with open(self.log_path, encoding="utf-8") as log:
             return log.read()
 
+    def hold_up(self):
+        """From here to go_on() the process runs no instruction."""
+        self.popen.send_signal(signal.SIGSTOP)
+        os.waitid(os.P_PID, self.popen.pid, os.WSTOPPED)
+
+    def go_on(self):
+        self.popen.send_signal(signal.SIGCONT)
+
     def stop(self, how=signal.SIGTERM):
         if self.popen.poll() is None:
             self.popen.send_signal(how)
