A stopping node that was frozen and resumed keeps to its balancer lag

Callers saw: 503 "this node is stopping" and refused connections from a node that had been told to stop 1.5 s before, with a balancer lag of 3 s. Cause: sigtimedwait() ends with EINTR in a process that was stopped and resumed; that was taken for the end of the lag. Change: an interrupted wait goes on until the deadline. Conclusion: found while tracing the reset of one stream. It is no cause of that one as far as we know: nothing froze the nodes there.

--- a/src/vanilladyke/app/shutdown.cpp
+++ b/src/vanilladyke/app/shutdown.cpp
@@ -3,6 +3,7 @@
 #include "vanilladyke/base/log.hpp"
 
 #include <algorithm>
+#include <cerrno>
 #include <ctime>
 
 namespace vanilladyke {
@@ -16,12 +17,16 @@
 /// @return whether a stop signal arrived before the deadline
 bool signalledBefore(const sigset_t &signals, TimePoint deadline)
 {
-    const Duration remaining = std::max(deadline - MonotonicClock::now(), Duration::zero());
-    const auto seconds = std::chrono::floor<std::chrono::seconds>(remaining);
-    timespec timeout{};
-    timeout.tv_sec = seconds.count();
-    timeout.tv_nsec = (remaining - seconds).count();
-    const int signal = sigtimedwait(&signals, nullptr, &timeout);
+    int signal = -1;
+    do {
+        const Duration remaining = std::max(deadline - MonotonicClock::now(), Duration::zero());
+        const auto seconds = std::chrono::floor<std::chrono::seconds>(remaining);
+        timespec timeout{};
+        timeout.tv_sec = seconds.count();
+        timeout.tv_nsec = (remaining - seconds).count();
+        signal = sigtimedwait(&signals, nullptr, &timeout);
+        // A process that was frozen and resumed is interrupted here before the deadline.
+    } while (signal < 0 && errno == EINTR);
     if (signal > 0) {
         LogEvent("stopping_at_once", Severity::Warning).field("signal", signal);
     }
--- a/tests/integration/first_path.py
+++ b/tests/integration/first_path.py
@@ -1,6 +1,7 @@
 """One request from a caller through a node to an engine and back."""
 
 import json
+import signal
 
 import harness
 
@@ -40,6 +41,20 @@
     def test_a_planned_stop_exits_with_0(self):
         self.assertEqual(self.node.stop(), 0)
 
+    def test_a_node_that_is_held_up_while_it_stops_serves_until_the_lag_has_passed(self):
+        """A frozen and resumed process has its wait for a second signal interrupted. Were that taken
+        for the end of the lag, callers that the balancer still sends would be refused or reset."""
+        node = self.cluster.node("n2", balancer_lag_ms=600_000)
+        node.popen.send_signal(signal.SIGTERM)
+        harness.wait_until(lambda: harness.http_call(node.port, "GET", "/readyz")[0] == 503, "leaving")
+        for turn in range(20):
+            node.hold_up()
+            node.go_on()
+            status, body, _ = harness.chat(node.port, f"held up {turn}", 5, False)
+            self.assertEqual(status, 200, body)
+        self.assertEqual(node.stop(), 0)
+        self.assertIn("event=stopping_at_once", node.log_text())
+
 
 if __name__ == "__main__":
     harness.main()
