Decide between two open tries by whole events; no hedge without a try, or while writing

Cause and change: - A hedge could start, or begin to answer, while the request waited for a server (the limit outlived its try): an unsafe request reached two servers. The limit ends with its try; nothing is hedged without an open try. - The line end of a chunk stayed in the read buffer and counted as data that had arrived: a stream that fell silent after a whole chunk was never hedged. Only bytes beyond those left by the last read count. - Half an event dropped the other try. A try begins with its first whole event, and a hedge is dropped for a whole event only. - A slow caller: no hedge while events are written to it or while a hedge has begun to answer; a failed write ends the hedges, too. - Aborted hedges no longer count as a replacement for a withdrawn try; they still count where a refusal says whether the request ran. - The margins of a withdrawal are settings of the traffic thread, so that tests need no narrow span of time; their routes have ample timeouts.

--- a/include/vanilladyke/traffic/backend_try.hpp
+++ b/include/vanilladyke/traffic/backend_try.hpp
@@ -42,7 +42,7 @@
     bool isResume = false; ///< the caller has a part of the stream; nothing but a stream may follow
 };
 
-/// @brief Sends a request to one server and reads the answer up to its start: the first bytes of a
+/// @brief Sends a request to one server and reads the answer up to its start: the first event of a
 /// stream, or a complete answer of any other kind. The rest of a stream is read by the caller.
 ///
 /// Two tries of one request may be under way at the same time, each with its own connection, until
@@ -119,7 +119,9 @@
     std::optional<TimePoint> m_sentAt;
     std::optional<TimePoint> m_beganAt;
     AbortReason m_abortReason = AbortReason::None;
-    bool m_hasHead = false;  ///< m_head is of the answer to this request
+    bool m_hasHead = false; ///< m_head is of the answer to this request
+    /// Bytes that were buffered after the last read, such as the line end of a chunk.
+    std::size_t m_buffered = 0;
     bool m_sawStray = false; ///< an answer to another request arrived on the connection
 };
 
--- a/include/vanilladyke/traffic/exchange.hpp
+++ b/include/vanilladyke/traffic/exchange.hpp
@@ -128,6 +128,7 @@
     /// Waits for the hedges that are under way once no other try is left. @return the one that has
     /// begun to answer; null if none has
     [[nodiscard]] asio::awaitable<BackendTryPtr> takeSuccessor();
+    /// The tries that were not aborted.
     [[nodiscard]] std::vector<BackendTryPtr> openTries() const;
     /// Schedules the hedge of a waiting try whose weights expire. @return when it is withdrawn
     [[nodiscard]] std::optional<TimePoint> scheduleWithdrawal(const BackendTry &attempt,
@@ -197,6 +198,7 @@
     int m_status = 0;
     bool m_callerDisconnected = false;
     bool m_timedOut = false;
+    bool m_isWriting = false; ///< events are being written to the caller
     bool m_isOver = false;    ///< the request has its final answer
     bool m_isTooLate = false; ///< predicted wait too long at the best server
     bool m_headWritten = false;
--- a/include/vanilladyke/traffic/traffic_state.hpp
+++ b/include/vanilladyke/traffic/traffic_state.hpp
@@ -32,9 +32,16 @@
     Duration keysValidFor = std::chrono::milliseconds(4500); ///< after their last freshness proof
     bool failsClosed = true; ///< refuses requests with a key without a valid freshness proof
     bool withdrawsRequests =
-            true;                ///< withdraws requests that have not begun when old weights expire
-    bool retriesRequests = true; ///< retries repeatable requests on another server
-    bool resumesStreams = true;  ///< resumes interrupted streams on another server
+            true; ///< withdraws requests that have not begun when old weights expire
+    /// A waiting request is withdrawn this long before the end of its server's weights if another
+    /// server has been asked in its place. Covers the time to remove a request from an engine's
+    /// queue and the delay of weights updates.
+    Duration withdrawMargin = std::chrono::milliseconds(800);
+    /// The same if no other server takes the request, which may still begin in time. Covers the
+    /// time to remove it from the queue.
+    Duration lastWithdrawMargin = std::chrono::milliseconds(400);
+    bool retriesRequests = true;              ///< retries repeatable requests on another server
+    bool resumesStreams = true;               ///< resumes interrupted streams on another server
     bool quarantinesRequests = true;          ///< quarantines requests under which engines end
     std::vector<WorkDigest> releasedRequests; ///< released from quarantine by an operator
 };
--- a/src/vanilladyke/traffic/backend_try.cpp
+++ b/src/vanilladyke/traffic/backend_try.cpp
@@ -1,6 +1,7 @@
 #include "vanilladyke/traffic/backend_try.hpp"
 
 #include "vanilladyke/base/log.hpp"
+#include "vanilladyke/traffic/event_splitter.hpp"
 
 #include <boost/beast/http/read.hpp>
 
@@ -24,6 +25,12 @@
     return status >= 200 && status < 300;
 }
 
+bool hasWholeEvent(const std::string &events)
+{
+    EventSplitter splitter;
+    return !splitter.feed(events).empty();
+}
+
 } // namespace
 
 std::string_view toString(TryResult result)
@@ -165,10 +172,11 @@
     }
     if (isSuccess(m_head.status) && m_terms.isStream) {
         bool hasRead = true;
-        while (hasRead && m_body.empty() && !isWhole()) {
+        // Bytes that are no event yet prove little: the server may break off before its end.
+        while (hasRead && !hasWholeEvent(m_body) && !isWhole()) {
             hasRead = co_await readSome(&m_body);
         }
-        if (m_body.empty() && !hasRead) {
+        if (!hasRead && !hasWholeEvent(m_body)) {
             co_return TryResult::Lost;
         }
         recordStart();
@@ -239,6 +247,7 @@
         error = {};
     }
     out->append(piece.data(), piece.size() - body.size);
+    m_buffered = m_connection->buffer.size();
     co_return !error;
 }
 
@@ -288,7 +297,7 @@
     }
     ErrorCode ignored;
     // A read that has completed may still wait for its turn in the event loop.
-    return m_connection->buffer.size() > 0 || m_connection->socket.available(ignored) > 0;
+    return m_connection->buffer.size() > m_buffered || m_connection->socket.available(ignored) > 0;
 }
 
 } // namespace vanilladyke
--- a/src/vanilladyke/traffic/exchange_answers.cpp
+++ b/src/vanilladyke/traffic/exchange_answers.cpp
@@ -79,9 +79,6 @@
     std::string bytes = attempt->takeBody();
     bool hasRead = true;
     for (;;) {
-        if (!bytes.empty()) {
-            dropHedges();
-        }
         const bool isLast = hasRead && attempt->isWhole();
         if (isLast) {
             setAnswerDeadline(std::nullopt);
@@ -98,9 +95,10 @@
             whole += m_events.takePending();
         }
         if (!whole.empty() || isLast) {
+            dropHedges();
             const bool isWritten = co_await writeEvents(attempt->head(), whole, isLast);
             if (!isWritten) {
-                m_callerDisconnected = true;
+                callerDisconnected();
                 co_return TryResult::Interrupted;
             }
         }
@@ -133,7 +131,10 @@
     if (isLast) {
         out += "0\r\n\r\n";
     }
-    co_return co_await m_sink.write(std::move(out));
+    m_isWriting = true;
+    const bool isWritten = co_await m_sink.write(std::move(out));
+    m_isWriting = false;
+    co_return isWritten;
 }
 
 asio::awaitable<bool> Exchange::deliver(const AnswerHead &head, const std::string &body)
--- a/src/vanilladyke/traffic/exchange_hedging.cpp
+++ b/src/vanilladyke/traffic/exchange_hedging.cpp
@@ -12,13 +12,6 @@
 /// Extension of a try's deadline while received bytes are unread: they are read within a few
 /// iterations of the event loop.
 constexpr Duration UnreadDataExtension = std::chrono::milliseconds(100);
-/// A waiting try is withdrawn this long before the end of its server's weights if another server
-/// can take its place. Covers the time to remove a request from an engine's queue and the delay of
-/// weights updates.
-constexpr Duration WithdrawMargin = std::chrono::milliseconds(800);
-/// The same if no other server can: the request may still begin in time. Covers the time to remove
-/// it from the queue.
-constexpr Duration LastWithdrawMargin = std::chrono::milliseconds(400);
 /// A waiting try is hedged this long before it is withdrawn, so that another server can answer in
 /// its place.
 constexpr Duration HedgeBeforeWithdrawal = std::chrono::milliseconds(400);
@@ -37,11 +30,10 @@
 std::vector<BackendTryPtr> Exchange::openTries() const
 {
     std::vector<BackendTryPtr> tries = m_hedges;
-    for (const BackendTryPtr &each : {m_current, m_successor}) {
-        if (each != nullptr && !each->isAborted()) {
-            tries.push_back(each);
-        }
-    }
+    tries.push_back(m_current);
+    tries.push_back(m_successor);
+    std::erase_if(tries,
+                  [](const BackendTryPtr &each) { return each == nullptr || each->isAborted(); });
     return tries;
 }
 
@@ -73,7 +65,7 @@
     if (!end) {
         return std::nullopt;
     }
-    const TimePoint withdrawnAt = *end - WithdrawMargin;
+    const TimePoint withdrawnAt = *end - m_state.settings.withdrawMargin;
     const TimePoint hedgedAt = withdrawnAt - HedgeBeforeWithdrawal;
     if (hedgedAt > now) {
         m_answerDeadline = std::min(m_answerDeadline.value_or(hedgedAt), hedgedAt);
@@ -112,7 +104,8 @@
             std::any_of(tries.begin(), tries.end(), [this](const BackendTryPtr &each) {
                 return each->sentAt() && !weightsEnd(*each);
             });
-    const Duration margin = hasReplacement ? WithdrawMargin : LastWithdrawMargin;
+    const Duration margin =
+            hasReplacement ? m_state.settings.withdrawMargin : m_state.settings.lastWithdrawMargin;
     for (const BackendTryPtr &attempt : tries) {
         const std::optional<TimePoint> end = weightsEnd(*attempt);
         if (end && now >= *end - margin && !attempt->hasUnreadData()) {
@@ -131,8 +124,9 @@
     const bool hasData = std::any_of(tries.begin(), tries.end(), [](const BackendTryPtr &each) {
         return each->hasUnreadData();
     });
-    if (hasData) {
-        // Data has arrived and this node has not read it yet, so the server is not silent.
+    if (hasData || m_isWriting || m_successor != nullptr) {
+        // Data has arrived and this node has not read or forwarded it yet, so the server is not
+        // silent.
         m_answerDeadline = now + UnreadDataExtension;
         return;
     }
@@ -164,7 +158,7 @@
 
 void Exchange::startHedge(const BackendChoice &choice, TimePoint now)
 {
-    const BackendTryPtr silent = openTries().front();
+    const BackendTryPtr silent = openTries().back();
     const BackendTryPtr hedge = makeTry(choice);
     m_hedges.push_back(hedge);
     ++m_hedgesStarted;
--- a/src/vanilladyke/traffic/exchange_test.cpp
+++ b/src/vanilladyke/traffic/exchange_test.cpp
@@ -644,6 +644,8 @@
 protected:
     /// Latest time at which a held answer is released, if the node does not leave the first server.
     static constexpr Duration LatestRelease = milliseconds(1000);
+    /// Timeout of routes whose requests have to be answered, on a busy machine, too.
+    static constexpr Duration Ample = std::chrono::seconds(30);
 
     [[nodiscard]] bool hasLeftFirst() const
     {
@@ -699,12 +701,12 @@
         };
     }
 
-    void setSlowSafe(int mostBackends = 2, Duration timeout = milliseconds(2500))
+    void setSlowSafe(int mostBackends = 2, Duration timeout = Ample)
     {
         setRoute(RequestKind::Safe, false, timeout, milliseconds(20), mostBackends);
     }
 
-    void setSlowStream(int mostBackends = 2, Duration timeout = milliseconds(2500))
+    void setSlowStream(int mostBackends = 2, Duration timeout = Ample)
     {
         m_longestPause = milliseconds(20);
         setRoute(RequestKind::Stream, true, timeout, milliseconds(20), mostBackends);
@@ -735,9 +737,12 @@
         m_state.tracker.setBackends(m_entries);
     }
 
-    /// Announces weights on which the old ones end @p left from now.
-    void announce(Duration left)
+    /// Announces weights on which the old ones end after @p untilWithdrawal and a long margin.
+    void announce(Duration untilWithdrawal = milliseconds(800))
     {
+        constexpr Duration Margin = std::chrono::seconds(10);
+        m_state.settings.withdrawMargin = Margin;
+        const Duration left = untilWithdrawal + Margin;
         const TimePoint now = MonotonicClock::now();
         const TimePoint namedAt = now + left - m_state.settings.rates.oldWeightsPeriod;
         m_state.tracker.weightsAnnounced({ModelId("m"), {2, namedAt, namedAt}},
@@ -841,7 +846,7 @@
 // Guards against leaving a slow server for one that is even slower.
 TEST_F(HeldAnswerTest, ASlowAnswerIsNotLostIfTheOtherServerStaysSilent)
 {
-    setSlowSafe(2, milliseconds(1500));
+    setSlowSafe();
     addBackend(heldUntilLeft());
     addBackend(silent);
     EXPECT_EQ(ask("1"), 200);
@@ -851,7 +856,7 @@
 // Guards against leaving a slow stream for a server that is even slower.
 TEST_F(HeldAnswerTest, ASlowStreamIsNotLostIfTheOtherServerStaysSilent)
 {
-    setSlowStream(2, milliseconds(1500));
+    setSlowStream();
     addBackend(heldUntilLeft());
     addBackend(silent);
     EXPECT_EQ(ask("1"), 200);
@@ -893,7 +898,7 @@
 // Guards against leaving a paused stream for servers that refuse, if its own server can resume it.
 TEST_F(HeldAnswerTest, APausedStreamGoesOnIfTheOtherServerRefuses)
 {
-    setSlowStream(2, milliseconds(5000));
+    setSlowStream();
     addBackend(pausesUntilLeft(true));
     addBackend(refused);
     EXPECT_EQ(ask("1"), 200);
@@ -903,7 +908,7 @@
 // Guards against leaving a paused stream when no server, not even its own, accepts it again.
 TEST_F(HeldAnswerTest, APausedStreamIsNotCutIfAllServersRefuseToResume)
 {
-    setSlowStream(2, milliseconds(5000));
+    setSlowStream();
     addBackend(pausesUntilLeft(false));
     addBackend(refused);
     EXPECT_EQ(ask("1"), 200);
@@ -913,7 +918,7 @@
 // Guards against leaving a paused stream for a server whose connection breaks.
 TEST_F(HeldAnswerTest, APausedStreamIsNotCutIfTheOtherServersConnectionBreaks)
 {
-    setSlowStream(2, milliseconds(5000));
+    setSlowStream();
     addBackend(pausesUntilLeft(true));
     addBackend(reset);
     EXPECT_EQ(ask("1"), 200);
@@ -923,7 +928,7 @@
 // Guards against leaving a paused stream for a server that stays silent.
 TEST_F(HeldAnswerTest, APausedStreamIsNotCutIfTheOtherServerStaysSilent)
 {
-    setSlowStream(2, milliseconds(2500));
+    setSlowStream();
     addBackend(pausesUntilLeft(true));
     addBackend(silent);
     EXPECT_EQ(ask("1"), 200);
@@ -933,7 +938,7 @@
 // Guards against leaving a paused stream with the last retry, which a refusal then uses up.
 TEST_F(HeldAnswerTest, APausedStreamIsNotCutIfTheOnlyRetryIsRefused)
 {
-    setSlowStream(2, milliseconds(5000));
+    setSlowStream();
     allowOneRetry();
     addBackend(pausesUntilLeft(true));
     addBackend(refused);
@@ -944,7 +949,7 @@
 // Guards against withdrawing a resumed stream that may not be sent to a further server.
 TEST_F(HeldAnswerTest, AResumedStreamIsNotWithdrawnIfTheRouteAllowsNoFurtherServer)
 {
-    setRoute(RequestKind::Stream, true, std::chrono::seconds(5), std::chrono::seconds(2), 2);
+    setRoute(RequestKind::Stream, true, Ample, std::chrono::seconds(2), 2);
     addBackend([](const ReceivedRequest &received) {
         return ScriptedAnswer{streamHead(received.fields.at("Id")) + eventChunk(1),
                               NextAction::Close};
@@ -957,7 +962,7 @@
                                 leavesOr(2)}}};
     });
     setWeights({1, 1});
-    announce(milliseconds(1600));
+    announce();
     EXPECT_EQ(askModel("1"), 200);
     EXPECT_EQ(m_body, TwoEvents);
 }
@@ -965,7 +970,7 @@
 // Guards against withdrawing a resumed stream if the retry budget allows no further retry.
 TEST_F(HeldAnswerTest, AResumedStreamIsNotWithdrawnIfNoRetryIsLeft)
 {
-    setRoute(RequestKind::Stream, true, std::chrono::seconds(5), std::chrono::seconds(2), 3);
+    setRoute(RequestKind::Stream, true, Ample, std::chrono::seconds(2), 3);
     allowOneRetry();
     addBackend([](const ReceivedRequest &received) {
         return ScriptedAnswer{streamHead(received.fields.at("Id")) + eventChunk(1),
@@ -979,7 +984,7 @@
                                 leavesOr(2)}}};
     });
     setWeights({1, 1});
-    announce(milliseconds(1600));
+    announce();
     EXPECT_EQ(askModel("1"), 200);
     EXPECT_EQ(m_body, TwoEvents);
 }
@@ -987,11 +992,11 @@
 // Guards against withdrawing a request that may run once only: it cannot be sent elsewhere.
 TEST_F(HeldAnswerTest, AnUnsafeRequestIsNotWithdrawnWithoutAReplacement)
 {
-    setRoute(RequestKind::Unsafe, false, std::chrono::seconds(3));
+    setRoute(RequestKind::Unsafe, false, Ample);
     addBackend(heldUntilLeft());
     addBackend(good);
     setWeights({1, 1});
-    announce(milliseconds(1600));
+    announce();
     EXPECT_EQ(askModel("1"), 200);
     EXPECT_EQ(m_body, "held");
 }
@@ -999,11 +1004,11 @@
 // Guards against withdrawing a request for a server that refuses.
 TEST_F(HeldAnswerTest, AWithdrawnRequestIsNotLostIfTheOtherServerRefuses)
 {
-    setRoute(RequestKind::Safe, false, std::chrono::seconds(3));
+    setRoute(RequestKind::Safe, false, Ample);
     addBackend(heldUntilLeft());
     addBackend(refused);
     setWeights({1, 2});
-    announce(milliseconds(1600));
+    announce();
     EXPECT_EQ(askModel("1"), 200);
     EXPECT_EQ(m_body, "held");
 }
@@ -1012,7 +1017,7 @@
 // could not resume it.
 TEST_F(HeldAnswerTest, APausedStreamWithoutEventIdsGoesOn)
 {
-    setSlowStream(2, milliseconds(5000));
+    setSlowStream();
     const std::string event = "9\r\ndata: d\n\n\r\n";
     addBackend([this, event](const ReceivedRequest &received) {
         return ScriptedAnswer{streamHead(received.fields.at("Id")) + event,
@@ -1029,7 +1034,7 @@
 // one refuses, and the first server begins in time after all.
 TEST_F(HeldAnswerTest, AnotherServerIsAskedBeforeARequestIsWithdrawn)
 {
-    setRoute(RequestKind::Safe, false, std::chrono::seconds(3));
+    setRoute(RequestKind::Safe, false, Ample);
     addBackend([this](const ReceivedRequest &received) {
         const auto isHedged = [this] { return !m_backends[1]->received.empty(); };
         return ScriptedAnswer{"",
@@ -1039,7 +1044,7 @@
     });
     addBackend(refused);
     setWeights({1, 2});
-    announce(milliseconds(1600));
+    announce();
     EXPECT_EQ(askModel("1"), 200);
     EXPECT_EQ(m_body, "held");
 }
@@ -1088,7 +1093,7 @@
 // Guards against withdrawing an answer that has begun to arrive.
 TEST_F(HeldAnswerTest, AnAnswerThatHasBegunIsNotWithdrawn)
 {
-    setRoute(RequestKind::Unsafe, false, std::chrono::seconds(3));
+    setRoute(RequestKind::Unsafe, false, Ample);
     addBackend([this](const ReceivedRequest &received) {
         const std::string bytes = answer(received.fields.at("Id"), "held");
         const std::size_t half = bytes.size() - 2;
@@ -1098,7 +1103,7 @@
                               {{bytes.substr(half), leavesOr(1)}}};
     });
     setWeights({1});
-    announce(milliseconds(1600));
+    announce();
     EXPECT_EQ(askModel("1"), 200);
     EXPECT_EQ(m_body, "held");
 }
@@ -1130,7 +1135,7 @@
 // that withdraws it.
 TEST_F(HeldAnswerTest, AnEventThatArrivesWithTheWithdrawalDoesNotEndTheStream)
 {
-    setRoute(RequestKind::Stream, true, std::chrono::seconds(5), std::chrono::seconds(2), 2);
+    setRoute(RequestKind::Stream, true, Ample, std::chrono::seconds(2), 2);
     addBackend([](const ReceivedRequest &received) {
         return ScriptedAnswer{streamHead(received.fields.at("Id")) + eventChunk(1),
                               NextAction::Close};
@@ -1154,7 +1159,7 @@
     });
     setWeights({1, 1});
     announced = MonotonicClock::now();
-    announce(milliseconds(1600));
+    announce();
     EXPECT_EQ(askModel("1"), 200);
     EXPECT_EQ(m_body, TwoEvents);
 }
@@ -1162,7 +1167,7 @@
 // Guards against cutting an interrupted stream long before its deadline while all servers are busy.
 TEST_F(HeldAnswerTest, AnInterruptedStreamWaitsForAServerThatHasRoomBeforeTheDeadline)
 {
-    setSlowStream(2, milliseconds(5000));
+    setSlowStream();
     std::optional<TimePoint> interrupted;
     const auto busy = [&interrupted](const ReceivedRequest &received) {
         if (!received.fields.contains("Resume")) {
@@ -1182,6 +1187,132 @@
     EXPECT_EQ(m_body, TwoEvents);
 }
 
+// Guards against a stream that is never hedged, since the line end of its last chunk, which belongs
+// to no event, stays unread.
+TEST_F(HeldAnswerTest, AStreamThatIsSilentAfterAWholeChunkIsHedged)
+{
+    setSlowStream();
+    addBackend([](const ReceivedRequest &received) {
+        return ScriptedAnswer{streamHead(received.fields.at("Id")) + eventChunk(1),
+                              NextAction::Hang};
+    });
+    addBackend([](const ReceivedRequest &received) {
+        return ScriptedAnswer{streamHead(received.fields.at("Id")) + eventChunk(2) + "0\r\n\r\n",
+                              NextAction::KeepOpen};
+    });
+    EXPECT_EQ(ask("1"), 200);
+    EXPECT_EQ(m_body, TwoEvents);
+}
+
+// Guards against a second server that is left for bytes of the first one that are no event: the
+// first one breaks off, and the route allows no third one.
+TEST_F(HeldAnswerTest, AHalfEventDoesNotEndTheOtherTry)
+{
+    setSlowStream();
+    addBackend([this](const ReceivedRequest &received) {
+        const auto isHedged = [this] { return !m_backends[1]->received.empty(); };
+        std::string begin = streamHead(received.fields.at("Id")) + eventChunk(1);
+        begin.resize(begin.size() - 2); // the line end of the chunk follows with the half event
+        return ScriptedAnswer{begin, NextAction::Close, {}, {{"\r\n3\r\nid:\r\n", isHedged}}};
+    });
+    addBackend([this](const ReceivedRequest &received) {
+        return ScriptedAnswer{"",
+                              NextAction::KeepOpen,
+                              {},
+                              {{streamHead(received.fields.at("Id")) + eventChunk(2) + "0\r\n\r\n",
+                                leavesOr(1)}}};
+    });
+    EXPECT_EQ(ask("1"), 200);
+    EXPECT_EQ(m_body, TwoEvents);
+}
+
+// Guards against a second server that goes on for a request that has been answered: the end of the
+// first server's stream carries no event.
+TEST_F(HeldAnswerTest, TheEndOfAStreamEndsTheOtherTry)
+{
+    setSlowStream();
+    addBackend([this](const ReceivedRequest &received) {
+        const auto isHedged = [this] { return !m_backends[1]->received.empty(); };
+        std::string begin = streamHead(received.fields.at("Id")) + eventChunk(1);
+        begin.resize(begin.size() - 2); // the line end of the chunk follows with the last chunk
+        return ScriptedAnswer{begin, NextAction::KeepOpen, {}, {{"\r\n0\r\n\r\n", isHedged}}};
+    });
+    auto &second = addBackend(silent);
+    EXPECT_EQ(ask("1"), 200);
+    EXPECT_EQ(m_body, "id: 1\ndata: d\n\n");
+    runUntil([&] { return second.closedByPeer == 1; });
+    EXPECT_EQ(m_state.tracker.inFlight(EngineId("e2")), 0);
+}
+
+// Guards against a hedge that is started while the request waits for a server: its answer would lie
+// there while a silent server is asked.
+TEST_F(HeldAnswerTest, AnAnswerThatBeginsWhileTheRequestWaitsForAServerIsForwarded)
+{
+    setSlowStream(3);
+    std::optional<TimePoint> interrupted;
+    addBackend([this, &interrupted](const ReceivedRequest &received) {
+        interrupted = MonotonicClock::now();
+        for (int i = 0; i < 4; ++i) {
+            m_state.tracker.exclude(EngineId("e2"), *interrupted);
+        }
+        return ScriptedAnswer{streamHead(received.fields.at("Id")) + eventChunk(1),
+                              NextAction::Reset};
+    });
+    addBackend(silent);
+    ScriptedBackend third(m_context, [](const ReceivedRequest &received) {
+        const TimePoint end = MonotonicClock::now() + milliseconds(100);
+        return ScriptedAnswer{streamHead(received.fields.at("Id")) + eventChunk(2),
+                              NextAction::KeepOpen,
+                              {},
+                              {{"0\r\n\r\n", [end] { return MonotonicClock::now() >= end; }}}};
+    });
+    m_state.ticker.onStep = [&](TimePoint now) {
+        if (m_entries.size() == 2 && interrupted && now - *interrupted > milliseconds(500)) {
+            m_entries.push_back(m_entries[1]);
+            m_entries[2].id = EngineId("e3");
+            m_entries[2].endpoint = third.endpoint();
+            m_state.tracker.setBackends(m_entries);
+        }
+    };
+    EXPECT_EQ(ask("1"), 200);
+    EXPECT_EQ(m_body, TwoEvents);
+    m_state.ticker.onStep = nullptr;
+}
+
+// Guards against an unsafe request that is sent to two servers: a hedge of a try that has ended by
+// a refusal, and the next try.
+TEST_F(HeldAnswerTest, AnUnsafeRequestIsNotSentToTwoServersAfterARefusal)
+{
+    setRoute(RequestKind::Unsafe, false, std::chrono::seconds(4), std::chrono::seconds(6));
+    std::optional<TimePoint> refusedAt;
+    addBackend([&refusedAt](const ReceivedRequest &received) {
+        const TimePoint asked = MonotonicClock::now();
+        const auto isDue = [&refusedAt, asked] {
+            refusedAt = MonotonicClock::now();
+            return *refusedAt - asked >= milliseconds(500);
+        };
+        return ScriptedAnswer{"", NextAction::KeepOpen, {}, {{refused(received).bytes, isDue}}};
+    });
+    auto &second = addBackend(silent);
+    ScriptedBackend third(m_context, silent);
+    setWeights({1, 2});
+    announce();
+    for (int i = 0; i < 4; ++i) {
+        m_state.tracker.exclude(EngineId("e2"), MonotonicClock::now());
+    }
+    m_state.ticker.onStep = [&](TimePoint now) {
+        if (m_entries.size() == 2 && refusedAt && now - *refusedAt > milliseconds(20)) {
+            m_entries.push_back(m_entries[1]);
+            m_entries[2].id = EngineId("e3");
+            m_entries[2].endpoint = third.endpoint();
+            m_state.tracker.setBackends(m_entries);
+        }
+    };
+    EXPECT_EQ(askModel("1"), 504);
+    EXPECT_EQ(second.received.size() + third.received.size(), 1U);
+    m_state.ticker.onStep = nullptr;
+}
+
 // Guards against giving up a stream whose head has arrived but no event yet.
 TEST_F(HeldAnswerTest, AStreamWhoseHeadHasArrivedIsNotLost)
 {
--- a/src/vanilladyke/traffic/exchange_tries.cpp
+++ b/src/vanilladyke/traffic/exchange_tries.cpp
@@ -39,6 +39,9 @@
         end = co_await forward(attempt);
     }
     m_current.reset();
+    if (m_hedges.empty()) {
+        setAnswerDeadline(std::nullopt);
+    }
     co_await finishTry(attempt, *end);
     co_return *end;
 }
@@ -255,9 +258,10 @@
 
 Ran Exchange::ran() const
 {
-    bool mayHaveRun = m_mayHaveRun;
-    for (const BackendTryPtr &attempt : openTries()) {
-        mayHaveRun = mayHaveRun || attempt->ran() != Ran::No;
+    // A hedge that was aborted may have run, too, until its end is recorded.
+    bool mayHaveRun = m_mayHaveRun || m_current != nullptr || m_successor != nullptr;
+    for (const BackendTryPtr &hedge : m_hedges) {
+        mayHaveRun = mayHaveRun || hedge->ran() != Ran::No;
     }
     return mayHaveRun ? Ran::Unknown : Ran::No;
 }
