Ask a second server of a service beside a late one, which keeps its call

What callers saw: 503 retry_budget_spent or 502 backend_failed, both with ran "unknown", or the error of another server, although the server that had the call would have answered within the deadline.

Cause: found by reading. A call that may be repeated got half of the time left at its first server; then the connection was closed, and only after that the retry budget was asked and the next server tried. A server that might still answer was given up for the mere prospect of another one.

Evidence: three tests with processes force the order; the late server answers after 3 of 5 seconds.

Change: after half of the time the next server is asked beside the first, if the budget allows; without a retry the first has the whole time. The first answer below 400 counts, then the others are closed. An error status is kept back while another server is at work, and passed on if none does better. No retry is spent after the deadline. Each attempt of a repeatable call has a thread of its own (ServiceAttempts), also where the service has one server. Calls under a claim still go to one server at a time.

Taking the retry before the first try was not chosen: every call would take one, and the budget has no way to give it back.

Not covered by a test: that the connection of the slower server is closed, TLS to services with two attempts open, and the cost of the threads.

--- a/src/vanilladyke/gateway/service_exchange.hpp
+++ b/src/vanilladyke/gateway/service_exchange.hpp
@@ -4,8 +4,10 @@
 #include "vanilladyke/model/ids.hpp"
 #include "vanilladyke/platform/backend_client.hpp"
 
+#include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace vanilladyke {
 
@@ -41,4 +43,39 @@
                                                                const BackendTls &tls,
                                                                TimePoint deadline);
 
+/// @brief The open attempts of one call, at several backend servers at once. The destructor closes
+/// their connections without waiting.
+class ServiceAttempts
+{
+public:
+    struct Ended
+    {
+        Endpoint backend;
+        Outcome<ServiceAnswer, ExchangeFailure> outcome;
+    };
+
+    ServiceAttempts(const ServiceCall &call, BackendTls tls, TimePoint deadline,
+                    ReaderThreads &threads);
+    ServiceAttempts(const ServiceAttempts &) = delete;
+    ServiceAttempts &operator=(const ServiceAttempts &) = delete;
+    ~ServiceAttempts();
+
+    void start(const Endpoint &backend);
+    /// @brief Waits for the end of any open attempt; there must be one.
+    /// @param until no limit if unset, since every attempt ends with the deadline
+    /// @return none if no attempt has ended in time
+    [[nodiscard]] std::optional<Ended> next(std::optional<TimePoint> until);
+    /// @brief How many attempts next() has not returned yet.
+    [[nodiscard]] std::size_t open() const { return m_open; }
+
+private:
+    struct Shared;
+    struct Attempt;
+
+    const std::shared_ptr<Shared> m_shared;
+    ReaderThreads &m_threads;
+    std::vector<std::shared_ptr<Attempt>> m_attempts;
+    std::size_t m_open = 0;
+};
+
 } // namespace vanilladyke
--- a/src/vanilladyke/gateway/service_handler.cpp
+++ b/src/vanilladyke/gateway/service_handler.cpp
@@ -13,14 +13,23 @@
 
 namespace {
 
-/// An attempt may use 1/2 of the remaining time, so that an unresponsive backend server leaves time
-/// for another attempt.
-constexpr int AttemptTimeDivisor = 2;
+/// Another backend server is asked once 1/2 of the remaining time has passed in silence.
+constexpr int SilenceDivisor = 2;
+constexpr int FirstErrorStatus = 400;
 
-TimePoint attemptDeadline(TimePoint deadline, bool hasMoreBackends)
+TimePoint endOfSilence(TimePoint deadline)
 {
     const TimePoint now = MonotonicClock::now();
-    return hasMoreBackends ? now + (deadline - now) / AttemptTimeDivisor : deadline;
+    return now + (deadline - now) / SilenceDivisor;
+}
+
+/// Whether a call that was sent once and failed this way may have run.
+Ran ranAfter(ExchangeError error)
+{
+    ExchangeState state;
+    state.apply(ExchangeEvent::SendStarted);
+    state.apply(eventOf(error));
+    return state.ran();
 }
 
 void logAttempt(const ServiceCall &call, const Endpoint &backend,
@@ -49,6 +58,8 @@
     return refusal;
 }
 
+/// A backend server that may still answer is never given up for another one: the other one may
+/// refuse or fail as well. It is asked beside the first, and the first good answer counts.
 Outcome<ServiceAnswer, Refusal> ServiceHandler::callRepeatable(const RequestContext &context,
                                                                const Service &service,
                                                                const ServiceCall &call)
@@ -59,24 +70,55 @@
     std::vector<Endpoint> backends = service.backends;
     Random random(entropySeed());
     std::shuffle(backends.begin(), backends.end(), random);
-    ExchangeState state;
     Refusal refusal{RefusalReason::NoBackend, "the service has no backend", Ran::No, std::nullopt};
-    for (std::size_t i = 0; i < backends.size(); ++i) {
-        if (i > 0 && !m_retries.spend(budget, call.customer)) {
-            refusal.reason = RefusalReason::RetryBudgetSpent;
-            refusal.retryAt = m_retries.availableAt(budget, call.customer);
-            break;
+    const TimePoint deadline = context.firstTokenDeadline;
+    ServiceAttempts attempts(call, m_tls, deadline, m_readers);
+    std::optional<ServiceAnswer> error; // passed on if no other attempt does better
+    std::optional<TimePoint> askNextAt; // unset: only after a failure
+    std::size_t asked = 0;
+    const auto askNext = [&] {
+        attempts.start(backends[asked++]);
+        askNextAt.reset();
+        if (asked < backends.size()) {
+            askNextAt = endOfSilence(deadline);
         }
-        state.apply(ExchangeEvent::SendStarted);
-        const bool hasMoreBackends = i + 1 < backends.size();
-        auto outcome = sendOnce(call, backends[i], m_tls,
-                                attemptDeadline(context.firstTokenDeadline, hasMoreBackends));
-        logAttempt(call, backends[i], outcome);
-        if (outcome) {
-            return std::move(*outcome);
+    };
+    if (!backends.empty()) {
+        askNext();
+    }
+    while (attempts.open() > 0) {
+        auto ended = attempts.next(askNextAt);
+        if (ended) {
+            logAttempt(call, ended->backend, ended->outcome);
+            if (ended->outcome) {
+                if (ended->outcome->status < FirstErrorStatus || attempts.open() == 0) {
+                    return std::move(*ended->outcome);
+                }
+                // The error may concern this server only, and another one is still at work.
+                error = std::move(*ended->outcome);
+                askNextAt.reset();
+                continue;
+            }
+            const ExchangeFailure &failed = ended->outcome.error();
+            const bool mayHaveRun = refusal.ran != Ran::No || ranAfter(failed.error) != Ran::No;
+            refusal = {RefusalReason::BackendFailed, failed.detail,
+                       mayHaveRun ? Ran::Unknown : Ran::No, std::nullopt};
         }
-        state.apply(eventOf(outcome.error().error));
-        refusal = {RefusalReason::BackendFailed, outcome.error().detail, state.ran(), std::nullopt};
+        if (error || asked == backends.size() || MonotonicClock::now() >= deadline) {
+            continue;
+        }
+        if (m_retries.spend(budget, call.customer)) {
+            askNext();
+        } else {
+            askNextAt.reset();
+            if (attempts.open() == 0) {
+                refusal.reason = RefusalReason::RetryBudgetSpent;
+                refusal.retryAt = m_retries.availableAt(budget, call.customer);
+            }
+        }
+    }
+    if (error) {
+        return std::move(*error);
     }
     return failure(std::move(refusal));
 }
--- a/src/vanilladyke/gateway/service_handler.hpp
+++ b/src/vanilladyke/gateway/service_handler.hpp
@@ -3,6 +3,7 @@
 #include "vanilladyke/base/metrics.hpp"
 #include "vanilladyke/control/claim_client.hpp"
 #include "vanilladyke/gateway/filters.hpp"
+#include "vanilladyke/gateway/reader_threads.hpp"
 #include "vanilladyke/gateway/service_exchange.hpp"
 #include "vanilladyke/gateway/traffic_control.hpp"
 
@@ -54,6 +55,7 @@
     ClaimClient *m_claims;
     SharedRetryBudgets m_retries;
     FilterChain<IdentifyCustomer, SetServiceDeadline> m_chain;
+    ReaderThreads m_readers;
 };
 
 } // namespace vanilladyke
--- a/tests/integration/services.py
+++ b/tests/integration/services.py
@@ -1,9 +1,15 @@
 """Plain services behind a node."""
 
+import concurrent.futures
 import json
+import time
 
 import harness
 
+DEADLINE_SECONDS = 5.0
+LATE_MS = 3000  # in the second half of the deadline
+PARALLEL_CALLS = 12  # the order of the servers is random; one call alone may meet the harmless one
+
 
 class Services(harness.ClusterTest):
     def setUp(self):
@@ -49,6 +55,49 @@
             self.assertEqual(self.call("POST", "/services/tags/p", "x")[0], 200)
         self.assertGreaterEqual(self.total(), 20)
 
+    def limit_retries(self, fraction):
+        self.cluster.bundle["limits"] = {**self.cluster.bundle.get("limits", {}), "retry_fraction": fraction}
+        self.cluster.ensure_bundle(self.node)
+
+    def timed_call(self, _=None):
+        """Status, body and seconds of a call that ends with DEADLINE_SECONDS."""
+        begun = time.monotonic()
+        deadline = str(int((time.time() + DEADLINE_SECONDS) * 1000))
+        status, body, _ = self.call("POST", "/services/tags/p", "x", {"X-Request-Deadline": deadline})
+        return status, body, time.monotonic() - begun
+
+    def calls_at_once(self):
+        with concurrent.futures.ThreadPoolExecutor(PARALLEL_CALLS) as pool:
+            return list(pool.map(self.timed_call, range(PARALLEL_CALLS)))
+
+    def test_a_late_server_keeps_its_call_if_the_retry_budget_is_spent(self):
+        """Without a retry no other server can be asked, so the first has the whole time."""
+        self.limit_retries(0)
+        for port in self.ports:
+            harness.faults(port, lose_answers=1000)
+        harness.wait_until(lambda: "retry_budget_spent" in self.timed_call()[1], "the budget is spent")
+        for port in self.ports:
+            harness.faults(port, lose_answers=0, delay_ms=LATE_MS)
+        before = self.total()
+        status, body, _ = self.timed_call()
+        self.assertEqual((status, self.total() - before), (200, 1), body)
+
+    def test_a_late_server_keeps_its_call_if_the_other_refuses_the_connection(self):
+        self.cluster.bundle["services"][0]["backends"][1] = f"127.0.0.1:{harness.free_port()}"
+        self.limit_retries(1)
+        harness.faults(self.ports[0], delay_ms=LATE_MS)
+        self.assertEqual([call[:2] for call in self.calls_at_once() if call[0] != 200], [])
+
+    def test_a_late_server_keeps_its_call_if_the_other_answers_with_an_error(self):
+        """A server that is asked first may pass on its error at once; asked beside another, it must
+        not end the call that the other one will answer."""
+        self.limit_retries(1)
+        harness.faults(self.ports[0], delay_ms=LATE_MS)
+        harness.faults(self.ports[1], status=503, count=1000)
+        late = [call for call in self.calls_at_once() if call[2] > DEADLINE_SECONDS / 2]
+        self.assertEqual([call[:2] for call in late if call[0] != 200], [])
+        self.assertNotEqual(late, [], "no call met the late server first")
+
     def test_refusals_are_truthful(self):
         """A service that nobody knows, and a call that may not be repeated: without a key, and while
         the log is away and the node can't claim it. Nothing may have run."""
