Log failed connections to servers and which services a node reaches

The logs of a node that was cut off from all servers could not tell whether it knew: no line said how an attempt to connect ended, nor what the node believed of a whole service. connect_failed names server, reason and time; service_reach names the change of belief (all, few, none) with the servers that failed.

--- a/include/vanilladyke/policy/backend_tracker.hpp
+++ b/include/vanilladyke/policy/backend_tracker.hpp
@@ -152,6 +152,10 @@
     [[nodiscard]] int inFlight(const EngineId &id) const;
     [[nodiscard]] std::size_t size() const { return m_states.size(); }
     [[nodiscard]] bool contains(const EngineId &id) const { return m_states.contains(id); }
+    /// @return null if the server is not known
+    [[nodiscard]] const BackendEntry *entryOf(const EngineId &id) const;
+    [[nodiscard]] std::vector<BackendEntry> entriesOf(const ServiceId &service) const;
+    [[nodiscard]] std::size_t serversOf(const ServiceId &service) const;
 
 private:
     struct State
--- a/include/vanilladyke/traffic/backend_pool.hpp
+++ b/include/vanilladyke/traffic/backend_pool.hpp
@@ -76,6 +76,10 @@
     /// @param keepAlive time that the server announced; none if it announced none
     void putBack(const BackendConnectionPtr &connection, std::optional<Duration> keepAlive,
                  TimePoint now);
+    /// @brief Called with the result of each attempt to connect and how long it took. An attempt
+    /// that takes ConnectTimeout ends with timed_out.
+    std::function<void(const EngineId &, const ErrorCode &, Duration)> onConnectEnded =
+            [](const EngineId &, const ErrorCode &, Duration) {};
     /// @brief Number of open connections to the server, idle or in use.
     [[nodiscard]] int openConnections(const EngineId &engine) const;
     /// @brief Number of connection attempts since the start.
--- a/include/vanilladyke/traffic/traffic_state.hpp
+++ b/include/vanilladyke/traffic/traffic_state.hpp
@@ -11,6 +11,7 @@
 #include "vanilladyke/traffic/backend_pool.hpp"
 #include "vanilladyke/traffic/dialect.hpp"
 #include "vanilladyke/traffic/engine_liveness_probe.hpp"
+#include "vanilladyke/traffic/reach_monitor.hpp"
 #include "vanilladyke/traffic/ticker.hpp"
 
 #include <functional>
@@ -60,6 +61,7 @@
         , tracker(settings.dataCentre, settings.rates, settings.self)
         , quarantine(settings.self)
         , random(seed)
+        , reach(pool, tracker, metrics)
     {
         quarantine.setExempted(settings.releasedRequests);
     }
@@ -88,6 +90,7 @@
     RequestQuarantine quarantine;
     Random random;
     Metrics metrics;
+    ReachMonitor reach;
     std::shared_ptr<const RouteTable> table; ///< null until a configuration is received
     std::size_t nodes = 1;                   ///< number of nodes that share the retry budget
     bool isDraining = false;                 ///< reports not ready; requests are still served
--- a/src/vanilladyke/policy/backend_tracker.cpp
+++ b/src/vanilladyke/policy/backend_tracker.cpp
@@ -405,6 +405,30 @@
     return known == m_states.end() || !m_costs.enforcesLimits || known->second.limit.allows(0, now);
 }
 
+const BackendEntry *BackendTracker::entryOf(const EngineId &id) const
+{
+    const auto known = m_states.find(id);
+    return known == m_states.end() ? nullptr : &known->second.entry;
+}
+
+std::vector<BackendEntry> BackendTracker::entriesOf(const ServiceId &service) const
+{
+    std::vector<BackendEntry> entries;
+    const auto known = m_byService.find(service);
+    if (known != m_byService.end()) {
+        for (const State *state : known->second) {
+            entries.push_back(state->entry);
+        }
+    }
+    return entries;
+}
+
+std::size_t BackendTracker::serversOf(const ServiceId &service) const
+{
+    const auto known = m_byService.find(service);
+    return known == m_byService.end() ? 0 : known->second.size();
+}
+
 std::size_t BackendTracker::limitedEngines() const
 {
     return static_cast<std::size_t>(
--- a/src/vanilladyke/traffic/backend_pool.cpp
+++ b/src/vanilladyke/traffic/backend_pool.cpp
@@ -76,14 +76,19 @@
             due->close();
         }
     };
-    connection->deadlineTimer->dueAt = MonotonicClock::now() + ConnectTimeout;
+    const TimePoint startedAt = MonotonicClock::now();
+    connection->deadlineTimer->dueAt = startedAt + ConnectTimeout;
     connection->openCount = m_engines[engine].open;
     connection->isOpen = true;
     ++*connection->openCount;
     ++m_connectionsOpened;
     co_await connection->socket.async_connect(address, redirectError(error));
     connection->deadlineTimer->dueAt.reset();
-    if (error || !connection->isOpen) {
+    if (!connection->isOpen) {
+        error = asio::error::timed_out;
+    }
+    onConnectEnded(connection->engine, error, MonotonicClock::now() - startedAt);
+    if (error) {
         connection->close();
         if (why != nullptr) {
             *why = error;
