--- a/tests/integration/platform_fleet.py
+++ b/tests/integration/platform_fleet.py
@@ -110,9 +110,12 @@
         text = b"" if value is None else json.dumps(value).encode()
         self.append(topic, bytes([len(key)]) + key.encode() + text)
 
+    def records(self, topic):
+        return self.topics.get(topic, [])
+
     def newest(self, topic):
         latest = {}
-        for offset, record in enumerate(self.topics.get(topic, [])):
+        for offset, record in enumerate(self.records(topic)):
             length = record[0]
             key, value = record[1:1 + length].decode(), record[1 + length:]
             latest.pop(key, None)
@@ -182,7 +185,7 @@
             self.waiters[topic].remove(waiter)
             self.waited[topic] = self.waited.get(topic, 0) + 1
             self.passed_over.discard(waiter)
-            records = self.topics.get(topic, [])[start:]
+            records = self.records(topic)[start:]
             end = len(self.topics.get(topic, []))
         body = struct.pack(">QQ", end, self.first.get(topic, 0))
         call.answer(200, body + b"".join(struct.pack(">I", len(each)) + each for each in records))
@@ -208,6 +211,28 @@
         call.answer(200, {"offset": offset, "end": len(records)})
 
 
+class StoreOfANode(Store):
+    """The same records, in which the servers listen where this node alone sees them."""
+
+    def __init__(self, store, ports):
+        super().__init__()
+        self.topics, self.first, self.changed = store.topics, store.first, store.changed
+        self.ports = ports  # by the port of the entry: the one that this node is told
+
+    def seen(self, record):
+        key, value = record[1:1 + record[0]], record[1 + record[0]:]
+        if not value:
+            return record
+        entry = json.loads(value)
+        host, port = entry["address"].rsplit(":", 1)
+        entry["address"] = f"{host}:{self.ports.get(int(port), port)}"
+        return bytes([len(key)]) + key + json.dumps(entry).encode()
+
+    def records(self, topic):
+        records = self.topics.get(topic, [])
+        return [self.seen(each) for each in records] if topic == "keyed.servers" else records
+
+
 class Engine:
     """Runs requests one at a time for each connection, keeps what ran, and takes orders of weights."""
 
@@ -438,3 +463,25 @@
         super().setUp()
         self.fleet = Fleet(self.cluster)
         self.addCleanup(self.fleet.close)
+
+    def start_proxy(self):
+        """A proxy that breaks connections, for link() and break_link()."""
+        self.control = harness.free_port()
+        self.links = []
+        self.cluster.start("proxy", ["/usr/bin/python3", os.path.join(os.path.dirname(__file__), "..", "standins",
+                                                                      "fault_proxy.py"), "--control", str(self.control)])
+        harness.wait_until(lambda: harness.http_call(self.control, "GET", "/control/state")[0] == 200, "proxy")
+
+    def link(self, name, port):
+        status, body, _ = harness.http_call(self.control, "POST", "/control/links",
+                                            json.dumps({"name": name, "to": f"127.0.0.1:{port}"}))
+        self.assertEqual(status, 200, body)
+        self.links.append(name)
+        return json.loads(body)["port"]
+
+    def break_link(self, name, **faults):
+        harness.http_call(self.control, "POST", "/control/faults", json.dumps({"link": name, **faults}))
+
+    def mend(self):
+        for name in self.links:
+            harness.http_call(self.control, "POST", "/control/clear", json.dumps({"link": name}))
--- a/tests/integration/platform_soak.py
+++ b/tests/integration/platform_soak.py
@@ -26,33 +26,15 @@
 class Soak(platform_fleet.FleetTest):
     def setUp(self):
         super().setUp()
-        self.control = harness.free_port()
-        self.cluster.start("proxy", ["/usr/bin/python3", os.path.join(os.path.dirname(__file__), "..", "standins",
-                                                                      "fault_proxy.py"), "--control", str(self.control)])
-        harness.wait_until(lambda: harness.http_call(self.control, "GET", "/control/state")[0] == 200, "proxy")
-        self.links = []
+        self.start_proxy()
         for i in range(3):
             self.behind_proxy(self.fleet.engine(f"app-{i}", service="app"))
             self.behind_proxy(self.fleet.engine(f"llm-{i}"))
         self.store_port = self.link("store", self.fleet.store.port)
 
-    def link(self, name, port):
-        status, body, _ = harness.http_call(self.control, "POST", "/control/links",
-                                            json.dumps({"name": name, "to": f"127.0.0.1:{port}"}))
-        self.assertEqual(status, 200, body)
-        self.links.append(name)
-        return json.loads(body)["port"]
-
     def behind_proxy(self, engine):
         engine.entry_port = self.link(engine.name, engine.port)
 
-    def break_link(self, name, **faults):
-        harness.http_call(self.control, "POST", "/control/faults", json.dumps({"link": name, **faults}))
-
-    def mend(self):
-        for name in self.links:
-            harness.http_call(self.control, "POST", "/control/clear", json.dumps({"link": name}))
-
     def trouble_engine(self, rng):
         """One seeded piece of trouble of an engine's own: it ends, or names another limit or none."""
         engine = rng.choice(self.fleet.engines)
--- a/tests/standins/fault_proxy.py
+++ b/tests/standins/fault_proxy.py
@@ -11,6 +11,8 @@
         "lose_answers": N       for the next N connections: the request gets through, the answer not
         "freeze": bool          connections that are open now stay open, and carry nothing ever again
         "freeze_new": bool      connections from now on carry nothing
+        "hang_new": bool        the opening packets of new connections get no answer
+        "break_open": bool      reset all connections that are open now
         "delay_ms": N           hold back every piece of an answer
         "duplicate": bool       send the request's bytes on a second connection too
     POST /control/clear   {"link": NAME}                          all faults off; frozen ones stay
@@ -32,7 +34,7 @@
 
 def clean_faults():
     return {"refuse": False, "reset": False, "cut_request_at": None, "cut_answer_at": None, "lose_answers": 0,
-            "freeze": False, "freeze_new": False, "delay_ms": 0, "duplicate": False}
+            "freeze": False, "freeze_new": False, "hang_new": False, "delay_ms": 0, "duplicate": False}
 
 
 def reset(writer):
@@ -109,6 +111,7 @@
         self.name, self.target = name, (host, int(port))
         self.faults = clean_faults()
         self.open, self.connections, self.port, self.server = set(), 0, 0, None
+        self.plug = []  # a listener whose queue is full, and what fills it
         self.bytes = {"bytes_to": 0, "bytes_from": 0}
         self.changing = asyncio.Lock()  # two orders at once must not both open the port
 
@@ -116,6 +119,25 @@
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port, backlog=512)
         self.port = self.server.sockets[0].getsockname()[1]
 
+    def unplug(self):
+        for each in self.plug:
+            each.close()
+        self.plug = []
+
+    def hang_new(self):
+        """Takes the port with a full queue, so that the kernel drops the opening packets."""
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(("127.0.0.1", self.port))
+        listener.listen(0)
+        self.plug = [listener]
+        for _ in range(4):
+            filling = socket.socket()
+            filling.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                filling.connect(("127.0.0.1", self.port))
+            self.plug.append(filling)
+
     async def serve(self, reader, writer):
         self.connections += 1
         connection = Connection(self, reader, writer)
@@ -136,11 +158,18 @@
             for connection in self.open:
                 connection.frozen = True
         self.faults["freeze"] = False
+        if self.faults.pop("break_open", False):
+            for connection in list(self.open):
+                connection.break_off()
         async with self.changing:
-            if self.faults["refuse"] and self.server:
+            listens = not (self.faults["refuse"] or self.faults["hang_new"])
+            self.unplug()
+            if not listens and self.server:
                 self.server.close()
                 self.server = None
-            elif not self.faults["refuse"] and not self.server:
+            if self.faults["hang_new"]:
+                self.hang_new()
+            elif listens and not self.server:
                 await self.listen()
 
     def state(self):
