--- a/src/vanilladyke/traffic/scripted_backend.hpp
+++ b/src/vanilladyke/traffic/scripted_backend.hpp
@@ -2,6 +2,10 @@
 
 #include "vanilladyke/traffic/caller_session.hpp"
 
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <array>
 #include <functional>
 #include <map>
 #include <string>
@@ -62,4 +66,118 @@
 /// so on.
 [[nodiscard]] Dialect testDialect();
 
+inline ScriptedBackend::ScriptedBackend(asio::io_context &context, Script script)
+    : m_context(context)
+    , m_acceptor(context, Tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    , m_script(std::move(script))
+{
+    asio::co_spawn(m_context, accept(), asio::detached);
+}
+
+inline Endpoint ScriptedBackend::endpoint() const
+{
+    return {"127.0.0.1", m_acceptor.local_endpoint().port()};
+}
+
+inline asio::awaitable<void> ScriptedBackend::accept()
+{
+    for (;;) {
+        ErrorCode error;
+        Tcp::socket socket(m_context);
+        co_await m_acceptor.async_accept(socket, redirectError(error));
+        if (error) {
+            co_return;
+        }
+        asio::co_spawn(m_context, serve(std::move(socket), ++m_connections), asio::detached);
+    }
+}
+
+inline asio::awaitable<void> ScriptedBackend::serve(Tcp::socket socket, int number)
+{
+    boost::beast::flat_buffer buffer;
+    for (;;) {
+        boost::beast::http::request<boost::beast::http::string_body> request;
+        ErrorCode error;
+        co_await boost::beast::http::async_read(socket, buffer, request, redirectError(error));
+        if (error) {
+            co_return;
+        }
+        ReceivedRequest read{std::string(request.target()), {}, request.body(), number};
+        for (const auto &field : request) {
+            read.fields[std::string(field.name_string())] = std::string(field.value());
+        }
+        received.push_back(read);
+        const ScriptedAnswer answer = m_script(read);
+        if (answer.after > Duration::zero()) {
+            asio::steady_timer timer(m_context, answer.after);
+            co_await timer.async_wait(redirectError(error));
+        }
+        co_await asio::async_write(socket, asio::buffer(answer.bytes), redirectError(error));
+        for (const ScriptedPart &part : answer.parts) {
+            while (part.when && !part.when()) {
+                constexpr Duration Step = std::chrono::milliseconds(1);
+                asio::steady_timer timer(m_context, Step);
+                co_await timer.async_wait(redirectError(error));
+            }
+            co_await asio::async_write(socket, asio::buffer(part.bytes), redirectError(error));
+        }
+        completed += error ? 0 : 1;
+        if (answer.nextAction == ScriptedAnswer::NextAction::Reset) {
+            socket.set_option(asio::socket_base::linger(true, 0), error);
+            co_return;
+        }
+        if (answer.nextAction == ScriptedAnswer::NextAction::Close) {
+            co_return;
+        }
+        if (answer.nextAction == ScriptedAnswer::NextAction::Hang) {
+            std::array<char, 1> byte{};
+            co_await socket.async_read_some(asio::buffer(byte), redirectError(error));
+            ++closedByPeer;
+            co_return;
+        }
+    }
+}
+
+inline Dialect testDialect()
+{
+    Dialect dialect;
+    dialect.parseRequest = [](const HttpFields &fields,
+                              TimePoint now) -> Outcome<CallerRequest, MalformedHead> {
+        CallerRequest request;
+        request.arrived = now;
+        request.host = std::string(fields["Host"]);
+        request.id = std::string(fields["Id"]);
+        request.model = ModelId(std::string(fields["Model"]));
+        request.forwardedHeaders = "Id: " + request.id + "\r\n";
+        if (fields.count("Key") > 0) {
+            request.key = std::string(fields["Key"]);
+        }
+        if (fields.count("Deadline") > 0) {
+            request.deadline =
+                    now + std::chrono::milliseconds(std::stoi(std::string(fields["Deadline"])));
+        }
+        return request;
+    };
+    dialect.writeOptions = [](const BackendRequestOptions &options, TimePoint /*now*/,
+                              std::string *lines) {
+        *lines += "Expect-Engine: " + options.expectedEngine.str()
+                  + "\r\nCustomer: " + options.customer.str() + "\r\n";
+        if (!options.resumeAfter.empty()) {
+            *lines += "Resume: " + options.resumeAfter + "\r\n";
+        }
+    };
+    dialect.parseAnswer = [](int status, const HttpFields &fields) {
+        AnswerHead head;
+        head.status = status;
+        head.reason = "R";
+        head.requestId = std::string(fields["Id"]);
+        head.isStamped = fields.count("Stamp") > 0;
+        head.isNotExecuted = fields.count("Refused") > 0;
+        head.isEncoded = fields.count("Content-Encoding") > 0;
+        head.forwardedHeaders = "Stamp: " + std::string(fields["Stamp"]) + "\r\n";
+        return head;
+    };
+    return dialect;
+}
+
 } // namespace vanilladyke
