--- a/include/vanilladyke/policy/backend_choice.hpp
+++ b/include/vanilladyke/policy/backend_choice.hpp
@@ -125,6 +125,8 @@
     bool hasNoBacklog = false;
     Millis prefill{};           ///< share of `timeToFirstToken` spent on prefill
     std::size_t candidates = 0; ///< number of evaluated servers
+    /// The request is handed to another node, which selects the server; `backend` is that node.
+    bool isRelay = false;
 };
 
 /// @brief Load update: the load of one node at one backend server, sent to other nodes.
--- a/include/vanilladyke/policy/backend_tracker.hpp
+++ b/include/vanilladyke/policy/backend_tracker.hpp
@@ -104,6 +104,11 @@
     void ended(const BackendChoice &choice, bool hadBegun, bool failed, TimePoint now);
     /// @brief Excludes the server for a while: no connection, or it sheds load.
     void exclude(const EngineId &id, TimePoint now);
+    /// @brief Excludes the server while attempts to connect to it get no answer, so that no request
+    /// waits for another one. The next attempt is due before @p until.
+    void unreachable(const EngineId &id, TimePoint until);
+    /// @brief Ends the exclusion of a server that accepts connections again.
+    void reachable(const EngineId &id);
     void reported(const EngineId &id, int running, int waiting, TimePoint now);
     /// @brief Records the rate limit that an answer of the server carried, for all nodes together;
     /// none: no limit.
@@ -187,6 +192,7 @@
         double failureFraction = 0;
         TimePoint failureAt;
         TimePoint excludedUntil;
+        TimePoint unreachableUntil;
         Duration lastExclusion{};
         EngineLimit limit;
     };
--- a/include/vanilladyke/policy/mechanism.hpp
+++ b/include/vanilladyke/policy/mechanism.hpp
@@ -31,6 +31,7 @@
     Resumes,                ///< continues a broken stream on another engine
     EngineLimits,           ///< keeps to the request limit that an engine announces
     Quarantine,             ///< sends no request under which engines terminated
+    Relays,                 ///< hands requests to other nodes where it reaches no server
     SharedStoreReads,       ///< one node reads the store on behalf of others
 };
 
@@ -41,7 +42,7 @@
     std::string_view name;
 };
 
-inline constexpr std::array<MechanismName, 22> MechanismNames{{
+inline constexpr std::array<MechanismName, 23> MechanismNames{{
         {Mechanism::PreferredEngines, "homes"},
         {Mechanism::NestedPreferredEngines, "nested_homes"},
         {Mechanism::CopyCharge, "copy_charge"},
@@ -63,6 +64,7 @@
         {Mechanism::Resumes, "resumes"},
         {Mechanism::EngineLimits, "engine_limits"},
         {Mechanism::Quarantine, "quarantine"},
+        {Mechanism::Relays, "relays"},
         {Mechanism::SharedStoreReads, "shared_reading"},
 }};
 
--- a/include/vanilladyke/traffic/backend_try.hpp
+++ b/include/vanilladyke/traffic/backend_try.hpp
@@ -63,6 +63,8 @@
     void releaseUnused();
     /// @brief Starts to send the request; the answer may begin before the whole body is sent.
     void send(const BackendRequestOptions &options);
+    /// @brief Starts to hand the request to another node.
+    void sendToRelay(const RelayOptions &options);
     /// @brief Reads up to the start of the answer to this request.
     /// @return none if the answer has started; otherwise the result of the try: NotExecuted, or
     /// Lost if no usable answer started
@@ -82,6 +84,7 @@
     /// @brief Whether bytes were received that have not been read yet.
     [[nodiscard]] bool hasUnreadData() const;
 
+    [[nodiscard]] bool isRelay() const { return m_choice.isRelay; }
     [[nodiscard]] const BackendChoice &choice() const { return m_choice; }
     [[nodiscard]] const AnswerHead &head() const { return m_head; }
     [[nodiscard]] AbortReason abortReason() const { return m_abortReason; }
@@ -101,6 +104,8 @@
     bool engineEnded = false; ///< the engine was found to have ended during the try
 
 private:
+    void beginHead();
+    void write();
     [[nodiscard]] asio::awaitable<bool> readCompleteBody(std::string *out);
     [[nodiscard]] asio::awaitable<std::optional<TryResult>> receiveBodyStart();
     /// Records the load, rate limit and weights that an answer reports.
--- a/include/vanilladyke/traffic/caller_session.hpp
+++ b/include/vanilladyke/traffic/caller_session.hpp
@@ -5,12 +5,18 @@
 /// Server side of a caller's HTTP/1.1 connection.
 namespace vanilladyke {
 
+/// @brief Who sends the requests of a connection.
+enum class SessionKind {
+    Caller,
+    Relay, ///< another node of the fleet, which does not reach the servers itself
+};
+
 /// @brief Reads requests from a connection and handles them one at a time; pipelined requests wait
 /// for the answer to the previous one.
 class CallerSession : public std::enable_shared_from_this<CallerSession>, public AnswerSink
 {
 public:
-    CallerSession(TrafficState &state, Tcp::socket socket);
+    CallerSession(TrafficState &state, Tcp::socket socket, SessionKind kind = SessionKind::Caller);
 
     void start();
     /// @brief Closes the connection, after the current answer if a request is being handled.
@@ -23,6 +29,9 @@
     [[nodiscard]] asio::awaitable<bool> readRequest(CallerRequest *request);
     /// Waits for the first bytes of a request, at most for the idle timeout.
     [[nodiscard]] asio::awaitable<bool> waitForBytes();
+    /// Whether a request may come over this connection: on one between nodes it has to bear the
+    /// fleet's seal. Drops the terms of a relay from the request of a caller.
+    [[nodiscard]] bool isPermitted(CallerRequest &request) const;
     /// Answers with an empty body and closes the connection.
     [[nodiscard]] asio::awaitable<void> rejectRequest(int status);
     /// Cancels the current exchange when the caller closes the connection.
@@ -33,6 +42,7 @@
 
     TrafficState &m_state;
     Tcp::socket m_socket;
+    SessionKind m_kind;
     boost::beast::flat_buffer m_buffer;
     std::shared_ptr<DeadlineTimer> m_deadlineTimer;
     std::shared_ptr<Exchange> m_exchange;
--- a/include/vanilladyke/traffic/dialect.hpp
+++ b/include/vanilladyke/traffic/dialect.hpp
@@ -21,6 +21,13 @@
     std::uint64_t tokens = 0;
 };
 
+/// @brief What a node adds to a request that it hands to another node.
+struct RelayTerms
+{
+    std::string seal;    ///< proves that a node of the fleet sent the request; see Exchange
+    int mostServers = 1; ///< on which the request may still run
+};
+
 /// @brief A request as a caller sent it. A repetition by the caller is another request.
 struct CallerRequest
 {
@@ -39,6 +46,17 @@
     std::string forwardedHeaders; ///< header lines to forward unchanged, each with its line end
     std::string body;
     bool keepsConnection = true;
+    /// Set if another node handed the request on; a caller's own value is dropped.
+    std::optional<RelayTerms> relay;
+};
+
+/// @brief Headers that this node adds when it hands a request to another node.
+struct RelayOptions
+{
+    TimePoint deadline;
+    std::optional<std::string> key; ///< the caller's, which the other node checks, too
+    std::string resumeAfter;        ///< id of the last event that the caller has received
+    RelayTerms terms;
 };
 
 /// @brief Headers that this node adds when it forwards a request to a backend server.
@@ -99,7 +117,10 @@
             parseRequest;
     std::function<void(const BackendRequestOptions &options, TimePoint now, std::string *lines)>
             writeOptions;
+    std::function<void(const RelayOptions &options, TimePoint now, std::string *lines)> writeRelay;
     std::function<AnswerHead(int status, const HttpFields &fields)> parseAnswer;
+    /// Header line of an answer which states that the request was not run.
+    std::string notExecutedLine;
 };
 
 } // namespace vanilladyke
--- a/include/vanilladyke/traffic/exchange.hpp
+++ b/include/vanilladyke/traffic/exchange.hpp
@@ -48,6 +48,12 @@
     /// with this digest that has not received a first byte.
     static void withdrawQuarantined(TrafficState &state, const WorkDigest &quarantined);
 
+    /// @brief Hedges requests at once that wait for servers which this node does not reach any
+    /// more.
+    static void hedgeCutOff(TrafficState &state, TimePoint now);
+    /// @brief Has servers checked at which requests have waited for long without any answer.
+    static void suspectSilentServers(TrafficState &state, TimePoint now);
+
 private:
     /// Limit of tries of one request that are under way at the same time.
     static constexpr std::size_t MaxOpenTries = 2;
@@ -76,6 +82,19 @@
     [[nodiscard]] bool mayTryAgain(TimePoint now);
     [[nodiscard]] bool isRepeatable() const;
 
+    // Requests that are handed to another node; see relay_nodes.hpp.
+
+    /// @return none if the request may not be handed on, or if no node can take it
+    [[nodiscard]] std::optional<BackendChoice> chooseRelay(TimePoint now);
+    /// The next server, or a relay where this node does not reach the service. @return none if
+    /// there is neither now
+    [[nodiscard]] tl::expected<BackendChoice, NoBackend> chooseTarget(TimePoint now);
+    [[nodiscard]] RelayOptions relayOptions() const;
+    /// Records the result of a try at another node.
+    void finishRelay(const BackendTry &attempt, TryResult end, TimePoint now);
+    /// Servers on which the request may run in total.
+    [[nodiscard]] int mostServers() const;
+
     // What is asked of a server.
 
     [[nodiscard]] BackendQuery query() const;
@@ -184,6 +203,7 @@
     EventSplitter m_events;
     std::optional<Failure> m_failure;
     std::vector<EngineId> m_triedEngines;
+    std::vector<Endpoint> m_triedRelays;
     std::string m_resumeAfter;
     std::optional<TimePoint> m_firstByteAt; ///< of the last try that began to answer
     NoBackend m_noBackend;
@@ -203,6 +223,7 @@
     bool m_isTooLate = false; ///< predicted wait too long at the best server
     bool m_headWritten = false;
     bool m_budgetSpent = false;
+    bool m_isCutOff = false; ///< no server of the service is reached, here or by another node
     bool m_hasReservedRetry = false; ///< a retry was taken from the budget and not used yet
     bool m_mayHaveRun = false;       ///< in a try that has ended
 };
--- a/include/vanilladyke/traffic/traffic_server.hpp
+++ b/include/vanilladyke/traffic/traffic_server.hpp
@@ -14,6 +14,7 @@
     Endpoint ready; ///< for the platform's readiness probes
     std::string readyPath;
     std::optional<Endpoint> metrics;
+    std::optional<Endpoint> relays; ///< for requests that other nodes hand on
 };
 
 /// @brief Accepts callers and serves the readiness and metrics endpoints. For use on the context's
@@ -37,7 +38,8 @@
 
 private:
     [[nodiscard]] bool open(Tcp::acceptor &acceptor, const Endpoint &endpoint, std::string *error);
-    [[nodiscard]] asio::awaitable<void> acceptCallers();
+    /// Accepts connections of callers, or of other nodes that hand on requests.
+    [[nodiscard]] asio::awaitable<void> acceptSessions(Tcp::acceptor &acceptor, SessionKind kind);
     [[nodiscard]] asio::awaitable<void> acceptStatusConnections(Tcp::acceptor &acceptor);
     [[nodiscard]] asio::awaitable<void> serveStatus(Tcp::socket socket);
 
@@ -46,6 +48,7 @@
     Tcp::acceptor m_callers;
     Tcp::acceptor m_ready;
     Tcp::acceptor m_metrics;
+    Tcp::acceptor m_relays;
     std::list<std::weak_ptr<CallerSession>> m_sessions;
     std::size_t m_accepted = 0;
 };
--- a/include/vanilladyke/traffic/traffic_state.hpp
+++ b/include/vanilladyke/traffic/traffic_state.hpp
@@ -6,6 +6,7 @@
 #include "vanilladyke/policy/backend_tracker.hpp"
 #include "vanilladyke/policy/fleet_retry_budget.hpp"
 #include "vanilladyke/policy/kept_cache_view.hpp"
+#include "vanilladyke/policy/relay_nodes.hpp"
 #include "vanilladyke/policy/request_quarantine.hpp"
 #include "vanilladyke/policy/route_table.hpp"
 #include "vanilladyke/traffic/backend_pool.hpp"
@@ -41,9 +42,10 @@
     /// The same if no other server takes the request, which may still begin in time. Covers the
     /// time to remove it from the queue.
     Duration lastWithdrawMargin = std::chrono::milliseconds(400);
-    bool retriesRequests = true;              ///< retries repeatable requests on another server
-    bool resumesStreams = true;               ///< resumes interrupted streams on another server
-    bool quarantinesRequests = true;          ///< quarantines requests under which engines end
+    bool retriesRequests = true;     ///< retries repeatable requests on another server
+    bool relaysRequests = true;      ///< hands requests to other nodes where it reaches no server
+    bool resumesStreams = true;      ///< resumes interrupted streams on another server
+    bool quarantinesRequests = true; ///< quarantines requests under which engines end
     std::vector<WorkDigest> releasedRequests; ///< released from quarantine by an operator
 };
 
@@ -61,7 +63,8 @@
         , tracker(settings.dataCentre, settings.rates, settings.self)
         , quarantine(settings.self)
         , random(seed)
-        , reach(pool, tracker, metrics)
+        , relays(hashOfName(settings.dataCentre.str()))
+        , reach(context, pool, tracker, metrics)
     {
         quarantine.setExempted(settings.releasedRequests);
     }
@@ -89,8 +92,10 @@
     WorkDigester digester;
     RequestQuarantine quarantine;
     Random random;
+    RelayNodes relays;
     Metrics metrics;
     ReachMonitor reach;
+    int openRelayed = 0;                     ///< open requests that other nodes handed to this one
     std::shared_ptr<const RouteTable> table; ///< null until a configuration is received
     std::size_t nodes = 1;                   ///< number of nodes that share the retry budget
     bool isDraining = false;                 ///< reports not ready; requests are still served
--- a/src/vanilladyke/app/mechanism_switches.cpp
+++ b/src/vanilladyke/app/mechanism_switches.cpp
@@ -79,6 +79,9 @@
     case Mechanism::Quarantine:
         traffic.quarantinesRequests = false;
         break;
+    case Mechanism::Relays:
+        traffic.relaysRequests = false;
+        break;
     case Mechanism::SharedStoreReads:
         settings->follow.sharesStoreReads = false;
         break;
--- a/src/vanilladyke/app/node_command.cpp
+++ b/src/vanilladyke/app/node_command.cpp
@@ -87,7 +87,16 @@
         m_server.metricsText = [] {
             return "log_lines_dropped_total " + std::to_string(droppedLogLines()) + "\n";
         };
-        m_traffic.ticker.onStep = [this](TimePoint now) { m_sharing.step(now); };
+        m_traffic.ticker.onStep = [this](TimePoint now) {
+            m_sharing.step(now);
+            if (m_traffic.reach.step(now)) {
+                Exchange::suspectSilentServers(m_traffic, now);
+            }
+        };
+        m_traffic.reach.onUnreachedChanged = [this] {
+            m_sharing.sendSoon();
+            Exchange::hedgeCutOff(m_traffic, MonotonicClock::now());
+        };
         m_signals.async_wait([this](const ErrorCode &error, int signal) {
             if (!error) {
                 stop(signal);
--- a/src/vanilladyke/app/node_settings.cpp
+++ b/src/vanilladyke/app/node_settings.cpp
@@ -136,6 +136,7 @@
     }
     reader.endpoint("store", &settings.store);
     reader.endpoint("peers", &settings.peers);
+    settings.listen.relays = settings.peers;
     settings.queries = {settings.peers.host, static_cast<std::uint16_t>(settings.peers.port + 1)};
     reader.endpoint("questions", &settings.queries, false);
     Duration keysValid = settings.traffic.keysValidFor + KeyMargin;
--- a/src/vanilladyke/node/control_plane.cpp
+++ b/src/vanilladyke/node/control_plane.cpp
@@ -238,8 +238,9 @@
 {
     postToTraffic([serving = m_roster.serving()](TrafficState &traffic) {
         traffic.tracker.setBackends(serving);
-        traffic.pool.closeStale([&](const EngineId &id) { return traffic.tracker.contains(id); },
-                                MonotonicClock::now());
+        traffic.pool.closeStale(
+                [&](const EngineId &id) { return traffic.tracker.contains(id) || isRelayId(id); },
+                MonotonicClock::now());
     });
 }
 
--- a/src/vanilladyke/node/load_sharing.cpp
+++ b/src/vanilladyke/node/load_sharing.cpp
@@ -180,6 +180,11 @@
     message.set_sequence(++m_sequence);
     message.set_address(m_port.listen().str());
     message.set_operator_next(m_state.operatorNext());
+    const bool takesRequests = m_state.settings.relaysRequests && !m_state.isDraining;
+    message.set_relay_port(takesRequests ? m_port.listen().port : 0);
+    for (const ServiceId &service : m_state.reach.unreached()) {
+        message.add_unreached_services(hashOfName(service.str()));
+    }
     if (now >= m_weightsSentAt + WeightsInterval) {
         m_weightsSentAt = now;
         for (const AnnouncedWeights &each : m_state.tracker.announcedWeights()) {
@@ -260,6 +265,13 @@
     if (message.pass_on()) {
         forward(message);
     }
+    std::optional<Endpoint> relay;
+    if (message.relay_port() != 0) {
+        relay = {origin->address().to_string(), static_cast<std::uint16_t>(message.relay_port())};
+    }
+    m_state.relays.nodeSeen(
+            message.node(), message.data_centre(), relay,
+            {message.unreached_services().begin(), message.unreached_services().end()}, now);
     if (message.questions_port() != 0 && now >= peer.reportedAt + ReportInterval) {
         peer.reportedAt = now;
         nodeSeen(message.node(), message.data_centre(),
--- a/src/vanilladyke/policy/backend_choice.cpp
+++ b/src/vanilladyke/policy/backend_choice.cpp
@@ -163,7 +163,8 @@
 
 std::optional<TimePoint> BackendTracker::availableAt(const State &state, TimePoint now) const
 {
-    const TimePoint excludedUntil = std::max(state.excludedUntil, state.loadingUntil);
+    const TimePoint excludedUntil =
+            std::max({state.excludedUntil, state.loadingUntil, state.unreachableUntil});
     if (excludedUntil > now) {
         return excludedUntil;
     }
--- a/src/vanilladyke/policy/backend_tracker.cpp
+++ b/src/vanilladyke/policy/backend_tracker.cpp
@@ -347,6 +347,20 @@
     state.excludedUntil = std::max(state.excludedUntil, now + state.lastExclusion);
 }
 
+void BackendTracker::unreachable(const EngineId &id, TimePoint until)
+{
+    if (State *const state = find(id)) {
+        state->unreachableUntil = until;
+    }
+}
+
+void BackendTracker::reachable(const EngineId &id)
+{
+    if (State *const state = find(id)) {
+        state->unreachableUntil = {};
+    }
+}
+
 void BackendTracker::reported(const EngineId &id, int running, int waiting, TimePoint now)
 {
     State *const known = find(id);
--- a/src/vanilladyke/traffic/backend_try.cpp
+++ b/src/vanilladyke/traffic/backend_try.cpp
@@ -101,12 +101,28 @@
 
 void BackendTry::send(const BackendRequestOptions &options)
 {
-    const TimePoint now = MonotonicClock::now();
-    m_sentAt = now;
+    beginHead();
+    m_state.dialect.writeOptions(options, *m_sentAt, &m_connection->head);
+    write();
+}
+
+void BackendTry::sendToRelay(const RelayOptions &options)
+{
+    beginHead();
+    m_state.dialect.writeRelay(options, *m_sentAt, &m_connection->head);
+    write();
+}
+
+void BackendTry::beginHead()
+{
+    m_sentAt = MonotonicClock::now();
+    m_connection->head = m_request->method + " " + m_request->target + " HTTP/1.1\r\nHost: "
+                         + m_request->host + "\r\n" + m_request->forwardedHeaders;
+}
+
+void BackendTry::write()
+{
     std::string &head = m_connection->head;
-    head = m_request->method + " " + m_request->target + " HTTP/1.1\r\nHost: " + m_request->host
-           + "\r\n" + m_request->forwardedHeaders;
-    m_state.dialect.writeOptions(options, now, &head);
     const bool hasBody = !m_request->body.empty();
     if (hasBody || (m_request->method != "GET" && m_request->method != "HEAD")) {
         head += "Content-Length: " + std::to_string(m_request->body.size()) + "\r\n";
@@ -202,8 +218,12 @@
 
 void BackendTry::recordHead()
 {
+    if (isRelay()) {
+        return; // the other node has recorded what the server reports
+    }
     const TimePoint now = MonotonicClock::now();
     const EngineId &id = m_choice.backend.id;
+    m_state.reach.recordAnswer(id, now);
     if (m_head.status != 421) { // 421 comes from another engine at the same address
         m_state.quarantine.recordEngineAnswer(BackendTracker::hashOf(id), now);
     }
--- a/src/vanilladyke/traffic/caller_session.cpp
+++ b/src/vanilladyke/traffic/caller_session.cpp
@@ -1,6 +1,7 @@
 #include "vanilladyke/traffic/caller_session.hpp"
 
 #include "vanilladyke/base/log.hpp"
+#include "vanilladyke/traffic/relay_seal.hpp"
 
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -18,6 +19,8 @@
 constexpr Duration WriteTimeout = std::chrono::seconds(10);
 /// Allows for a body of maximum size over a slow link.
 constexpr Duration BodyTimeout = std::chrono::seconds(10);
+/// Longer than BackendPool::DefaultKeepAlive, for which another node reuses the connection.
+constexpr Duration RelayIdleTimeout = std::chrono::seconds(15);
 constexpr std::size_t ReadSize = 4096;
 constexpr std::size_t MaxBufferedBytes = 65536;
 
@@ -38,9 +41,10 @@
 
 } // namespace
 
-CallerSession::CallerSession(TrafficState &state, Tcp::socket socket)
+CallerSession::CallerSession(TrafficState &state, Tcp::socket socket, SessionKind kind)
     : m_state(state)
     , m_socket(std::move(socket))
+    , m_kind(kind)
     , m_buffer(MaxBufferedBytes)
     , m_deadlineTimer(std::make_shared<DeadlineTimer>())
 {}
@@ -97,7 +101,9 @@
 {
     const CallerLimits limits =
             m_state.table == nullptr ? CallerLimits() : m_state.table->config().limits;
-    m_deadlineTimer->dueAt = MonotonicClock::now() + limits.idleTimeout;
+    const Duration idleTimeout =
+            m_kind == SessionKind::Relay ? RelayIdleTimeout : limits.idleTimeout;
+    m_deadlineTimer->dueAt = MonotonicClock::now() + idleTimeout;
     ErrorCode error;
     if (m_buffer.size() == 0) {
         const std::size_t got =
@@ -152,15 +158,34 @@
     request->target = std::string(parser.get().target());
     request->keepsConnection = parser.get().keep_alive() && parser.get().version() >= 11;
     request->body = std::move(parser.get().body());
+    if (!isPermitted(*request)) {
+        m_state.metrics.count("relay_seals_rejected_total");
+        LogEvent("relay_rejected", Severity::Warning).field("id", request->id);
+        co_await rejectRequest(403);
+        co_return false;
+    }
     co_return true;
 }
 
+bool CallerSession::isPermitted(CallerRequest &request) const
+{
+    if (m_kind == SessionKind::Caller) {
+        request.relay.reset();
+        return true;
+    }
+    return hasValidSeal(m_state.digester, request);
+}
+
 asio::awaitable<void> CallerSession::rejectRequest(int status)
 {
     m_keepsOpen = false;
     std::string answer = "HTTP/1.1 " + std::to_string(status) + " "
                          + std::string(http::obsolete_reason(static_cast<http::status>(status)))
-                         + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+                         + "\r\nConnection: close\r\n";
+    if (m_kind == SessionKind::Relay) {
+        answer += m_state.dialect.notExecutedLine;
+    }
+    answer += "Content-Length: 0\r\n\r\n";
     static_cast<void>(co_await write(std::move(answer)));
 }
 
--- a/src/vanilladyke/traffic/exchange.cpp
+++ b/src/vanilladyke/traffic/exchange.cpp
@@ -5,6 +5,13 @@
 /// The part of Exchange that admits a request and decides on the sequence of its tries.
 namespace vanilladyke {
 
+namespace {
+
+/// Open requests that a node takes from other nodes, so that its own callers still get its time.
+constexpr int MaxOpenRelayed = 200;
+
+} // namespace
+
 Exchange::Exchange(TrafficState &state, CallerRequest request, AnswerSink &sink)
     : m_state(state)
     , m_request(std::make_shared<const CallerRequest>(std::move(request)))
@@ -15,11 +22,13 @@
     , m_wait(state.context)
 {
     m_openExchanges->insert(this);
+    m_state.openRelayed += m_request->relay ? 1 : 0;
 }
 
 Exchange::~Exchange()
 {
     m_openExchanges->erase(this);
+    m_state.openRelayed -= m_request->relay ? 1 : 0;
 }
 
 asio::awaitable<ExchangeResult> Exchange::run()
@@ -31,7 +40,9 @@
         }
         co_return co_await refuse(httpStatus(refusal->reason), toString(refusal->reason), after);
     }
-    m_state.retryBudget.countRequest(m_service, m_request->arrived);
+    if (!m_request->relay) { // else the node that the caller asked has counted it
+        m_state.retryBudget.countRequest(m_service, m_request->arrived);
+    }
     m_state.ticker.add(m_deadlineTimer);
     m_deadlineTimer->onDue = [this] { onDeadline(); };
     setAnswerDeadline(std::nullopt);
@@ -63,6 +74,10 @@
     if (m_state.isShuttingDown) {
         return Refusal{RefusalReason::ShuttingDown, "node is stopping", Ran::No, now};
     }
+    if (m_request->relay && m_state.openRelayed > MaxOpenRelayed) {
+        return Refusal{RefusalReason::QueueFull, "too many requests of other nodes", Ran::No,
+                       now + RelayNodes::FailurePause};
+    }
     // The next freshness proof of the configuration is due within about a second.
     const TimePoint nextProof = now + std::chrono::seconds(1);
     if (m_table == nullptr) {
@@ -119,9 +134,12 @@
             || heldUntil(now)) {
             co_return nullptr;
         }
-        const auto choice = m_state.tracker.choose(query(), now);
+        const auto choice = chooseTarget(now);
         if (!choice) {
             m_noBackend = choice.error();
+            if (m_isCutOff && !m_headWritten) {
+                co_return nullptr; // waiting here would only keep the caller from another node
+            }
             const bool mayBecomeAvailable = co_await waitForBackend(choice.error());
             if (!mayBecomeAvailable) {
                 co_return nullptr;
@@ -142,6 +160,9 @@
 {
     const TimePoint now = MonotonicClock::now();
     constexpr Duration Pause = std::chrono::milliseconds(20);
+    if (m_headWritten) {
+        m_triedRelays.clear();
+    }
     const bool isOnlyTried = none.isKnown && !m_triedEngines.empty();
     if (m_headWritten && isOnlyTried) {
         // The caller has a part of the answer: the servers that were tried are asked again at once.
@@ -188,7 +209,7 @@
     state.isBudgetSpent = m_budgetSpent;
     state.sends = m_sends;
     state.mayHaveRun = m_runs;
-    state.maxServers = m_route->mostBackends;
+    state.maxServers = mostServers();
     state.connectFailures = m_connectFailures;
     state.deadline = m_deadline;
     m_denial = denyFurtherTry(state, now);
--- a/src/vanilladyke/traffic/exchange_answers.cpp
+++ b/src/vanilladyke/traffic/exchange_answers.cpp
@@ -200,6 +200,9 @@
         std::snprintf(text.data(), text.size(), "%.2f", secondsOf(*retryAfter));
         out += "Retry-After: " + std::string(text.data()) + "\r\n";
     }
+    if (m_request->relay && ran() == Ran::No) {
+        out += m_state.dialect.notExecutedLine;
+    }
     out += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     m_status = status;
     const bool isWritten = co_await m_sink.write(std::move(out));
@@ -233,6 +236,8 @@
             .field("wait_ms", spanOf(m_choice ? m_choice->wait : Millis()))
             .field("tokens_per_ms", m_choice ? m_choice->tokensPerMs : 0.0)
             .field("read_ms", spanOf(m_choice ? m_choice->prefill : Millis()))
+            .field("handed_on", m_choice && m_choice->isRelay)
+            .field("for_node", m_request->relay.has_value())
             .field("candidates", m_choice ? m_choice->candidates : 0)
             .field("status", status)
             .field("outcome", outcome)
--- a/src/vanilladyke/traffic/exchange_hedging.cpp
+++ b/src/vanilladyke/traffic/exchange_hedging.cpp
@@ -144,7 +144,7 @@
     if (!mayTryAgain(now)) {
         return std::nullopt;
     }
-    const auto choice = m_state.tracker.choose(query(), now);
+    const auto choice = chooseTarget(now);
     if (!choice) {
         return std::nullopt;
     }
--- /dev/null
+++ b/src/vanilladyke/traffic/exchange_relay_test.cpp
@@ -0,0 +1,295 @@
+#include "vanilladyke/traffic/exchange_fixture.hpp"
+#include "vanilladyke/traffic/relay_seal.hpp"
+
+namespace vanilladyke {
+namespace {
+
+/// A node that does not reach the servers of its service, and another node that does. Both run on
+/// the test's thread; the scripted servers belong to the other node.
+class RelayTest : public ExchangeTest
+{
+protected:
+    RelayTest()
+        : m_other(m_context, testDialect(), settings(), 2)
+        , m_relayAcceptor(m_context, Tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    {
+        m_state.digester.setKey("fleet");
+        m_other.digester.setKey("fleet");
+        m_other.configAge = [] { return Duration{}; };
+        m_other.retryBudget.setLimits({0.2, 1000, std::chrono::seconds(10), 1});
+        m_other.ticker.start();
+        asio::co_spawn(m_context, acceptRelayed(), asio::detached);
+    }
+
+    asio::awaitable<void> acceptRelayed()
+    {
+        for (;;) {
+            ErrorCode error;
+            Tcp::socket socket(m_context);
+            co_await m_relayAcceptor.async_accept(socket, redirectError(error));
+            if (error) {
+                co_return;
+            }
+            std::make_shared<CallerSession>(m_other, std::move(socket), SessionKind::Relay)
+                    ->start();
+        }
+    }
+
+    /// Gives the other node the servers, and this node as many that refuse connections.
+    void cutOff(RequestKind kind, bool isResumable = false,
+                Duration timeout = std::chrono::seconds(5))
+    {
+        setRoute(kind, isResumable, timeout);
+        m_other.table = m_state.table;
+        m_other.tracker.setBackends(m_entries);
+        asio::io_context unused;
+        Tcp::acceptor closed(unused, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+        const std::uint16_t port = closed.local_endpoint().port();
+        closed.close();
+        std::vector<BackendEntry> unreachable = m_entries;
+        for (BackendEntry &entry : unreachable) {
+            entry.endpoint.port = port;
+        }
+        m_state.tracker.setBackends(unreachable);
+        for (int i = 0; i < 2; ++i) {
+            for (const BackendEntry &entry : unreachable) {
+                m_state.pool.onConnectEnded(entry.id, asio::error::connection_refused, Duration{});
+            }
+        }
+        hearOfOther({});
+    }
+
+    void hearOfOther(std::vector<std::uint64_t> unreached)
+    {
+        m_state.relays.nodeSeen(2, hashOfName("here"), relayEndpoint(), std::move(unreached),
+                                MonotonicClock::now());
+    }
+
+    [[nodiscard]] Endpoint relayEndpoint() const
+    {
+        return {"127.0.0.1", m_relayAcceptor.local_endpoint().port()};
+    }
+
+    /// Sends bytes to the other node's port for relayed requests. @return the status
+    int sendToOther(const std::string &bytes)
+    {
+        m_caller = std::make_unique<Tcp::socket>(m_context);
+        m_caller->connect(m_relayAcceptor.local_endpoint());
+        send(bytes);
+        return receive();
+    }
+
+    TrafficState m_other;
+    Tcp::acceptor m_relayAcceptor;
+};
+
+// The balancer goes on with a node that is partitioned from all servers, and so do its callers.
+TEST_F(RelayTest, ARequestIsServedByANodeThatReachesTheServers)
+{
+    auto &server = addBackend(good);
+    cutOff(RequestKind::Unsafe);
+    std::string body;
+    EXPECT_EQ(ask("1", &body), 200);
+    EXPECT_EQ(body, "body");
+    ASSERT_EQ(server.received.size(), 1U);
+    EXPECT_EQ(server.received[0].fields.at("Customer"), "c");
+    EXPECT_EQ(server.received[0].fields.at("Expect-Engine"), "e1");
+    EXPECT_FALSE(server.received[0].fields.contains("Key"));
+    EXPECT_FALSE(server.received[0].fields.contains("Seal"));
+}
+
+// An unsafe request that was refused by the first server of the other node may go to its second.
+TEST_F(RelayTest, ARefusalOfAServerIsRetriedByTheOtherNode)
+{
+    addBackend(refused);
+    auto &second = addBackend(good);
+    cutOff(RequestKind::Unsafe);
+    EXPECT_EQ(ask("1"), 200);
+    EXPECT_EQ(second.received.size(), 1U);
+}
+
+// "Not run" has to be true over both hops, or a caller books the same panel twice.
+TEST_F(RelayTest, ARefusalOfAllServersIsReportedNotRun)
+{
+    addBackend(refused);
+    addBackend(refused);
+    cutOff(RequestKind::Unsafe);
+    EXPECT_EQ(ask("1"), 503);
+    EXPECT_NE(m_body.find(R"("ran":"no")"), std::string::npos);
+}
+
+// The server's connection breaks behind the other node: the request may have run.
+TEST_F(RelayTest, ALostUnsafeRequestIsNeitherHandedOnAgainNorReportedNotRun)
+{
+    addBackend([](const ReceivedRequest &) { return ScriptedAnswer{"", NextAction::Reset}; });
+    auto &second = addBackend(good);
+    cutOff(RequestKind::Unsafe);
+    EXPECT_EQ(ask("1"), 502);
+    EXPECT_TRUE(second.received.empty());
+    EXPECT_NE(m_body.find(R"("ran":"unknown")"), std::string::npos);
+}
+
+TEST_F(RelayTest, AServersOwnFailureArrivesUnchanged)
+{
+    addBackend([](const ReceivedRequest &received) {
+        return ScriptedAnswer{answer(received.fields.at("Id"), "broken", 500),
+                              NextAction::KeepOpen};
+    });
+    cutOff(RequestKind::Unsafe);
+    EXPECT_EQ(ask("1"), 500);
+    EXPECT_EQ(m_body, "broken");
+}
+
+TEST_F(RelayTest, EventsOfAStreamArriveWholeAndInOrder)
+{
+    addBackend([](const ReceivedRequest &received) {
+        return ScriptedAnswer{streamHead(received.fields.at("Id")) + eventChunk(1) + eventChunk(2)
+                                      + "0\r\n\r\n",
+                              NextAction::KeepOpen};
+    });
+    cutOff(RequestKind::Stream);
+    EXPECT_EQ(ask("1"), 200);
+    EXPECT_EQ(m_body, "id: 1\ndata: d\n\nid: 2\ndata: d\n\n");
+}
+
+// The server behind the other node breaks off in the middle of the stream.
+TEST_F(RelayTest, ABrokenStreamResumesAfterTheLastWholeEvent)
+{
+    addBackend([](const ReceivedRequest &received) {
+        return ScriptedAnswer{streamHead(received.fields.at("Id")) + eventChunk(1)
+                                      + "5\r\nid: 2\r\n",
+                              NextAction::Reset};
+    });
+    auto &second = addBackend([](const ReceivedRequest &received) {
+        return ScriptedAnswer{streamHead(received.fields.at("Id")) + eventChunk(2) + "0\r\n\r\n",
+                              NextAction::KeepOpen};
+    });
+    cutOff(RequestKind::Stream, true);
+    EXPECT_EQ(ask("1"), 200);
+    EXPECT_EQ(m_body, "id: 1\ndata: d\n\nid: 2\ndata: d\n\n");
+    ASSERT_EQ(second.received.size(), 1U);
+    EXPECT_EQ(second.received[0].fields.at("Resume"), "1");
+}
+
+// A caller that leaves must not leave work behind at the server of another node.
+TEST_F(RelayTest, ADisconnectOfTheCallerClosesTheServersConnection)
+{
+    auto &server = addBackend([](const ReceivedRequest &) {
+        return ScriptedAnswer{"", NextAction::Hang};
+    });
+    cutOff(RequestKind::Unsafe);
+    connect();
+    send(request("1"));
+    runUntil([&] { return server.received.size() == 1; });
+    m_caller->close();
+    runUntil([&] { return server.closedByPeer == 1; });
+}
+
+TEST_F(RelayTest, TheOtherNodeGetsTheTimeThatIsLeft)
+{
+    auto &server = addBackend([](const ReceivedRequest &) {
+        return ScriptedAnswer{"", NextAction::Hang};
+    });
+    constexpr Duration Timeout = milliseconds(300);
+    cutOff(RequestKind::Unsafe, false, Timeout);
+    const TimePoint start = MonotonicClock::now();
+    EXPECT_EQ(ask("1"), 504);
+    EXPECT_LT(MonotonicClock::now() - start, 10 * Timeout);
+    runUntil([&] { return server.closedByPeer == 1; });
+}
+
+// Two nodes that are cut off must not hand a request to and fro.
+TEST_F(RelayTest, ARequestIsHandedOnOnceAtMost)
+{
+    addBackend(good);
+    cutOff(RequestKind::Unsafe);
+    for (int i = 0; i < 2; ++i) {
+        m_other.pool.onConnectEnded(EngineId("e1"), asio::error::connection_refused, Duration{});
+    }
+    m_other.relays.nodeSeen(1, hashOfName("here"), relayEndpoint(), {}, MonotonicClock::now());
+    EXPECT_EQ(ask("1"), 503);
+    EXPECT_NE(m_body.find(R"("ran":"no")"), std::string::npos);
+    EXPECT_TRUE(m_backends[0]->received.empty());
+}
+
+// Held back, the request would keep its caller from a node that can serve it.
+TEST_F(RelayTest, WithoutANodeThatReachesTheServiceARequestIsRefusedAtOnce)
+{
+    addBackend(good);
+    cutOff(RequestKind::Safe);
+    hearOfOther({hashOfName("s")});
+    const TimePoint start = MonotonicClock::now();
+    EXPECT_EQ(ask("1"), 503);
+    EXPECT_LT(MonotonicClock::now() - start, BackendPool::ConnectTimeout);
+    EXPECT_NE(m_body.find(R"("ran":"no")"), std::string::npos);
+}
+
+// Whoever reaches the port between nodes must not get past the check of keys at the front.
+TEST_F(RelayTest, ARequestWithoutTheFleetsSealIsRejected)
+{
+    auto &server = addBackend(good);
+    cutOff(RequestKind::Unsafe);
+    EXPECT_EQ(sendToOther(request("1")), 403);
+    const std::string forged =
+            "POST /a/x HTTP/1.1\r\nHost: h\r\nKey: k\r\nId: 1\r\nSeal: " + std::string(32, 'a')
+            + "\r\nServers: 2\r\nContent-Length: 2\r\n\r\nhi";
+    EXPECT_EQ(sendToOther(forged), 403);
+    EXPECT_TRUE(server.received.empty());
+}
+
+TEST_F(RelayTest, ASealHoldsForOneRequestOnly)
+{
+    CallerRequest request;
+    request.id = "1";
+    request.method = "POST";
+    request.host = "h";
+    request.target = "/a/x";
+    request.body = "hi";
+    const std::string seal = relaySeal(m_state.digester, request, "", 2).str();
+    request.relay = RelayTerms{seal, 2};
+    EXPECT_TRUE(hasValidSeal(m_other.digester, request));
+    CallerRequest other = request;
+    other.body = "ho";
+    EXPECT_FALSE(hasValidSeal(m_other.digester, other));
+    other = request;
+    other.key = "k";
+    EXPECT_FALSE(hasValidSeal(m_other.digester, other));
+    other = request;
+    other.relay->mostServers = 3;
+    EXPECT_FALSE(hasValidSeal(m_other.digester, other));
+    WorkDigester stranger;
+    stranger.setKey("another fleet");
+    EXPECT_FALSE(hasValidSeal(stranger, request));
+}
+
+// A caller that sends the names of the links between nodes must not be taken for a node.
+TEST_F(RelayTest, ACallersOwnTermsOfARelayAreDropped)
+{
+    addBackend(good);
+    cutOff(RequestKind::Unsafe);
+    connect();
+    send("POST /a/x HTTP/1.1\r\nHost: h\r\nKey: k\r\nId: 1\r\nSeal: " + std::string(32, 'a')
+         + "\r\nServers: 1\r\nContent-Length: 2\r\n\r\nhi");
+    EXPECT_EQ(receive(), 200);
+}
+
+// Requests of other nodes must not add to what the fleet may send again.
+TEST_F(RelayTest, ARequestThatIsHandedOnRunsOnNoMoreServersThanItsRouteAllows)
+{
+    const auto resets = [](const ReceivedRequest &) {
+        return ScriptedAnswer{"", NextAction::Reset};
+    };
+    addBackend(resets);
+    addBackend(resets);
+    addBackend(resets);
+    cutOff(RequestKind::Safe);
+    EXPECT_EQ(ask("1"), 502);
+    std::size_t sends = 0;
+    for (const auto &backend : m_backends) {
+        sends += backend->received.size();
+    }
+    EXPECT_LE(sends, 2U);
+}
+
+} // namespace
+} // namespace vanilladyke
--- a/src/vanilladyke/traffic/exchange_tries.cpp
+++ b/src/vanilladyke/traffic/exchange_tries.cpp
@@ -10,6 +10,8 @@
 /// A repeatable request waits this many target latencies for its first byte, then it is hedged.
 constexpr int FirstByteTimeoutTargets = 3;
 constexpr Duration MinFirstByteTimeout = std::chrono::milliseconds(450);
+/// Another node hedges a silent server itself; it is left more time before it is hedged in turn.
+constexpr int RelayTimeoutFactor = 2;
 
 } // namespace
 
@@ -18,7 +20,11 @@
     if (m_headWritten) {
         m_resumeAfter = m_events.lastId();
     }
-    m_triedEngines.push_back(choice.backend.id);
+    if (choice.isRelay) {
+        m_triedRelays.push_back(choice.backend.endpoint);
+    } else {
+        m_triedEngines.push_back(choice.backend.id);
+    }
     const TryTerms terms{m_route->kind == RequestKind::Stream, m_headWritten};
     return std::make_shared<BackendTry>(m_state, m_request, terms, choice);
 }
@@ -71,6 +77,9 @@
     const TimePoint now = MonotonicClock::now();
     if (!isConnected) {
         m_state.tracker.exclude(engine, now);
+        if (attempt->isRelay()) {
+            m_state.relays.failed(attempt->choice().backend.endpoint, now);
+        }
         m_state.metrics.count("backend_unreached_total");
         ++m_connectFailures;
         co_return TryResult::Unreached;
@@ -91,12 +100,16 @@
         co_return TryResult::Lost;
     }
     recordSent(*attempt, now);
-    attempt->send(optionsFor(attempt->choice()));
+    if (attempt->isRelay()) {
+        attempt->sendToRelay(relayOptions());
+    } else {
+        attempt->send(optionsFor(attempt->choice()));
+    }
     std::optional<TimePoint> firstByteDeadline;
     if (isRepeatable()) {
-        firstByteDeadline = now
-                            + std::max<Duration>(m_route->targetLatency * FirstByteTimeoutTargets,
-                                                 MinFirstByteTimeout);
+        const Duration timeout = std::max<Duration>(
+                m_route->targetLatency * FirstByteTimeoutTargets, MinFirstByteTimeout);
+        firstByteDeadline = now + timeout * (attempt->isRelay() ? RelayTimeoutFactor : 1);
     }
     setAnswerDeadline(firstByteDeadline);
     const std::optional<TryResult> end = co_await attempt->receiveStart();
@@ -122,6 +135,10 @@
     const BackendChoice &choice = attempt.choice();
     ++m_sends;
     ++m_runs;
+    if (attempt.isRelay()) {
+        m_state.relays.sent(choice.backend.endpoint);
+        return;
+    }
     const BackendQuery sentQuery = query();
     const auto weightsEnd = m_state.tracker.weightsEnd(choice.backend.id, m_request->model);
     m_weightsTimeLeft = weightsEnd ? std::optional(*weightsEnd - now) : std::nullopt;
@@ -149,9 +166,13 @@
     const bool isServersFault = !m_callerDisconnected && reason != AbortReason::Quarantined
                                 && reason != AbortReason::Unneeded;
     const bool failed = end == TryResult::Failed || (hasEndedEarly && isServersFault);
-    m_state.tracker.ended(attempt->choice(), attempt->beganAt().has_value(), failed, now);
-    if (end == TryResult::Delivered || end == TryResult::Failed) {
-        recordCompleteAnswer();
+    if (attempt->isRelay()) {
+        finishRelay(*attempt, end, now);
+    } else {
+        m_state.tracker.ended(attempt->choice(), attempt->beganAt().has_value(), failed, now);
+        if (end == TryResult::Delivered || end == TryResult::Failed) {
+            recordCompleteAnswer();
+        }
     }
     const bool wasSilent = reason == AbortReason::Replaced || reason == AbortReason::WeightsExpire;
     if (end == TryResult::Lost && wasSilent) {
--- a/src/vanilladyke/traffic/scripted_backend.hpp
+++ b/src/vanilladyke/traffic/scripted_backend.hpp
@@ -152,6 +152,11 @@
         if (fields.count("Key") > 0) {
             request.key = std::string(fields["Key"]);
         }
+        if (fields.count("Seal") > 0) {
+            request.relay = RelayTerms{std::string(fields["Seal"]),
+                                       std::stoi(std::string(fields["Servers"]))};
+        }
+        request.lastEventId = std::string(fields["Resume"]);
         if (fields.count("Deadline") > 0) {
             request.deadline =
                     now + std::chrono::milliseconds(std::stoi(std::string(fields["Deadline"])));
@@ -166,6 +171,17 @@
             *lines += "Resume: " + options.resumeAfter + "\r\n";
         }
     };
+    dialect.writeRelay = [](const RelayOptions &options, TimePoint now, std::string *lines) {
+        const auto left =
+                std::chrono::duration_cast<std::chrono::milliseconds>(options.deadline - now);
+        *lines += "Key: " + options.key.value_or("") + "\r\nSeal: " + options.terms.seal
+                  + "\r\nServers: " + std::to_string(options.terms.mostServers)
+                  + "\r\nDeadline: " + std::to_string(left.count()) + "\r\n";
+        if (!options.resumeAfter.empty()) {
+            *lines += "Resume: " + options.resumeAfter + "\r\n";
+        }
+    };
+    dialect.notExecutedLine = "Refused: 1\r\n";
     dialect.parseAnswer = [](int status, const HttpFields &fields) {
         AnswerHead head;
         head.status = status;
@@ -174,7 +190,8 @@
         head.isStamped = fields.count("Stamp") > 0;
         head.isNotExecuted = fields.count("Refused") > 0;
         head.isEncoded = fields.count("Content-Encoding") > 0;
-        head.forwardedHeaders = "Stamp: " + std::string(fields["Stamp"]) + "\r\n";
+        head.forwardedHeaders =
+                "Id: " + head.requestId + "\r\nStamp: " + std::string(fields["Stamp"]) + "\r\n";
         return head;
     };
     return dialect;
--- a/src/vanilladyke/traffic/traffic_server.cpp
+++ b/src/vanilladyke/traffic/traffic_server.cpp
@@ -25,6 +25,7 @@
     , m_callers(state.context)
     , m_ready(state.context)
     , m_metrics(state.context)
+    , m_relays(state.context)
 {}
 
 bool TrafficServer::open(Tcp::acceptor &acceptor, const Endpoint &endpoint, std::string *error)
@@ -51,10 +52,15 @@
 {
     std::string error;
     if (!open(m_callers, m_settings.callers, &error) || !open(m_ready, m_settings.ready, &error)
-        || (m_settings.metrics && !open(m_metrics, *m_settings.metrics, &error))) {
+        || (m_settings.metrics && !open(m_metrics, *m_settings.metrics, &error))
+        || (m_settings.relays && !open(m_relays, *m_settings.relays, &error))) {
         return error;
     }
-    asio::co_spawn(m_state.context, acceptCallers(), asio::detached);
+    asio::co_spawn(m_state.context, acceptSessions(m_callers, SessionKind::Caller), asio::detached);
+    if (m_settings.relays) {
+        asio::co_spawn(m_state.context, acceptSessions(m_relays, SessionKind::Relay),
+                       asio::detached);
+    }
     asio::co_spawn(m_state.context, acceptStatusConnections(m_ready), asio::detached);
     if (m_settings.metrics) {
         asio::co_spawn(m_state.context, acceptStatusConnections(m_metrics), asio::detached);
@@ -70,13 +76,13 @@
     return !m_state.table->needsKeys() || m_state.isFresh();
 }
 
-asio::awaitable<void> TrafficServer::acceptCallers()
+asio::awaitable<void> TrafficServer::acceptSessions(Tcp::acceptor &acceptor, SessionKind kind)
 {
     for (;;) {
         Tcp::socket socket(m_state.context);
         ErrorCode error;
-        co_await m_callers.async_accept(socket, redirectError(error));
-        if (!m_callers.is_open()) {
+        co_await acceptor.async_accept(socket, redirectError(error));
+        if (!acceptor.is_open()) {
             co_return;
         }
         if (error) {
@@ -86,7 +92,7 @@
         }
         ErrorCode ignored;
         socket.set_option(Tcp::no_delay(true), ignored);
-        const auto session = std::make_shared<CallerSession>(m_state, std::move(socket));
+        const auto session = std::make_shared<CallerSession>(m_state, std::move(socket), kind);
         m_sessions.emplace_back(session);
         if (++m_accepted % AcceptsBetweenCleanups == 0) {
             m_sessions.remove_if([](const auto &each) { return each.expired(); });
@@ -167,6 +173,7 @@
     m_state.isShuttingDown = true;
     ErrorCode ignored;
     m_callers.close(ignored);
+    m_relays.close(ignored);
     for (const auto &each : m_sessions) {
         if (const auto session = each.lock()) {
             session->closeWhenIdle();
--- a/tests/integration/platform_cut.py
+++ b/tests/integration/platform_cut.py
@@ -34,7 +34,7 @@
         ports = {engine.port: self.link(f"{name}/{engine.name}", engine.port) for engine in self.engines}
         store = platform_fleet.StoreOfANode(self.fleet.store, ports)
         self.addCleanup(store.close)
-        return self.fleet.node(name, store_port=store.port)
+        return self.fleet.node(name, store_port=store.port, keys_valid_ms=5000)
 
     def cut(self, nodes, faults):
         for node in nodes:
--- a/tests/integration/platform_fleet.py
+++ b/tests/integration/platform_fleet.py
@@ -110,17 +110,18 @@
         text = b"" if value is None else json.dumps(value).encode()
         self.append(topic, bytes([len(key)]) + key.encode() + text)
 
-    def records(self, topic):
-        return self.topics.get(topic, [])
+    def seen(self, _topic, record):
+        """The record as it is told to those who ask here."""
+        return record
 
     def newest(self, topic):
         latest = {}
-        for offset, record in enumerate(self.records(topic)):
+        for offset, record in enumerate(self.topics.get(topic, [])):
             length = record[0]
             key, value = record[1:1 + length].decode(), record[1 + length:]
             latest.pop(key, None)
             if value:
-                latest[key] = (value, offset)
+                latest[key] = (self.seen(topic, record)[1 + length:], offset)
         return latest
 
     def waiting(self, topic):
@@ -185,7 +186,7 @@
             self.waiters[topic].remove(waiter)
             self.waited[topic] = self.waited.get(topic, 0) + 1
             self.passed_over.discard(waiter)
-            records = self.records(topic)[start:]
+            records = [self.seen(topic, each) for each in self.topics.get(topic, [])[start:]]
             end = len(self.topics.get(topic, []))
         body = struct.pack(">QQ", end, self.first.get(topic, 0))
         call.answer(200, body + b"".join(struct.pack(">I", len(each)) + each for each in records))
@@ -219,19 +220,15 @@
         self.topics, self.first, self.changed = store.topics, store.first, store.changed
         self.ports = ports  # by the port of the entry: the one that this node is told
 
-    def seen(self, record):
+    def seen(self, topic, record):
         key, value = record[1:1 + record[0]], record[1 + record[0]:]
-        if not value:
+        if topic != "keyed.servers" or not value:
             return record
         entry = json.loads(value)
         host, port = entry["address"].rsplit(":", 1)
         entry["address"] = f"{host}:{self.ports.get(int(port), port)}"
         return bytes([len(key)]) + key + json.dumps(entry).encode()
 
-    def records(self, topic):
-        records = self.topics.get(topic, [])
-        return [self.seen(each) for each in records] if topic == "keyed.servers" else records
-
 
 class Engine:
     """Runs requests one at a time for each connection, keeps what ran, and takes orders of weights."""
@@ -403,13 +400,13 @@
                     self.store.put("keyed.servers", engine.name, engine.entry())
             time.sleep(0.3)
 
-    def node(self, name, store_port=None):
+    def node(self, name, store_port=None, keys_valid_ms=2500):
         callers, ready, metrics = (harness.free_port() for _ in range(3))
         settings = {"node": name, "address": "127.0.0.1", "data_centre": "z", "callers": f"127.0.0.1:{callers}",
                     "ready": f"127.0.0.1:{ready}", "metrics": f"127.0.0.1:{metrics}",
                     "peers": f"127.0.0.1:{harness.free_port()}",
                     "questions": f"127.0.0.1:{harness.free_port()}",
-                    "store": f"127.0.0.1:{store_port or self.store.port}", "keys_valid_ms": 2500,
+                    "store": f"127.0.0.1:{store_port or self.store.port}", "keys_valid_ms": keys_valid_ms,
                     "fails_closed": True, "weights_time_ms": 15000, "order_gap_ms": 1000, "grace_ms": 8000,
                     "second_sends": {"ratio": 0.2, "extra": 500, "window_ms": 10000}}
         path = self.cluster.write(name + ".jsonc", settings)
