--- a/tests/integration/platform_fleet.py
+++ b/tests/integration/platform_fleet.py
@@ -243,6 +243,10 @@
         self.seconds = 0.0  # that a request runs
         self.full = False
         self.limit = None  # requests a second that it names in its answers
+        self.brittle = None  # rejections a second over which it falls over, as its answers say
+        self.places, self.most_waiting = None, 4  # requests that run at once, and that may wait; None: any number
+        self.inside, self.running, self.rejections = 0, 0, []  # requests that run or wait; when it rejected one for want of room
+        self.free = threading.Condition()
         self.server = Server(("127.0.0.1", 0), Handler)
         self.server.owner = self
         self.port = self.server.server_address[1]
@@ -265,7 +269,7 @@
     def entry(self):
         self.beats += 1
         models = [{"name": self.model, "version": self.version, "adapters": []}] if self.service == "llm" else []
-        return {"service": self.service, "address": f"127.0.0.1:{self.entry_port}", "zone": "z", "slots": 8,
+        return {"service": self.service, "address": f"127.0.0.1:{self.entry_port}", "zone": "z", "slots": self.places or 8,
                 "state": self.state, "coldRemainingMs": 0, "models": models, "sequence": self.beats}
 
     def handle(self, call):
@@ -300,14 +304,56 @@
         common = {"X-Vanilladyke-Attempt-Id": identity, "X-Vanilladyke-Weight-Versions": str(self.version)}
         if self.limit is not None:
             common["Server-Limit"] = str(self.limit)
+        if self.brittle is not None:
+            common["Server-Brittle"] = str(self.brittle)
         with self.lock:
             self.requests.append((time.monotonic(), dict(call.headers)))
+        if self.places is not None:
+            with self.free:
+                waiting = max(self.inside - self.places, 0)
+                common["X-Vanilladyke-Server-Load"] = f"{self.inside - waiting},{waiting},{self.places}"
         wanted = call.headers.get("X-Vanilladyke-Expect-Version")
         if wanted and int(wanted) != self.version:
             call.answer(421, headers=common)
         elif self.full or (self.busy and self.service == "llm"):
             call.answer(503, headers={**common, "X-Vanilladyke-Not-Executed": "1"})
+        elif not self.enter():
+            self.reject(call, common)
         else:
+            self.run(call, body, identity, common)
+
+    def enter(self):
+        """Takes a place, after a wait if all are taken. False if no more may wait."""
+        if self.places is None:
+            return True
+        with self.free:
+            if self.inside >= self.places + self.most_waiting:
+                return False
+            self.inside += 1
+            self.free.wait_for(lambda: self.running < self.places)
+            self.running += 1
+        return True
+
+    def leave(self):
+        if self.places is not None:
+            with self.free:
+                self.inside -= 1
+                self.running -= 1
+                self.free.notify()
+
+    def reject(self, call, common):
+        """For want of room; a brittle engine falls over if it has to do so too often."""
+        now = time.monotonic()
+        with self.lock:
+            self.rejections.append(now)
+            falls = self.brittle is not None and sum(now - at < 1 for at in self.rejections) > self.brittle
+        if falls:
+            self.end()
+        else:
+            call.answer(503, headers={**common, "X-Vanilladyke-Not-Executed": "1"})
+
+    def run(self, call, body, identity, common):
+        try:
             with self.lock:
                 self.runs.append(identity)
             common["X-Vanilladyke-Response-Stamp"] = "stamp-" + identity
@@ -321,6 +367,8 @@
                 self.stream(call, identity, common)
             else:
                 call.answer(200, f"{identity}:{len(body)}".encode(), common)
+        finally:
+            self.leave()
 
     @staticmethod
     def begin(call, headers):
@@ -386,7 +434,12 @@
         """It is back under a new id after a while; the entry of the old one lapses meanwhile."""
         self.ends.append((time.monotonic(), engine.name))
         threading.Timer(0.9, self.store.put, ("keyed.servers", engine.name, None)).start()
-        threading.Timer(1.0, self.engine, (f"{engine.name}+",), {"service": engine.service}).start()
+        threading.Timer(1.0, self.begin_anew, (engine,)).start()
+
+    def begin_anew(self, ended):
+        engine = self.engine(f"{ended.name}+", service=ended.service)
+        for name in ("brittle", "places", "most_waiting", "seconds"):
+            setattr(engine, name, getattr(ended, name))
 
     def arrivals(self, prefix):
         """When requests whose id begins so reached engines."""
