--- a/include/vanilladyke/policy/backend_tracker.hpp
+++ b/include/vanilladyke/policy/backend_tracker.hpp
@@ -174,6 +174,7 @@
     [[nodiscard]] bool contains(const EngineId &id) const { return m_states.contains(id); }
     /// @return null if the server is not known
     [[nodiscard]] const BackendEntry *entryOf(const EngineId &id) const;
+    [[nodiscard]] std::vector<BackendEntry> entries() const;
     [[nodiscard]] std::vector<BackendEntry> entriesOf(const ServiceId &service) const;
     [[nodiscard]] std::size_t serversOf(const ServiceId &service) const;
 
--- a/include/vanilladyke/traffic/reach_monitor.hpp
+++ b/include/vanilladyke/traffic/reach_monitor.hpp
@@ -47,6 +47,9 @@
     }
     /// @brief Whether answers of the service arrive, over connections that were open before.
     [[nodiscard]] bool hasRecentAnswer(const ServiceId &service, TimePoint now) const;
+    /// @brief Whether this node reaches another server than this one: an answer or a connection
+    /// since @p since, or else an attempt to connect. True if no other server is known.
+    [[nodiscard]] asio::awaitable<bool> reachesAnother(EngineId server, TimePoint since);
     /// @brief Services of which this node reaches no server.
     [[nodiscard]] std::vector<ServiceId> unreached() const { return m_reach.unreached(); }
     std::function<void()> onUnreachedChanged = [] {}; ///< the list of unreached() changed
--- a/src/vanilladyke/policy/backend_tracker.cpp
+++ b/src/vanilladyke/policy/backend_tracker.cpp
@@ -500,6 +500,15 @@
     return known == m_states.end() ? nullptr : &known->second.entry;
 }
 
+std::vector<BackendEntry> BackendTracker::entries() const
+{
+    std::vector<BackendEntry> entries;
+    for (const auto &[id, state] : m_states) {
+        entries.push_back(state.entry);
+    }
+    return entries;
+}
+
 std::vector<BackendEntry> BackendTracker::entriesOf(const ServiceId &service) const
 {
     std::vector<BackendEntry> entries;
--- a/src/vanilladyke/traffic/exchange_relay_test.cpp
+++ b/src/vanilladyke/traffic/exchange_relay_test.cpp
@@ -291,5 +291,33 @@
     EXPECT_LE(sends, 2U);
 }
 
+// The links of a node are reset and refused: every server looks as if it had ended under the
+// request. Told to the other nodes, that would keep a harmless request from being served anywhere.
+TEST_F(RelayTest, ANodeThatIsCutOffBlamesNoRequestForTheEndOfServers)
+{
+    const auto cutsLinks = [this](const ReceivedRequest &) {
+        for (const auto &backend : m_backends) {
+            backend->stopListening();
+        }
+        return ScriptedAnswer{"", NextAction::Reset};
+    };
+    addBackend(cutsLinks);
+    addBackend(cutsLinks);
+    EXPECT_NE(ask("1"), 200);
+    EXPECT_EQ(m_state.quarantine.size(), 0U);
+}
+
+// The same with another server that still accepts connections: this one has ended.
+TEST_F(RelayTest, ARequestUnderWhichOneOfTheServersEndsIsSuspected)
+{
+    addBackend([this](const ReceivedRequest &) {
+        m_backends[0]->stopListening();
+        return ScriptedAnswer{"", NextAction::Reset};
+    });
+    addBackend(good);
+    EXPECT_EQ(ask("1"), 200);
+    EXPECT_EQ(m_state.quarantine.size(), 1U);
+}
+
 } // namespace
 } // namespace vanilladyke
--- a/src/vanilladyke/traffic/exchange_tries.cpp
+++ b/src/vanilladyke/traffic/exchange_tries.cpp
@@ -233,6 +233,12 @@
     if (!attempt->engineEnded) {
         co_return;
     }
+    // Cut off from all servers, this node would blame the request for the end of each of them.
+    const bool hasEndedAlone = co_await m_state.reach.reachesAnother(engine, now);
+    if (!hasEndedAlone) {
+        m_state.metrics.count("engine_ends_unproven_total");
+        co_return;
+    }
     const WorkDigest name = *digest();
     const EngineTermination engineEnd{BackendTracker::hashOf(engine), now, hadJustBegun};
     m_state.metrics.count("engine_ends_under_requests_total");
--- a/src/vanilladyke/traffic/reach_monitor.cpp
+++ b/src/vanilladyke/traffic/reach_monitor.cpp
@@ -2,6 +2,8 @@
 
 #include "vanilladyke/base/log.hpp"
 
+#include <algorithm>
+
 namespace vanilladyke {
 
 ReachMonitor::ReachMonitor(asio::io_context &context, BackendPool &pool, BackendTracker &tracker,
@@ -98,6 +100,33 @@
     }
 }
 
+asio::awaitable<bool> ReachMonitor::reachesAnother(EngineId server, TimePoint since)
+{
+    std::vector<BackendEntry> others;
+    for (const BackendEntry &each : m_tracker.entries()) {
+        if (each.id == server) {
+            continue;
+        }
+        const auto known = m_servers.find(each.id);
+        if (known != m_servers.end() && known->second.answeredAt >= since) {
+            co_return true;
+        }
+        others.push_back(each);
+    }
+    if (others.empty()) {
+        co_return true;
+    }
+    constexpr std::size_t Attempts = 2;
+    others.resize(std::min(others.size(), Attempts));
+    for (const BackendEntry &each : others) {
+        if (const auto connection = co_await m_pool.connect(each.id, each.endpoint)) {
+            m_pool.putBack(connection, std::nullopt, MonotonicClock::now());
+            co_return true;
+        }
+    }
+    co_return false;
+}
+
 bool ReachMonitor::step(TimePoint now)
 {
     if (now < m_nextStepAt) {
--- a/src/vanilladyke/traffic/scripted_backend.hpp
+++ b/src/vanilladyke/traffic/scripted_backend.hpp
@@ -48,6 +48,8 @@
     ScriptedBackend(asio::io_context &context, Script script);
 
     [[nodiscard]] Endpoint endpoint() const;
+    /// New connections are refused from now on; open ones live on.
+    void stopListening() { m_acceptor.close(); }
     std::vector<ReceivedRequest> received;
     int closedByPeer = 0; ///< connections that the node closed while no answer was sent
     int completed = 0;    ///< answers written to their last part without an error
