--- a/tests/integration/platform_fleet.py
+++ b/tests/integration/platform_fleet.py
@@ -243,6 +243,8 @@
         self.seconds = 0.0  # that a request runs
         self.full = False
         self.limit = None  # requests a second that it names in its answers
+        self.leaving, self.rest = False, None  # what its answers say; seconds of rest, for which it rejects
+        self.rests = []  # when it asked for rest
         self.brittle = None  # rejections a second over which it falls over, as its answers say
         self.places, self.most_waiting = None, 4  # requests that run at once, and that may wait; None: any number
         self.inside, self.running, self.rejections = 0, 0, []  # requests that run or wait; when it rejected one for want of room
@@ -304,6 +306,8 @@
         common = {"X-Vanilladyke-Attempt-Id": identity, "X-Vanilladyke-Weight-Versions": str(self.version)}
         if self.limit is not None:
             common["Server-Limit"] = str(self.limit)
+        if self.leaving:
+            common["Server-Leaving"] = "1"
         if self.brittle is not None:
             common["Server-Brittle"] = str(self.brittle)
         with self.lock:
@@ -315,6 +319,9 @@
         wanted = call.headers.get("X-Vanilladyke-Expect-Version")
         if wanted and int(wanted) != self.version:
             call.answer(421, headers=common)
+        elif self.rest is not None:
+            call.answer(503, headers={**common, "X-Vanilladyke-Not-Executed": "1", "Retry-After": str(self.rest)})
+            self.rests.append(time.monotonic())
         elif self.full or (self.busy and self.service == "llm"):
             call.answer(503, headers={**common, "X-Vanilladyke-Not-Executed": "1"})
         elif not self.enter():
