Send nothing to an engine whose answer said that it leaves (DRAIN)

Cause: nodes learned of a leaving from the store's listing alone, nobody read the answer. Class: a statement of the engine itself that has no place in the node. Change: what engines say in answers is kept apart from the listing, by the engine's id (policy/engine_statements), so that an older listing or one without the engine takes nothing back; the other nodes hear of it within a tenth of a second. It is checked at the choice and once more before a request is sent, for first tries, retries and hedges.

--- a/include/vanilladyke/node/load_sharing.hpp
+++ b/include/vanilladyke/node/load_sharing.hpp
@@ -73,6 +73,7 @@
     void countPeers();
     void forward(wire::NodeLoad message);
     void applyLimits(const wire::NodeLoad &message, TimePoint now);
+    void applyLeaving(const wire::NodeLoad &message, TimePoint now);
     void applyBrittle(const wire::NodeLoad &message, TimePoint now);
     void applyQuarantined(const wire::NodeLoad &message, TimePoint now);
 
--- a/include/vanilladyke/policy/backend_tracker.hpp
+++ b/include/vanilladyke/policy/backend_tracker.hpp
@@ -4,6 +4,7 @@
 #include "vanilladyke/policy/backend_choice.hpp"
 #include "vanilladyke/policy/brittle_engine.hpp"
 #include "vanilladyke/policy/engine_limit.hpp"
+#include "vanilladyke/policy/engine_statements.hpp"
 #include "vanilladyke/policy/fetch_share.hpp"
 #include "vanilladyke/policy/part_holders.hpp"
 #include "vanilladyke/policy/peer_backlog.hpp"
@@ -115,6 +116,12 @@
     /// none: no limit.
     /// @return whether the limit changed
     bool limitObserved(const EngineId &id, std::optional<double> perSecond, TimePoint now);
+    /// @brief Records that an answer of the server said that it leaves. @return whether it is news
+    bool leavingObserved(const EngineId &id, TimePoint now);
+    /// @brief Updates to send on servers that leave.
+    [[nodiscard]] std::vector<LeavingUpdate> ownLeaving(TimePoint now) const;
+    /// @return servers of which this node did not know that they leave
+    std::vector<EngineId> receivedLeaving(const std::vector<LeavingUpdate> &updates, TimePoint now);
     /// @brief Records how many rejections a second the server says that it bears; none: any number.
     /// @return whether that changed
     bool brittleObserved(const EngineId &id, std::optional<double> rejections, TimePoint now);
@@ -302,6 +309,7 @@
     DataCentreId m_here;
     BackendCostParameters m_costs;
     std::uint64_t m_self;
+    EngineStatements m_statements;
     std::size_t m_nodes = 1;     ///< that share the servers, this one included
     Duration m_updateInterval{}; ///< between updates of a node
     std::unordered_map<ServiceId, PrefillThroughput> m_throughputs;
--- a/src/vanilladyke/node/load_sharing.cpp
+++ b/src/vanilladyke/node/load_sharing.cpp
@@ -253,6 +253,13 @@
     for (const BrittleUpdate &each : brittle) {
         write(each, message.add_brittle());
     }
+    std::vector<LeavingUpdate> leaving = m_state.tracker.ownLeaving(now);
+    leaving.resize(std::min(leaving.size(), MaxLimits));
+    for (const LeavingUpdate &each : leaving) {
+        wire::LeavingBackend *update = message.add_leaving();
+        update->set_backend(each.backend);
+        update->set_age_ms(millis(each.age));
+    }
     const auto recipients = m_routes.recipients(m_state.random, now);
     m_port.send(message.SerializeAsString(), recipients.direct);
     message.set_pass_on(true);
@@ -341,6 +348,9 @@
     if (message.limits_size() > 0) {
         applyLimits(message, now);
     }
+    if (message.leaving_size() > 0) {
+        applyLeaving(message, now);
+    }
     if (message.brittle_size() > 0) {
         applyBrittle(message, now);
     }
@@ -367,6 +377,21 @@
     }
 }
 
+void LoadSharing::applyLeaving(const wire::NodeLoad &message, TimePoint now)
+{
+    std::vector<LeavingUpdate> updates;
+    updates.reserve(static_cast<std::size_t>(message.leaving_size()));
+    for (const wire::LeavingBackend &each : message.leaving()) {
+        updates.push_back({each.backend(), std::chrono::milliseconds(each.age_ms())});
+    }
+    for (const EngineId &changed : m_state.tracker.receivedLeaving(updates, now)) {
+        LogEvent("engine_leaving")
+                .field("backend", changed.str())
+                .field("by", "peer")
+                .field("peer", message.address());
+    }
+}
+
 void LoadSharing::applyBrittle(const wire::NodeLoad &message, TimePoint now)
 {
     std::vector<BrittleUpdate> updates;
--- a/src/vanilladyke/policy/backend_choice.cpp
+++ b/src/vanilladyke/policy/backend_choice.cpp
@@ -163,6 +163,9 @@
 
 std::optional<TimePoint> BackendTracker::availableAt(const State &state, TimePoint now) const
 {
+    if (m_statements.isLeaving(state.hash, now)) {
+        return now + MaxExclusion; // another server may have come by then
+    }
     const TimePoint excludedUntil =
             std::max({state.excludedUntil, state.loadingUntil, state.unreachableUntil});
     if (excludedUntil > now) {
--- a/src/vanilladyke/policy/backend_tracker.cpp
+++ b/src/vanilladyke/policy/backend_tracker.cpp
@@ -380,6 +380,29 @@
     }
 }
 
+bool BackendTracker::leavingObserved(const EngineId &id, TimePoint now)
+{
+    return m_statements.leavingSaid(hashOf(id), now);
+}
+
+std::vector<LeavingUpdate> BackendTracker::ownLeaving(TimePoint now) const
+{
+    return m_statements.pendingUpdates(now);
+}
+
+std::vector<EngineId> BackendTracker::receivedLeaving(const std::vector<LeavingUpdate> &updates,
+                                                      TimePoint now)
+{
+    std::vector<EngineId> changed;
+    for (const LeavingUpdate &each : updates) {
+        const auto known = m_byHash.find(each.backend);
+        if (m_statements.received(each, now) && known != m_byHash.end()) {
+            changed.push_back(known->second->entry.id);
+        }
+    }
+    return changed;
+}
+
 bool BackendTracker::brittleObserved(const EngineId &id, std::optional<double> rejections,
                                      TimePoint now)
 {
@@ -487,10 +510,16 @@
 bool BackendTracker::hasCapacity(const EngineId &id, TimePoint now) const
 {
     const auto known = m_states.find(id);
-    if (known == m_states.end() || !m_costs.enforcesLimits) {
+    if (known == m_states.end()) {
         return true;
     }
     const State &state = known->second;
+    if (m_statements.isLeaving(state.hash, now)) {
+        return false;
+    }
+    if (!m_costs.enforcesLimits) {
+        return true;
+    }
     return state.limit.allows(0, now) && state.brittle.allows(roomAt(state, now), now);
 }
 
--- /dev/null
+++ b/src/vanilladyke/policy/engine_statements.cpp
@@ -0,0 +1,42 @@
+#include "vanilladyke/policy/engine_statements.hpp"
+
+namespace vanilladyke {
+
+void EngineStatements::removeExpired(TimePoint now)
+{
+    std::erase_if(m_leaving,
+                  [now](const auto &item) { return now - item.second.saidAt > LeavingRetention; });
+}
+
+bool EngineStatements::leavingSaid(std::uint64_t engine, TimePoint now)
+{
+    removeExpired(now);
+    const auto [known, isNew] = m_leaving.try_emplace(engine, Leaving{now, true});
+    known->second.isOwn = true;
+    return isNew;
+}
+
+bool EngineStatements::received(const LeavingUpdate &update, TimePoint now)
+{
+    removeExpired(now);
+    return m_leaving.try_emplace(update.backend, Leaving{now - update.age, false}).second;
+}
+
+bool EngineStatements::isLeaving(std::uint64_t engine, TimePoint now) const
+{
+    const auto known = m_leaving.find(engine);
+    return known != m_leaving.end() && now - known->second.saidAt <= LeavingRetention;
+}
+
+std::vector<LeavingUpdate> EngineStatements::pendingUpdates(TimePoint now) const
+{
+    std::vector<LeavingUpdate> updates;
+    for (const auto &[engine, leaving] : m_leaving) {
+        if (leaving.isOwn && now - leaving.saidAt <= ReportFor) {
+            updates.push_back({engine, now - leaving.saidAt});
+        }
+    }
+    return updates;
+}
+
+} // namespace vanilladyke
--- /dev/null
+++ b/src/vanilladyke/policy/engine_statements_test.cpp
@@ -0,0 +1,85 @@
+#include "vanilladyke/policy/backend_tracker.hpp"
+
+#include <gtest/gtest.h>
+
+namespace vanilladyke {
+namespace {
+
+using std::chrono::seconds;
+
+const TimePoint Start{std::chrono::hours(1)};
+
+BackendEntry entry(const std::string &id)
+{
+    BackendEntry result;
+    result.id = EngineId(id);
+    result.service = ServiceId("s");
+    result.endpoint = {"10.0.0.1", 80};
+    result.dataCentre = DataCentreId("here");
+    result.slots = 8;
+    return result;
+}
+
+BackendQuery query()
+{
+    BackendQuery result;
+    result.service = ServiceId("s");
+    return result;
+}
+
+class EngineStatementsTest : public ::testing::Test
+{
+protected:
+    EngineStatementsTest() { m_tracker.setBackends({entry("e1"), entry("e2")}); }
+
+    /// Id of the server that a request would be sent to; empty if there is none.
+    [[nodiscard]] std::string chosen(const BackendTracker &tracker, TimePoint now) const
+    {
+        const auto choice = tracker.choose(query(), now);
+        return choice ? choice->backend.id.str() : std::string();
+    }
+
+    BackendTracker m_tracker{DataCentreId("here"), {}};
+};
+
+TEST_F(EngineStatementsTest, AnEngineThatSaysItLeavesIsNotChosen)
+{
+    EXPECT_TRUE(m_tracker.leavingObserved(EngineId("e1"), Start));
+    EXPECT_FALSE(m_tracker.leavingObserved(EngineId("e1"), Start));
+    EXPECT_EQ(chosen(m_tracker, Start), "e2");
+    EXPECT_FALSE(m_tracker.hasCapacity(EngineId("e1"), Start));
+    EXPECT_TRUE(m_tracker.leavingObserved(EngineId("e2"), Start));
+    EXPECT_EQ(chosen(m_tracker, Start + seconds(60)), "");
+}
+
+// The store comes back with a listing from before, at first without the engine.
+TEST_F(EngineStatementsTest, AnOlderListingDoesNotTakeALeavingBack)
+{
+    static_cast<void>(m_tracker.leavingObserved(EngineId("e1"), Start));
+    m_tracker.setBackends({entry("e2")});
+    m_tracker.setBackends({entry("e1"), entry("e2")});
+    EXPECT_EQ(chosen(m_tracker, Start + seconds(30)), "e2");
+}
+
+// Only one node's request met the engine after it had decided to leave.
+TEST_F(EngineStatementsTest, ALeavingIsToldToOtherNodesAndNotToldOnByThem)
+{
+    BackendTracker other(DataCentreId("here"), {});
+    other.setBackends({entry("e1"), entry("e2")});
+    static_cast<void>(m_tracker.leavingObserved(EngineId("e1"), Start));
+    EXPECT_EQ(other.receivedLeaving(m_tracker.ownLeaving(Start + seconds(1)), Start + seconds(1)),
+              std::vector<EngineId>{EngineId("e1")});
+    EXPECT_EQ(chosen(other, Start + seconds(1)), "e2");
+    EXPECT_TRUE(other.ownLeaving(Start + seconds(1)).empty());
+    EXPECT_TRUE(m_tracker.ownLeaving(Start + EngineStatements::ReportFor + seconds(1)).empty());
+}
+
+TEST_F(EngineStatementsTest, AnEngineThatStartsAgainUnderANewIdHasSaidNothing)
+{
+    static_cast<void>(m_tracker.leavingObserved(EngineId("e1"), Start));
+    m_tracker.setBackends({entry("e3")});
+    EXPECT_EQ(chosen(m_tracker, Start), "e3");
+}
+
+} // namespace
+} // namespace vanilladyke
--- a/src/vanilladyke/traffic/backend_try.cpp
+++ b/src/vanilladyke/traffic/backend_try.cpp
@@ -227,6 +227,14 @@
     if (m_head.status != 421) { // 421 comes from another engine at the same address
         m_state.quarantine.recordEngineAnswer(BackendTracker::hashOf(id), now);
     }
+    if (m_head.status != 421 && m_head.isLeaving && m_state.tracker.leavingObserved(id, now)) {
+        m_state.metrics.count("engines_leaving_total");
+        LogEvent("engine_leaving")
+                .field("backend", id.str())
+                .field("by", "answer")
+                .field("id", m_request->id);
+        m_state.notifyPeers();
+    }
     const std::optional<double> brittle = m_head.brittleRejections;
     if (m_head.status != 421 && m_state.tracker.brittleObserved(id, brittle, now)) {
         LogEvent("engine_brittle")
