--- a/include/vanilladyke/policy/backend_tracker.hpp
+++ b/include/vanilladyke/policy/backend_tracker.hpp
@@ -122,6 +122,9 @@
     [[nodiscard]] std::vector<LeavingUpdate> ownLeaving(TimePoint now) const;
     /// @return servers of which this node did not know that they leave
     std::vector<EngineId> receivedLeaving(const std::vector<LeavingUpdate> &updates, TimePoint now);
+    /// @brief Records that the server wants no request of this node for @p rest.
+    /// @return the end of its rest
+    TimePoint restAsked(const EngineId &id, Duration rest, TimePoint now);
     /// @brief Records how many rejections a second the server says that it bears; none: any number.
     /// @return whether that changed
     bool brittleObserved(const EngineId &id, std::optional<double> rejections, TimePoint now);
--- a/include/vanilladyke/policy/engine_statements.hpp
+++ b/include/vanilladyke/policy/engine_statements.hpp
@@ -13,6 +13,10 @@
 /// Nodes that learn of it from the listing alone go on sending, and the engine ends with their
 /// requests.
 ///
+/// An overloaded engine turns a request away and names the time in which it wants nothing from this
+/// node. With a pause of the node's own choice it would be asked again and again meanwhile. Rest is
+/// a matter between the engine and one node, and not told to others.
+///
 /// Kept apart from the listing, by the engine's id: an older listing, or one without the engine,
 /// takes nothing back. An engine that starts again has a new id and has said nothing yet.
 namespace vanilladyke {
@@ -30,6 +34,8 @@
 public:
     /// Longer than an engine serves on after it has said that it leaves.
     static constexpr Duration LeavingRetention = std::chrono::minutes(10);
+    /// A longer rest is cut to this, so that a broken value excludes no engine for good.
+    static constexpr Duration MaxRest = std::chrono::minutes(5);
     /// How long a node tells others what an answer to itself said.
     static constexpr Duration ReportFor = std::chrono::seconds(10);
 
@@ -39,6 +45,11 @@
     /// @brief Applies what another node told. @return whether that is new to this node
     bool received(const LeavingUpdate &update, TimePoint now);
     [[nodiscard]] bool isLeaving(std::uint64_t engine, TimePoint now) const;
+    /// @brief Records that the engine turned a request of this node away and asked for rest.
+    /// @return the end of its rest
+    TimePoint restAsked(std::uint64_t engine, Duration rest, TimePoint now);
+    /// @brief End of the engine's rest; in the past if it has asked for none.
+    [[nodiscard]] TimePoint restUntil(std::uint64_t engine) const;
     /// @brief Updates to send, of answers to this node only: what others told ends with them.
     [[nodiscard]] std::vector<LeavingUpdate> pendingUpdates(TimePoint now) const;
 
@@ -52,6 +63,7 @@
     void removeExpired(TimePoint now);
 
     std::unordered_map<std::uint64_t, Leaving> m_leaving;
+    std::unordered_map<std::uint64_t, TimePoint> m_restUntil;
 };
 
 } // namespace vanilladyke
--- a/src/vanilladyke/policy/backend_choice.cpp
+++ b/src/vanilladyke/policy/backend_choice.cpp
@@ -167,7 +167,8 @@
         return now + MaxExclusion; // another server may have come by then
     }
     const TimePoint excludedUntil =
-            std::max({state.excludedUntil, state.loadingUntil, state.unreachableUntil});
+            std::max({state.excludedUntil, state.loadingUntil, state.unreachableUntil,
+                      m_statements.restUntil(state.hash)});
     if (excludedUntil > now) {
         return excludedUntil;
     }
--- a/src/vanilladyke/policy/backend_tracker.cpp
+++ b/src/vanilladyke/policy/backend_tracker.cpp
@@ -403,6 +403,11 @@
     return changed;
 }
 
+TimePoint BackendTracker::restAsked(const EngineId &id, Duration rest, TimePoint now)
+{
+    return m_statements.restAsked(hashOf(id), rest, now);
+}
+
 bool BackendTracker::brittleObserved(const EngineId &id, std::optional<double> rejections,
                                      TimePoint now)
 {
@@ -514,7 +519,7 @@
         return true;
     }
     const State &state = known->second;
-    if (m_statements.isLeaving(state.hash, now)) {
+    if (m_statements.isLeaving(state.hash, now) || now < m_statements.restUntil(state.hash)) {
         return false;
     }
     if (!m_costs.enforcesLimits) {
--- a/src/vanilladyke/policy/engine_statements.cpp
+++ b/src/vanilladyke/policy/engine_statements.cpp
@@ -1,13 +1,30 @@
 #include "vanilladyke/policy/engine_statements.hpp"
 
+#include <algorithm>
+
 namespace vanilladyke {
 
 void EngineStatements::removeExpired(TimePoint now)
 {
+    std::erase_if(m_restUntil, [now](const auto &item) { return item.second <= now; });
     std::erase_if(m_leaving,
                   [now](const auto &item) { return now - item.second.saidAt > LeavingRetention; });
 }
 
+TimePoint EngineStatements::restAsked(std::uint64_t engine, Duration rest, TimePoint now)
+{
+    removeExpired(now);
+    TimePoint &until = m_restUntil[engine];
+    until = std::max(until, now + std::clamp<Duration>(rest, Duration::zero(), MaxRest));
+    return until;
+}
+
+TimePoint EngineStatements::restUntil(std::uint64_t engine) const
+{
+    const auto known = m_restUntil.find(engine);
+    return known == m_restUntil.end() ? TimePoint() : known->second;
+}
+
 bool EngineStatements::leavingSaid(std::uint64_t engine, TimePoint now)
 {
     removeExpired(now);
--- a/src/vanilladyke/policy/engine_statements_test.cpp
+++ b/src/vanilladyke/policy/engine_statements_test.cpp
@@ -81,5 +81,32 @@
     EXPECT_EQ(chosen(m_tracker, Start), "e3");
 }
 
+// An overloaded engine names the time in which it wants nothing from this node.
+TEST_F(EngineStatementsTest, AnEngineGetsTheRestThatItAsksFor)
+{
+    static_cast<void>(m_tracker.restAsked(EngineId("e1"), seconds(4), Start));
+    static_cast<void>(m_tracker.restAsked(EngineId("e1"), seconds(1), Start + seconds(1)));
+    EXPECT_EQ(chosen(m_tracker, Start + seconds(3)), "e2");
+    EXPECT_FALSE(m_tracker.hasCapacity(EngineId("e1"), Start + seconds(3)));
+    EXPECT_TRUE(m_tracker.hasCapacity(EngineId("e1"), Start + seconds(4)));
+}
+
+TEST_F(EngineStatementsTest, WhereAllEnginesRestTheFirstToReturnIsNamed)
+{
+    static_cast<void>(m_tracker.restAsked(EngineId("e1"), seconds(2), Start));
+    static_cast<void>(m_tracker.restAsked(EngineId("e2"), seconds(1), Start));
+    const auto choice = m_tracker.choose(query(), Start);
+    ASSERT_FALSE(choice);
+    EXPECT_EQ(choice.error().retryAt, Start + seconds(1));
+}
+
+// A broken value must not keep an engine out for good, nor let it be asked at once.
+TEST_F(EngineStatementsTest, AnAbsurdRestIsBounded)
+{
+    EXPECT_EQ(m_tracker.restAsked(EngineId("e1"), std::chrono::hours(9000), Start),
+              Start + EngineStatements::MaxRest);
+    EXPECT_EQ(m_tracker.restAsked(EngineId("e2"), -seconds(5), Start), Start);
+}
+
 } // namespace
 } // namespace vanilladyke
--- a/src/vanilladyke/traffic/backend_try.cpp
+++ b/src/vanilladyke/traffic/backend_try.cpp
@@ -235,6 +235,15 @@
                 .field("id", m_request->id);
         m_state.notifyPeers();
     }
+    if (m_head.rest) {
+        const TimePoint until = m_state.tracker.restAsked(id, *m_head.rest, now);
+        m_state.metrics.count("engine_rests_total");
+        LogEvent("engine_rests")
+                .field("backend", id.str())
+                .field("asked_ms", *m_head.rest)
+                .field("for_ms", until - now)
+                .field("id", m_request->id);
+    }
     const std::optional<double> brittle = m_head.brittleRejections;
     if (m_head.status != 421 && m_state.tracker.brittleObserved(id, brittle, now)) {
         LogEvent("engine_brittle")
