Count relayed requests apart from the state that an exchange may outlive; room for a relay's header lines

Found by reading the change as a whole: the destructor of an exchange used the traffic state, which may be gone by then; and a request whose headers reach the limit was rejected by the node that it is handed to.

--- a/include/vanilladyke/traffic/exchange.hpp
+++ b/include/vanilladyke/traffic/exchange.hpp
@@ -187,6 +187,7 @@
     std::shared_ptr<const CallerRequest> m_request;
     AnswerSink &m_sink;
     std::shared_ptr<std::unordered_set<Exchange *>> m_openExchanges;
+    std::shared_ptr<int> m_openRelayed;
     std::shared_ptr<const RouteTable> m_table;
     const Route *m_route = nullptr;
     const RoutedCustomer *m_customer = nullptr;
--- a/include/vanilladyke/traffic/traffic_state.hpp
+++ b/include/vanilladyke/traffic/traffic_state.hpp
@@ -95,7 +95,8 @@
     RelayNodes relays;
     Metrics metrics;
     ReachMonitor reach;
-    int openRelayed = 0;                     ///< open requests that other nodes handed to this one
+    /// Open requests that other nodes handed to this one; shared like openExchanges.
+    std::shared_ptr<int> openRelayed = std::make_shared<int>(0);
     std::shared_ptr<const RouteTable> table; ///< null until a configuration is received
     std::size_t nodes = 1;                   ///< number of nodes that share the retry budget
     bool isDraining = false;                 ///< reports not ready; requests are still served
--- a/src/vanilladyke/traffic/caller_session.cpp
+++ b/src/vanilladyke/traffic/caller_session.cpp
@@ -21,6 +21,8 @@
 constexpr Duration BodyTimeout = std::chrono::seconds(10);
 /// Longer than BackendPool::DefaultKeepAlive, for which another node reuses the connection.
 constexpr Duration RelayIdleTimeout = std::chrono::seconds(15);
+/// Another node adds its header lines to those of a caller, which may reach the limit already.
+constexpr std::uint32_t RelayHeaderBytes = 1024;
 constexpr std::size_t ReadSize = 4096;
 constexpr std::size_t MaxBufferedBytes = 65536;
 
@@ -124,7 +126,8 @@
     const CallerLimits limits =
             m_state.table == nullptr ? CallerLimits() : m_state.table->config().limits;
     http::request_parser<http::string_body> parser;
-    parser.header_limit(limits.headerBytes);
+    const std::uint32_t added = m_kind == SessionKind::Relay ? RelayHeaderBytes : 0;
+    parser.header_limit(limits.headerBytes + added);
     parser.body_limit(limits.bodyBytes);
     ErrorCode error;
     co_await http::async_read_header(m_socket, m_buffer, parser, redirectError(error));
--- a/src/vanilladyke/traffic/exchange.cpp
+++ b/src/vanilladyke/traffic/exchange.cpp
@@ -17,18 +17,19 @@
     , m_request(std::make_shared<const CallerRequest>(std::move(request)))
     , m_sink(sink)
     , m_openExchanges(state.openExchanges)
+    , m_openRelayed(state.openRelayed)
     , m_table(state.table)
     , m_deadlineTimer(std::make_shared<DeadlineTimer>())
     , m_wait(state.context)
 {
     m_openExchanges->insert(this);
-    m_state.openRelayed += m_request->relay ? 1 : 0;
+    *m_openRelayed += m_request->relay ? 1 : 0;
 }
 
 Exchange::~Exchange()
 {
     m_openExchanges->erase(this);
-    m_state.openRelayed -= m_request->relay ? 1 : 0;
+    *m_openRelayed -= m_request->relay ? 1 : 0;
 }
 
 asio::awaitable<ExchangeResult> Exchange::run()
@@ -74,7 +75,7 @@
     if (m_state.isShuttingDown) {
         return Refusal{RefusalReason::ShuttingDown, "node is stopping", Ran::No, now};
     }
-    if (m_request->relay && m_state.openRelayed > MaxOpenRelayed) {
+    if (m_request->relay && *m_openRelayed > MaxOpenRelayed) {
         return Refusal{RefusalReason::QueueFull, "too many requests of other nodes", Ran::No,
                        now + RelayNodes::FailurePause};
     }
