--- a/src/vanilladyke/policy/brittle_engine_test.cpp
+++ b/src/vanilladyke/policy/brittle_engine_test.cpp
@@ -13,7 +13,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const TimePoint Start{std::chrono::hours(1)};
+constexpr TimePoint Start{std::chrono::hours(1)};
 constexpr Duration Interval = milliseconds(40);
 
 SharedRoom room(double places, std::size_t nodes, std::uint64_t seed = 1)
--- a/src/vanilladyke/policy/engine_statements_test.cpp
+++ b/src/vanilladyke/policy/engine_statements_test.cpp
@@ -7,7 +7,7 @@
 
 using std::chrono::seconds;
 
-const TimePoint Start{std::chrono::hours(1)};
+constexpr TimePoint Start{std::chrono::hours(1)};
 
 BackendEntry entry(const std::string &id)
 {
--- a/src/vanilladyke/policy/relay_nodes_test.cpp
+++ b/src/vanilladyke/policy/relay_nodes_test.cpp
@@ -9,7 +9,7 @@
 
 using std::chrono::milliseconds;
 
-const ServiceId Service("s");
+const ServiceId testedService("s");
 constexpr std::uint64_t Here = 1;
 constexpr std::uint64_t There = 2;
 
@@ -28,7 +28,7 @@
     }
     std::optional<RelayNode> choose(const std::vector<Endpoint> &exclude = {})
     {
-        return m_nodes.choose(Service, exclude, m_random, m_now);
+        return m_nodes.choose(testedService, exclude, m_random, m_now);
     }
 
     RelayNodes m_nodes{Here};
--- a/src/vanilladyke/policy/service_reach_test.cpp
+++ b/src/vanilladyke/policy/service_reach_test.cpp
@@ -7,7 +7,7 @@
 
 using std::chrono::milliseconds;
 
-const ServiceId Service("s");
+const ServiceId testedService("s");
 
 EngineId server(int number)
 {
@@ -19,13 +19,13 @@
 protected:
     bool fail(int number, std::size_t known)
     {
-        return m_reach.connectFailed(Service, server(number), known, m_now);
+        return m_reach.connectFailed(testedService, server(number), known, m_now);
     }
     bool accept(int number, std::size_t known)
     {
-        return m_reach.connected(Service, server(number), known, m_now);
+        return m_reach.connected(testedService, server(number), known, m_now);
     }
-    [[nodiscard]] Reach reach() const { return m_reach.reach(Service, m_now); }
+    [[nodiscard]] Reach reach() const { return m_reach.reach(testedService, m_now); }
 
     ServiceReach m_reach;
     TimePoint m_now{std::chrono::hours(1)};
@@ -40,7 +40,7 @@
     EXPECT_EQ(reach(), Reach::All);
     EXPECT_TRUE(fail(4, 9));
     EXPECT_EQ(reach(), Reach::None);
-    EXPECT_EQ(m_reach.unreached(), std::vector<ServiceId>{Service});
+    EXPECT_EQ(m_reach.unreached(), std::vector<ServiceId>{testedService});
 }
 
 TEST_F(ServiceReachTest, IsNoneOnceAllOfASmallServiceFail)
