--- a/include/vanilladyke/policy/further_try.hpp
+++ b/include/vanilladyke/policy/further_try.hpp
@@ -24,6 +24,7 @@
     bool isQuarantined = false;    ///< engines ended under the request
     bool isCallerGone = false;
     bool isBudgetSpent = false; ///< a try was denied by the retry budget
+    bool isAnswered = false;    ///< a server's answer is kept that would end the request alone
     int sends = 0;              ///< tries in which the request was sent
     int mayHaveRun = 0;         ///< those of them in which it may have run, open ones included
     int maxServers = 1;         ///< on which the request may run
@@ -43,6 +44,7 @@
     SwitchedOff,   ///< by a setting
     NoEventId,     ///< the caller's part of the stream can't be continued
     Servers,       ///< it may have run on as many servers as the route allows
+    Answered,      ///< a server has answered it
 };
 
 /// @brief Limit of tries before a part of an answer was delivered. Servers that refuse without
--- a/include/vanilladyke/traffic/backend_try.hpp
+++ b/include/vanilladyke/traffic/backend_try.hpp
@@ -15,6 +15,7 @@
     NotExecuted, ///< the server states that it did not run the request
     Unreached,   ///< nothing was sent: no connection, or no room at the server any more
     Failed,      ///< the server answered with a 5xx status
+    Kept,        ///< the server answered with an error, kept while another server is asked
     Lost,        ///< no complete answer, and nothing of it was written to the caller
     Interrupted, ///< the answer ended early after a part of it was written to the caller
 };
--- a/include/vanilladyke/traffic/exchange.hpp
+++ b/include/vanilladyke/traffic/exchange.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "vanilladyke/policy/answer_rank.hpp"
 #include "vanilladyke/policy/further_try.hpp"
 #include "vanilladyke/policy/wait_limit.hpp"
 #include "vanilladyke/traffic/backend_try.hpp"
@@ -58,8 +59,8 @@
     /// Limit of tries of one request that are under way at the same time.
     static constexpr std::size_t MaxOpenTries = 2;
 
-    /// A 5xx answer, delivered to the caller if no other server gives a better one.
-    struct Failure
+    /// An error of a server, delivered to the caller if no other server gives a better answer.
+    struct ErrorAnswer
     {
         AnswerHead head;
         std::string body;
@@ -177,6 +178,11 @@
     [[nodiscard]] asio::awaitable<bool> writeEvents(const AnswerHead &head,
                                                     const std::string &events, bool isLast);
     [[nodiscard]] asio::awaitable<bool> deliver(const AnswerHead &head, const std::string &body);
+    /// Keeps an error for the caller, unless the one that is kept already ranks higher.
+    /// @return the result of the try
+    [[nodiscard]] TryResult keepError(BackendTry &attempt);
+    /// Whether an answer is kept that needs no further server.
+    [[nodiscard]] bool isAnswered() const;
     /// Writes the final answer when no try delivered one.
     [[nodiscard]] asio::awaitable<ExchangeResult> finishUnanswered();
     [[nodiscard]] asio::awaitable<ExchangeResult> refuse(int status, std::string_view reason,
@@ -202,7 +208,7 @@
     std::vector<BackendTryPtr> m_hedges; ///< other tries that have not begun to answer
     BackendTryPtr m_successor;           ///< a hedge that has begun to answer
     EventSplitter m_events;
-    std::optional<Failure> m_failure;
+    std::optional<ErrorAnswer> m_error;
     std::vector<EngineId> m_triedEngines;
     std::vector<Endpoint> m_triedRelays;
     std::string m_resumeAfter;
--- a/src/vanilladyke/policy/further_try.cpp
+++ b/src/vanilladyke/policy/further_try.cpp
@@ -30,6 +30,9 @@
     if (state.isCallerGone) {
         return FurtherTryDenial::CallerGone;
     }
+    if (state.isAnswered) {
+        return FurtherTryDenial::Answered;
+    }
     if (state.deadline - now < MinTimeForTry) {
         return FurtherTryDenial::Deadline;
     }
@@ -71,6 +74,8 @@
         return "no_event_id";
     case FurtherTryDenial::Servers:
         return "servers";
+    case FurtherTryDenial::Answered:
+        return "answered";
     }
     return "unknown";
 }
--- a/src/vanilladyke/policy/further_try_test.cpp
+++ b/src/vanilladyke/policy/further_try_test.cpp
@@ -62,6 +62,7 @@
     EXPECT_EQ(denialOf([](State &s) { s.isBudgetSpent = true; }), FurtherTryDenial::BudgetSpent);
     EXPECT_EQ(denialOf([](State &s) { s.retriesRequests = false; }), FurtherTryDenial::SwitchedOff);
     EXPECT_EQ(denialOf([](State &s) { s.mayHaveRun = 2; }), FurtherTryDenial::Servers);
+    EXPECT_EQ(denialOf([](State &s) { s.isAnswered = true; }), FurtherTryDenial::Answered);
 }
 
 // A partial answer is lost if no further try is made, so more tries are allowed for it.
--- a/src/vanilladyke/traffic/backend_try.cpp
+++ b/src/vanilladyke/traffic/backend_try.cpp
@@ -44,6 +44,8 @@
         return "unreached";
     case TryResult::Failed:
         return "failed";
+    case TryResult::Kept:
+        return "kept";
     case TryResult::Lost:
         return "lost";
     case TryResult::Interrupted:
--- a/src/vanilladyke/traffic/exchange.cpp
+++ b/src/vanilladyke/traffic/exchange.cpp
@@ -208,6 +208,7 @@
     state.isQuarantined = heldUntil(now).has_value();
     state.isCallerGone = m_callerDisconnected;
     state.isBudgetSpent = m_budgetSpent;
+    state.isAnswered = isAnswered();
     state.sends = m_sends;
     state.mayHaveRun = m_runs;
     state.maxServers = mostServers();
--- a/src/vanilladyke/traffic/exchange_answers.cpp
+++ b/src/vanilladyke/traffic/exchange_answers.cpp
@@ -51,9 +51,9 @@
     const AnswerHead &head = attempt->head();
     m_firstByteAt = attempt->beganAt();
     m_status = head.status;
-    if (head.status >= 500) {
-        m_failure = Failure{head, attempt->takeBody()};
-        co_return TryResult::Failed;
+    const AnswerRank rank = rankOf(head.status);
+    if (rank == AnswerRank::Failed || (rank == AnswerRank::Provisional && !m_hedges.empty())) {
+        co_return keepError(*attempt);
     }
     dropHedges();
     setAnswerDeadline(std::nullopt);
@@ -137,6 +137,20 @@
     co_return isWritten;
 }
 
+TryResult Exchange::keepError(BackendTry &attempt)
+{
+    const AnswerRank rank = rankOf(attempt.head().status);
+    if (!m_error || rank <= rankOf(m_error->head.status)) {
+        m_error = ErrorAnswer{attempt.head(), attempt.takeBody()};
+    }
+    return rank == AnswerRank::Failed ? TryResult::Failed : TryResult::Kept;
+}
+
+bool Exchange::isAnswered() const
+{
+    return m_error && rankOf(m_error->head.status) != AnswerRank::Failed;
+}
+
 asio::awaitable<bool> Exchange::deliver(const AnswerHead &head, const std::string &body)
 {
     const bool hasNoBody = head.status == 204 || head.status == 304;
@@ -164,9 +178,9 @@
         log(m_status, "stream_broken");
         co_return ExchangeResult::Broken;
     }
-    if (m_failure) {
-        const bool delivered = co_await deliver(m_failure->head, m_failure->body);
-        log(m_status, "backend_failed");
+    if (m_error) {
+        const bool delivered = co_await deliver(m_error->head, m_error->body);
+        log(m_status, isAnswered() ? "answered" : "backend_failed");
         co_return delivered ? ExchangeResult::Answered : ExchangeResult::Broken;
     }
     const TimePoint now = MonotonicClock::now();
--- a/src/vanilladyke/traffic/exchange_hedging.cpp
+++ b/src/vanilladyke/traffic/exchange_hedging.cpp
@@ -20,11 +20,6 @@
 /// Interval at which a second server is looked for again while a try is silent.
 constexpr Duration HedgeRetryInterval = std::chrono::milliseconds(200);
 
-bool isServerFailure(const AnswerHead &head)
-{
-    return head.status >= 500;
-}
-
 } // namespace
 
 std::vector<BackendTryPtr> Exchange::openTries() const
@@ -189,9 +184,8 @@
     if (!end && hedge->isAborted()) {
         end = TryResult::Lost;
     }
-    if (!end && isServerFailure(hedge->head())) {
-        m_failure = Failure{hedge->head(), hedge->takeBody()};
-        end = TryResult::Failed;
+    if (!end && rankOf(hedge->head().status) != AnswerRank::Final) {
+        end = keepError(*hedge);
     }
     if (!end) {
         m_state.metrics.count("hedges_won_total");
--- a/src/vanilladyke/traffic/exchange_tries.cpp
+++ b/src/vanilladyke/traffic/exchange_tries.cpp
@@ -174,7 +174,7 @@
         finishRelay(*attempt, end, now);
     } else {
         m_state.tracker.ended(attempt->choice(), attempt->beganAt().has_value(), failed, now);
-        if (end == TryResult::Delivered || end == TryResult::Failed) {
+        if (end == TryResult::Delivered || end == TryResult::Failed || end == TryResult::Kept) {
             recordCompleteAnswer();
         }
     }
--- a/src/vanilladyke/traffic/held_answer_test.cpp
+++ b/src/vanilladyke/traffic/held_answer_test.cpp
@@ -635,5 +635,71 @@
     EXPECT_EQ(m_body, TwoEvents);
 }
 
+/// Answers with an error of its own, as a server does that lacks what the request names.
+ScriptedBackend::Script errs(int status)
+{
+    return [status](const ReceivedRequest &received) {
+        return ScriptedAnswer{answer(received.fields.at("Id"), "lacking", status),
+                              NextAction::KeepOpen};
+    };
+}
+
+// Guards against leaving a slow server for the error of another one.
+TEST_F(HeldAnswerTest, ASlowAnswerIsNotReplacedByAnErrorOfTheOtherServer)
+{
+    setSlowSafe();
+    addBackend(heldUntilLeft());
+    addBackend(errs(404));
+    EXPECT_EQ(ask("1"), 200);
+    EXPECT_EQ(m_body, "held");
+}
+
+// Guards against leaving a slow server of a stream for the error of another one.
+TEST_F(HeldAnswerTest, ASlowStreamIsNotReplacedByAnErrorOfTheOtherServer)
+{
+    setSlowStream();
+    addBackend(heldUntilLeft());
+    addBackend(errs(410));
+    EXPECT_EQ(ask("1"), 200);
+    EXPECT_EQ(m_body, TwoEvents);
+}
+
+// Guards against losing a server's error while the other server breaks off: it is the answer then.
+TEST_F(HeldAnswerTest, AnErrorIsForwardedIfTheOtherServerBreaksOff)
+{
+    setSlowSafe();
+    addBackend([this](const ReceivedRequest &) {
+        const auto isHedged = [this] { return m_backends[1]->completed == 1; };
+        return ScriptedAnswer{"", NextAction::Reset, {}, {{"", isHedged}}};
+    });
+    addBackend(errs(404));
+    EXPECT_EQ(ask("1"), 404);
+    EXPECT_EQ(m_body, "lacking");
+}
+
+// Guards against an error that ends the request while a second server is about to answer it.
+TEST_F(HeldAnswerTest, AnAnswerIsNotReplacedByAnErrorOfTheSlowServer)
+{
+    setSlowSafe();
+    addBackend([this](const ReceivedRequest &received) {
+        const auto isHedged = [this] { return !m_backends[1]->received.empty(); };
+        const std::string bytes = answer(received.fields.at("Id"), "lacking", 404);
+        return ScriptedAnswer{"", NextAction::KeepOpen, {}, {{bytes, isHedged}}};
+    });
+    addBackend(heldUntilLeft());
+    EXPECT_EQ(ask("1"), 200);
+    EXPECT_EQ(m_body, "held");
+}
+
+// Guards against holding back an error that concerns the request itself until the deadline.
+TEST_F(HeldAnswerTest, AnErrorAboutTheRequestIsForwardedAtOnce)
+{
+    setSlowSafe();
+    auto &first = addBackend(silent);
+    addBackend(errs(422));
+    EXPECT_EQ(ask("1"), 422);
+    runUntil([&] { return first.closedByPeer == 1; });
+}
+
 } // namespace
 } // namespace vanilladyke
