Return to a server that was left if the one that took its place breaks off (LOST)

What callers saw: a stream cut in the middle although the server that the node had left for another one would have gone on.

Cause: the route's number of servers counted runs. The first server was left for the second one (or the second one, when the first one went on), the other broke off, and both runs stood against the route's two servers: no server was left to ask, the node closed the caller's connection with time left. Through a node that takes a request over it is the same.

Change: a stream of which the caller has a part may return, after all tries have ended, to a server that this node itself left (replaced or not needed). That is no further server: the operator's limit names servers. A server that breaks off is not returned to, so each is asked again once at most; budget, sends and the deadline bind as before. A first form returned to any used server; it asked the one that breaks off eleven times and was dropped.

--- a/include/vanilladyke/policy/backend_choice.hpp
+++ b/include/vanilladyke/policy/backend_choice.hpp
@@ -87,6 +87,7 @@
     Duration target = std::chrono::milliseconds(500);
     int urgency = 5;                     ///< 0 is the most urgent, 9 the least
     std::vector<EngineId> exclude;       ///< servers that were tried before
+    std::vector<EngineId> only;          ///< if not empty, no other servers may be chosen
     const KeptCacheView *kept = nullptr; ///< null: there is no kept-cache store
     std::uint64_t memoryTokens = 0;      ///< capacity of an engine's prefix cache; 0: unknown
 
--- a/include/vanilladyke/policy/further_try.hpp
+++ b/include/vanilladyke/policy/further_try.hpp
@@ -28,8 +28,10 @@
     int sends = 0;              ///< tries in which the request was sent
     int mayHaveRun = 0;         ///< those of them in which it may have run, open ones included
     int maxServers = 1;         ///< on which the request may run
-    int connectFailures = 0;    ///< tries in which nothing was sent
-    TimePoint deadline;         ///< of the request
+    /// No try is under way, and a server that this node left for another one is still there.
+    bool canReturn = false;
+    int connectFailures = 0; ///< tries in which nothing was sent
+    TimePoint deadline;      ///< of the request
 };
 
 /// @brief Why no further try is allowed.
@@ -43,8 +45,8 @@
     NotRepeatable, ///< it may have run and may run once only
     SwitchedOff,   ///< by a setting
     NoEventId,     ///< the caller's part of the stream can't be continued
-    Servers,       ///< it may have run on as many servers as the route allows
-    Answered,      ///< a server has answered it
+    Servers,  ///< it may have run on as many servers as the route allows, and can't return to one
+    Answered, ///< a server has answered it
 };
 
 /// @brief Limit of tries before a part of an answer was delivered. Servers that refuse without
--- a/include/vanilladyke/traffic/exchange.hpp
+++ b/include/vanilladyke/traffic/exchange.hpp
@@ -95,6 +95,11 @@
     void finishRelay(const BackendTry &attempt, TryResult end, TimePoint now);
     /// Servers on which the request may run in total.
     [[nodiscard]] int mostServers() const;
+    /// Whether the request may only return to servers that this node left: the route allows no
+    /// further ones.
+    [[nodiscard]] bool isBoundToLeftServers() const;
+    /// Whether one of those servers may be asked again now.
+    [[nodiscard]] bool canReturn() const;
 
     // What is asked of a server.
 
@@ -120,6 +125,8 @@
     /// Takes the retry budget for a try that is not the first one. @return false if it is spent
     [[nodiscard]] bool takeRetry(TimePoint now);
     void recordSent(const BackendTry &attempt, TimePoint now);
+    /// Records whether the request may return to the server of a try that ended early.
+    void recordLeft(const BackendTry &attempt);
     /// Records the result of a try that has ended.
     [[nodiscard]] asio::awaitable<void> finishTry(BackendTryPtr attempt, TryResult end);
     /// Checks after a lost connection whether the engine has ended, and if so, counts that against
@@ -222,6 +229,8 @@
     int m_hedgesStarted = 0;
     int m_sends = 0; ///< tries in which the request was sent
     int m_runs = 0;  ///< those of them in which it may have run
+    /// Servers that this node left for another one, and that have not broken off since.
+    std::vector<EngineId> m_leftServers;
     int m_status = 0;
     bool m_callerDisconnected = false;
     bool m_timedOut = false;
--- a/src/vanilladyke/policy/backend_choice.cpp
+++ b/src/vanilladyke/policy/backend_choice.cpp
@@ -13,6 +13,11 @@
 /// Assumed time of a plain service's call; only its ratio to other waits matters.
 constexpr Millis PlainCallTime{10};
 
+bool isAmong(const std::vector<EngineId> &servers, const EngineId &server)
+{
+    return std::find(servers.begin(), servers.end(), server) != servers.end();
+}
+
 } // namespace
 
 bool BackendQuery::hasPreferredEngine() const
@@ -209,9 +214,10 @@
         if (!hasPreferredEngine && responsive >= most) {
             break;
         }
-        const bool isTried = std::find(query.exclude.begin(), query.exclude.end(), state->entry.id)
-                             != query.exclude.end();
-        if (isTried || !canBeginInTime(*state, query, dates, now)) {
+        const EngineId &id = state->entry.id;
+        const bool isOffered =
+                (query.only.empty() || isAmong(query.only, id)) && !isAmong(query.exclude, id);
+        if (!isOffered || !canBeginInTime(*state, query, dates, now)) {
             continue;
         }
         if (const auto later = availableAt(*state, now)) {
--- a/src/vanilladyke/policy/further_try.cpp
+++ b/src/vanilladyke/policy/further_try.cpp
@@ -17,7 +17,8 @@
     if (state.hasPartialAnswer && !state.hasEventId) {
         return FurtherTryDenial::NoEventId;
     }
-    if (state.mayHaveRun >= state.maxServers) {
+    const bool mayReturn = state.hasPartialAnswer && state.canReturn;
+    if (state.mayHaveRun >= state.maxServers && !mayReturn) {
         return FurtherTryDenial::Servers;
     }
     return std::nullopt;
--- a/src/vanilladyke/policy/further_try_test.cpp
+++ b/src/vanilladyke/policy/further_try_test.cpp
@@ -77,5 +77,19 @@
     EXPECT_EQ(denyFurtherTry(state, now), FurtherTryDenial::Sends);
 }
 
+// Guards against cutting a stream that a server which was left could continue.
+TEST(FurtherTry, OfAPartialAnswerMayReturnToAServerThatWasLeft)
+{
+    FurtherTryState state = silentStream();
+    state.mayHaveRun = state.maxServers;
+    state.canReturn = true;
+    EXPECT_EQ(denyFurtherTry(state, now), FurtherTryDenial::Servers);
+    state.hasPartialAnswer = true;
+    state.hasEventId = true;
+    EXPECT_EQ(denyFurtherTry(state, now), std::nullopt);
+    state.canReturn = false;
+    EXPECT_EQ(denyFurtherTry(state, now), FurtherTryDenial::Servers);
+}
+
 } // namespace
 } // namespace vanilladyke
--- a/src/vanilladyke/traffic/exchange.cpp
+++ b/src/vanilladyke/traffic/exchange.cpp
@@ -197,6 +197,24 @@
            || (m_route->kind == RequestKind::Stream && m_route->isResumable);
 }
 
+int Exchange::mostServers() const
+{
+    return m_request->relay ? std::min(m_route->mostBackends, m_request->relay->mostServers)
+                            : m_route->mostBackends;
+}
+
+bool Exchange::isBoundToLeftServers() const
+{
+    return m_headWritten && m_runs >= mostServers();
+}
+
+bool Exchange::canReturn() const
+{
+    return openTries().empty()
+           && std::any_of(m_leftServers.begin(), m_leftServers.end(),
+                          [this](const EngineId &each) { return m_state.tracker.contains(each); });
+}
+
 bool Exchange::mayTryAgain(TimePoint now)
 {
     FurtherTryState state;
@@ -212,6 +230,7 @@
     state.sends = m_sends;
     state.mayHaveRun = m_runs;
     state.maxServers = mostServers();
+    state.canReturn = canReturn();
     state.connectFailures = m_connectFailures;
     state.deadline = m_deadline;
     m_denial = denyFurtherTry(state, now);
--- a/src/vanilladyke/traffic/exchange_query.cpp
+++ b/src/vanilladyke/traffic/exchange_query.cpp
@@ -39,6 +39,9 @@
     result.target = m_route->targetLatency;
     result.urgency = urgency();
     result.exclude = m_triedEngines;
+    if (isBoundToLeftServers()) {
+        result.only = m_leftServers;
+    }
     const bool hasStore = m_state.settings.rates.usesKeptStore && m_state.keptCache.stores() > 0;
     result.kept = hasStore ? &m_state.keptCache : nullptr;
     if (const ServiceSpec *service = m_table->service(m_service)) {
--- a/src/vanilladyke/traffic/exchange_relay.cpp
+++ b/src/vanilladyke/traffic/exchange_relay.cpp
@@ -19,8 +19,8 @@
 std::optional<BackendChoice> Exchange::chooseRelay(TimePoint now)
 {
     // One hop: a request that another node handed on stays here.
-    const bool isAllowed =
-            m_state.settings.relaysRequests && !m_request->relay && m_state.digester.isReady();
+    const bool isAllowed = m_state.settings.relaysRequests && !m_request->relay
+                           && !isBoundToLeftServers() && m_state.digester.isReady();
     if (!isAllowed) {
         return std::nullopt;
     }
@@ -60,12 +60,6 @@
     return choice;
 }
 
-int Exchange::mostServers() const
-{
-    return m_request->relay ? std::min(m_route->mostBackends, m_request->relay->mostServers)
-                            : m_route->mostBackends;
-}
-
 RelayOptions Exchange::relayOptions() const
 {
     RelayOptions options;
--- a/src/vanilladyke/traffic/exchange_tries.cpp
+++ b/src/vanilladyke/traffic/exchange_tries.cpp
@@ -185,6 +185,9 @@
     if (end == TryResult::Delivered) {
         co_return;
     }
+    if (hasEndedEarly) {
+        recordLeft(*attempt);
+    }
     attempt->close();
     if (hasEndedEarly && !attempt->isAborted() && !m_callerDisconnected) {
         co_await recordEngineEnd(attempt);
@@ -192,6 +195,16 @@
     logFailedTry(*attempt, end);
 }
 
+void Exchange::recordLeft(const BackendTry &attempt)
+{
+    const EngineId &server = attempt.choice().backend.id;
+    std::erase(m_leftServers, server);
+    const AbortReason reason = attempt.abortReason();
+    if (reason == AbortReason::Replaced || reason == AbortReason::Unneeded) {
+        m_leftServers.push_back(server);
+    }
+}
+
 void Exchange::logFailedTry(const BackendTry &attempt, TryResult end) const
 {
     const AbortReason reason = attempt.abortReason();
--- a/src/vanilladyke/traffic/held_answer_test.cpp
+++ b/src/vanilladyke/traffic/held_answer_test.cpp
@@ -701,5 +701,66 @@
     runUntil([&] { return first.closedByPeer == 1; });
 }
 
+// Guards against a stream that ends because the server that took it over breaks off: the route
+// allows no third server, and the one that was left goes on.
+TEST_F(HeldAnswerTest, AStreamIsResumedAtAServerThatWasLeft)
+{
+    setSlowStream();
+    addBackend([](const ReceivedRequest &received) {
+        const std::string head = streamHead(received.fields.at("Id"));
+        return received.fields.contains("Resume")
+                       ? ScriptedAnswer{head + eventChunk(2) + "0\r\n\r\n", NextAction::KeepOpen}
+                       : ScriptedAnswer{"", NextAction::Hang};
+    });
+    addBackend([](const ReceivedRequest &received) {
+        return ScriptedAnswer{streamHead(received.fields.at("Id")) + eventChunk(1),
+                              NextAction::Reset};
+    });
+    EXPECT_EQ(ask("1"), 200);
+    EXPECT_EQ(m_body, TwoEvents);
+}
+
+// Guards against a stream that ends because the first server goes on, so that the second one is
+// left, and then breaks off.
+TEST_F(HeldAnswerTest, AStreamIsResumedAtTheSecondServerThatWasNotNeeded)
+{
+    setSlowStream();
+    addBackend([this](const ReceivedRequest &received) {
+        const auto isHedged = [this] { return !m_backends[1]->received.empty(); };
+        return ScriptedAnswer{"",
+                              NextAction::Reset,
+                              {},
+                              {{streamHead(received.fields.at("Id")) + eventChunk(1), isHedged},
+                               {"", leavesOr(2)}}};
+    });
+    addBackend([](const ReceivedRequest &received) {
+        return received.fields.contains("Resume")
+                       ? ScriptedAnswer{streamHead(received.fields.at("Id")) + eventChunk(2)
+                                                + "0\r\n\r\n",
+                                        NextAction::KeepOpen}
+                       : ScriptedAnswer{"", NextAction::Hang};
+    });
+    EXPECT_EQ(ask("1"), 200);
+    EXPECT_EQ(m_body, TwoEvents);
+}
+
+// Guards against asking a server again and again that breaks a stream off each time.
+TEST_F(HeldAnswerTest, AStreamDoesNotReturnToServersThatBreakOff)
+{
+    setSlowStream();
+    auto &first = addBackend([](const ReceivedRequest &received) {
+        return ScriptedAnswer{"", received.fields.contains("Resume") ? NextAction::Reset
+                                                                     : NextAction::Hang};
+    });
+    auto &second = addBackend([](const ReceivedRequest &received) {
+        return ScriptedAnswer{streamHead(received.fields.at("Id")) + eventChunk(1),
+                              NextAction::Reset};
+    });
+    EXPECT_EQ(ask("1"), 0);
+    EXPECT_EQ(m_body, "id: 1\ndata: d\n\n");
+    EXPECT_EQ(first.received.size(), 2U);
+    EXPECT_EQ(second.received.size(), 1U);
+}
+
 } // namespace
 } // namespace vanilladyke
