Don't end a request that may have run because all servers seem lost for a moment

What callers saw: 502 with most of their time left.

Cause: since requests are handed on, a node that takes itself for cut off from a service, with no node to hand on to, ends a request at once, so that the caller may ask another node. That is right for a request that has not run: its 503 says so. A request that may have run gets a 502, which promises nothing, and the belief may hold for a moment only (four servers slow to accept).

Change: such a request ends at once only if it has not run; else it waits as it did before, up to half its target.

--- a/src/vanilladyke/traffic/exchange.cpp
+++ b/src/vanilladyke/traffic/exchange.cpp
@@ -138,7 +138,7 @@
         const auto choice = chooseTarget(now);
         if (!choice) {
             m_noBackend = choice.error();
-            if (m_isCutOff && !m_headWritten) {
+            if (m_isCutOff && !m_headWritten && ran() == Ran::No) {
                 co_return nullptr; // waiting here would only keep the caller from another node
             }
             const bool mayBecomeAvailable = co_await waitForBackend(choice.error());
--- a/src/vanilladyke/traffic/exchange_relay_test.cpp
+++ b/src/vanilladyke/traffic/exchange_relay_test.cpp
@@ -409,5 +409,29 @@
     EXPECT_EQ(receive(), 200);
 }
 
+// Guards against ending a request that may have run, and may run again, because this node takes
+// itself for cut off for a moment: a "502" promises the caller nothing.
+TEST_F(RelayTest, ARequestThatMayHaveRunIsNotEndedByAMomentaryLossOfAllServers)
+{
+    setRoute(RequestKind::Safe, false, Ample);
+    std::optional<TimePoint> lostAt;
+    addBackend([this, &lostAt](const ReceivedRequest &received) {
+        if (lostAt) {
+            return good(received);
+        }
+        lostAt = MonotonicClock::now();
+        believeCutOff(true);
+        return reset(received);
+    });
+    addBackend(good);
+    m_state.ticker.onStep = [&](TimePoint now) {
+        if (lostAt && now - *lostAt > milliseconds(100)) {
+            believeCutOff(false);
+        }
+    };
+    EXPECT_EQ(ask("1"), 200);
+    m_state.ticker.onStep = nullptr;
+}
+
 } // namespace
 } // namespace vanilladyke
