--- a/include/vanilladyke/traffic/traffic_state.hpp
+++ b/include/vanilladyke/traffic/traffic_state.hpp
@@ -35,13 +35,12 @@
     bool failsClosed = true; ///< refuses requests with a key without a valid freshness proof
     bool withdrawsRequests =
             true; ///< withdraws requests that have not begun when old weights expire
-    /// A waiting request is withdrawn this long before the end of its server's weights if another
-    /// server has been asked in its place. Covers the time to remove a request from an engine's
-    /// queue and the delay of weights updates.
-    Duration withdrawMargin = std::chrono::milliseconds(800);
-    /// The same if no other server takes the request, which may still begin in time. Covers the
-    /// time to remove it from the queue.
-    Duration lastWithdrawMargin = std::chrono::milliseconds(400);
+    /// A waiting request is hedged this long before the end of its server's weights, so that
+    /// another server can answer in its place before it is withdrawn.
+    Duration expiryHedgeMargin = std::chrono::milliseconds(1200);
+    /// A waiting request is withdrawn this long before the end of its server's weights. Covers the
+    /// time to remove it from the engine's queue.
+    Duration withdrawMargin = std::chrono::milliseconds(400);
     bool retriesRequests = true;     ///< retries repeatable requests on another server
     bool relaysRequests = true;      ///< hands requests to other nodes where it reaches no server
     bool resumesStreams = true;      ///< resumes interrupted streams on another server
--- a/src/vanilladyke/traffic/exchange_hedging.cpp
+++ b/src/vanilladyke/traffic/exchange_hedging.cpp
@@ -12,9 +12,6 @@
 /// Extension of a try's deadline while received bytes are unread: they are read within a few
 /// iterations of the event loop.
 constexpr Duration UnreadDataExtension = std::chrono::milliseconds(100);
-/// A waiting try is hedged this long before it is withdrawn, so that another server can answer in
-/// its place.
-constexpr Duration HedgeBeforeWithdrawal = std::chrono::milliseconds(400);
 /// Interval at which a waiting request is checked for newly announced weights.
 constexpr Duration WeightsCheckInterval = std::chrono::seconds(1);
 /// Interval at which a second server is looked for again while a try is silent.
@@ -60,12 +57,11 @@
     if (!end) {
         return std::nullopt;
     }
-    const TimePoint withdrawnAt = *end - m_state.settings.withdrawMargin;
-    const TimePoint hedgedAt = withdrawnAt - HedgeBeforeWithdrawal;
+    const TimePoint hedgedAt = *end - m_state.settings.expiryHedgeMargin;
     if (hedgedAt > now) {
         m_answerDeadline = std::min(m_answerDeadline.value_or(hedgedAt), hedgedAt);
     }
-    return withdrawnAt;
+    return *end - m_state.settings.withdrawMargin;
 }
 
 void Exchange::onDeadline()
@@ -94,16 +90,9 @@
 
 void Exchange::withdrawExpiring(TimePoint now)
 {
-    const std::vector<BackendTryPtr> tries = openTries();
-    const bool hasReplacement =
-            std::any_of(tries.begin(), tries.end(), [this](const BackendTryPtr &each) {
-                return each->sentAt() && !weightsEnd(*each);
-            });
-    const Duration margin =
-            hasReplacement ? m_state.settings.withdrawMargin : m_state.settings.lastWithdrawMargin;
-    for (const BackendTryPtr &attempt : tries) {
+    for (const BackendTryPtr &attempt : openTries()) {
         const std::optional<TimePoint> end = weightsEnd(*attempt);
-        if (end && now >= *end - margin && !attempt->hasUnreadData()) {
+        if (end && now >= *end - m_state.settings.withdrawMargin && !attempt->hasUnreadData()) {
             m_state.metrics.count("requests_withdrawn_total");
             attempt->abort(AbortReason::WeightsExpire);
         }
--- a/src/vanilladyke/traffic/held_answer_fixture.hpp
+++ b/src/vanilladyke/traffic/held_answer_fixture.hpp
@@ -105,12 +105,13 @@
         m_state.tracker.setBackends(m_entries);
     }
 
-    /// Announces weights on which the old ones end after @p untilWithdrawal and a long margin.
-    void announce(Duration untilWithdrawal = milliseconds(800))
+    /// Announces weights so that requests on the old ones are hedged after @p untilHedge. They are
+    /// withdrawn much later.
+    void announce(Duration untilHedge = milliseconds(400))
     {
         constexpr Duration Margin = std::chrono::seconds(10);
-        m_state.settings.withdrawMargin = Margin;
-        const Duration left = untilWithdrawal + Margin;
+        m_state.settings.expiryHedgeMargin = Margin;
+        const Duration left = untilHedge + Margin;
         const TimePoint now = MonotonicClock::now();
         const TimePoint namedAt = now + left - m_state.settings.rates.oldWeightsPeriod;
         m_state.tracker.weightsAnnounced({ModelId("m"), {2, namedAt, namedAt}},
--- a/src/vanilladyke/traffic/held_answer_test.cpp
+++ b/src/vanilladyke/traffic/held_answer_test.cpp
@@ -374,6 +374,7 @@
     setWeights({1, 1});
     announced = MonotonicClock::now();
     announce();
+    m_state.settings.withdrawMargin = m_state.settings.expiryHedgeMargin - milliseconds(400);
     EXPECT_EQ(askModel("1"), 200);
     EXPECT_EQ(m_body, TwoEvents);
 }
@@ -762,5 +763,28 @@
     EXPECT_EQ(second.received.size(), 1U);
 }
 
+// Guards against withdrawing a request early from expiring weights because another server was
+// asked: that one refuses, and the first server begins in time.
+TEST_F(HeldAnswerTest, ARequestIsNotWithdrawnEarlyForAServerThatHasNotAnswered)
+{
+    setRoute(RequestKind::Safe, false, Ample);
+    auto &first = addBackend([this, asked = 0](const ReceivedRequest &received) mutable {
+        return ++asked > 1 ? refused(received) : heldUntilLeft(1, milliseconds(3000))(received);
+    });
+    auto &second = addBackend([this](const ReceivedRequest &received) {
+        return ScriptedAnswer{
+                "", NextAction::KeepOpen, {}, {{refused(received).bytes, leavesOr(1)}}};
+    });
+    setWeights({1, 1});
+    connect();
+    send(requestForModel("1"));
+    runUntil([&] { return first.received.size() == 1; });
+    setWeights({1, 2});
+    announce(milliseconds(1600));
+    EXPECT_EQ(receive(), 200);
+    EXPECT_EQ(m_body, "held");
+    EXPECT_FALSE(second.received.empty());
+}
+
 } // namespace
 } // namespace vanilladyke
