--- a/include/vanilladyke/traffic/exchange.hpp
+++ b/include/vanilladyke/traffic/exchange.hpp
@@ -46,7 +46,7 @@
     /// @brief The caller closed its connection; aborts all tries.
     void callerDisconnected();
     /// @brief Withdraws a quarantined request from the engines where it waits: aborts every try
-    /// with this digest that has not received a first byte.
+    /// with this digest that has not received a first byte, read or unread.
     static void withdrawQuarantined(TrafficState &state, const WorkDigest &quarantined);
 
     /// @brief Hedges requests at once that wait for servers which this node does not reach any
--- a/src/vanilladyke/traffic/exchange_tries.cpp
+++ b/src/vanilladyke/traffic/exchange_tries.cpp
@@ -269,7 +269,8 @@
             continue;
         }
         for (const BackendTryPtr &attempt : each->openTries()) {
-            if (attempt->isWaiting()) {
+            // An answer that has arrived is delivered: its engine has outlived the request.
+            if (attempt->isWaiting() && !attempt->hasUnreadData()) {
                 attempt->abort(AbortReason::Quarantined);
                 ++withdrawn;
             }
--- a/src/vanilladyke/traffic/held_answer_test.cpp
+++ b/src/vanilladyke/traffic/held_answer_test.cpp
@@ -786,5 +786,26 @@
     EXPECT_FALSE(second.received.empty());
 }
 
+// Guards against discarding an answer that arrived in the iteration of the event loop in which its
+// request is quarantined.
+TEST_F(HeldAnswerTest, AnAnswerThatArrivesWithTheQuarantineIsDelivered)
+{
+    setRoute(RequestKind::Unsafe, false, Ample);
+    m_state.digester.setKey("fleet");
+    const WorkDigest digest = m_state.digester.digest({"c", "POST", "h", "/a/x", "hi"});
+    const EngineTermination end{1, MonotonicClock::now(), true};
+    m_state.quarantine.recordTermination(digest, hashOfName("c"), end);
+    addBackend([this, digest](const ReceivedRequest &received) {
+        const auto isQuarantined = [this, digest] {
+            Exchange::withdrawQuarantined(m_state, digest);
+            return true;
+        };
+        const std::string bytes = answer(received.fields.at("Id"), "held");
+        return ScriptedAnswer{bytes, NextAction::KeepOpen, {}, {{"", isQuarantined}}};
+    });
+    EXPECT_EQ(ask("1"), 200);
+    EXPECT_EQ(m_body, "held");
+}
+
 } // namespace
 } // namespace vanilladyke
