Spread the sends of an interrupted stream over its time (LOST)

What callers saw: a stream cut in the middle within milliseconds, with seconds of their time left.

Cause: an interrupted stream is sent at most twelve times. In a large fleet more than twelve servers may refuse in the same moment; all sends were used up at once, and the caller's connection was closed (denied=sends).

Change: from the fourth send on, a stream of which the caller has a part pauses before the next one, 20 ms at first and twice as long each time: the twelve sends last 5 s. The first four follow each other at once, as before.

--- a/include/vanilladyke/policy/further_try.hpp
+++ b/include/vanilladyke/policy/further_try.hpp
@@ -64,6 +64,11 @@
 [[nodiscard]] std::optional<FurtherTryDenial> denyFurtherTry(const FurtherTryState &state,
                                                              TimePoint now);
 
+/// @brief Pause before the next send of a request of which a part was delivered and that was sent
+/// @p sends times. Grows, so that many servers that refuse at once don't use up MaxStreamSends long
+/// before the deadline.
+[[nodiscard]] Duration pauseBeforeSend(int sends);
+
 [[nodiscard]] std::string_view toString(FurtherTryDenial denial);
 
 } // namespace vanilladyke
--- a/include/vanilladyke/traffic/exchange.hpp
+++ b/include/vanilladyke/traffic/exchange.hpp
@@ -76,6 +76,8 @@
     [[nodiscard]] asio::awaitable<BackendTryPtr> nextTry();
     /// Ends the tries that are still open when the request has its final answer.
     [[nodiscard]] asio::awaitable<void> endOpenTries();
+    /// Waits until the request, of which the caller has a part, may be sent again.
+    [[nodiscard]] asio::awaitable<void> pauseBeforeResuming();
     /// Waits until a server may be available. @return false if there is no time left for that
     [[nodiscard]] asio::awaitable<bool> waitForBackend(const NoBackend &none);
     /// Whether the request may be sent to a further server, after the last try or beside a silent
@@ -228,7 +230,8 @@
     int m_connectFailures = 0;
     int m_hedgesStarted = 0;
     int m_sends = 0; ///< tries in which the request was sent
-    int m_runs = 0;  ///< those of them in which it may have run
+    TimePoint m_lastSentAt;
+    int m_runs = 0; ///< those of them in which it may have run
     /// Servers that this node left for another one, and that have not broken off since.
     std::vector<EngineId> m_leftServers;
     int m_status = 0;
--- a/src/vanilladyke/policy/further_try.cpp
+++ b/src/vanilladyke/policy/further_try.cpp
@@ -1,9 +1,14 @@
 #include "vanilladyke/policy/further_try.hpp"
 
+#include <algorithm>
+
 namespace vanilladyke {
 
 namespace {
 
+/// Doubles with each send, up to 2.6 s before the last one.
+constexpr Duration FirstStreamPause = std::chrono::milliseconds(20);
+
 /// Why a request that may have run may not run on a further server; none if it may.
 std::optional<FurtherTryDenial> denyFurtherRun(const FurtherTryState &state)
 {
@@ -52,6 +57,12 @@
     return state.mayHaveRun == 0 ? std::nullopt : denyFurtherRun(state);
 }
 
+Duration pauseBeforeSend(int sends)
+{
+    const int paced = std::min(sends, MaxStreamSends) - MaxSends;
+    return paced < 0 ? Duration::zero() : FirstStreamPause * (1 << paced);
+}
+
 std::string_view toString(FurtherTryDenial denial)
 {
     switch (denial) {
--- a/src/vanilladyke/policy/further_try_test.cpp
+++ b/src/vanilladyke/policy/further_try_test.cpp
@@ -91,5 +91,17 @@
     EXPECT_EQ(denyFurtherTry(state, now), FurtherTryDenial::Servers);
 }
 
+// Guards against a stream that is cut at once because many servers refuse in the same moment.
+TEST(FurtherTry, SendsOfAPartialAnswerAreSpreadOverSeconds)
+{
+    Duration total{};
+    for (int sends = 1; sends < MaxStreamSends; ++sends) {
+        EXPECT_GE(pauseBeforeSend(sends), pauseBeforeSend(sends - 1));
+        total += pauseBeforeSend(sends);
+    }
+    EXPECT_EQ(pauseBeforeSend(MaxSends - 1), Duration::zero());
+    EXPECT_GE(total, std::chrono::seconds(4));
+}
+
 } // namespace
 } // namespace vanilladyke
--- a/src/vanilladyke/traffic/exchange.cpp
+++ b/src/vanilladyke/traffic/exchange.cpp
@@ -127,8 +127,20 @@
     }
 }
 
+asio::awaitable<void> Exchange::pauseBeforeResuming()
+{
+    const TimePoint until = std::min(m_lastSentAt + pauseBeforeSend(m_sends), m_deadline);
+    if (!m_headWritten || until <= MonotonicClock::now()) {
+        co_return;
+    }
+    m_wait.expires_at(until);
+    ErrorCode ignored;
+    co_await m_wait.async_wait(redirectError(ignored));
+}
+
 asio::awaitable<BackendTryPtr> Exchange::nextTry()
 {
+    co_await pauseBeforeResuming();
     for (;;) {
         const TimePoint now = MonotonicClock::now();
         if (m_callerDisconnected || m_timedOut || m_deadline - now < MinTimeForTry
--- a/src/vanilladyke/traffic/exchange_tries.cpp
+++ b/src/vanilladyke/traffic/exchange_tries.cpp
@@ -135,6 +135,7 @@
     const BackendChoice &choice = attempt.choice();
     ++m_sends;
     ++m_runs;
+    m_lastSentAt = now;
     if (attempt.isRelay()) {
         m_state.relays.sent(choice.backend.endpoint);
         return;
--- a/src/vanilladyke/traffic/held_answer_test.cpp
+++ b/src/vanilladyke/traffic/held_answer_test.cpp
@@ -807,5 +807,30 @@
     EXPECT_EQ(m_body, "held");
 }
 
+// Guards against a stream that is cut long before its deadline because more servers refuse at once
+// than a request may be sent to.
+TEST_F(HeldAnswerTest, AnInterruptedStreamIsNotCutByTheNumberOfServersThatRefuse)
+{
+    setSlowStream();
+    std::optional<TimePoint> interrupted;
+    const auto busy = [&interrupted](const ReceivedRequest &received) {
+        if (!received.fields.contains("Resume")) {
+            interrupted = MonotonicClock::now();
+            return ScriptedAnswer{streamHead(received.fields.at("Id")) + eventChunk(1),
+                                  NextAction::Reset};
+        }
+        const bool hasRoom = MonotonicClock::now() - *interrupted > milliseconds(400);
+        return hasRoom ? ScriptedAnswer{streamHead(received.fields.at("Id")) + eventChunk(2)
+                                                + "0\r\n\r\n",
+                                        NextAction::KeepOpen}
+                       : refused(received);
+    };
+    for (int i = 0; i < 2 * MaxStreamSends; ++i) {
+        addBackend(busy);
+    }
+    EXPECT_EQ(ask("1"), 200);
+    EXPECT_EQ(m_body, TwoEvents);
+}
+
 } // namespace
 } // namespace vanilladyke
