Count requests that a node itself cuts; one wait, one rule for tried servers

Cause: whether a node cut an answer by its own choice had to be found by joining a request's line with those of its tries, and no metric told it. The wait for a server stood five times; what becomes of servers that were tried stood twice.

Change: requests_cut_by_node_total{abort}, and own_aborts in the line of a request (tries that the node ended for another one, for expiring weights or a quarantine). isOwnChoice and isLeftAsSilent name what stood as conditions. waitUntil is the one wait; waitForBackend has one branch for servers that were tried (its second condition compared the same point in time twice).

--- a/include/vanilladyke/traffic/backend_try.hpp
+++ b/include/vanilladyke/traffic/backend_try.hpp
@@ -36,6 +36,9 @@
 
 [[nodiscard]] std::string_view toString(AbortReason reason);
 
+/// @brief Whether the node chose to end the try: neither its caller nor a deadline did.
+[[nodiscard]] bool isOwnChoice(AbortReason reason);
+
 /// @brief What a try has to bring.
 struct TryTerms
 {
--- a/include/vanilladyke/traffic/exchange.hpp
+++ b/include/vanilladyke/traffic/exchange.hpp
@@ -76,6 +76,8 @@
     [[nodiscard]] asio::awaitable<BackendTryPtr> nextTry();
     /// Ends the tries that are still open when the request has its final answer.
     [[nodiscard]] asio::awaitable<void> endOpenTries();
+    /// Waits until then, or until a try ends or begins to answer.
+    [[nodiscard]] asio::awaitable<void> waitUntil(TimePoint until);
     /// Waits until the request, of which the caller has a part, may be sent again.
     [[nodiscard]] asio::awaitable<void> pauseBeforeResuming();
     /// Waits until a server may be available. @return false if there is no time left for that
@@ -197,6 +199,8 @@
     [[nodiscard]] asio::awaitable<ExchangeResult> refuse(int status, std::string_view reason,
                                                          std::optional<Duration> retryAfter);
     void log(int status, std::string_view outcome);
+    /// Counts a request without a whole answer whose last try this node ended by its own choice.
+    void countOwnCut();
 
     TrafficState &m_state;
     std::shared_ptr<const CallerRequest> m_request;
@@ -226,6 +230,7 @@
     std::optional<BackendChoice> m_choice;     ///< of the last try
     std::optional<Duration> m_weightsTimeLeft; ///< at the last try, if newer weights were announced
     AbortReason m_lastAbort = AbortReason::None; ///< of the last try that ended
+    int m_ownAborts = 0;                         ///< tries that this node ended by its own choice
     std::optional<FurtherTryDenial> m_denial;    ///< of the last further try that was considered
     int m_connectFailures = 0;
     int m_hedgesStarted = 0;
--- a/src/vanilladyke/traffic/backend_try.cpp
+++ b/src/vanilladyke/traffic/backend_try.cpp
@@ -77,6 +77,23 @@
     return "unknown";
 }
 
+bool isOwnChoice(AbortReason reason)
+{
+    switch (reason) {
+    case AbortReason::WeightsExpire:
+    case AbortReason::Quarantined:
+    case AbortReason::Replaced:
+    case AbortReason::Unneeded:
+        return true;
+    case AbortReason::None:
+    case AbortReason::CallerLeft:
+    case AbortReason::CallerDeadline:
+    case AbortReason::RouteTimeout:
+        break;
+    }
+    return false;
+}
+
 BackendTry::BackendTry(TrafficState &state, std::shared_ptr<const CallerRequest> request,
                        TryTerms terms, BackendChoice choice)
     : m_state(state)
--- a/src/vanilladyke/traffic/exchange.cpp
+++ b/src/vanilladyke/traffic/exchange.cpp
@@ -127,17 +127,21 @@
     }
 }
 
-asio::awaitable<void> Exchange::pauseBeforeResuming()
+asio::awaitable<void> Exchange::waitUntil(TimePoint until)
 {
-    const TimePoint until = std::min(m_lastSentAt + pauseBeforeSend(m_sends), m_deadline);
-    if (!m_headWritten || until <= MonotonicClock::now()) {
-        co_return;
-    }
     m_wait.expires_at(until);
     ErrorCode ignored;
     co_await m_wait.async_wait(redirectError(ignored));
 }
 
+asio::awaitable<void> Exchange::pauseBeforeResuming()
+{
+    const TimePoint until = std::min(m_lastSentAt + pauseBeforeSend(m_sends), m_deadline);
+    if (m_headWritten && until > MonotonicClock::now()) {
+        co_await waitUntil(until);
+    }
+}
+
 asio::awaitable<BackendTryPtr> Exchange::nextTry()
 {
     co_await pauseBeforeResuming();
@@ -171,35 +175,26 @@
 
 asio::awaitable<bool> Exchange::waitForBackend(const NoBackend &none)
 {
-    const TimePoint now = MonotonicClock::now();
     constexpr Duration Pause = std::chrono::milliseconds(20);
+    constexpr Duration MinWait = std::chrono::milliseconds(5);
+    const TimePoint now = MonotonicClock::now();
     if (m_headWritten) {
         m_triedRelays.clear();
     }
-    const bool isOnlyTried = none.isKnown && !m_triedEngines.empty();
-    if (m_headWritten && isOnlyTried) {
-        // The caller has a part of the answer: the servers that were tried are asked again at once.
+    const TimePoint latest = std::min(m_waitUntil, m_deadline - MinTimeForTry);
+    const bool isTooLate = none.retryAt > latest || now >= latest;
+    const bool areOnlyTried = none.isKnown && !m_triedEngines.empty();
+    // Servers that were tried may have room by now. If the caller has a part of the answer, they
+    // are asked before others become available.
+    if (areOnlyTried && (m_headWritten || (isTooLate && now < latest))) {
         m_triedEngines.clear();
-        m_wait.expires_after(Pause);
-        ErrorCode ignored;
-        co_await m_wait.async_wait(redirectError(ignored));
+        co_await waitUntil(now + Pause);
         co_return mayTryAgain(MonotonicClock::now());
     }
-    const TimePoint latest = std::min(m_waitUntil, m_deadline - MinTimeForTry);
-    const bool triedAll = !m_triedEngines.empty() && m_noBackend.retryAt > latest;
-    if (triedAll || none.retryAt > latest || now >= latest) {
-        if (none.isKnown && !m_triedEngines.empty() && now < latest) {
-            m_triedEngines.clear(); // a server that refused before may have room by now
-            m_wait.expires_after(Pause);
-            ErrorCode ignored;
-            co_await m_wait.async_wait(redirectError(ignored));
-            co_return mayTryAgain(MonotonicClock::now());
-        }
+    if (isTooLate) {
         co_return false;
     }
-    m_wait.expires_after(std::max<Duration>(none.retryAt - now, std::chrono::milliseconds(5)));
-    ErrorCode ignored;
-    co_await m_wait.async_wait(redirectError(ignored));
+    co_await waitUntil(std::max(none.retryAt, now + MinWait));
     co_return true;
 }
 
--- a/src/vanilladyke/traffic/exchange_answers.cpp
+++ b/src/vanilladyke/traffic/exchange_answers.cpp
@@ -175,6 +175,7 @@
         co_return ExchangeResult::Broken;
     }
     if (m_headWritten) {
+        countOwnCut();
         log(m_status, "stream_broken");
         co_return ExchangeResult::Broken;
     }
@@ -198,6 +199,7 @@
                                 : toString(RefusalReason::NoBackend);
         co_return co_await refuse(503, reason, std::min<Duration>(after, std::chrono::seconds(2)));
     }
+    countOwnCut();
     const int status = m_timedOut ? 504 : 502;
     co_return co_await refuse(status, toString(RefusalReason::OutcomeUnknown), std::nullopt);
 }
@@ -224,6 +226,14 @@
     co_return isWritten ? ExchangeResult::Answered : ExchangeResult::Broken;
 }
 
+void Exchange::countOwnCut()
+{
+    if (isOwnChoice(m_lastAbort)) {
+        m_state.metrics.count("requests_cut_by_node_total{abort=\""
+                              + std::string(toString(m_lastAbort)) + "\"}");
+    }
+}
+
 void Exchange::log(int status, std::string_view outcome)
 {
     const TimePoint now = MonotonicClock::now();
@@ -259,6 +269,7 @@
             .field("sends", m_sends)
             .field("hedges", m_hedgesStarted)
             .field("last_abort", toString(m_lastAbort))
+            .field("own_aborts", m_ownAborts)
             .field("denied", m_denial ? toString(*m_denial) : "none")
             .field("first_ms",
                    m_firstByteAt ? *m_firstByteAt - m_request->arrived : Duration::zero())
--- a/src/vanilladyke/traffic/exchange_hedging.cpp
+++ b/src/vanilladyke/traffic/exchange_hedging.cpp
@@ -201,9 +201,7 @@
 asio::awaitable<BackendTryPtr> Exchange::takeSuccessor()
 {
     while (m_successor == nullptr && !m_hedges.empty() && !m_timedOut && !m_callerDisconnected) {
-        m_wait.expires_at(asio::steady_timer::time_point::max());
-        ErrorCode ignored;
-        co_await m_wait.async_wait(redirectError(ignored));
+        co_await waitUntil(TimePoint::max());
     }
     co_return std::exchange(m_successor, nullptr);
 }
--- a/src/vanilladyke/traffic/exchange_tries.cpp
+++ b/src/vanilladyke/traffic/exchange_tries.cpp
@@ -13,6 +13,12 @@
 /// Another node hedges a silent server itself; it is left more time before it is hedged in turn.
 constexpr int RelayTimeoutFactor = 2;
 
+/// Whether the server had not answered when the node left it.
+bool isLeftAsSilent(AbortReason reason)
+{
+    return reason == AbortReason::Replaced || reason == AbortReason::WeightsExpire;
+}
+
 } // namespace
 
 BackendTryPtr Exchange::makeTry(const BackendChoice &choice)
@@ -166,6 +172,7 @@
     const TimePoint now = MonotonicClock::now();
     const AbortReason reason = attempt->abortReason();
     m_lastAbort = reason;
+    m_ownAborts += isOwnChoice(reason) ? 1 : 0;
     m_mayHaveRun = m_mayHaveRun || attempt->ran() != Ran::No;
     const bool hasEndedEarly = end == TryResult::Lost || end == TryResult::Interrupted;
     const bool isServersFault = !m_callerDisconnected && reason != AbortReason::Quarantined
@@ -179,8 +186,7 @@
             recordCompleteAnswer();
         }
     }
-    const bool wasSilent = reason == AbortReason::Replaced || reason == AbortReason::WeightsExpire;
-    if (end == TryResult::Lost && wasSilent) {
+    if (end == TryResult::Lost && isLeftAsSilent(reason)) {
         m_state.tracker.exclude(attempt->choice().backend.id, now);
     }
     if (end == TryResult::Delivered) {
@@ -220,8 +226,7 @@
             .field("aborted", toString(reason))
             .field("after_ms", now - *attempt.sentAt())
             .field("began", attempt.beganAt().has_value())
-            .field("stalled",
-                   reason == AbortReason::Replaced || reason == AbortReason::WeightsExpire)
+            .field("stalled", isLeftAsSilent(reason))
             .field("timed_out", m_timedOut)
             .field("caller_left", m_callerDisconnected)
             .field("engine_ended", attempt.engineEnded)
