--- a/src/vanilladyke/traffic/exchange_relay_test.cpp
+++ b/src/vanilladyke/traffic/exchange_relay_test.cpp
@@ -82,6 +82,18 @@
         }
     }
 
+    /// Sends a request; once the server has it, this node takes itself for cut off. @return the
+    /// status
+    int askAndBelieveCutOff(const ScriptedBackend &server)
+    {
+        hearOfOther({});
+        connect();
+        send(request("1"));
+        runUntil([&] { return server.received.size() == 1; });
+        believeCutOff(true);
+        return receive();
+    }
+
     void hearOfOther(std::vector<std::uint64_t> unreached)
     {
         m_state.relays.nodeSeen(2, hashOfName("here"), relayEndpoint(), std::move(unreached),
@@ -352,12 +364,7 @@
     addBackend(silent);
     addBackend(refused);
     shareServers();
-    hearOfOther({});
-    connect();
-    send(request("1"));
-    runUntil([&] { return first.received.size() == 1; });
-    believeCutOff(true);
-    EXPECT_EQ(receive(), 200);
+    EXPECT_EQ(askAndBelieveCutOff(first), 200);
     EXPECT_EQ(m_body, "held");
     EXPECT_FALSE(m_backends[2]->received.empty());
 }
@@ -380,12 +387,7 @@
                               NextAction::Reset};
     });
     shareServers();
-    hearOfOther({});
-    connect();
-    send(request("1"));
-    runUntil([&] { return first.received.size() == 1; });
-    believeCutOff(true);
-    EXPECT_EQ(receive(), 200);
+    EXPECT_EQ(askAndBelieveCutOff(first), 200);
     EXPECT_EQ(m_body, TwoEvents);
 }
 
