--- a/include/vanilladyke/traffic/exchange.hpp
+++ b/include/vanilladyke/traffic/exchange.hpp
@@ -103,7 +103,7 @@
     /// further ones.
     [[nodiscard]] bool isBoundToLeftServers() const;
     /// Whether one of those servers may be asked again now.
-    [[nodiscard]] bool canReturn() const;
+    [[nodiscard]] bool canReturn(TimePoint now) const;
 
     // What is asked of a server.
 
--- a/src/vanilladyke/traffic/exchange.cpp
+++ b/src/vanilladyke/traffic/exchange.cpp
@@ -215,9 +215,9 @@
     return m_headWritten && m_runs >= mostServers();
 }
 
-bool Exchange::canReturn() const
+bool Exchange::canReturn(TimePoint now) const
 {
-    return openTries().empty()
+    return openTries().empty() && m_state.reach.reach(m_service, now) != Reach::None
            && std::any_of(m_leftServers.begin(), m_leftServers.end(),
                           [this](const EngineId &each) { return m_state.tracker.contains(each); });
 }
@@ -237,7 +237,7 @@
     state.sends = m_sends;
     state.mayHaveRun = m_runs;
     state.maxServers = mostServers();
-    state.canReturn = canReturn();
+    state.canReturn = canReturn(now);
     state.connectFailures = m_connectFailures;
     state.deadline = m_deadline;
     m_denial = denyFurtherTry(state, now);
--- a/src/vanilladyke/traffic/exchange_relay_test.cpp
+++ b/src/vanilladyke/traffic/exchange_relay_test.cpp
@@ -391,6 +391,23 @@
     EXPECT_EQ(m_body, TwoEvents);
 }
 
+// Guards against holding a caller's stream to the deadline at a node that is still cut off: the
+// caller may resume it at another node.
+TEST_F(RelayTest, AStreamIsNotHeldForAServerThatIsOutOfReach)
+{
+    setSlowStream();
+    auto &first = addBackend(silent);
+    addBackend(silent);
+    addBackend([](const ReceivedRequest &received) {
+        return ScriptedAnswer{streamHead(received.fields.at("Id")) + eventChunk(1),
+                              NextAction::Reset};
+    });
+    shareServers();
+    const TimePoint start = MonotonicClock::now();
+    EXPECT_EQ(askAndBelieveCutOff(first), 0);
+    EXPECT_LT(MonotonicClock::now() - start, Ample / 2);
+}
+
 // Guards against a planned stop of the other node that ends a request which it has taken.
 TEST_F(RelayTest, AStopOfTheOtherNodeDoesNotEndARequestThatItTook)
 {
