--- a/include/vanilladyke/model/routing.hpp
+++ b/include/vanilladyke/model/routing.hpp
@@ -91,6 +91,7 @@
     Endpoint endpoint;
     DataCentreId dataCentre;
     int slots = 1;
+    std::string software; ///< version of the server's software; empty: not known
     bool isDraining = false;
     std::uint64_t heartbeat = 0;              ///< grows with each entry that the server writes
     std::map<ModelId, std::uint64_t> weights; ///< version of each model's weights
--- a/src/vanilladyke/node/control_plane.cpp
+++ b/src/vanilladyke/node/control_plane.cpp
@@ -150,11 +150,13 @@
 {
     const EngineId id = entry.id;
     const bool isDraining = entry.isDraining;
+    const std::string software = entry.software;
     const bool isChanged = m_roster.put(std::move(entry), BootClock::now());
     if (isChanged) {
         LogEvent("backend_changed")
                 .field("backend", id.str())
                 .field("draining", isDraining)
+                .field("software", software)
                 .field("known", m_roster.size());
         publishBackends();
     }
--- a/src/vanilladyke/traffic/exchange_tries.cpp
+++ b/src/vanilladyke/traffic/exchange_tries.cpp
@@ -219,6 +219,7 @@
     LogEvent("try_failed", Severity::Info)
             .field("id", m_request->id)
             .field("backend", attempt.choice().backend.id.str())
+            .field("software", attempt.choice().backend.software)
             .field("weights", attempt.choice().weights)
             .field("end", toString(end))
             .field("status", attempt.head().status)
