--- a/include/vanilladyke/traffic/dialect.hpp
+++ b/include/vanilladyke/traffic/dialect.hpp
@@ -42,7 +42,7 @@
     std::uint64_t promptTokens = 0;
     std::uint64_t maxOutputTokens = 0;
     std::vector<PromptPart> parts;
-    std::string lastEventId;      ///< the caller resumes a stream after this event
+    std::string lastEventId; ///< the caller resumes a stream after this event
     /// Id of the caller's attempt that brought the first event of that stream; empty if not named.
     std::string firstAttempt;
     std::string forwardedHeaders; ///< header lines to forward unchanged, each with its line end
--- a/tests/integration/platform_fleet.py
+++ b/tests/integration/platform_fleet.py
@@ -3,6 +3,7 @@
 
 import base64
 import contextlib
+import http.client
 import json
 import os
 import random
@@ -238,6 +239,10 @@
         self.ends_under, self.ended = ends_under, ended  # bodies that end it, and who is told
         self.version, self.busy, self.sequence, self.beats = 1, False, 0, 0
         self.state = "ready"
+        self.software = None  # version of its software, as its entry and the events of its streams name it
+        self.cuts, self.cut_after = 0, 2  # streams that it breaks off, and after how many of its events
+        self.pace = 0.01  # seconds between two events
+        self.wrote = []  # attempt and number of each event that it wrote
         self.lock = threading.Lock()
         self.requests, self.runs, self.orders = [], [], []
         self.seconds = 0.0  # that a request runs
@@ -271,8 +276,9 @@
     def entry(self):
         self.beats += 1
         models = [{"name": self.model, "version": self.version, "adapters": []}] if self.service == "llm" else []
-        return {"service": self.service, "address": f"127.0.0.1:{self.entry_port}", "zone": "z", "slots": self.places or 8,
-                "state": self.state, "coldRemainingMs": 0, "models": models, "sequence": self.beats}
+        entry = {"service": self.service, "address": f"127.0.0.1:{self.entry_port}", "zone": "z", "slots": self.places or 8,
+                 "state": self.state, "coldRemainingMs": 0, "models": models, "sequence": self.beats}
+        return entry if self.software is None else {**entry, "version": self.software}
 
     def handle(self, call):
         body = call.body()
@@ -386,10 +392,20 @@
 
     def stream(self, call, identity, headers):
         self.begin(call, headers)
+        with self.lock:
+            left = self.cut_after if self.cuts > 0 else None
+            self.cuts -= left is not None
         for number in range(int(call.headers.get("Last-Event-Id") or 0) + 1, 6):
-            event = f"id: {number}\ndata: {identity}.{number}\n\n".encode()
+            if left == 0:
+                call.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                call.close_connection = True
+                return
+            left = None if left is None else left - 1
+            text = f"{identity}.{number}" + (f" {self.software}" if self.software else "")
+            event = f"id: {number}\ndata: {text}\n\n".encode()
+            self.wrote.append((identity, number))
             call.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
-            time.sleep(0.01)
+            time.sleep(self.pace)
         call.wfile.write(b"0\r\n\r\n")
 
 
@@ -398,6 +414,24 @@
             "targetLatencyMs": 500, "priority": 1, "service": service, "maxAttempts": 2, "public": False, **more}
 
 
+class StreamRead:
+    """What a caller got of a stream."""
+
+    def __init__(self):
+        self.status, self.whole, self.data, self.last, self.retry_after, self.text = None, False, [], None, None, ""
+
+    def take(self, line):
+        self.text += line
+        if line.startswith("id: "):
+            self.last = line[4:]
+        elif line.startswith("data: "):
+            self.data.append(line[6:])
+
+    def software(self):
+        """Versions whose events it holds."""
+        return {each.split(" ")[1] for each in self.data}
+
+
 class Fleet:
     """Store, engines and nodes of one test."""
 
@@ -443,6 +477,12 @@
         threading.Timer(0.9, self.store.put, ("keyed.servers", engine.name, None)).start()
         threading.Timer(1.0, self.begin_anew, (engine,)).start()
 
+    def end_for_good(self, engine):
+        """It ends, and its entry goes at once."""
+        engine.ended = lambda _: None
+        engine.end()
+        self.store.put("keyed.servers", engine.name, None)
+
     def begin_anew(self, ended):
         engine = self.engine(f"{ended.name}+", service=ended.service)
         for name in ("brittle", "places", "most_waiting", "seconds"):
@@ -509,6 +549,33 @@
             fields["Authorization"] = "Token " + key
         return harness.http_call(node.port, method, path, body, fields, timeout=timeout)
 
+    def begin_stream(self, node, identity, events, headers=None):
+        """Takes so many events of a stream and closes the connection. @return the events' lines of data"""
+        taken = self.read_stream(node, identity, headers, events)
+        return taken.data
+
+    def read_stream(self, node, identity, headers=None, most=None):
+        """Reads a stream, or its first events. @return a StreamRead"""
+        call = http.client.HTTPConnection("127.0.0.1", node.port, timeout=10)
+        fields = {"Host": "h.example", "X-Vanilladyke-Attempt-Id": identity, "X-Vanilladyke-Deadline-Ms": "4000",
+                  "Authorization": "Token brand-key", **self.prompt(), **(headers or {})}
+        read = StreamRead()
+        try:
+            call.request("POST", "/stream/x", "hello", fields)
+            answer = call.getresponse()
+            read.status, read.retry_after = answer.status, answer.headers.get("Retry-After")
+            while most is None or len(read.data) < most:
+                line = answer.readline()
+                if not line:
+                    read.whole = True
+                    break
+                read.take(line.decode().rstrip("\n"))
+        except (OSError, http.client.HTTPException):
+            pass  # broken off: `whole` stays false
+        finally:
+            call.close()
+        return read
+
     @staticmethod
     def prompt(part="5c1e07a2"):
         return {"X-Vanilladyke-Model": "m", "X-Vanilladyke-Token-Usage": "1460,80",
