--- a/include/vanilladyke/model/refusal.hpp
+++ b/include/vanilladyke/model/refusal.hpp
@@ -35,7 +35,9 @@
     KeyReused,
     OutcomeUnknown,
     ShuttingDown,
-    EndsEngines, ///< engines ended when they ran the same request
+    EndsEngines,   ///< engines ended when they ran the same request
+    UnknownOrigin, ///< no node knows which software version began the stream that is to go on
+    VersionGone,   ///< no server has the software version that began the stream
 };
 
 /// @brief A refusal as the gateway writes it to the caller.
--- a/include/vanilladyke/node/load_sharing.hpp
+++ b/include/vanilladyke/node/load_sharing.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "vanilladyke/node/origin_sharing.hpp"
 #include "vanilladyke/node/signed_port.hpp"
 #include "vanilladyke/policy/update_routes.hpp"
 #include "vanilladyke/traffic/traffic_state.hpp"
@@ -52,6 +53,8 @@
     void sendSoon() { m_hasUrgentUpdate = true; }
     /// @brief Sends an update now.
     void sendUpdate(TimePoint now);
+    /// @brief The origins of streams, which are sent through the same port.
+    [[nodiscard]] OriginSharing &origins() { return m_origins; }
 
 private:
     using Udp = SignedPort::Udp;
@@ -84,6 +87,7 @@
     std::uint64_t m_dataCentre; ///< hash of its name
     std::uint64_t m_sequence; ///< starts at the wall-clock time, so that a restart continues above
     UpdateRoutes<Udp::endpoint> m_routes;
+    OriginSharing m_origins;
     std::unordered_map<std::uint64_t, Peer> m_peers;
     TimePoint m_nextAt;
     TimePoint m_sentAt;
--- a/include/vanilladyke/policy/backend_choice.hpp
+++ b/include/vanilladyke/policy/backend_choice.hpp
@@ -85,9 +85,11 @@
     std::uint64_t ownTokens = 0;    ///< after the shared part
     /// The first token has its full value within this time.
     Duration target = std::chrono::milliseconds(500);
-    int urgency = 5;                     ///< 0 is the most urgent, 9 the least
-    std::vector<EngineId> exclude;       ///< servers that were tried before
-    std::vector<EngineId> only;          ///< if not empty, no other servers may be chosen
+    int urgency = 5;               ///< 0 is the most urgent, 9 the least
+    std::vector<EngineId> exclude; ///< servers that were tried before
+    std::vector<EngineId> only;    ///< if not empty, no other servers may be chosen
+    /// Set if a part of a stream was delivered: softwareKey() of the version that has to go on.
+    std::optional<std::uint64_t> software;
     const KeptCacheView *kept = nullptr; ///< null: there is no kept-cache store
     std::uint64_t memoryTokens = 0;      ///< capacity of an engine's prefix cache; 0: unknown
 
--- a/include/vanilladyke/policy/backend_tracker.hpp
+++ b/include/vanilladyke/policy/backend_tracker.hpp
@@ -182,6 +182,10 @@
     [[nodiscard]] int inFlight(const EngineId &id) const;
     [[nodiscard]] std::size_t size() const { return m_states.size(); }
     [[nodiscard]] bool contains(const EngineId &id) const { return m_states.contains(id); }
+    /// @brief Whether a known server of the service has this software version.
+    [[nodiscard]] bool serves(const ServiceId &service, std::uint64_t software) const;
+    /// @brief Whether the server is known and has this software version.
+    [[nodiscard]] bool hasSoftware(const EngineId &id, std::uint64_t software) const;
     /// @return null if the server is not known
     [[nodiscard]] const BackendEntry *entryOf(const EngineId &id) const;
     [[nodiscard]] std::vector<BackendEntry> entries() const;
@@ -193,6 +197,7 @@
     {
         BackendEntry entry;
         std::uint64_t hash = 0;
+        std::uint64_t software = 0; ///< softwareKey() of its version
         int inFlight = 0;
         int unanswered = 0;
         PrefillThroughput *throughput = nullptr; ///< of its service
--- a/include/vanilladyke/policy/further_try.hpp
+++ b/include/vanilladyke/policy/further_try.hpp
@@ -21,7 +21,9 @@
     bool resumesStreams = true;    ///< setting: interrupted streams may be resumed
     bool hasPartialAnswer = false; ///< the caller has a part of a stream
     bool hasEventId = false;       ///< the part ends with an event after which it can be resumed
-    bool isQuarantined = false;    ///< engines ended under the request
+    /// The software version that wrote the part is not known, so that none may go on.
+    bool isOriginUnknown = false;
+    bool isQuarantined = false; ///< engines ended under the request
     bool isCallerGone = false;
     bool isBudgetSpent = false; ///< a try was denied by the retry budget
     bool isAnswered = false;    ///< a server's answer is kept that would end the request alone
@@ -45,6 +47,7 @@
     NotRepeatable, ///< it may have run and may run once only
     SwitchedOff,   ///< by a setting
     NoEventId,     ///< the caller's part of the stream can't be continued
+    UnknownOrigin, ///< nobody knows which software version wrote the caller's part of the stream
     Servers,  ///< it may have run on as many servers as the route allows, and can't return to one
     Answered, ///< a server has answered it
 };
--- a/include/vanilladyke/traffic/dialect.hpp
+++ b/include/vanilladyke/traffic/dialect.hpp
@@ -26,6 +26,8 @@
 {
     std::string seal;    ///< proves that a node of the fleet sent the request; see Exchange
     int mostServers = 1; ///< on which the request may still run
+    /// softwareKey() of the version at which the stream has to go on; none: nothing was delivered.
+    std::optional<std::uint64_t> software = {};
 };
 
 /// @brief A request as a caller sent it. A repetition by the caller is another request.
@@ -103,6 +105,8 @@
     std::optional<Duration> rest; ///< for which the server wants no request of this node
     /// Rejections in a second over which the server falls over; none if it bears any number.
     std::optional<double> brittleRejections;
+    /// softwareKey() of the server's version, in an answer that another node handed on.
+    std::optional<std::uint64_t> software;
     std::string forwardedHeaders; ///< header lines to forward to the caller, each with its line end
 };
 
@@ -125,6 +129,8 @@
             writeOptions;
     std::function<void(const RelayOptions &options, TimePoint now, std::string *lines)> writeRelay;
     std::function<AnswerHead(int status, const HttpFields &fields)> parseAnswer;
+    /// Header line that tells the node which handed a request on the server's software version.
+    std::function<std::string(std::uint64_t software)> softwareLine;
     /// Header line of an answer which states that the request was not run.
     std::string notExecutedLine;
 };
--- a/include/vanilladyke/traffic/exchange.hpp
+++ b/include/vanilladyke/traffic/exchange.hpp
@@ -87,6 +87,21 @@
     [[nodiscard]] bool mayTryAgain(TimePoint now);
     [[nodiscard]] bool isRepeatable() const;
 
+    // The software version of a stream; see stream_origins.hpp.
+
+    /// Finds the software version that began the stream which the caller takes up.
+    /// @return false if no node knows it
+    [[nodiscard]] asio::awaitable<bool> bindToOrigin();
+    /// Binds the stream to the version of the server that has written its first event, and records
+    /// it under the attempt. Called before the caller gets the event.
+    void bindToServer(const BackendTry &attempt);
+    /// Whether the answer comes from another version than the one that began the stream.
+    [[nodiscard]] bool hasOtherSoftware(const BackendTry &attempt) const;
+    /// Whether no server is left that may go on with the stream.
+    [[nodiscard]] bool isVersionGone() const;
+    /// Latest time at which the caller may come back for the stream.
+    [[nodiscard]] TimePoint comesBackUntil() const;
+
     // Requests that are handed to another node; see relay_nodes.hpp.
 
     /// @return none if the request may not be handed on, or if no node can take it
@@ -225,6 +240,9 @@
     std::vector<EngineId> m_triedEngines;
     std::vector<Endpoint> m_triedRelays;
     std::string m_resumeAfter;
+    /// softwareKey() of the version that has to go on with the stream; none: any may.
+    std::optional<std::uint64_t> m_software;
+    bool m_isOriginRecorded = false;
     std::optional<TimePoint> m_firstByteAt; ///< of the last try that began to answer
     NoBackend m_noBackend;
     std::optional<BackendChoice> m_choice;     ///< of the last try
--- a/include/vanilladyke/traffic/relay_seal.hpp
+++ b/include/vanilladyke/traffic/relay_seal.hpp
@@ -10,8 +10,9 @@
 /// has no time in it, since clocks of hosts differ: who can read the link can send the same request
 /// again, as he could to a server directly.
 /// @param resumeAfter id of the last event that the caller has received
+/// @param sealed the terms; its own seal is not looked at
 [[nodiscard]] WorkDigest relaySeal(const WorkDigester &digester, const CallerRequest &request,
-                                   const std::string &resumeAfter, int mostServers);
+                                   const std::string &resumeAfter, const RelayTerms &sealed);
 
 /// @brief Whether the request bears the seal of this fleet.
 [[nodiscard]] bool hasValidSeal(const WorkDigester &digester, const CallerRequest &request);
--- a/include/vanilladyke/traffic/traffic_state.hpp
+++ b/include/vanilladyke/traffic/traffic_state.hpp
@@ -9,6 +9,8 @@
 #include "vanilladyke/policy/relay_nodes.hpp"
 #include "vanilladyke/policy/request_quarantine.hpp"
 #include "vanilladyke/policy/route_table.hpp"
+#include "vanilladyke/policy/software_history.hpp"
+#include "vanilladyke/policy/stream_origins.hpp"
 #include "vanilladyke/traffic/backend_pool.hpp"
 #include "vanilladyke/traffic/dialect.hpp"
 #include "vanilladyke/traffic/engine_liveness_probe.hpp"
@@ -48,6 +50,15 @@
     std::vector<WorkDigest> releasedRequests; ///< released from quarantine by an operator
 };
 
+/// @brief What other nodes say about the stream of an attempt.
+struct OriginReport
+{
+    std::optional<std::uint64_t> software; ///< softwareKey() of the version that began it
+    /// The version on which all streams of the service began, as an older node has seen it.
+    std::optional<std::uint64_t> only;
+    std::size_t answers = 0; ///< nodes that have answered
+};
+
 /// @brief State of the traffic thread, accessed from that thread only.
 struct TrafficState
 {
@@ -74,6 +85,13 @@
         return table != nullptr && configAge() <= settings.keysValidFor;
     }
 
+    /// @brief Replaces the list of servers.
+    void setBackends(const std::vector<BackendEntry> &serving, TimePoint now);
+    /// @brief Records which software version began a stream, and tells other nodes unless the
+    /// version is the only one. To be called before the caller gets the first event: a node may end
+    /// at any time.
+    void streamBegan(const ServiceId &service, const StreamOrigin &origin, TimePoint now);
+
     /// @brief Records when weights were announced, and logs it if it changes the recorded date.
     /// @param by source of the date, for the log
     void recordWeightsDate(const AnnouncedWeights &weights, AnnouncementSource grounds,
@@ -91,6 +109,8 @@
     WorkDigester digester;
     RequestQuarantine quarantine;
     Random random;
+    StreamOrigins origins;
+    SoftwareHistory software;
     RelayNodes relays;
     Metrics metrics;
     ReachMonitor reach;
@@ -112,6 +132,15 @@
     std::function<void(const std::vector<Endpoint> &)> onPeersChanged; ///< called with the new list
     std::function<void()> notifyPeers = [] {
     }; ///< sends urgent updates to other nodes without delay
+    /// Tells other nodes the origin of a stream.
+    std::function<void(const StreamOrigin &)> tellOrigin = [](const StreamOrigin &) {};
+    /// Tells other nodes the origins of all streams that this node knows.
+    std::function<void()> tellAllOrigins = [] {};
+    /// Asks other nodes for the origin of an attempt's stream at a service.
+    std::function<asio::awaitable<OriginReport>(std::uint64_t, ServiceId)> askOrigin =
+            [](std::uint64_t, const ServiceId &) -> asio::awaitable<OriginReport> {
+        co_return OriginReport{};
+    };
 };
 
 } // namespace vanilladyke
--- a/src/vanilladyke/app/node_command.cpp
+++ b/src/vanilladyke/app/node_command.cpp
@@ -132,6 +132,13 @@
             m_sharing.setPeers(peers);
         };
         m_traffic.notifyPeers = [this] { m_sharing.sendSoon(); };
+        m_traffic.tellOrigin = [this](const StreamOrigin &origin) {
+            m_sharing.origins().tell(origin);
+        };
+        m_traffic.tellAllOrigins = [this] { m_sharing.origins().tellAll(); };
+        m_traffic.askOrigin = [this](std::uint64_t attempt, ServiceId service) {
+            return m_sharing.origins().ask(attempt, std::move(service));
+        };
         m_sharing.nodeSeen = [this](std::uint64_t node, std::uint64_t centre, Endpoint endpoint) {
             asio::post(m_controlContext, [this, node, centre, endpoint = std::move(endpoint)] {
                 m_follower.nodeSeen(node, centre, endpoint);
--- a/src/vanilladyke/model/refusal.cpp
+++ b/src/vanilladyke/model/refusal.cpp
@@ -33,6 +33,8 @@
         ReasonRow{RefusalReason::OutcomeUnknown, "outcome_unknown", 504},
         ReasonRow{RefusalReason::ShuttingDown, "shutting_down", 503},
         ReasonRow{RefusalReason::EndsEngines, "ends_engines", 503},
+        ReasonRow{RefusalReason::UnknownOrigin, "unknown_origin", 503},
+        ReasonRow{RefusalReason::VersionGone, "version_gone", 503},
 };
 
 const ReasonRow &rowOf(RefusalReason reason)
--- a/src/vanilladyke/node/control_plane.cpp
+++ b/src/vanilladyke/node/control_plane.cpp
@@ -239,7 +239,7 @@
 void ControlPlane::publishNow()
 {
     postToTraffic([serving = m_roster.serving()](TrafficState &traffic) {
-        traffic.tracker.setBackends(serving);
+        traffic.setBackends(serving, MonotonicClock::now());
         traffic.pool.closeStale(
                 [&](const EngineId &id) { return traffic.tracker.contains(id) || isRelayId(id); },
                 MonotonicClock::now());
--- a/src/vanilladyke/node/load_sharing.cpp
+++ b/src/vanilladyke/node/load_sharing.cpp
@@ -139,6 +139,12 @@
     , m_sequence(static_cast<std::uint64_t>(
               std::chrono::system_clock::now().time_since_epoch().count()))
     , m_routes(m_dataCentre)
+    , m_origins(state,
+                [this](const wire::StreamOrigins &origins, const std::vector<Udp::endpoint> &to) {
+                    wire::NodeLoad message;
+                    *message.mutable_streams() = origins;
+                    m_port.send(message.SerializeAsString(), to);
+                })
 {}
 
 std::optional<std::string> LoadSharing::open()
@@ -157,6 +163,7 @@
         }
     }
     m_routes.setNodes(addresses);
+    m_origins.setPeers(addresses);
 }
 
 Duration LoadSharing::spacing() const
@@ -284,6 +291,10 @@
         m_state.metrics.count("peer_datagrams_unreadable_total");
         return;
     }
+    if (message.has_streams()) {
+        m_origins.receive(message.streams(), from);
+        return;
+    }
     Endpoint address;
     const bool hasAddress = parseEndpoint(message.address(), &address);
     const auto origin = hasAddress ? SignedPort::addressOf(address) : std::optional(from);
@@ -298,6 +309,7 @@
     const TimePoint now = MonotonicClock::now();
     peer.sequence = message.sequence();
     peer.at = now;
+    m_origins.nodeSeen(*origin, now);
     if (m_routes.nodeSeen(*origin, message.data_centre(), now)) {
         countPeers(); // it started after the list was read
     }
--- a/src/vanilladyke/policy/backend_choice.cpp
+++ b/src/vanilladyke/policy/backend_choice.cpp
@@ -215,8 +215,9 @@
             break;
         }
         const EngineId &id = state->entry.id;
-        const bool isOffered =
-                (query.only.empty() || isAmong(query.only, id)) && !isAmong(query.exclude, id);
+        const bool isOffered = (query.only.empty() || isAmong(query.only, id))
+                               && !isAmong(query.exclude, id)
+                               && (!query.software || *query.software == state->software);
         if (!isOffered || !canBeginInTime(*state, query, dates, now)) {
             continue;
         }
--- a/src/vanilladyke/policy/backend_tracker.cpp
+++ b/src/vanilladyke/policy/backend_tracker.cpp
@@ -1,6 +1,7 @@
 #include "vanilladyke/policy/backend_tracker.hpp"
 
 #include "vanilladyke/model/fleet_index.hpp"
+#include "vanilladyke/policy/stream_origins.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -31,6 +32,7 @@
             recordWeights(state, model, version);
         }
         state.hash = hashOf(entry.id);
+        state.software = softwareKey(entry.software);
         next.emplace(entry.id, std::move(state));
     }
     m_states = std::move(next);
@@ -534,6 +536,20 @@
     return known == m_states.end() ? nullptr : &known->second.entry;
 }
 
+bool BackendTracker::serves(const ServiceId &service, std::uint64_t software) const
+{
+    const auto known = m_byService.find(service);
+    return known != m_byService.end()
+           && std::any_of(known->second.begin(), known->second.end(),
+                          [software](const State *state) { return state->software == software; });
+}
+
+bool BackendTracker::hasSoftware(const EngineId &id, std::uint64_t software) const
+{
+    const auto known = m_states.find(id);
+    return known != m_states.end() && known->second.software == software;
+}
+
 std::vector<BackendEntry> BackendTracker::entries() const
 {
     std::vector<BackendEntry> entries;
--- a/src/vanilladyke/policy/further_try.cpp
+++ b/src/vanilladyke/policy/further_try.cpp
@@ -22,6 +22,9 @@
     if (state.hasPartialAnswer && !state.hasEventId) {
         return FurtherTryDenial::NoEventId;
     }
+    if (state.hasPartialAnswer && state.isOriginUnknown) {
+        return FurtherTryDenial::UnknownOrigin;
+    }
     const bool mayReturn = state.hasPartialAnswer && state.canReturn;
     if (state.mayHaveRun >= state.maxServers && !mayReturn) {
         return FurtherTryDenial::Servers;
@@ -84,6 +87,8 @@
         return "switched_off";
     case FurtherTryDenial::NoEventId:
         return "no_event_id";
+    case FurtherTryDenial::UnknownOrigin:
+        return "unknown_origin";
     case FurtherTryDenial::Servers:
         return "servers";
     case FurtherTryDenial::Answered:
--- a/src/vanilladyke/traffic/exchange.cpp
+++ b/src/vanilladyke/traffic/exchange.cpp
@@ -41,6 +41,11 @@
         }
         co_return co_await refuse(httpStatus(refusal->reason), toString(refusal->reason), after);
     }
+    const bool isTakenUp = m_route->kind == RequestKind::Stream && !m_resumeAfter.empty();
+    if (isTakenUp && !co_await bindToOrigin()) {
+        co_return co_await refuse(httpStatus(RefusalReason::UnknownOrigin),
+                                  toString(RefusalReason::UnknownOrigin), std::nullopt);
+    }
     if (!m_request->relay) { // else the node that the caller asked has counted it
         m_state.retryBudget.countRequest(m_service, m_request->arrived);
     }
@@ -106,6 +111,9 @@
     }
     m_service = RouteTable::pickService(*m_route, uniform(m_state.random));
     m_resumeAfter = m_request->lastEventId;
+    if (m_route->kind == RequestKind::Stream && m_resumeAfter.empty() && !m_request->relay) {
+        m_state.software.observeLifetime(m_service, comesBackUntil() - now);
+    }
     // After half the target it is better for the caller to try another node.
     m_waitUntil = now + m_route->targetLatency / 2;
     m_deadline = now + m_route->timeout;
@@ -147,6 +155,9 @@
     co_await pauseBeforeResuming();
     for (;;) {
         const TimePoint now = MonotonicClock::now();
+        if (isVersionGone()) {
+            co_return nullptr; // none may come back in time, and the caller may begin anew
+        }
         if (m_callerDisconnected || m_timedOut || m_deadline - now < MinTimeForTry
             || heldUntil(now)) {
             co_return nullptr;
@@ -218,8 +229,10 @@
 bool Exchange::canReturn(TimePoint now) const
 {
     return openTries().empty() && m_state.reach.reach(m_service, now) != Reach::None
-           && std::any_of(m_leftServers.begin(), m_leftServers.end(),
-                          [this](const EngineId &each) { return m_state.tracker.contains(each); });
+           && std::any_of(m_leftServers.begin(), m_leftServers.end(), [this](const EngineId &each) {
+                  return m_software ? m_state.tracker.hasSoftware(each, *m_software)
+                                    : m_state.tracker.contains(each);
+              });
 }
 
 bool Exchange::mayTryAgain(TimePoint now)
@@ -230,6 +243,7 @@
     state.resumesStreams = m_state.settings.resumesStreams;
     state.hasPartialAnswer = m_headWritten;
     state.hasEventId = !m_events.lastId().empty();
+    state.isOriginUnknown = !m_software;
     state.isQuarantined = heldUntil(now).has_value();
     state.isCallerGone = m_callerDisconnected;
     state.isBudgetSpent = m_budgetSpent;
--- a/src/vanilladyke/traffic/exchange_answers.cpp
+++ b/src/vanilladyke/traffic/exchange_answers.cpp
@@ -96,6 +96,9 @@
         }
         if (!whole.empty() || isLast) {
             dropHedges();
+            if (!whole.empty()) {
+                bindToServer(*attempt);
+            }
             const bool isWritten = co_await writeEvents(attempt->head(), whole, isLast);
             if (!isWritten) {
                 callerDisconnected();
@@ -122,7 +125,11 @@
     std::string out;
     if (!m_headWritten) {
         out = statusLine(head.status, head.reason) + head.forwardedHeaders + m_sink.connectionLine()
-              + "Transfer-Encoding: chunked\r\n\r\n";
+              + "Transfer-Encoding: chunked\r\n";
+        if (m_request->relay && m_software) {
+            out += m_state.dialect.softwareLine(*m_software);
+        }
+        out += "\r\n";
         m_headWritten = true;
     }
     if (!events.empty()) {
@@ -189,6 +196,9 @@
     if (held && ran() == Ran::No) {
         co_return co_await refuse(503, toString(RefusalReason::EndsEngines), *held - now);
     }
+    if (ran() == Ran::No && isVersionGone()) {
+        co_return co_await refuse(503, toString(RefusalReason::VersionGone), std::nullopt);
+    }
     if (ran() == Ran::No) {
         constexpr Duration MinRetryAfter = std::chrono::milliseconds(100);
         const Duration after = std::max<Duration>(m_noBackend.retryAt - now, MinRetryAfter);
--- a/src/vanilladyke/traffic/exchange_query.cpp
+++ b/src/vanilladyke/traffic/exchange_query.cpp
@@ -39,6 +39,7 @@
     result.target = m_route->targetLatency;
     result.urgency = urgency();
     result.exclude = m_triedEngines;
+    result.software = m_software;
     if (isBoundToLeftServers()) {
         result.only = m_leftServers;
     }
--- a/src/vanilladyke/traffic/exchange_relay.cpp
+++ b/src/vanilladyke/traffic/exchange_relay.cpp
@@ -68,8 +68,9 @@
     options.resumeAfter = m_resumeAfter;
     // This try has been counted as one of the runs already.
     options.terms.mostServers = std::max(1, mostServers() - (m_runs - 1));
+    options.terms.software = m_software;
     options.terms.seal =
-            relaySeal(m_state.digester, *m_request, m_resumeAfter, options.terms.mostServers).str();
+            relaySeal(m_state.digester, *m_request, m_resumeAfter, options.terms).str();
     return options;
 }
 
--- /dev/null
+++ b/src/vanilladyke/traffic/exchange_software.cpp
@@ -0,0 +1,96 @@
+#include "vanilladyke/traffic/exchange.hpp"
+
+#include "vanilladyke/base/log.hpp"
+
+#include <algorithm>
+
+/// The part of Exchange that keeps a stream at the software version that began it.
+namespace vanilladyke {
+
+asio::awaitable<bool> Exchange::bindToOrigin()
+{
+    std::string_view source = "relay";
+    m_software = m_request->relay ? m_request->relay->software : std::nullopt;
+    const TimePoint begin = MonotonicClock::now();
+    if (!m_software && !m_request->firstAttempt.empty()) {
+        source = "own";
+        m_software = m_state.origins.find(attemptKey(m_request->firstAttempt), begin);
+    }
+    OriginReport report;
+    if (!m_software) {
+        source = "peer";
+        report = co_await m_state.askOrigin(attemptKey(m_request->firstAttempt), m_service);
+        m_software = report.software;
+    }
+    const TimePoint now = MonotonicClock::now();
+    if (!m_software && m_state.isFresh()) {
+        source = "only_version";
+        m_software = m_state.software.onlyVersion(m_service, now);
+        if (!m_software && report.only && m_state.software.isAlone(m_service, *report.only)) {
+            m_software = report.only;
+        }
+    }
+    if (!m_software) {
+        source = "none";
+    } else if (!m_state.tracker.serves(m_service, *m_software)) {
+        for (const ServiceShare &share : m_route->split) {
+            const bool serves = m_state.tracker.serves(share.service, *m_software);
+            m_service = serves && share.weight > 0 ? share.service : m_service;
+        }
+    }
+    m_state.metrics.count("streams_taken_up_total{origin=\"" + std::string(source) + "\"}");
+    m_state.metrics.observe("stream_origin_seconds", now - begin);
+    LogEvent("stream_taken_up")
+            .field("id", m_request->id)
+            .field("first_attempt",
+                   m_request->firstAttempt.empty() ? "none" : m_request->firstAttempt)
+            .field("after_event", m_request->lastEventId)
+            .field("origin", source)
+            .field("software", m_software.value_or(0))
+            .field("answers", report.answers)
+            .field("after_ms", now - begin);
+    co_return m_software.has_value();
+}
+
+TimePoint Exchange::comesBackUntil() const
+{
+    return m_request->deadline.value_or(m_request->arrived + StreamOrigins::MaxLifetime);
+}
+
+void Exchange::bindToServer(const BackendTry &attempt)
+{
+    if (m_isOriginRecorded) {
+        return;
+    }
+    m_isOriginRecorded = true;
+    const TimePoint now = MonotonicClock::now();
+    if (!m_software) {
+        m_software = attempt.isRelay() ? attempt.head().software
+                                       : softwareKey(attempt.choice().backend.software);
+    }
+    if (!m_software) { // handed on by a node of an older build
+        m_software = m_state.software.onlyVersion(m_service, now);
+    }
+    if (m_software) {
+        m_state.streamBegan(m_service, {attemptKey(m_request->id), *m_software, comesBackUntil()},
+                            now);
+    }
+}
+
+bool Exchange::hasOtherSoftware(const BackendTry &attempt) const
+{
+    if (!m_software) {
+        return false;
+    }
+    const bool isSuccess = attempt.head().status >= 200 && attempt.head().status < 300;
+    return isSuccess
+           && (attempt.isRelay() ? attempt.head().software != m_software
+                                 : softwareKey(attempt.choice().backend.software) != *m_software);
+}
+
+bool Exchange::isVersionGone() const
+{
+    return m_software && !m_state.tracker.serves(m_service, *m_software);
+}
+
+} // namespace vanilladyke
--- a/src/vanilladyke/traffic/exchange_tries.cpp
+++ b/src/vanilladyke/traffic/exchange_tries.cpp
@@ -47,6 +47,10 @@
     if (!end && isDiscarded(*attempt)) {
         end = m_headWritten ? TryResult::Interrupted : TryResult::Lost;
     }
+    if (!end && hasOtherSoftware(*attempt)) {
+        attempt->abort(AbortReason::Unneeded);
+        end = m_headWritten ? TryResult::Interrupted : TryResult::Lost;
+    }
     if (!end) {
         end = co_await forward(attempt);
     }
--- a/src/vanilladyke/traffic/relay_seal.cpp
+++ b/src/vanilladyke/traffic/relay_seal.cpp
@@ -3,11 +3,16 @@
 namespace vanilladyke {
 
 WorkDigest relaySeal(const WorkDigester &digester, const CallerRequest &request,
-                     const std::string &resumeAfter, int mostServers)
+                     const std::string &resumeAfter, const RelayTerms &sealed)
 {
     // None of these holds a line end, so that different values differ as a whole.
-    const std::string terms = "relay\n" + request.id + "\n" + request.key.value_or("") + "\n"
-                              + resumeAfter + "\n" + std::to_string(mostServers);
+    std::string terms = "relay\n" + request.id + "\n" + request.key.value_or("") + "\n"
+                        + resumeAfter + "\n" + std::to_string(sealed.mostServers);
+    // Only where it is set: a node of a build that doesn't know it rejects the request then, and
+    // takes all others.
+    if (sealed.software) {
+        terms += "\nsoftware " + std::to_string(*sealed.software);
+    }
     return digester.digest({terms, request.method, request.host, request.target, request.body});
 }
 
@@ -17,10 +22,7 @@
         return false;
     }
     const auto seal = parseWorkDigest(request.relay->seal);
-    return seal
-           && *seal
-                      == relaySeal(digester, request, request.lastEventId,
-                                   request.relay->mostServers);
+    return seal && *seal == relaySeal(digester, request, request.lastEventId, *request.relay);
 }
 
 } // namespace vanilladyke
--- a/src/vanilladyke/traffic/scripted_backend.hpp
+++ b/src/vanilladyke/traffic/scripted_backend.hpp
@@ -155,9 +155,13 @@
             request.key = std::string(fields["Key"]);
         }
         if (fields.count("Seal") > 0) {
-            request.relay = RelayTerms{std::string(fields["Seal"]),
-                                       std::stoi(std::string(fields["Servers"]))};
+            request.relay = RelayTerms{
+                    std::string(fields["Seal"]), std::stoi(std::string(fields["Servers"])), {}};
+            if (fields.count("Software") > 0) {
+                request.relay->software = std::stoull(std::string(fields["Software"]));
+            }
         }
+        request.firstAttempt = std::string(fields["First-Attempt"]);
         request.lastEventId = std::string(fields["Resume"]);
         if (fields.count("Deadline") > 0) {
             request.deadline =
@@ -179,10 +183,16 @@
         *lines += "Key: " + options.key.value_or("") + "\r\nSeal: " + options.terms.seal
                   + "\r\nServers: " + std::to_string(options.terms.mostServers)
                   + "\r\nDeadline: " + std::to_string(left.count()) + "\r\n";
+        if (options.terms.software) {
+            *lines += "Software: " + std::to_string(*options.terms.software) + "\r\n";
+        }
         if (!options.resumeAfter.empty()) {
             *lines += "Resume: " + options.resumeAfter + "\r\n";
         }
     };
+    dialect.softwareLine = [](std::uint64_t software) {
+        return "Software: " + std::to_string(software) + "\r\n";
+    };
     dialect.notExecutedLine = "Refused: 1\r\n";
     dialect.parseAnswer = [](int status, const HttpFields &fields) {
         AnswerHead head;
@@ -192,6 +202,9 @@
         head.isStamped = fields.count("Stamp") > 0;
         head.isNotExecuted = fields.count("Refused") > 0;
         head.isEncoded = fields.count("Content-Encoding") > 0;
+        if (fields.count("Software") > 0) {
+            head.software = std::stoull(std::string(fields["Software"]));
+        }
         head.forwardedHeaders =
                 "Id: " + head.requestId + "\r\nStamp: " + std::string(fields["Stamp"]) + "\r\n";
         return head;
--- a/src/vanilladyke/traffic/traffic_state.cpp
+++ b/src/vanilladyke/traffic/traffic_state.cpp
@@ -4,6 +4,22 @@
 
 namespace vanilladyke {
 
+void TrafficState::setBackends(const std::vector<BackendEntry> &serving, TimePoint now)
+{
+    tracker.setBackends(serving);
+    if (software.setServers(serving, now)) {
+        tellAllOrigins(); // streams that began until now were not told of
+    }
+}
+
+void TrafficState::streamBegan(const ServiceId &service, const StreamOrigin &origin, TimePoint now)
+{
+    origins.record(origin, now);
+    if (!software.onlyVersion(service, now)) {
+        tellOrigin(origin);
+    }
+}
+
 void TrafficState::recordWeightsDate(const AnnouncedWeights &weights, AnnouncementSource grounds,
                                      std::string_view by)
 {
