--- a/include/vanilladyke/traffic/exchange.hpp
+++ b/include/vanilladyke/traffic/exchange.hpp
@@ -152,6 +152,8 @@
     /// the request.
     [[nodiscard]] asio::awaitable<void> recordEngineEnd(BackendTryPtr attempt);
     void logFailedTry(const BackendTry &attempt, TryResult end) const;
+    /// Ids of the parts of the prompt that other requests may share, for the log.
+    [[nodiscard]] std::string sharedParts() const;
     /// Clears the request of suspicion after a complete answer.
     void recordCompleteAnswer();
     [[nodiscard]] std::uint64_t customerHash() const;
--- a/src/vanilladyke/traffic/exchange_tries.cpp
+++ b/src/vanilladyke/traffic/exchange_tries.cpp
@@ -216,6 +216,17 @@
     }
 }
 
+std::string Exchange::sharedParts() const
+{
+    constexpr std::size_t MaxLogged = 6;
+    const std::vector<PromptPart> &parts = m_request->parts;
+    std::string result;
+    for (std::size_t i = 0; i + 1 < parts.size() && i < MaxLogged; ++i) {
+        result += (result.empty() ? "" : ",") + parts[i].id;
+    }
+    return result.empty() ? "none" : result;
+}
+
 void Exchange::logFailedTry(const BackendTry &attempt, TryResult end) const
 {
     const AbortReason reason = attempt.abortReason();
@@ -235,6 +246,7 @@
             .field("timed_out", m_timedOut)
             .field("caller_left", m_callerDisconnected)
             .field("engine_ended", attempt.engineEnded)
+            .field("parts", attempt.engineEnded ? sharedParts() : "none")
             .field("digest", attempt.engineEnded ? digest()->str() : "none");
 }
 
