--- a/tests/integration/platform_fleet.py
+++ b/tests/integration/platform_fleet.py
@@ -234,9 +234,11 @@
 class Engine:
     """Runs requests one at a time for each connection, keeps what ran, and takes orders of weights."""
 
-    def __init__(self, name, service="llm", model="m", load_seconds=0.3, ends_under=(), ended=lambda _: None):
+    def __init__(self, name, service="llm", model="m", load_seconds=0.3, ends_under=(), ends_on=(),
+                 ended=lambda _: None):
         self.name, self.service, self.model, self.load_seconds = name, service, model, load_seconds
         self.ends_under, self.ended = ends_under, ended  # bodies that end it, and who is told
+        self.ends_on = ends_on  # parts of prompts, never the last, on which it ends
         self.version, self.busy, self.sequence, self.beats = 1, False, 0, 0
         self.state = "ready"
         self.software = None  # version of its software, as its entry and the events of its streams name it
@@ -370,7 +372,10 @@
             with self.lock:
                 self.runs.append(identity)
             common["X-Vanilladyke-Response-Stamp"] = "stamp-" + identity
-            if body in self.ends_under:
+            parts = {each.split(":")[0] for each in
+                     (call.headers.get("X-Vanilladyke-Prompt-Prefix") or "").split(",")[:-1]}
+            if body in self.ends_under or parts.intersection(self.ends_on):
+                time.sleep(self.seconds)
                 self.begin(call, common)
                 time.sleep(0.03)
                 self.end()
@@ -438,6 +443,7 @@
     def __init__(self, cluster):
         self.cluster, self.store, self.engines, self.nodes = cluster, Store(), [], []
         self.ends_under, self.ends = set(), []  # bodies that end engines; when engines ended, and which
+        self.ends_on = set()  # parts of prompts that do
         self.beating = True
         self.config = {
             "version": 5,
@@ -467,7 +473,7 @@
         self.store.put("keyed.op", "version/m", {"model": "m", "version": version})
 
     def engine(self, name, **options):
-        engine = Engine(name, ends_under=self.ends_under, ended=self.engine_ended, **options)
+        engine = Engine(name, ends_under=self.ends_under, ends_on=self.ends_on, ended=self.engine_ended, **options)
         self.engines.append(engine)
         return engine
 
