--- a/include/vanilladyke/policy/request_quarantine.hpp
+++ b/include/vanilladyke/policy/request_quarantine.hpp
@@ -2,7 +2,7 @@
 
 #include "vanilladyke/base/random.hpp"
 #include "vanilladyke/base/time.hpp"
-#include "vanilladyke/model/work_digest.hpp"
+#include "vanilladyke/policy/part_evidence.hpp"
 
 #include <optional>
 #include <unordered_map>
@@ -30,21 +30,17 @@
 /// part of ReleaseSpread. If the request terminates an engine again, the other nodes receive the
 /// update before they admit it.
 ///
+/// Requests that share a part of their prompts, no two alike, are caught by that part: the same
+/// ledger keeps the ends of engines under each shared part, and part_evidence.hpp attributes them.
+/// What is attributed to a part no longer counts against the requests that were there.
+///
 /// Updates spread without a coordinator. The node that saw a termination sends it Repeats times;
 /// afterwards all nodes together resend RefreshPerSecond randomly drawn requests per second, so
 /// that a node that was partitioned or has just started catches up soon. Memory is bounded: a
 /// customer that keeps sending new requests evicts only its own.
 namespace vanilladyke {
 
-/// @brief Termination of an engine while it held a request.
-struct EngineTermination
-{
-    std::uint64_t engine = 0; ///< hash of the engine id, which changes with a restart
-    TimePoint at;
-    bool hadJustBegun = false; ///< the request was queued there or had started within JustBegun
-};
-
-/// @brief State of one request as exchanged between nodes.
+/// @brief State of one request, or of one part of prompts, as exchanged between nodes.
 struct QuarantineUpdate
 {
     struct End
@@ -52,12 +48,15 @@
         std::uint64_t engine = 0;
         Duration age{};
         bool hadJustBegun = false;
+        std::uint64_t request = 0;
+        std::optional<Duration> sentAge;
     };
 
     WorkDigest digest;
     std::uint64_t customer = 0;          ///< hash of its id
     std::optional<Duration> answeredAge; ///< time since the last complete answer
     std::vector<End> ends;
+    bool isPart = false;
 };
 
 /// @brief The quarantine state of one node. Pure: no I/O, no clock.
@@ -79,6 +78,17 @@
     /// copies are likely to follow.
     static constexpr Duration RefreshTime = std::chrono::seconds(20);
 
+    /// Ends in sequence, or engines that ended in all, after which a part is withheld for HoldTime;
+    /// with fewer of both for SuspicionTime.
+    static constexpr int EndsToHoldPart = 3;
+    static constexpr int EnginesToHoldPart = 4;
+    /// Time for which a part is withheld on little evidence. An engine that has ended is back after
+    /// some seconds.
+    static constexpr Duration SuspicionTime = std::chrono::seconds(10);
+    /// A part that was answered within this time before an end is most likely sound.
+    static constexpr Duration AnswerMemory = std::chrono::minutes(1);
+    static constexpr std::size_t MaxAnsweredParts = 16'384;
+
     /// A slow node may read an answer this long after the engine that wrote it has terminated.
     static constexpr Duration LateAnswerTime = std::chrono::seconds(1);
 
@@ -100,6 +110,16 @@
     /// @return whether this put the request into quarantine
     bool recordTermination(const WorkDigest &digest, std::uint64_t customer,
                            const EngineTermination &end);
+    /// @brief The same for a part of the request's prompt that other requests may share.
+    bool recordPartTermination(const WorkDigest &part, std::uint64_t customer,
+                               const EngineTermination &end);
+    /// @brief Whether there is evidence against any part. If not, no digest of a part is needed.
+    [[nodiscard]] bool hasPartEvidence() const { return m_parts > 0; }
+    /// @brief Records a complete answer to a request with this part.
+    /// @return whether there was evidence against the part
+    bool recordPartAnswer(const WorkDigest &part, TimePoint now);
+    /// @brief Whether there is enough evidence against the part to withdraw requests that wait.
+    [[nodiscard]] bool isCulprit(const WorkDigest &part) const;
     /// @brief Records a complete answer to the request. @return whether there was evidence against
     /// it
     bool recordAnswer(const WorkDigest &digest, TimePoint now);
@@ -127,6 +147,7 @@
 private:
     /// Older terminations do not affect the decision.
     static constexpr std::size_t MaxTerminations = 4;
+    static constexpr std::size_t MaxPartTerminations = 8;
 
     struct Request
     {
@@ -135,17 +156,25 @@
         std::optional<TimePoint> answeredAt;
         TimePoint changedAt;
         int sendsLeft = 0;
+        bool isPart = false;
     };
     using Requests = std::unordered_map<WorkDigest, Request>;
 
-    [[nodiscard]] static bool hasEnoughEvidence(const Request &request);
+    [[nodiscard]] bool hasEnoughEvidence(const WorkDigest &digest, const Request &request) const;
+    bool record(const WorkDigest &digest, std::uint64_t customer, const EngineTermination &end,
+                bool isPart);
+    void apply(const QuarantineUpdate &update, TimePoint now);
+    /// Attributes the ends of engines anew.
+    void attributeEnds();
+    void rememberAnswer(const WorkDigest &part, TimePoint now);
     [[nodiscard]] std::optional<TimePoint> heldUntil(const WorkDigest &digest,
                                                      const Request &request, TimePoint now) const;
     [[nodiscard]] bool isExempted(const WorkDigest &digest) const;
     /// @return whether the termination was not recorded before
     bool add(Request &request, const EngineTermination &end);
     static void discardEvidence(Request &request, TimePoint answeredAt);
-    Request &requestFor(const WorkDigest &digest, std::uint64_t customer, TimePoint now);
+    Request &requestFor(const WorkDigest &digest, std::uint64_t customer, bool isPart,
+                        TimePoint now);
     /// Evicts a request if there is no room for another one of the customer.
     void evictIfFull(std::uint64_t customer, TimePoint now);
     void erase(Requests::iterator request);
@@ -158,6 +187,11 @@
     std::unordered_map<std::uint64_t, std::size_t> m_byCustomer;
     std::unordered_set<std::uint64_t> m_terminatedEngines; ///< named by recorded ends
     std::vector<WorkDigest> m_exempted;
+    std::size_t m_parts = 0; ///< of the entries
+    std::unordered_map<WorkDigest, CulpritPart> m_culprits;
+    std::unordered_set<std::uint64_t> m_attributed; ///< engines whose end is a part's
+    std::unordered_map<WorkDigest, TimePoint> m_answeredParts;
+    TimePoint m_forgotAt; ///< when old answers of parts were last forgotten
     std::optional<TimePoint> m_sentAt;
     TimePoint m_prunedAt;
     bool m_hasUpdates = false;
--- a/include/vanilladyke/traffic/exchange.hpp
+++ b/include/vanilladyke/traffic/exchange.hpp
@@ -154,8 +154,14 @@
     void logFailedTry(const BackendTry &attempt, TryResult end) const;
     /// Ids of the parts of the prompt that other requests may share, for the log.
     [[nodiscard]] std::string sharedParts() const;
-    /// Clears the request of suspicion after a complete answer.
-    void recordCompleteAnswer();
+    /// Clears the request and its parts of suspicion after a complete answer.
+    /// @param isDelivered the answer was a success
+    void recordCompleteAnswer(bool isDelivered);
+    /// Whether the digest is the request's, or that of one of its shared parts.
+    [[nodiscard]] bool isWork(const WorkDigest &quarantined) const;
+    /// Digests of the parts of its prompt that other requests may share, the same on all nodes;
+    /// none until the fleet's key is known.
+    [[nodiscard]] const std::vector<WorkDigest> &partDigests() const;
     [[nodiscard]] std::uint64_t customerHash() const;
     /// End of the request's quarantine; none if it is not quarantined.
     [[nodiscard]] std::optional<TimePoint> heldUntil(TimePoint now) const;
@@ -239,6 +245,7 @@
     BackendTryPtr m_successor;           ///< a hedge that has begun to answer
     EventSplitter m_events;
     std::optional<ErrorAnswer> m_error;
+    mutable std::optional<std::vector<WorkDigest>> m_partDigests; ///< computed when needed
     std::vector<EngineId> m_triedEngines;
     std::vector<Endpoint> m_triedRelays;
     std::string m_resumeAfter;
--- a/src/vanilladyke/node/load_sharing.cpp
+++ b/src/vanilladyke/node/load_sharing.cpp
@@ -60,6 +60,7 @@
     request->set_digest_high(update.digest.high);
     request->set_digest_low(update.digest.low);
     request->set_customer(update.customer);
+    request->set_is_part(update.isPart);
     request->set_is_answered(update.answeredAge.has_value());
     request->set_answered_age_ms(millis(update.answeredAge.value_or(Duration::zero())));
     for (const QuarantineUpdate::End &end : update.ends) {
@@ -67,6 +68,8 @@
         each->set_engine(end.engine);
         each->set_age_ms(millis(end.age));
         each->set_had_just_begun(end.hadJustBegun);
+        each->set_request(end.request);
+        each->set_sent_age_ms(end.sentAge ? millis(*end.sentAge) + 1 : 0);
     }
 }
 
@@ -116,14 +119,20 @@
 
 QuarantineUpdate read(const wire::QuarantinedRequest &request)
 {
-    QuarantineUpdate update{
-            {request.digest_high(), request.digest_low()}, request.customer(), std::nullopt, {}};
+    QuarantineUpdate update{{request.digest_high(), request.digest_low()},
+                            request.customer(),
+                            std::nullopt,
+                            {},
+                            request.is_part()};
     if (request.is_answered()) {
         update.answeredAge = std::chrono::milliseconds(request.answered_age_ms());
     }
     for (const wire::QuarantinedRequest::End &end : request.ends()) {
-        update.ends.push_back(
-                {end.engine(), std::chrono::milliseconds(end.age_ms()), end.had_just_begun()});
+        update.ends.push_back({end.engine(), std::chrono::milliseconds(end.age_ms()),
+                               end.had_just_begun(), end.request(), std::nullopt});
+        if (end.sent_age_ms() > 0) {
+            update.ends.back().sentAge = std::chrono::milliseconds(end.sent_age_ms());
+        }
     }
     return update;
 }
--- a/src/vanilladyke/policy/request_quarantine_test.cpp
+++ b/src/vanilladyke/policy/request_quarantine_test.cpp
@@ -1,4 +1,4 @@
-#include "vanilladyke/policy/request_quarantine.hpp"
+#include "vanilladyke/policy/quarantine_replay.hpp"
 
 #include <gtest/gtest.h>
 
@@ -9,11 +9,7 @@
 
 namespace {
 
-using std::chrono::milliseconds;
 using std::chrono::minutes;
-using std::chrono::seconds;
-
-constexpr TimePoint Start{seconds(1000)};
 
 WorkDigest work(std::uint64_t number)
 {
@@ -186,182 +182,11 @@
     EXPECT_LE(sent, 60U); // about RefreshPerSecond, regardless of the number of nodes
 }
 
-/// Simulates a small fleet: requests run on randomly drawn engines, engines terminate, nodes
-/// exchange updates every 80 ms with occasional datagram loss. Callers retry once.
-class Replay
-{
-public:
-    struct Result
-    {
-        int asked = 0;
-        int refused = 0; ///< attempts of harmless requests refused by the quarantine
-        int ended = 0;   ///< engines that the poison request terminated
-        int late = 0;    ///< sends of the poison request 3 s or more after the third termination
-    };
-
-    Replay(std::uint64_t seed, bool hasPoisonRequest, int crashes)
-        : m_random(seed)
-        , m_hasPoisonRequest(hasPoisonRequest)
-        , m_crashes(crashes)
-    {
-        for (std::uint64_t i = 0; i < Nodes; ++i) {
-            m_nodes.emplace_back(i);
-        }
-        m_backAt.fill(Start);
-    }
-
-    Result run()
-    {
-        for (TimePoint now = Start; now < Start + seconds(30); now += Step) {
-            step(now);
-        }
-        return m_result;
-    }
-
-private:
-    static constexpr std::size_t Nodes = 9;
-    static constexpr std::size_t Engines = 9;
-    static constexpr Duration Step = milliseconds(10);
-    static constexpr WorkDigest PoisonRequest{1, 1};
-
-    struct Running
-    {
-        WorkDigest digest;
-        std::size_t node = 0;
-        std::size_t engine = 0;
-        TimePoint begins;
-        TimePoint endsAt;
-        int sends = 1;
-        int attempt = 1;
-    };
-
-    bool chance(double part) { return uniform(m_random) < part; }
-    std::uint64_t idOf(std::size_t engine) const { return 100 * m_lives[engine] + engine; }
-
-    void send(WorkDigest digest, std::size_t node, int sends, int attempt, TimePoint now)
-    {
-        std::vector<std::size_t> live;
-        for (std::size_t i = 0; i < Engines; ++i) {
-            if (m_backAt[i] <= now) {
-                live.push_back(i);
-            }
-        }
-        if (live.empty()) {
-            return;
-        }
-        const TimePoint begins = now + milliseconds(20 + uniformBelow(m_random, 200));
-        const Duration lasts = digest == PoisonRequest
-                                       ? Duration(milliseconds(50))
-                                       : Duration(milliseconds(100 + uniformBelow(m_random, 900)));
-        m_running.push_back({digest, node, live[uniformBelow(m_random, live.size())], begins,
-                             begins + lasts, sends, attempt});
-        const bool isLate = m_thirdEnd && now > *m_thirdEnd + seconds(3);
-        m_result.late += digest == PoisonRequest && isLate ? 1 : 0;
-    }
-
-    void arrive(WorkDigest digest, int attempt, TimePoint now)
-    {
-        const std::size_t node = uniformBelow(m_random, Nodes);
-        const bool isHeld = m_nodes[node].heldUntil(digest, now).has_value();
-        if (digest != PoisonRequest) {
-            m_result.asked += attempt == 1 ? 1 : 0;
-            m_result.refused += isHeld ? 1 : 0;
-        }
-        if (!isHeld) {
-            send(digest, node, 1, attempt, now);
-        }
-    }
-
-    void end(std::size_t engine, TimePoint now)
-    {
-        const std::uint64_t id = idOf(engine);
-        ++m_lives[engine];
-        m_backAt[engine] = now + seconds(3);
-        std::vector<Running> lost;
-        std::erase_if(m_running, [&](const Running &each) {
-            const bool isThere = each.engine == engine;
-            if (isThere) {
-                lost.push_back(each);
-            }
-            return isThere;
-        });
-        for (const Running &each : lost) {
-            const bool hadJustBegun = now - each.begins < RequestQuarantine::JustBegun;
-            static_cast<void>(
-                    m_nodes[each.node].recordTermination(each.digest, 5, {id, now, hadJustBegun}));
-            if (each.sends < 2 && !m_nodes[each.node].heldUntil(each.digest, now)) {
-                send(each.digest, each.node, each.sends + 1, each.attempt, now);
-            } else if (each.attempt < 2 && each.digest != PoisonRequest) {
-                arrive(each.digest, each.attempt + 1, now);
-            }
-        }
-    }
-
-    void step(TimePoint now)
-    {
-        const double perStep = secondsOf(Step);
-        while (chance(0.6)) { // 150 a second
-            arrive({2, ++m_number}, 1, now);
-        }
-        if (m_hasPoisonRequest && chance(8 * perStep)) {
-            arrive(PoisonRequest, 1, now);
-        }
-        for (int i = 0; i < m_crashes; ++i) {
-            if (chance(perStep / 3)) {
-                end(uniformBelow(m_random, Engines), now);
-            }
-        }
-        std::optional<std::size_t> ending;
-        std::erase_if(m_running, [&](const Running &each) {
-            const bool isOver = each.endsAt <= now;
-            if (isOver && each.digest != PoisonRequest) {
-                static_cast<void>(m_nodes[each.node].recordAnswer(each.digest, now));
-            }
-            if (isOver && each.digest == PoisonRequest) {
-                ending = each.engine;
-            }
-            return isOver && each.digest != PoisonRequest;
-        });
-        if (ending) {
-            end(*ending, now);
-            if (++m_result.ended == 3) {
-                m_thirdEnd = now;
-            }
-        }
-        if ((now - Start) % milliseconds(80) == Duration::zero()) {
-            exchangeUpdates(now);
-        }
-    }
-
-    void exchangeUpdates(TimePoint now)
-    {
-        for (std::size_t from = 0; from < Nodes; ++from) {
-            const auto updates = m_nodes[from].collectUpdates(Nodes, 40, now, m_random);
-            for (std::size_t to = 0; to < Nodes; ++to) {
-                if (to != from && !chance(0.03)) {
-                    static_cast<void>(m_nodes[to].applyUpdates(updates, now));
-                }
-            }
-        }
-    }
-
-    Random m_random;
-    bool m_hasPoisonRequest;
-    int m_crashes;
-    std::vector<RequestQuarantine> m_nodes;
-    std::array<TimePoint, Engines> m_backAt{};
-    std::array<std::uint64_t, Engines> m_lives{};
-    std::vector<Running> m_running;
-    std::uint64_t m_number = 0;
-    std::optional<TimePoint> m_thirdEnd;
-    Result m_result;
-};
-
 // Copies of one request terminate nine engines within a second, and again as soon as they are back.
 TEST(RequestQuarantine, ReplayOfARequestThatTerminatesEnginesIsStoppedSoon)
 {
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-        const Replay::Result result = Replay(seed, true, 0).run();
+        const Replay::Result result = Replay(seed, ReplayFault::Request, 0).run();
         RecordProperty("seed_" + std::to_string(seed),
                        std::to_string(result.ended) + " ended, " + std::to_string(result.refused)
                                + " of " + std::to_string(result.asked) + " refused");
@@ -377,8 +202,8 @@
     int asked = 0;
     int refused = 0;
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-        const Replay::Result calm = Replay(seed, false, 1).run();
-        const Replay::Result rough = Replay(seed, false, 3).run();
+        const Replay::Result calm = Replay(seed, ReplayFault::None, 1).run();
+        const Replay::Result rough = Replay(seed, ReplayFault::None, 3).run();
         asked += calm.asked + rough.asked;
         refused += calm.refused + rough.refused;
     }
--- a/src/vanilladyke/traffic/exchange_query.cpp
+++ b/src/vanilladyke/traffic/exchange_query.cpp
@@ -133,4 +133,24 @@
             {customer, m_request->method, m_request->host, m_request->target, m_request->body});
 }
 
+const std::vector<WorkDigest> &Exchange::partDigests() const
+{
+    static const std::vector<WorkDigest> none;
+    if (!m_state.digester.isReady() || m_request->parts.size() < 2) {
+        return none;
+    }
+    if (!m_partDigests) {
+        m_partDigests.emplace();
+        const bool isIsolated = m_customer != nullptr && m_customer->isIsolated;
+        const std::string_view customer =
+                isIsolated ? std::string_view(m_customer->id.str()) : std::string_view();
+        // The last part is the request's own.
+        for (std::size_t i = 0; i + 1 < m_request->parts.size(); ++i) {
+            m_partDigests->push_back(m_state.digester.digest(
+                    {customer, "part", m_request->model.str(), m_request->parts[i].id, ""}));
+        }
+    }
+    return *m_partDigests;
+}
+
 } // namespace vanilladyke
--- a/src/vanilladyke/traffic/exchange_tries.cpp
+++ b/src/vanilladyke/traffic/exchange_tries.cpp
@@ -2,6 +2,8 @@
 
 #include "vanilladyke/base/log.hpp"
 
+#include <algorithm>
+
 /// The part of Exchange that performs single tries and records their results.
 namespace vanilladyke {
 
@@ -187,7 +189,7 @@
     } else {
         m_state.tracker.ended(attempt->choice(), attempt->beganAt().has_value(), failed, now);
         if (end == TryResult::Delivered || end == TryResult::Failed || end == TryResult::Kept) {
-            recordCompleteAnswer();
+            recordCompleteAnswer(end == TryResult::Delivered);
         }
     }
     if (end == TryResult::Lost && isLeftAsSilent(reason)) {
@@ -276,11 +278,21 @@
         co_return;
     }
     const WorkDigest name = *digest();
-    const EngineTermination engineEnd{BackendTracker::hashOf(engine), now, hadJustBegun};
+    const EngineTermination engineEnd{BackendTracker::hashOf(engine), now, hadJustBegun, name.low,
+                                      attempt->sentAt()};
     m_state.metrics.count("engine_ends_under_requests_total");
+    for (const WorkDigest &part : partDigests()) {
+        static_cast<void>(
+                m_state.quarantine.recordPartTermination(part, customerHash(), engineEnd));
+    }
     if (m_state.quarantine.recordTermination(name, customerHash(), engineEnd)) {
         withdrawQuarantined(m_state, name);
     }
+    for (const WorkDigest &part : partDigests()) {
+        if (m_state.quarantine.isCulprit(part)) {
+            withdrawQuarantined(m_state, part);
+        }
+    }
     m_state.notifyPeers();
 }
 
@@ -288,7 +300,7 @@
 {
     int withdrawn = 0;
     for (Exchange *const each : *state.openExchanges) {
-        if (!state.quarantine.hasEvidence(each->customerHash()) || each->digest() != quarantined) {
+        if (!each->isWork(quarantined)) {
             continue;
         }
         for (const BackendTryPtr &attempt : each->openTries()) {
@@ -302,23 +314,51 @@
     state.metrics.count("requests_quarantined_total");
     LogEvent("request_quarantined", Severity::Warning)
             .field("digest", quarantined.str())
+            .field("part", state.quarantine.isCulprit(quarantined))
             .field("engines_ended", state.quarantine.terminationsUnder(quarantined))
             .field("withdrawn", withdrawn)
             .field("held", state.quarantine.held(MonotonicClock::now()))
             .field("suspected", state.quarantine.size());
 }
 
+bool Exchange::isWork(const WorkDigest &quarantined) const
+{
+    const std::vector<WorkDigest> &parts = partDigests();
+    return std::find(parts.begin(), parts.end(), quarantined) != parts.end()
+           || (m_state.quarantine.hasEvidence(customerHash()) && digest() == quarantined);
+}
+
 std::optional<TimePoint> Exchange::heldUntil(TimePoint now) const
 {
-    const bool mayBeQuarantined = m_state.settings.quarantinesRequests && m_state.digester.isReady()
-                                  && m_state.quarantine.hasEvidence(customerHash());
-    return mayBeQuarantined ? m_state.quarantine.heldUntil(*digest(), now) : std::nullopt;
+    if (!m_state.settings.quarantinesRequests || !m_state.digester.isReady()) {
+        return std::nullopt;
+    }
+    std::optional<TimePoint> held;
+    if (m_state.quarantine.hasEvidence(customerHash())) {
+        held = m_state.quarantine.heldUntil(*digest(), now);
+    }
+    if (m_state.quarantine.hasPartEvidence()) {
+        for (const WorkDigest &part : partDigests()) {
+            const auto until = m_state.quarantine.heldUntil(part, now);
+            held = until ? std::max(held.value_or(*until), *until) : held;
+        }
+    }
+    return held;
 }
 
-void Exchange::recordCompleteAnswer()
+void Exchange::recordCompleteAnswer(bool isDelivered)
 {
-    const bool mayBeSuspected =
-            m_state.digester.isReady() && m_state.quarantine.hasEvidence(customerHash());
+    if (!m_state.digester.isReady()) {
+        return;
+    }
+    // An engine's error says nothing of the part: it may not have begun to write on it.
+    for (const WorkDigest &part : isDelivered ? partDigests() : std::vector<WorkDigest>()) {
+        if (m_state.quarantine.recordPartAnswer(part, MonotonicClock::now())) {
+            LogEvent("part_cleared").field("id", m_request->id).field("digest", part.str());
+            m_state.notifyPeers();
+        }
+    }
+    const bool mayBeSuspected = m_state.quarantine.hasEvidence(customerHash());
     if (!mayBeSuspected || !m_state.quarantine.recordAnswer(*digest(), MonotonicClock::now())) {
         return;
     }
--- a/src/vanilladyke/traffic/scripted_backend.hpp
+++ b/src/vanilladyke/traffic/scripted_backend.hpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <functional>
 #include <map>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -161,6 +162,10 @@
                 request.relay->software = std::stoull(std::string(fields["Software"]));
             }
         }
+        std::istringstream parts{std::string(fields["Parts"])};
+        for (std::string part; std::getline(parts, part, ',');) {
+            request.parts.push_back({part, 10});
+        }
         request.firstAttempt = std::string(fields["First-Attempt"]);
         request.lastEventId = std::string(fields["Resume"]);
         if (fields.count("Deadline") > 0) {
