--- a/src/vanilladyke/policy/stream_origins_test.cpp
+++ b/src/vanilladyke/policy/stream_origins_test.cpp
@@ -32,6 +32,7 @@
     void list(const std::vector<std::string> &versions)
     {
         std::vector<BackendEntry> entries;
+        entries.reserve(versions.size());
         for (const std::string &each : versions) {
             entries.push_back(server("e" + std::to_string(entries.size()), each));
         }
