--- a/include/vanilladyke/traffic/exchange.hpp
+++ b/include/vanilladyke/traffic/exchange.hpp
@@ -157,7 +157,8 @@
     /// Clears the request and its parts of suspicion after a complete answer.
     /// @param isDelivered the answer was a success
     void recordCompleteAnswer(bool isDelivered);
-    /// Whether the digest is the request's, or that of one of its shared parts.
+    /// Whether the digest is the request's, or that of one of its shared parts to which ends of
+    /// engines are attributed.
     [[nodiscard]] bool isWork(const WorkDigest &quarantined) const;
     /// Digests of the parts of its prompt that other requests may share, the same on all nodes;
     /// none until the fleet's key is known.
--- a/src/vanilladyke/traffic/exchange_tries.cpp
+++ b/src/vanilladyke/traffic/exchange_tries.cpp
@@ -323,9 +323,13 @@
 
 bool Exchange::isWork(const WorkDigest &quarantined) const
 {
-    const std::vector<WorkDigest> &parts = partDigests();
-    return std::find(parts.begin(), parts.end(), quarantined) != parts.end()
-           || (m_state.quarantine.hasEvidence(customerHash()) && digest() == quarantined);
+    // Requests with a part that is only suspected go on: most such parts are sound, and a whole
+    // answer frees them.
+    if (m_state.quarantine.isCulprit(quarantined)) {
+        const std::vector<WorkDigest> &parts = partDigests();
+        return std::find(parts.begin(), parts.end(), quarantined) != parts.end();
+    }
+    return m_state.quarantine.hasEvidence(customerHash()) && digest() == quarantined;
 }
 
 std::optional<TimePoint> Exchange::heldUntil(TimePoint now) const
--- a/src/vanilladyke/traffic/part_quarantine_test.cpp
+++ b/src/vanilladyke/traffic/part_quarantine_test.cpp
@@ -27,10 +27,10 @@
     }
 
     /// Engines end one after the other under requests with the part.
-    void blame(const std::string &part)
+    void blame(const std::string &part, std::uint64_t ends = 3)
     {
         const TimePoint now = MonotonicClock::now();
-        for (std::uint64_t i = 0; i < 3; ++i) {
+        for (std::uint64_t i = 0; i < ends; ++i) {
             const TimePoint at = now - milliseconds(900) + milliseconds(300) * static_cast<int>(i);
             static_cast<void>(m_state.quarantine.recordPartTermination(
                     digestOf(part), 1, {100 + i, at, true, i, at - milliseconds(50)}));
@@ -60,8 +60,9 @@
 }
 
 // A part that was held wrongly is free at once when a request that was under way with it is
-// answered.
-TEST_F(PartQuarantineTest, AWholeAnswerFreesThePart)
+// answered. If another node tells of the suspicion, requests that wait must not be withdrawn for
+// it.
+TEST_F(PartQuarantineTest, AWholeAnswerFreesASuspectedPart)
 {
     bool hasArrived = false;
     addBackend([&hasArrived](const ReceivedRequest &received) {
@@ -73,15 +74,34 @@
     m_state.tracker.setBackends(m_entries);
     connect();
     send("POST /a/x HTTP/1.1\r\nHost: h\r\nKey: k\r\nParts: common,bad,own\r\nId: "
-         "1\r\nContent-Length: "
-         "2\r\n\r\nhi");
+         "1\r\nContent-Length: 2\r\n\r\nhi");
     runUntil([&] { return hasArrived; });
-    blame("bad");
+    blame("bad", 2);
     EXPECT_TRUE(m_state.quarantine.heldUntil(digestOf("bad"), MonotonicClock::now()));
+    Exchange::withdrawQuarantined(m_state, digestOf("bad"));
     EXPECT_EQ(receive(), 200);
     EXPECT_FALSE(m_state.quarantine.heldUntil(digestOf("bad"), MonotonicClock::now()));
     EXPECT_EQ(askWith("2", "common,bad,own2"), 200);
 }
 
+// A request that waits at an engine would end it as soon as it runs.
+TEST_F(PartQuarantineTest, RequestsThatWaitWithTheCulpritAreWithdrawn)
+{
+    bool hasArrived = false;
+    addBackend([&hasArrived](const ReceivedRequest &) {
+        hasArrived = true;
+        return ScriptedAnswer{"", NextAction::Hang};
+    });
+    m_entries.erase(m_entries.begin());
+    m_state.tracker.setBackends(m_entries);
+    connect();
+    send("POST /a/x HTTP/1.1\r\nHost: h\r\nKey: k\r\nParts: common,bad,own\r\nId: "
+         "1\r\nContent-Length: 2\r\n\r\nhi");
+    runUntil([&] { return hasArrived; });
+    blame("bad");
+    Exchange::withdrawQuarantined(m_state, digestOf("bad"));
+    EXPECT_EQ(receive(), 502);
+}
+
 } // namespace
 } // namespace vanilladyke
