--- a/include/vanilladyke/policy/backend_tracker.hpp
+++ b/include/vanilladyke/policy/backend_tracker.hpp
@@ -51,6 +51,17 @@
     WeightsAnnouncement date;
 };
 
+/// @brief What a node knows of the room at a server, for its log.
+struct RoomKnowledge
+{
+    bool isBrittle = false;   ///< the server said so, here or to another node
+    bool hasAnswered = false; ///< this node has read an answer of it that told its load
+    int slots = 0;
+    int inFlight = 0;      ///< requests of this node
+    int peersInFlight = 0; ///< requests of other nodes, as their last updates say
+    Duration peersAge{};   ///< since the last change of these
+};
+
 /// @brief State of the backend servers as one node sees it. Pure.
 class BackendTracker
 {
@@ -133,6 +144,7 @@
     /// @brief Whether the server says that it falls over if it has to reject too many requests.
     [[nodiscard]] bool isBrittle(const EngineId &id) const;
     [[nodiscard]] bool hasBrittle() const;
+    [[nodiscard]] RoomKnowledge roomKnowledge(const EngineId &id, TimePoint now) const;
     /// @brief Updates to send on brittle servers.
     [[nodiscard]] std::vector<BrittleUpdate> ownBrittle(TimePoint now) const;
     /// @return servers whose statement changed
--- a/include/vanilladyke/traffic/backend_try.hpp
+++ b/include/vanilladyke/traffic/backend_try.hpp
@@ -114,6 +114,8 @@
     [[nodiscard]] asio::awaitable<std::optional<TryResult>> receiveBodyStart();
     /// Records the load, rate limit and weights that an answer reports.
     void recordHead();
+    /// Logs a rejection while servers are brittle. @param room as known before the rejection
+    void logRejection(const RoomKnowledge &room) const;
     void recordStart();
 
     TrafficState &m_state;
--- a/src/vanilladyke/policy/backend_tracker.cpp
+++ b/src/vanilladyke/policy/backend_tracker.cpp
@@ -437,6 +437,22 @@
     });
 }
 
+RoomKnowledge BackendTracker::roomKnowledge(const EngineId &id, TimePoint now) const
+{
+    const auto known = m_states.find(id);
+    if (known == m_states.end()) {
+        return {};
+    }
+    const State &state = known->second;
+    const bool hasAnswered = state.reportedAt != TimePoint();
+    return {state.brittle.rejections().has_value(),
+            hasAnswered,
+            state.entry.slots,
+            state.inFlight,
+            state.peersTold,
+            now - state.peersInFlightAt};
+}
+
 std::vector<BrittleUpdate> BackendTracker::ownBrittle(TimePoint now) const
 {
     std::vector<BrittleUpdate> updates;
--- a/src/vanilladyke/traffic/backend_try.cpp
+++ b/src/vanilladyke/traffic/backend_try.cpp
@@ -242,6 +242,7 @@
     }
     const TimePoint now = MonotonicClock::now();
     const EngineId &id = m_choice.backend.id;
+    const RoomKnowledge room = m_state.tracker.roomKnowledge(id, now);
     m_state.reach.recordAnswer(id, now);
     if (m_head.status != 421) { // 421 comes from another engine at the same address
         m_state.quarantine.recordEngineAnswer(BackendTracker::hashOf(id), now);
@@ -300,9 +301,32 @@
     } else if (m_head.isNotExecuted) {
         m_state.tracker.exclude(id, now);
         m_state.tracker.rejectedForRoom(id, now);
+        m_state.metrics.count("engine_rejections_total");
+        logRejection(room);
     }
 }
 
+void BackendTry::logRejection(const RoomKnowledge &room) const
+{
+    if (!m_state.tracker.hasBrittle()) {
+        return;
+    }
+    const TimePoint now = MonotonicClock::now();
+    LogEvent("engine_rejected")
+            .field("id", m_request->id)
+            .field("backend", m_choice.backend.id.str())
+            .field("known_brittle", room.isBrittle)
+            .field("has_answered", room.hasAnswered)
+            .field("slots", room.slots)
+            .field("own", room.inFlight)
+            .field("peers", room.peersInFlight)
+            .field("peers_age_ms", room.peersAge)
+            .field("running", m_head.load ? m_head.load->running : -1)
+            .field("waiting", m_head.load ? m_head.load->waiting : -1)
+            .field("prompt", m_request->promptTokens)
+            .field("after_ms", now - m_sentAt.value_or(now));
+}
+
 asio::awaitable<bool> BackendTry::readSome(std::string *out)
 {
     std::array<char, ReadBufferBytes> piece; // NOLINT: filled by the parser
