--- a/tests/integration/platform_fleet.py
+++ b/tests/integration/platform_fleet.py
@@ -2,6 +2,7 @@
 engines that run requests and take orders. In threads of the test, so that a test can look inside."""
 
 import base64
+import collections
 import contextlib
 import http.client
 import json
@@ -254,8 +255,11 @@
         self.rests = []  # when it asked for rest
         self.brittle = None  # rejections a second over which it falls over, as its answers say
         self.places, self.most_waiting = None, 4  # requests that run at once, and that may wait; None: any number
-        self.inside, self.running, self.rejections = 0, 0, []  # requests that run or wait; when it rejected one for want of room
-        self.free = threading.Condition()
+        self.memory = None  # tokens of the requests that run at once; None: any number
+        self.running, self.used, self.queue = 0, 0, collections.deque()  # requests that run, their tokens; who waits
+        self.rejections = []  # when it rejected one for want of room
+        self.fell = False  # it ended because it had to reject too many
+        self.free = threading.Lock()
         self.server = Server(("127.0.0.1", 0), Handler)
         self.server.owner = self
         self.port = self.server.server_address[1]
@@ -322,8 +326,7 @@
             self.requests.append((time.monotonic(), dict(call.headers)))
         if self.places is not None:
             with self.free:
-                waiting = max(self.inside - self.places, 0)
-                common["X-Vanilladyke-Server-Load"] = f"{self.inside - waiting},{waiting},{self.places}"
+                common["X-Vanilladyke-Server-Load"] = f"{self.running},{len(self.queue)},{self.places}"
         wanted = call.headers.get("X-Vanilladyke-Expect-Version")
         if wanted and int(wanted) != self.version:
             call.answer(421, headers=common)
@@ -332,29 +335,47 @@
             self.rests.append(time.monotonic())
         elif self.full or (self.busy and self.service == "llm"):
             call.answer(503, headers={**common, "X-Vanilladyke-Not-Executed": "1"})
-        elif not self.enter():
+        elif not self.enter(self.tokens(call)):
             self.reject(call, common)
         else:
             self.run(call, body, identity, common)
 
-    def enter(self):
-        """Takes a place, after a wait if all are taken. False if no more may wait."""
+    @staticmethod
+    def tokens(call):
+        """Tokens of the request, its prompt and what it may write."""
+        return sum(int(each) for each in (call.headers.get("X-Vanilladyke-Token-Usage") or "0").split(","))
+
+    def has_room(self, tokens):
+        return self.running < self.places and (self.memory is None or self.used + tokens <= self.memory)
+
+    def enter(self, tokens):
+        """Takes a place, after a wait if there is no room. False if no more may wait."""
         if self.places is None:
             return True
         with self.free:
-            if self.inside >= self.places + self.most_waiting:
+            if not self.queue and self.has_room(tokens):
+                self.take(tokens)
+                return True
+            if len(self.queue) >= self.most_waiting:
                 return False
-            self.inside += 1
-            self.free.wait_for(lambda: self.running < self.places)
-            self.running += 1
+            turn = (tokens, threading.Event())
+            self.queue.append(turn)
+        turn[1].wait()
         return True
 
-    def leave(self):
+    def take(self, tokens):
+        self.running += 1
+        self.used += tokens
+
+    def leave(self, tokens):
         if self.places is not None:
             with self.free:
-                self.inside -= 1
                 self.running -= 1
-                self.free.notify()
+                self.used -= tokens
+                while self.queue and self.has_room(self.queue[0][0]):
+                    waiting, turn = self.queue.popleft()
+                    self.take(waiting)
+                    turn.set()
 
     def reject(self, call, common):
         """For want of room; a brittle engine falls over if it has to do so too often."""
@@ -363,6 +384,7 @@
             self.rejections.append(now)
             falls = self.brittle is not None and sum(now - at < 1 for at in self.rejections) > self.brittle
         if falls:
+            self.fell = True
             self.end()
         else:
             call.answer(503, headers={**common, "X-Vanilladyke-Not-Executed": "1"})
@@ -386,7 +408,7 @@
             else:
                 call.answer(200, f"{identity}:{len(body)}".encode(), common)
         finally:
-            self.leave()
+            self.leave(self.tokens(call))
 
     @staticmethod
     def begin(call, headers):
@@ -477,6 +499,10 @@
         self.engines.append(engine)
         return engine
 
+    def falls(self):
+        """How many engines fell over because they had to reject too many requests."""
+        return sum(each.fell for each in list(self.engines))
+
     def engine_ended(self, engine):
         """It is back under a new id after a while; the entry of the old one lapses meanwhile."""
         self.ends.append((time.monotonic(), engine.name))
@@ -491,7 +517,7 @@
 
     def begin_anew(self, ended):
         engine = self.engine(f"{ended.name}+", service=ended.service)
-        for name in ("brittle", "places", "most_waiting", "seconds"):
+        for name in ("brittle", "places", "most_waiting", "memory", "seconds"):
             setattr(engine, name, getattr(ended, name))
 
     def arrivals(self, prefix):
