--- a/include/vanilladyke/node/follow_context.hpp
+++ b/include/vanilladyke/node/follow_context.hpp
@@ -4,6 +4,7 @@
 #include "vanilladyke/node/record_store.hpp"
 #include "vanilladyke/node/store_calls.hpp"
 #include "vanilladyke/policy/back_off.hpp"
+#include "vanilladyke/policy/store_era.hpp"
 
 /// What the followers of the store's topics have in common: the store, the recipients of what was
 /// read, and the pauses between calls.
@@ -38,6 +39,7 @@
     const StateTranslator &translator;
     StateListener &listener;
     StoreCalls &calls;
+    StoreEra &era; ///< the newest one known
     FollowLimits limits;
     Random random;
     bool isStopped = false; ///< followers end before their next call
--- a/include/vanilladyke/node/ports.hpp
+++ b/include/vanilladyke/node/ports.hpp
@@ -3,6 +3,7 @@
 #include "vanilladyke/model/routing.hpp"
 #include "vanilladyke/policy/kept_cache_view.hpp"
 #include "vanilladyke/policy/order_lease.hpp"
+#include "vanilladyke/policy/store_era.hpp"
 
 #include <functional>
 #include <map>
@@ -69,6 +70,15 @@
 {
     std::uint64_t end = 0;
     std::optional<LeaseRecord> last;
+    std::uint64_t era = 0; ///< of the store
+};
+
+/// @brief Answer to an append to the lease log.
+struct LeaseAppendAnswer
+{
+    LeaseAppendResult result = LeaseAppendResult::Unknown;
+    std::uint64_t end = 0;
+    std::uint64_t era = 0; ///< of the store
 };
 
 /// @brief The log that stores the order lease.
@@ -76,8 +86,10 @@
 {
 public:
     virtual ~LeaseLog() = default;
+    /// @brief The newest era of the store that this node knows.
+    [[nodiscard]] virtual StoreEraView era() const { return {}; }
     virtual void append(const LeaseAppend &append,
-                        std::function<void(LeaseAppendResult, std::uint64_t end)> done) = 0;
+                        std::function<void(const LeaseAppendAnswer &)> done) = 0;
     /// @brief Reads the log's end; none on failure.
     /// @param known offset; waits a while for the log to grow beyond it
     virtual void read(std::optional<std::uint64_t> known,
--- a/include/vanilladyke/node/record_store.hpp
+++ b/include/vanilladyke/node/record_store.hpp
@@ -32,6 +32,7 @@
 {
     std::vector<KeyedRecord> items;
     std::uint64_t end = 0; ///< offset from which to continue reading
+    std::uint64_t era = 0; ///< of the store; offsets hold in one era only
 };
 
 /// @brief Consecutive records from an offset on.
@@ -39,6 +40,7 @@
 {
     std::uint64_t end = 0; ///< of the topic
     std::vector<std::string> records;
+    std::uint64_t era = 0; ///< of the store
 };
 
 /// @brief Result of an append.
@@ -46,6 +48,7 @@
 {
     bool isAccepted = false;
     std::uint64_t end = 0; ///< of the topic
+    std::uint64_t era = 0; ///< of the store
 };
 
 /// @brief Topics that all nodes follow.
--- a/include/vanilladyke/node/state_follower.hpp
+++ b/include/vanilladyke/node/state_follower.hpp
@@ -18,7 +18,7 @@
 {
 public:
     StateFollower(asio::io_context &context, RecordStore &store, const StateTranslator &translator,
-                  StateListener &listener, StoreCalls &calls, NodeIdentity self,
+                  StateListener &listener, StoreCalls &calls, StoreEra &era, NodeIdentity self,
                   FollowLimits limits, std::uint64_t seed);
 
     void start();
--- a/include/vanilladyke/node/weights_controller.hpp
+++ b/include/vanilladyke/node/weights_controller.hpp
@@ -98,6 +98,7 @@
     [[nodiscard]] bool needsLease(TimePoint now);
     void stepLease(bool needsLease, TimePoint now);
     void readLease(TimePoint now);
+    void appended(const LeaseAppendAnswer &answer);
     [[nodiscard]] Duration leasePollDelay() const;
     /// Whether the delay of this node's rank has passed and it has read the claims of lower ranks.
     [[nodiscard]] bool mayClaim(TimePoint now);
--- a/src/vanilladyke/app/node_command.cpp
+++ b/src/vanilladyke/app/node_command.cpp
@@ -11,6 +11,7 @@
 #include "vanilladyke/app/settings.hpp"
 #include "vanilladyke/base/log.hpp"
 #include "vanilladyke/model/json_reader.hpp"
+#include "vanilladyke/node/boot_clock.hpp"
 #include "vanilladyke/node/load_sharing.hpp"
 #include "vanilladyke/node/peer_queries.hpp"
 
@@ -47,13 +48,13 @@
         , m_path(std::move(path))
         , m_traffic(m_trafficContext, platform::makeDialect(), settings.traffic, entropySeed())
         , m_server(m_traffic, settings.listen)
-        , m_leaseLog(m_controlContext, settings.store)
+        , m_leaseLog(m_controlContext, settings.store, m_era)
         , m_orders(m_controlContext)
         , m_keptCache(m_controlContext, entropySeed())
         , m_control(m_controlContext, m_traffic, settings.control, m_leaseLog, m_orders,
                     m_keptCache, entropySeed())
-        , m_state(m_controlContext, settings.store)
-        , m_follower(m_controlContext, m_state, m_records, m_control, m_control.storeCalls(),
+        , m_state(m_controlContext, settings.store, m_era)
+        , m_follower(m_controlContext, m_state, m_records, m_control, m_control.storeCalls(), m_era,
                      identityOf(settings), settings.follow, entropySeed())
         , m_queries(m_controlContext, m_follower, settings.queries, entropySeed())
         , m_sharing(m_traffic, settings.peers, settings.queries.port)
@@ -62,6 +63,11 @@
         , m_stopTimer(m_trafficContext)
     {
         m_traffic.configAge = [this] { return m_control.proof().age(); };
+        m_era.onChanged = [](const StoreEraView &era) {
+            LogEvent("store_era")
+                    .field("era", era.era)
+                    .field("known_ms", BootClock::now() - era.since);
+        };
         m_traffic.operatorNext = [this] { return m_follower.operatorNext(); };
         FleetRetryLimits limits = settings.control.fleetRetries;
         limits.nodes = AssumedNodeCount;
@@ -243,6 +249,7 @@
     asio::io_context m_controlContext{1};
     TrafficState m_traffic;
     TrafficServer m_server;
+    StoreEra m_era; ///< used on the control thread
     platform::StoreLeaseLog m_leaseLog;
     platform::HttpEngineOrders m_orders;
     platform::KvEvents m_keptCache;
--- a/src/vanilladyke/node/state_follower.cpp
+++ b/src/vanilladyke/node/state_follower.cpp
@@ -18,10 +18,10 @@
 
 StateFollower::StateFollower(asio::io_context &context, RecordStore &store,
                              const StateTranslator &translator, StateListener &listener,
-                             StoreCalls &calls, NodeIdentity self, FollowLimits limits,
-                             std::uint64_t seed)
+                             StoreCalls &calls, StoreEra &era, NodeIdentity self,
+                             FollowLimits limits, std::uint64_t seed)
     : m_self(std::move(self))
-    , m_context{context, store, translator, listener, calls, limits, Random(seed)}
+    , m_context{context, store, translator, listener, calls, era, limits, Random(seed)}
     , m_sharing{StoreReaderSelection(m_self.hash, m_self.dataCentre), {}}
 {}
 
--- a/src/vanilladyke/node/state_follower_fixture.hpp
+++ b/src/vanilladyke/node/state_follower_fixture.hpp
@@ -171,10 +171,10 @@
 
     StateFollowerTest()
         : m_store(m_context)
-        , m_reader(m_context, m_store, m_translator, m_readerListener, m_calls, identity(1), Terms,
-                   1)
-        , m_asking(m_context, m_ownStore, m_translator, m_askingListener, m_calls, identity(2),
-                   Terms, 2)
+        , m_reader(m_context, m_store, m_translator, m_readerListener, m_calls, m_readerEra,
+                   identity(1), Terms, 1)
+        , m_asking(m_context, m_ownStore, m_translator, m_askingListener, m_calls, m_askingEra,
+                   identity(2), Terms, 2)
     {}
 
     static NodeIdentity identity(std::uint64_t hash)
@@ -246,6 +246,8 @@
     Listener m_askingListener;
     Metrics m_metrics;
     StoreCalls m_calls{m_metrics};
+    StoreEra m_readerEra;
+    StoreEra m_askingEra;
     StateFollower m_reader;
     StateFollower m_asking;
     std::vector<int> m_asked;
--- a/src/vanilladyke/node/weights_controller.cpp
+++ b/src/vanilladyke/node/weights_controller.cpp
@@ -196,14 +196,7 @@
     }
     if (const auto append = m_lease.nextAppend(needsLease, m_claimDelay, leaseUpdate(now), now)) {
         m_calls.count(StoreCall::Append, StoreTopic::Lease, CallCause::Rollout);
-        m_log.append(*append, [this](LeaseAppendResult end, std::uint64_t offset) {
-            if (end == LeaseAppendResult::Accepted) {
-                m_lease.appended(offset, m_clock());
-                return;
-            }
-            LogEvent("lease_append_failed").field("known", end == LeaseAppendResult::Refused);
-            m_lease.appendUnresolved();
-        });
+        m_log.append(*append, [this](const LeaseAppendAnswer &answer) { appended(answer); });
         return;
     }
     if (needsLease) {
@@ -211,6 +204,23 @@
     }
 }
 
+void WeightsController::appended(const LeaseAppendAnswer &answer)
+{
+    const TimePoint now = m_clock();
+    if (answer.result == LeaseAppendResult::Accepted) {
+        m_lease.appended(answer.end, now);
+        LogEvent("lease_appended")
+                .field("end", answer.end)
+                .field("era", answer.era)
+                .field("fence", m_lease.fence())
+                .field("holds", m_lease.mayOrder(now))
+                .field("release", m_lease.last() && m_lease.last()->isRelease);
+        return;
+    }
+    LogEvent("lease_append_failed").field("known", answer.result == LeaseAppendResult::Refused);
+    m_lease.appendUnresolved();
+}
+
 bool WeightsController::mayClaim(TimePoint now)
 {
     const std::size_t rank = m_rank.value_or(0);
--- a/src/vanilladyke/node/weights_controller_test.cpp
+++ b/src/vanilladyke/node/weights_controller_test.cpp
@@ -17,14 +17,14 @@
 {
 public:
     void append(const LeaseAppend &append,
-                std::function<void(LeaseAppendResult, std::uint64_t end)> done) override
+                std::function<void(const LeaseAppendAnswer &)> done) override
     {
         if (append.at != m_end) {
-            done(LeaseAppendResult::Refused, m_end);
+            done({LeaseAppendResult::Refused, m_end});
             return;
         }
         m_last = append.record;
-        done(LeaseAppendResult::Accepted, ++m_end);
+        done({LeaseAppendResult::Accepted, ++m_end});
     }
 
     void read(std::optional<std::uint64_t> /*known*/,
