--- a/tests/integration/platform_fleet.py
+++ b/tests/integration/platform_fleet.py
@@ -83,7 +83,9 @@
 
     def __init__(self):
         self.topics = {}
+        self.times = {}  # when each record was appended, by topic
         self.first = {}
+        self.era = None  # as all answers name it; None: they don't
         self.changed = threading.Condition()
         self.down = False
         self.calls = 0
@@ -105,9 +107,38 @@
 
     def append(self, topic, record):
         with self.changed:
-            self.topics.setdefault(topic, []).append(record)
+            self.add(topic, record)
             self.changed.notify_all()
 
+    def add(self, topic, record):
+        self.topics.setdefault(topic, []).append(record)
+        self.times.setdefault(topic, []).append(time.monotonic())
+
+    def go_back(self, seconds, away_seconds=0.4):
+        """The store is away, and comes back from a copy. What the operator and the servers wrote since is written again,
+        what the nodes wrote is gone."""
+        with self.changed:
+            self.down = True
+            self.changed.notify_all()
+        at = time.monotonic()
+        time.sleep(away_seconds)
+        with self.changed:
+            for topic, records in self.topics.items():
+                kept = sum(each <= at - seconds for each in self.times[topic])
+                lost = records[kept:]
+                del records[kept:]
+                del self.times[topic][kept:]
+                self.first[topic] = min(self.first.get(topic, 0), kept)
+                if topic in ("keyed.op", "keyed.servers"):
+                    for record in {each[1:1 + each[0]]: each for each in lost}.values():
+                        self.add(topic, record)
+            self.era = (self.era or 0) + 1
+            self.down = False
+
+    def answer(self, call, status, body=b"", headers=None):
+        named = {} if self.era is None else {"Store-Era": str(self.era)}
+        call.answer(status, body, {**(headers or {}), **named})
+
     def put(self, topic, key, value):
         text = b"" if value is None else json.dumps(value).encode()
         self.append(topic, bytes([len(key)]) + key.encode() + text)
@@ -150,7 +181,7 @@
         self.calls += 1
         if self.down:
             call.body()
-            call.answer(503)
+            self.answer(call, 503)
             return
         url = urllib.parse.urlsplit(call.path)
         query = dict(urllib.parse.parse_qsl(url.query))
@@ -165,21 +196,23 @@
         if "after" in query:
             if self.busy_pages > 0:
                 self.busy_pages -= 1
-                call.answer(429)
+                self.answer(call, 429)
                 return
             items = [item for item in items if item["key"] > query["after"]]
         else:
             self.first_pages.append(query["topic"])
         page = items[:self.page_items]
-        call.answer(200, {"items": page, "hasMore": len(page) < len(items), "end": end})
+        self.answer(call, 200, {"items": page, "hasMore": len(page) < len(items), "end": end})
 
     def on_read(self, call, query):
         topic, start = query["topic"], int(query["from"])
         deadline = time.monotonic() + int(query.get("waitMs", 0)) / 1000
         with self.changed:
-            if start < self.first.get(topic, 0):
-                call.answer(410, {"first": self.first[topic]})
+            first = self.first.get(topic, 0)
+            if start < first or start > len(self.topics.get(topic, [])):
+                self.answer(call, 410, {"first": first})
                 return
+            era = self.era
             waiter = (time.monotonic(), object())
             self.waiters.setdefault(topic, []).append(waiter)
             while ((len(self.topics.get(topic, [])) <= start or waiter in self.passed_over)
@@ -188,22 +221,25 @@
             self.waiters[topic].remove(waiter)
             self.waited[topic] = self.waited.get(topic, 0) + 1
             self.passed_over.discard(waiter)
+            if era != self.era or self.down:
+                call.close_connection = True  # its connection did not outlive the store
+                return
             records = [self.seen(topic, each) for each in self.topics.get(topic, [])[start:]]
             end = len(self.topics.get(topic, []))
         body = struct.pack(">QQ", end, self.first.get(topic, 0))
-        call.answer(200, body + b"".join(struct.pack(">I", len(each)) + each for each in records))
+        self.answer(call, 200, body + b"".join(struct.pack(">I", len(each)) + each for each in records))
 
     def on_append(self, call, query):
         body = call.body()
         with self.changed:
             records = self.topics.setdefault(query["topic"], [])
             if "at" in query and int(query["at"]) != len(records):
-                call.answer(412, {"end": len(records)})
+                self.answer(call, 412, {"end": len(records)})
                 return
             offset = len(records)
             while body:
                 length = struct.unpack(">I", body[:4])[0]
-                records.append(body[4:4 + length])
+                self.add(query["topic"], body[4:4 + length])
                 body = body[4 + length:]
             self.changed.notify_all()
             lost = self.lose_answers > 0
@@ -211,7 +247,7 @@
         if lost:
             call.close_connection = True
             return
-        call.answer(200, {"offset": offset, "end": len(records)})
+        self.answer(call, 200, {"offset": offset, "end": len(records)})
 
 
 class StoreOfANode(Store):
@@ -219,7 +255,7 @@
 
     def __init__(self, store, ports):
         super().__init__()
-        self.topics, self.first, self.changed = store.topics, store.first, store.changed
+        self.topics, self.times, self.first, self.changed = store.topics, store.times, store.first, store.changed
         self.ports = ports  # by the port of the entry: the one that this node is told
 
     def seen(self, topic, record):
