Compare offsets of the operator's and the servers' records within one era only (CONFIG)

What callers would see: a key that had been taken away is let in, or every key refused. What was written after the store's return lay below the offset that nodes had read to; their waiting call answered 410, or nothing, and still proved that they knew all. Peers' offsets and shared records of two eras were mixed alike.

Change: each followed topic belongs to an era. A new one, seen in any answer or told by another node with its updates, has the topic listed anew; pages, shared records and offsets of another era are not applied, and a proof of freshness is not passed on across eras. A proof given before holds: what was read is applied, and a lower version of the configuration is never taken. Updates carry the era and since when it is known, so that all nodes count from the first sight.

--- a/include/vanilladyke/node/load_sharing.hpp
+++ b/include/vanilladyke/node/load_sharing.hpp
@@ -43,8 +43,10 @@
     void setPeers(const std::vector<Endpoint> &peers);
     void setKey(std::string key) { m_port.setKey(std::move(key)); }
     NodeSeen nodeSeen = [](std::uint64_t, std::uint64_t, const Endpoint &) {};
-    /// @brief Another node has read the operator's records up to a higher offset than any before.
-    std::function<void(std::uint64_t)> receivedOperatorNext = [](std::uint64_t) {};
+    /// @brief Another node has read the operator's records up to a higher offset than any before,
+    /// in this era of the store, which it has known for so long.
+    std::function<void(std::uint64_t era, Duration knownFor, std::uint64_t next)>
+            receivedOperatorNext = [](std::uint64_t, Duration, std::uint64_t) {};
     /// @brief Sends an update if one is due.
     void step(TimePoint now);
     /// @brief Sends an update at the next step, at most as often as placement updates: an engine
@@ -96,7 +98,8 @@
     TimePoint m_nextAt;
     TimePoint m_sentAt;
     TimePoint m_weightsSentAt;
-    std::uint64_t m_highestOperatorNext = 0;
+    /// Highest era of the store, and offset in it, up to which another node has read.
+    std::pair<std::uint64_t, std::uint64_t> m_highestRead;
     bool m_hasUrgentUpdate = false;
 };
 
--- a/include/vanilladyke/node/operator_follower.hpp
+++ b/include/vanilladyke/node/operator_follower.hpp
@@ -24,9 +24,11 @@
     [[nodiscard]] const FollowedTopic &topic() const { return m_topic; }
     /// @brief The offset up to which the records were read. Thread-safe.
     [[nodiscard]] std::uint64_t next() const { return m_publishedNext; }
-    /// @brief Another node has read the records up to this offset. If the store doesn't answer this
-    /// node's waiting call soon, a second call reads them.
-    void receivedNext(std::uint64_t next);
+    /// @brief The store's era in which that offset holds. Thread-safe; to be read before it.
+    [[nodiscard]] std::uint64_t era() const { return m_publishedEra; }
+    /// @brief Another node has read the records up to this offset of this era. If the store doesn't
+    /// answer this node's waiting call soon, a second call reads them.
+    void receivedNext(std::uint64_t era, std::uint64_t next);
     /// @brief Whether the freshness proof of another node is too old to replace an own call.
     [[nodiscard]] bool isTooOld(const std::optional<RecordRelay::Updates> &updates) const;
     /// @brief Applies another node's answer; none if it lacks this topic.
@@ -57,6 +59,7 @@
     std::uint64_t m_rejectedNext = 0;   ///< received offsets up to here exceed the store's end
     bool m_isCatchingUp = false;        ///< with the offset received from another node
     std::atomic<std::uint64_t> m_publishedNext{0}; ///< m_topic.next for other threads
+    std::atomic<std::uint64_t> m_publishedEra{0};  ///< m_topic.era for other threads
 };
 
 } // namespace vanilladyke
--- a/include/vanilladyke/node/state_follower.hpp
+++ b/include/vanilladyke/node/state_follower.hpp
@@ -27,9 +27,12 @@
     void setAskPeer(AskPeer ask) { m_sharing.ask = std::move(ask); }
     /// @brief Another node was seen at @p endpoint, where it answers requests for updates.
     void nodeSeen(std::uint64_t node, std::uint64_t dataCentre, const Endpoint &endpoint);
-    /// @brief Another node has read the operator's records up to this offset. If the store doesn't
-    /// answer this node's waiting call soon, a second call reads them.
-    void receivedOperatorNext(std::uint64_t next) { m_operator.receivedNext(next); }
+    /// @brief Another node has read the operator's records up to this offset of this era, which it
+    /// has known for @p knownFor. If the store doesn't answer this node's waiting call soon, a
+    /// second call reads them.
+    void receivedOperatorNext(std::uint64_t era, Duration knownFor, std::uint64_t next);
+    /// @brief The store's era in which operatorNext() holds. Thread-safe; to be read before it.
+    [[nodiscard]] std::uint64_t operatorEra() const { return m_operator.era(); }
     /// @brief The offset up to which this node has read the operator's records. Thread-safe.
     [[nodiscard]] std::uint64_t operatorNext() const { return m_operator.next(); }
     /// @brief This node's rank, from 0, among the standby nodes for tasks that one node does for
@@ -46,6 +49,8 @@
 private:
     [[nodiscard]] asio::awaitable<void> followReader();
     [[nodiscard]] asio::awaitable<void> reportFleetKey();
+    /// Takes the eras that another node's answer names.
+    void tellEra(const SharedUpdates &updates);
     /// Whether another node's freshness proof is too old to replace an own call to the store.
     [[nodiscard]] bool isBehind(const SharedUpdates &updates) const;
 
--- a/include/vanilladyke/policy/record_relay.hpp
+++ b/include/vanilladyke/policy/record_relay.hpp
@@ -36,13 +36,15 @@
         std::uint64_t next = 0; ///< with these changes, all before this offset is covered
         Duration age{};         ///< of the freshness proof: no later records existed then
         std::vector<Change> changes;
+        std::uint64_t era = 0; ///< of the store, in which these offsets hold
     };
 
     /// @brief The topic was listed: the single changes before @p next are unknown.
-    void restart(std::uint64_t next);
+    /// @param era of the store; a proof of another era says nothing of these offsets
+    void restart(std::uint64_t next, std::uint64_t era = 0);
     /// @brief The topic was listed, and removals of keys are irrelevant to the readers: the newest
     /// record of each key, passed to addChange() after this call, is the complete state.
-    void restartWithListing(std::uint64_t next);
+    void restartWithListing(std::uint64_t next, std::uint64_t era = 0);
     /// @brief Adds a record that changed the state of the topic.
     /// @param key the record replaces an older one with this key; empty: it replaces none
     void addChange(std::uint64_t offset, std::string record, const std::string &key = {});
@@ -60,6 +62,7 @@
     std::deque<Change> m_changes;
     std::uint64_t m_first = 0; ///< from here on, all single changes are known
     std::uint64_t m_next = 0;
+    std::uint64_t m_era = 0;
     std::optional<TimePoint> m_provedFreshAt;
 };
 
--- a/include/vanilladyke/traffic/traffic_state.hpp
+++ b/include/vanilladyke/traffic/traffic_state.hpp
@@ -11,6 +11,7 @@
 #include "vanilladyke/policy/request_quarantine.hpp"
 #include "vanilladyke/policy/route_table.hpp"
 #include "vanilladyke/policy/software_history.hpp"
+#include "vanilladyke/policy/store_era.hpp"
 #include "vanilladyke/policy/stream_origins.hpp"
 #include "vanilladyke/traffic/backend_pool.hpp"
 #include "vanilladyke/traffic/dialect.hpp"
@@ -163,6 +164,9 @@
     /// Shared, because an exchange may outlive this state when the context is destroyed.
     std::shared_ptr<std::unordered_set<Exchange *>> openExchanges =
             std::make_shared<std::unordered_set<Exchange *>>();
+    /// Era of the store in which the offset below holds, and since when it is known, on a clock
+    /// that includes time in suspension. To be called before it.
+    std::function<StoreEraView()> storeEra = [] { return StoreEraView(); };
     /// Offset of the first operator record that this node has not read.
     std::function<std::uint64_t()> operatorNext = [] { return std::uint64_t{0}; };
     std::function<void(const std::vector<Endpoint> &)> onPeersChanged; ///< called with the new list
--- a/src/vanilladyke/app/node_command.cpp
+++ b/src/vanilladyke/app/node_command.cpp
@@ -63,11 +63,15 @@
         , m_stopTimer(m_trafficContext)
     {
         m_traffic.configAge = [this] { return m_control.proof().age(); };
-        m_era.onChanged = [](const StoreEraView &era) {
+        m_era.onChanged = [this](const StoreEraView &era) {
+            m_eraSince = era.since.time_since_epoch().count();
             LogEvent("store_era")
                     .field("era", era.era)
                     .field("known_ms", BootClock::now() - era.since);
         };
+        m_traffic.storeEra = [this] {
+            return StoreEraView{m_follower.operatorEra(), TimePoint(Duration(m_eraSince.load()))};
+        };
         m_traffic.operatorNext = [this] { return m_follower.operatorNext(); };
         FleetRetryLimits limits = settings.control.fleetRetries;
         limits.nodes = AssumedNodeCount;
@@ -157,8 +161,11 @@
                 m_follower.nodeSeen(node, centre, endpoint);
             });
         };
-        m_sharing.receivedOperatorNext = [this](std::uint64_t next) {
-            asio::post(m_controlContext, [this, next] { m_follower.receivedOperatorNext(next); });
+        m_sharing.receivedOperatorNext = [this](std::uint64_t era, Duration knownFor,
+                                                std::uint64_t next) {
+            asio::post(m_controlContext, [this, era, knownFor, next] {
+                m_follower.receivedOperatorNext(era, knownFor, next);
+            });
         };
         m_control.standbyRank = [this] { return m_follower.standbyRank(); };
         m_control.otherNodes = [this] { return m_follower.otherNodes(); };
@@ -249,7 +256,8 @@
     asio::io_context m_controlContext{1};
     TrafficState m_traffic;
     TrafficServer m_server;
-    StoreEra m_era; ///< used on the control thread
+    StoreEra m_era;                           ///< used on the control thread
+    std::atomic<Duration::rep> m_eraSince{0}; ///< of m_era, for the traffic thread
     platform::StoreLeaseLog m_leaseLog;
     platform::HttpEngineOrders m_orders;
     platform::KvEvents m_keptCache;
--- a/src/vanilladyke/node/backends_follower.cpp
+++ b/src/vanilladyke/node/backends_follower.cpp
@@ -19,7 +19,7 @@
 {
     BackOff backOff(FollowContext::RetryIntervals);
     while (!m_context.isStopped) {
-        if (!m_topic.isListed) {
+        if (!m_topic.isListed || m_topic.era != m_context.era.view().era) {
             m_topic.isListed = co_await list();
             if (!m_topic.isListed) {
                 co_await m_context.failed(backOff);
@@ -50,7 +50,7 @@
                                    TimePoint requestedAt)
 {
     m_topic.answered(updates, requestedAt);
-    if (updates && updates->next >= m_topic.next) {
+    if (updates && updates->era == m_topic.era && updates->next >= m_topic.next) {
         applyUpdates(*updates, requestedAt);
     }
 }
@@ -69,8 +69,9 @@
         m_context.translator.applyBackend(record, m_context.listener);
     }
     m_context.listener.backendsListed(present);
+    m_topic.era = newest->era;
     m_topic.next = newest->end;
-    m_topic.relay.restart(newest->end);
+    m_topic.relay.restart(newest->end, newest->era);
     m_topic.provedAt = sentAt;
     m_topic.relay.addFreshnessProof(sentAt);
     co_return true;
@@ -92,6 +93,10 @@
         co_return;
     }
     backOff.succeeded();
+    if (page->era != m_topic.era) {
+        m_topic.isListed = false;
+        co_return;
+    }
     const std::uint64_t next = from + page->records.size();
     for (std::uint64_t offset = from; offset < next; ++offset) {
         if (offset >= m_topic.next) {
--- a/src/vanilladyke/node/load_sharing.cpp
+++ b/src/vanilladyke/node/load_sharing.cpp
@@ -3,6 +3,7 @@
 #include "node_load.pb.h"
 #include "vanilladyke/base/log.hpp"
 #include "vanilladyke/model/json_reader.hpp"
+#include "vanilladyke/node/boot_clock.hpp"
 #include "vanilladyke/traffic/exchange.hpp"
 
 #include <algorithm>
@@ -229,6 +230,9 @@
     message.set_questions_port(reachesStore ? m_queriesPort : 0);
     message.set_sequence(++m_sequence);
     message.set_address(m_port.listen().str());
+    const StoreEraView era = m_state.storeEra();
+    message.set_store_era(era.era);
+    message.set_era_known_ms(millis(std::min<Duration>(BootClock::now() - era.since, MaxSentAge)));
     message.set_operator_next(m_state.operatorNext());
     const bool takesRequests = m_state.settings.relaysRequests && !m_state.isDraining;
     message.set_relay_port(takesRequests ? m_port.listen().port : 0);
@@ -351,9 +355,12 @@
                  {origin->address().to_string(),
                   static_cast<std::uint16_t>(message.questions_port())});
     }
-    if (message.operator_next() > m_highestOperatorNext) {
-        m_highestOperatorNext = message.operator_next();
-        receivedOperatorNext(m_highestOperatorNext);
+    const std::pair<std::uint64_t, std::uint64_t> theirs{message.store_era(),
+                                                         message.operator_next()};
+    if (theirs > m_highestRead) {
+        m_highestRead = theirs;
+        receivedOperatorNext(message.store_era(), std::chrono::milliseconds(message.era_known_ms()),
+                             message.operator_next());
     }
     for (const wire::NamedWeights &each : message.named_weights()) {
         m_state.recordWeightsDate(read(each, now), AnnouncementSource::Reported, "peer");
--- a/src/vanilladyke/node/operator_follower.cpp
+++ b/src/vanilladyke/node/operator_follower.cpp
@@ -45,7 +45,7 @@
 {
     BackOff backOff(FollowContext::RetryIntervals);
     while (!m_context.isStopped) {
-        if (!m_topic.isListed) {
+        if (!m_topic.isListed || m_topic.era != m_context.era.view().era) {
             m_topic.isListed = co_await list();
             if (!m_topic.isListed) {
                 co_await m_context.failed(backOff);
@@ -63,8 +63,11 @@
     }
 }
 
-void OperatorFollower::receivedNext(std::uint64_t next)
+void OperatorFollower::receivedNext(std::uint64_t era, std::uint64_t next)
 {
+    if (era != m_topic.era) {
+        return; // offsets of two eras can't be compared
+    }
     if (next > m_rejectedNext) {
         m_receivedNext = std::max(m_receivedNext, next);
     }
@@ -82,7 +85,7 @@
                                    TimePoint requestedAt)
 {
     m_topic.answered(updates, requestedAt);
-    if (updates && updates->next >= m_topic.next) {
+    if (updates && updates->era == m_topic.era && updates->next >= m_topic.next) {
         applyUpdates(*updates, requestedAt);
     }
 }
@@ -106,6 +109,11 @@
         co_return;
     }
     backOff.succeeded();
+    if (page->era != m_topic.era) {
+        m_topic.isListed =
+                false; // the store has lost records: those that were read may be among them
+        co_return;
+    }
     m_topic.mustRead = false;
     applyPage(*page, from, proofTimeOf(*page, sentAt, wait, BootClock::now()));
 }
@@ -121,8 +129,19 @@
     // If the records were followed before, everything new was written after the last proof.
     const bool hasProof = m_topic.provedAt != TimePoint::min();
     const auto age = hasProof ? std::optional(BootClock::now() - m_topic.provedAt) : std::nullopt;
-    m_topic.relay.restartWithListing(newest->end);
+    m_topic.relay.restartWithListing(newest->end, newest->era);
+    if (newest->era != m_topic.era) {
+        LogEvent("topic_listed_anew")
+                .field("topic", "operator")
+                .field("era", newest->era)
+                .field("next", newest->end)
+                .field("before", m_topic.next);
+        m_receivedNext = 0;
+        m_rejectedNext = 0;
+    }
+    m_topic.era = newest->era;
     setNext(newest->end);
+    m_publishedEra = newest->era; // after the offset: the other order would name a wrong offset
     for (const KeyedRecord &record : newest->items) {
         m_context.translator.applyOperator(record, age, m_context.listener);
         m_topic.relay.addChange(record.offset, packRecord(m_context.translator.join(record)),
@@ -145,14 +164,14 @@
         m_context.calls.count(StoreCall::Read, StoreTopic::Operator, CallCause::PeerKnowsMore);
         const auto page =
                 co_await m_context.store.read(StateTopic::Operator, from, Duration::zero());
-        if (page && page->end < received) {
+        if (page && page->era == m_topic.era && page->end < received) {
             LogEvent("heard_offset_wrong", Severity::Error)
                     .field("heard", received)
                     .field("end", page->end);
             m_rejectedNext = received;
             m_receivedNext = 0;
         }
-        if (page) {
+        if (page && page->era == m_topic.era) {
             applyPage(*page, from, sentAt);
         }
     }
--- a/src/vanilladyke/node/peer_queries.cpp
+++ b/src/vanilladyke/node/peer_queries.cpp
@@ -13,6 +13,7 @@
         return;
     }
     out->set_next(updates->next);
+    out->set_era(updates->era);
     const auto age = std::chrono::duration_cast<std::chrono::microseconds>(updates->age);
     out->set_age_us(static_cast<std::uint64_t>(std::max<std::int64_t>(age.count(), 0)) + 1);
     for (const RecordRelay::Change &change : updates->changes) {
@@ -29,6 +30,7 @@
     }
     RecordRelay::Updates updates;
     updates.next = in.next();
+    updates.era = in.era();
     updates.age = std::chrono::microseconds(in.age_us());
     for (const wire::TopicRecord &record : in.records()) {
         updates.changes.push_back({record.offset(), record.bytes(), {}});
--- a/src/vanilladyke/node/state_follower.cpp
+++ b/src/vanilladyke/node/state_follower.cpp
@@ -80,6 +80,7 @@
         } else {
             m_sharing.readers.answered(*reader);
         }
+        tellEra(*updates);
         m_operator.applyAnswer(updates->configuration, requestedAt);
         m_backends.applyAnswer(updates->backends, requestedAt);
     }
@@ -93,6 +94,23 @@
     }
 }
 
+void StateFollower::receivedOperatorNext(std::uint64_t era, Duration knownFor, std::uint64_t next)
+{
+    m_context.era.told(era, knownFor, BootClock::now());
+    m_operator.receivedNext(era, next);
+}
+
+void StateFollower::tellEra(const SharedUpdates &updates)
+{
+    const TimePoint now = BootClock::now();
+    if (updates.configuration) {
+        m_context.era.told(updates.configuration->era, Duration::zero(), now);
+    }
+    if (updates.backends) {
+        m_context.era.told(updates.backends->era, Duration::zero(), now);
+    }
+}
+
 bool StateFollower::isBehind(const SharedUpdates &updates) const
 {
     return m_operator.isTooOld(updates.configuration) || m_backends.isTooOld(updates.backends);
--- a/src/vanilladyke/node/state_follower_fixture.hpp
+++ b/src/vanilladyke/node/state_follower_fixture.hpp
@@ -32,6 +32,7 @@
             result.items.push_back({record.substr(0, record.find('=')), record});
         }
         result.end = topics[topic].size();
+        result.era = nameEra();
         co_return std::move(result);
     }
 
@@ -74,7 +75,11 @@
             co_return failure(StoreError::Expired);
         }
         RecordPage page;
+        page.era = nameEra();
         page.end = topics[topic].size();
+        if (from > page.end) {
+            co_return failure(StoreError::Expired);
+        }
         page.records.assign(topics[topic].begin() + static_cast<std::ptrdiff_t>(from),
                             topics[topic].end());
         co_return std::move(page);
@@ -88,10 +93,20 @@
         if (isAccepted) {
             topics[topic].push_back(record.value);
         }
-        co_return AppendResult{isAccepted, topics[topic].size()};
+        const AppendResult result{isAccepted, topics[topic].size(), nameEra()};
+        co_return result;
+    }
+
+    /// @brief The store's client records the era of each answer.
+    std::uint64_t nameEra() const
+    {
+        static_cast<void>(known == nullptr || known->observed(era, BootClock::now()));
+        return era;
     }
 
     std::map<StateTopic, std::vector<std::string>> topics;
+    std::uint64_t era = 0;
+    StoreEra *known = nullptr; ///< of the node that uses the store
     int calls = 0;
     bool isDown = false;
     bool isUnresponsive = false;     ///< reads stay without an answer
@@ -184,6 +199,8 @@
 
     void start()
     {
+        m_store.known = &m_readerEra;
+        m_ownStore.known = &m_askingEra;
         m_ownStore.topics = m_store.topics;
         m_reader.start();
         m_asking.start();
--- a/src/vanilladyke/policy/record_relay.cpp
+++ b/src/vanilladyke/policy/record_relay.cpp
@@ -4,16 +4,20 @@
 
 namespace vanilladyke {
 
-void RecordRelay::restart(std::uint64_t next)
+void RecordRelay::restart(std::uint64_t next, std::uint64_t era)
 {
+    if (era != m_era) {
+        m_provedFreshAt.reset();
+    }
+    m_era = era;
     m_changes.clear();
     m_first = next;
     m_next = next;
 }
 
-void RecordRelay::restartWithListing(std::uint64_t next)
+void RecordRelay::restartWithListing(std::uint64_t next, std::uint64_t era)
 {
-    restart(next);
+    restart(next, era);
     m_first = 0;
 }
 
@@ -44,6 +48,7 @@
         return std::nullopt;
     }
     Updates updates;
+    updates.era = m_era;
     updates.next = std::max(offset, m_next);
     updates.age = now - *m_provedFreshAt;
     const auto begin = std::lower_bound(
