Register again, and write the fleet's key again, when the store has lost them

What would be seen: a node that starts after the store came back from an older copy finds no other one, or makes a fleet key of its own, so that its datagrams and those of the others are dropped by each other.

Change: in a new era a node registers again and lists the others; it looks for the key, writes the one it knows if there is none, and takes the store's if there is another. A pause of minutes ends with the era.

--- a/include/vanilladyke/node/follow_context.hpp
+++ b/include/vanilladyke/node/follow_context.hpp
@@ -31,6 +31,8 @@
 
     /// @brief Completes after @p span.
     [[nodiscard]] asio::awaitable<void> pause(Duration span);
+    /// @brief Completes after @p span, or soon after the store's era has changed from @p known.
+    [[nodiscard]] asio::awaitable<void> pauseInEra(Duration span, std::uint64_t known);
     /// @brief Reports a failed call to the listener and completes when the next one may be made.
     [[nodiscard]] asio::awaitable<void> failed(BackOff &backOff);
 
--- a/include/vanilladyke/node/state_follower.hpp
+++ b/include/vanilladyke/node/state_follower.hpp
@@ -43,7 +43,7 @@
     /// @brief The answer to a node that requests updates.
     [[nodiscard]] SharedUpdates updatesSince(std::uint64_t operatorNext,
                                              std::uint64_t backendsNext) const;
-    /// @brief Called once with the key that signs datagrams between nodes.
+    /// @brief Called with the key that signs datagrams between nodes, and whenever it is replaced.
     std::function<void(std::string key)> onFleetKey;
 
 private:
--- a/src/vanilladyke/node/fleet_key.cpp
+++ b/src/vanilladyke/node/fleet_key.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-asio::awaitable<std::optional<std::string>> findFleetKey(FollowContext &context)
+asio::awaitable<std::optional<std::string>> findFleetKey(FollowContext &context, std::string known)
 {
     // The first node writes the key; the append of any later node is refused.
     co_await context.pause(spanOfSeconds(secondsOf(StartSpread) * uniform(context.random)));
@@ -25,8 +25,11 @@
             co_return newest->items.front().value;
         }
         if (newest && newest->end == 0) {
-            std::string key(crypto_generichash_KEYBYTES, '\0');
-            randombytes_buf(key.data(), key.size());
+            std::string key = known;
+            if (key.empty()) {
+                key.assign(crypto_generichash_KEYBYTES, '\0');
+                randombytes_buf(key.data(), key.size());
+            }
             context.calls.count(StoreCall::Append, StoreTopic::FleetKey, CallCause::Start);
             KeyedRecord record{RecordKey, key};
             const auto appended =
--- a/src/vanilladyke/node/follow_context.cpp
+++ b/src/vanilladyke/node/follow_context.cpp
@@ -14,6 +14,16 @@
     co_await timer.async_wait(redirectError(ignored));
 }
 
+asio::awaitable<void> FollowContext::pauseInEra(Duration span, std::uint64_t known)
+{
+    constexpr Duration Step = std::chrono::milliseconds(500);
+    const TimePoint until = MonotonicClock::now() + span;
+    for (TimePoint now = MonotonicClock::now(); now < until && era.view().era == known;
+         now = MonotonicClock::now()) {
+        co_await pause(std::min<Duration>(Step, until - now));
+    }
+}
+
 asio::awaitable<void> FollowContext::failed(BackOff &backOff)
 {
     listener.storeFailed();
--- a/src/vanilladyke/node/node_list.cpp
+++ b/src/vanilladyke/node/node_list.cpp
@@ -30,13 +30,15 @@
 asio::awaitable<void> followNodeList(FollowContext &context, NodeIdentity self)
 {
     bool isRegistered = false;
+    std::uint64_t era = 0; // in which it is
     while (!context.isStopped) {
-        if (!isRegistered) {
+        if (!isRegistered || era != context.era.view().era) {
             KeyedRecord here{self.name, self.peers.str()};
             context.calls.count(StoreCall::Append, StoreTopic::Nodes, CallCause::Start);
             const auto appended =
                     co_await context.store.append(StateTopic::Nodes, std::move(here), std::nullopt);
             isRegistered = appended && appended->isAccepted;
+            era = appended ? appended->era : era;
         }
         co_await context.pause(ListDelay);
         context.calls.count(StoreCall::List, StoreTopic::Nodes, CallCause::Follow);
@@ -45,7 +47,7 @@
             context.listener.nodesListed(endpointsOf(newest->items));
         }
         if (isRegistered && newest) {
-            co_await context.pause(ListInterval);
+            co_await context.pauseInEra(ListInterval, era);
         }
     }
 }
--- a/src/vanilladyke/node/state_follower.cpp
+++ b/src/vanilladyke/node/state_follower.cpp
@@ -13,6 +13,8 @@
 /// Compressed size that fits into one datagram. Each node reads a larger configuration from the
 /// store itself.
 constexpr std::size_t MaxSharedBytes = 16000;
+/// Interval at which the era of the store is looked at, which the key was read in.
+constexpr Duration KeyCheckInterval = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -88,9 +90,19 @@
 
 asio::awaitable<void> StateFollower::reportFleetKey()
 {
-    auto key = co_await findFleetKey(m_context);
-    if (key && onFleetKey) {
-        onFleetKey(std::move(*key));
+    std::string known;
+    while (!m_context.isStopped) {
+        const std::uint64_t before = m_context.era.view().era;
+        const auto key = co_await findFleetKey(m_context, known);
+        if (key && *key != known && onFleetKey) {
+            onFleetKey(*key);
+        }
+        known = key.value_or(known);
+        const std::uint64_t era = before > 0 ? before : m_context.era.view().era;
+        // A key that the store has lost would be replaced by the next node that starts.
+        while (!m_context.isStopped && m_context.era.view().era == era) {
+            co_await m_context.pause(KeyCheckInterval);
+        }
     }
 }
 
