--- a/include/vanilladyke/node/control_plane.hpp
+++ b/include/vanilladyke/node/control_plane.hpp
@@ -55,7 +55,7 @@
                           std::optional<Duration> age) override;
     bool backendRead(BackendEntry entry) override;
     void backendRemoved(const EngineId &id) override;
-    void backendsListed(const std::map<EngineId, bool> &present) override;
+    void backendsListed(const std::map<EngineId, bool> &present, bool mayLackEntries) override;
     void configurationProved(TimePoint sentAt) override;
     void storeFailed() override;
     void nodesListed(std::vector<Endpoint> peers) override;
--- a/include/vanilladyke/node/ports.hpp
+++ b/include/vanilladyke/node/ports.hpp
@@ -3,7 +3,6 @@
 #include "vanilladyke/model/routing.hpp"
 #include "vanilladyke/policy/kept_cache_view.hpp"
 #include "vanilladyke/policy/order_lease.hpp"
-#include "vanilladyke/policy/store_era.hpp"
 
 #include <functional>
 #include <map>
@@ -37,7 +36,8 @@
     virtual bool backendRead(BackendEntry entry) = 0;
     virtual void backendRemoved(const EngineId &id) = 0;
     /// @brief The whole list was read; servers that are not in it are removed.
-    virtual void backendsListed(const std::map<EngineId, bool> &present) = 0;
+    /// @param mayLackEntries the store came back from an older copy, and servers write again
+    virtual void backendsListed(const std::map<EngineId, bool> &present, bool mayLackEntries) = 0;
     /// @brief Freshness proof: all records that the operator wrote before @p sentAt were applied.
     virtual void configurationProved(TimePoint sentAt) = 0;
     /// @brief A call to the store failed.
--- a/include/vanilladyke/policy/backend_roster.hpp
+++ b/include/vanilladyke/policy/backend_roster.hpp
@@ -16,7 +16,8 @@
 /// affects most entries at once: if most of them are removed within LapseWindow, soon after a
 /// failed call to the store, all of these are kept for RewriteGrace, in which running servers write
 /// again. A few removed entries take effect at once, also after a store failure, which may have
-/// affected this node alone. A server that reported that it drains never returns.
+/// affected this node alone. A server that reported that it drains never returns, nor does one that
+/// was removed with an entry that is no newer: a store that came back from an older copy lists it.
 namespace vanilladyke {
 
 /// @brief The roster of one node. Pure.
@@ -43,7 +44,9 @@
     /// any
     bool expire(TimePoint now);
     /// @brief Removes all entries that are not in @p present, the complete list in the store.
-    bool keepOnly(const std::map<EngineId, bool> &present, TimePoint now);
+    /// @param mayLackEntries the store came back from an older copy: what is missing is kept for
+    /// RewriteGrace
+    bool keepOnly(const std::map<EngineId, bool> &present, bool mayLackEntries, TimePoint now);
 
     /// @brief Servers that may get requests: listed and not draining.
     [[nodiscard]] std::vector<BackendEntry> serving() const;
--- a/src/vanilladyke/node/backends_follower.cpp
+++ b/src/vanilladyke/node/backends_follower.cpp
@@ -68,7 +68,9 @@
         present[EngineId(record.key)] = true;
         m_context.translator.applyBackend(record, m_context.listener);
     }
-    m_context.listener.backendsListed(present);
+    // What servers wrote after an older copy was made is written again within moments.
+    const bool mayLackEntries = newest->era != m_topic.era && m_topic.provedAt != TimePoint::min();
+    m_context.listener.backendsListed(present, mayLackEntries);
     m_topic.era = newest->era;
     m_topic.next = newest->end;
     m_topic.relay.restart(newest->end, newest->era);
--- a/src/vanilladyke/node/control_plane.cpp
+++ b/src/vanilladyke/node/control_plane.cpp
@@ -172,9 +172,9 @@
     }
 }
 
-void ControlPlane::backendsListed(const std::map<EngineId, bool> &present)
+void ControlPlane::backendsListed(const std::map<EngineId, bool> &present, bool mayLackEntries)
 {
-    if (m_roster.keepOnly(present, BootClock::now())) {
+    if (m_roster.keepOnly(present, mayLackEntries, BootClock::now())) {
         publishBackends();
     }
 }
--- a/src/vanilladyke/node/state_follower_fixture.hpp
+++ b/src/vanilladyke/node/state_follower_fixture.hpp
@@ -158,7 +158,7 @@
         return true;
     }
     void backendRemoved(const EngineId &) override {}
-    void backendsListed(const std::map<EngineId, bool> &) override {}
+    void backendsListed(const std::map<EngineId, bool> &, bool) override {}
     void configurationProved(TimePoint at) override
     {
         EXPECT_GT(at, provedAt);
--- a/src/vanilladyke/policy/backend_roster.cpp
+++ b/src/vanilladyke/policy/backend_roster.cpp
@@ -31,6 +31,8 @@
     if (found == m_entries.end()) {
         return false;
     }
+    std::uint64_t &last = m_lastHeartbeat[id];
+    last += last > 0 ? 1 : 0; // an entry that returns has to be newer
     if (!found->second.entry.isDraining) {
         m_removed[id] = {found->second.entry, now};
     }
@@ -69,11 +71,17 @@
            > 0;
 }
 
-bool BackendRoster::keepOnly(const std::map<EngineId, bool> &present, TimePoint now)
+bool BackendRoster::keepOnly(const std::map<EngineId, bool> &present, bool mayLackEntries,
+                             TimePoint now)
 {
     std::vector<EngineId> missing;
-    for (const auto &[id, known] : m_entries) {
-        if (!present.contains(id)) {
+    for (auto &[id, known] : m_entries) {
+        if (present.contains(id)) {
+            continue;
+        }
+        if (mayLackEntries) {
+            known.dropAt = known.dropAt.value_or(now + RewriteGrace);
+        } else {
             missing.push_back(id);
         }
     }
--- a/src/vanilladyke/policy/backend_roster_test.cpp
+++ b/src/vanilladyke/policy/backend_roster_test.cpp
@@ -87,7 +87,35 @@
     BackendRoster roster;
     roster.put(entry("a", 1), at(0));
     roster.put(entry("b", 1), at(0));
-    EXPECT_TRUE(roster.keepOnly({{EngineId("b"), true}}, at(10)));
+    EXPECT_TRUE(roster.keepOnly({{EngineId("b"), true}}, false, at(10)));
+    ASSERT_EQ(roster.serving().size(), 1U);
+    EXPECT_EQ(roster.serving()[0].id, EngineId("b"));
+}
+
+// The store comes back from a copy that holds the entry of a server that was removed since. Guards
+// against requests to a server that is gone, at an address that another one may have by now.
+TEST(BackendRoster, ARemovedServerDoesNotReturnWithAnEntryThatIsNoNewer)
+{
+    BackendRoster roster;
+    roster.put(entry("a", 5), at(0));
+    EXPECT_TRUE(roster.remove(EngineId("a"), at(10)));
+    EXPECT_FALSE(roster.put(entry("a", 5), at(20)));
+    EXPECT_TRUE(roster.serving().empty());
+    EXPECT_TRUE(roster.put(entry("a", 6), at(30))); // it has written again
+    EXPECT_EQ(roster.serving().size(), 1U);
+}
+
+// The copy lacks a server that registered after it was made. Guards against dropping a server that
+// serves, which writes its entry again within moments.
+TEST(BackendRoster, ServersThatAnOlderCopyLacksAreKeptUntilTheyCanWriteAgain)
+{
+    BackendRoster roster;
+    roster.put(entry("a", 1), at(0));
+    roster.put(entry("b", 1), at(0));
+    EXPECT_FALSE(roster.keepOnly({{EngineId("b"), true}}, true, at(10)));
+    EXPECT_EQ(roster.serving().size(), 2U);
+    EXPECT_FALSE(roster.expire(at(2000)));
+    EXPECT_TRUE(roster.expire(at(2300)));
     ASSERT_EQ(roster.serving().size(), 1U);
     EXPECT_EQ(roster.serving()[0].id, EngineId("b"));
 }
