Tests that run at the same time draw ports from different parts of the range

Cause, by eight programs that started eight nodes each at the same moment, of which one failed: 'listen_failed reason="127.0.0.1:27840: Address already in use"'. A port is drawn, found free and bound later by the node; two programs drew the same one. A part of the range for each process id makes that rare; a program that has drawn half of its part goes on with the whole range.

--- a/tests/integration/harness.py
+++ b/tests/integration/harness.py
@@ -34,12 +34,22 @@
 # Below the range that the kernel takes for outgoing connections: a port from there may be in use
 # as one by the time that a process binds it, and a test would fail now and then.
 PORTS = range(10_000, 32_000)
+# Test programs that run at the same time draw from different parts of it: a port that one of them has drawn is free
+# until its node has started, so that two could draw the same one, and the second node would not start.
+LANES = 20
+LANE_PORTS = len(PORTS) // LANES
 given_ports = set()
 
 
+def drawn_port():
+    lane = os.getpid() % LANES
+    is_worn = len(given_ports) > LANE_PORTS // 2
+    return random.SystemRandom().choice(PORTS if is_worn else PORTS[lane * LANE_PORTS:(lane + 1) * LANE_PORTS])
+
+
 def free_port():
     while True:
-        port = random.SystemRandom().choice(PORTS)
+        port = drawn_port()
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind(("127.0.0.1", port))
             if port not in given_ports:
