--- a/tests/integration/platform_era.py
+++ b/tests/integration/platform_era.py
@@ -32,6 +32,13 @@
         self.fleet.name_weights(version)
         harness.wait_until(lambda: all(each.version == version for each in self.engines), f"weights {version}")
 
+    def check_sequence(self):
+        """No order arrives with a lower fence than one before at any engine, whichever node sent them."""
+        highest = 0
+        for _, holder, fence, engine in self.orders():
+            self.assertGreaterEqual(fence, highest, (holder, engine, self.orders()))
+            highest = fence
+
     def check_orders(self):
         """Fences at one engine never fall; holders take turns with the gap, and with a higher fence at any engine. One
         holder's orders to two engines may arrive in another sequence than they were sent."""
@@ -49,6 +56,14 @@
         """The claim of the node that gives orders is lost with the store's last seconds; the copy ends with an older
         release. Another node that reads it claims the lease at once, with a lower fencing number, while the first one
         goes on."""
+        self.lose_claims()
+
+    def test_orders_to_all_engines_arrive_in_the_sequence_of_their_fences(self):
+        """The same, with fences compared across engines also where one node sent both orders."""
+        self.lose_claims()
+        self.check_sequence()
+
+    def lose_claims(self):
         self.start(nodes=4)
         version = 1
         for _ in range(3):
