--- a/include/vanilladyke/node/control_plane.hpp
+++ b/include/vanilladyke/node/control_plane.hpp
@@ -14,7 +14,6 @@
     std::string self; ///< host name; identifies the holder of the lease
     LeaseTerms lease;
     RolloutTerms rollout;
-    FleetRetryLimits fleetRetries; ///< the number of nodes is filled in once listed
 };
 
 /// @brief Time of the configuration's last freshness proof; shared by both threads.
--- a/include/vanilladyke/policy/fleet_retry_budget.hpp
+++ b/include/vanilladyke/policy/fleet_retry_budget.hpp
@@ -3,6 +3,7 @@
 #include "vanilladyke/base/time.hpp"
 #include "vanilladyke/model/ids.hpp"
 
+#include <algorithm>
 #include <deque>
 #include <unordered_map>
 
@@ -22,7 +23,14 @@
     double ratio = 0.2; ///< retries per request within the window
     double extra = 0;   ///< for all nodes together
     Duration window = std::chrono::seconds(10);
-    std::size_t nodes = 1; ///< nodes among which the extra is divided; at least one
+};
+
+/// @brief What a node's budget for one service holds, for logs.
+struct RetryAccount
+{
+    int spent = 0;         ///< retries within the window
+    double left = 0;       ///< retries that may be spent now
+    std::size_t nodes = 1; ///< nodes among which the extra is divided
 };
 
 /// @brief Retry budget of one node for all services. Pure.
@@ -36,10 +44,11 @@
 
     void setLimits(const FleetRetryLimits &limits) { m_limits = limits; }
     /// @brief Sets the number of nodes among which the extra is divided.
-    void setNodes(std::size_t nodes) { m_limits.nodes = nodes; }
+    void setNodes(std::size_t nodes) { m_nodes = std::max<std::size_t>(nodes, 1); }
     void countRequest(const ServiceId &service, TimePoint now);
     /// @brief Takes one retry from the budget if the window allows it.
     [[nodiscard]] bool spend(const ServiceId &service, TimePoint now);
+    [[nodiscard]] RetryAccount account(const ServiceId &service, TimePoint now);
 
 private:
     struct Slice
@@ -52,6 +61,7 @@
     Slice &current(std::deque<Slice> &slices, TimePoint now) const;
 
     FleetRetryLimits m_limits;
+    std::size_t m_nodes = 1;
     std::unordered_map<ServiceId, std::deque<Slice>> m_services;
 };
 
--- a/include/vanilladyke/traffic/exchange.hpp
+++ b/include/vanilladyke/traffic/exchange.hpp
@@ -144,7 +144,12 @@
     /// Takes a place at the engine of the try, if that is brittle. @return false if there is none
     [[nodiscard]] asio::awaitable<bool> takePlace(BackendTryPtr attempt);
     /// Takes the retry budget for a try that is not the first one. @return false if it is spent
-    [[nodiscard]] bool takeRetry(TimePoint now);
+    [[nodiscard]] bool takeRetry(const BackendTryPtr &attempt, TimePoint now);
+    /// Why the request is sent again: how the try before ended, or that it is silent.
+    [[nodiscard]] std::string_view retryReason(const BackendTryPtr &attempt) const;
+    /// Logs a retry or its denial when it is decided: the line of the whole request comes at its
+    /// end, and never if the process ends before.
+    void logRetry(const BackendTryPtr &attempt, bool isAllowed, TimePoint now);
     void recordSent(const BackendTry &attempt, TimePoint now);
     /// Records whether the request may return to the server of a try that ended early.
     void recordLeft(const BackendTry &attempt);
@@ -261,6 +266,7 @@
     std::optional<BackendChoice> m_choice;      ///< of the last try
     std::optional<Duration> m_weightsTimeLeft; ///< at the last try, if newer weights were announced
     AbortReason m_lastAbort = AbortReason::None; ///< of the last try that ended
+    std::optional<TryResult> m_lastEnd;          ///< of the last try that ended
     int m_ownAborts = 0;                         ///< tries that this node ended by its own choice
     std::optional<FurtherTryDenial> m_denial;    ///< of the last further try that was considered
     int m_connectFailures = 0;
--- a/include/vanilladyke/traffic/traffic_state.hpp
+++ b/include/vanilladyke/traffic/traffic_state.hpp
@@ -35,6 +35,7 @@
     std::uint64_t self = 0; ///< hash of the node's name
     DataCentreId dataCentre;
     BackendCostParameters rates;
+    FleetRetryLimits fleetRetries;
     Duration keysValidFor = std::chrono::milliseconds(4500); ///< after their last freshness proof
     bool failsClosed = true; ///< refuses requests with a key without a valid freshness proof
     bool withdrawsRequests =
@@ -122,6 +123,9 @@
         return table != nullptr && configAge() <= settings.keysValidFor;
     }
 
+    /// @brief Sets the number of nodes that share the fleet's limits; logs a change.
+    /// @param by source of the number, for the log
+    void setNodes(std::size_t count, std::string_view by);
     /// @brief Replaces the list of servers.
     void setBackends(const std::vector<BackendEntry> &serving, TimePoint now);
     /// @brief Records which software version began a stream, and tells other nodes unless the
@@ -153,9 +157,10 @@
     ReachMonitor reach;
     /// Open requests that other nodes handed to this one; shared like openExchanges.
     std::shared_ptr<int> openRelayed = std::make_shared<int>(0);
-    std::shared_ptr<const RouteTable> table; ///< null until a configuration is received
-    std::size_t nodes = 1;                   ///< number of nodes that share the retry budget
-    bool isDraining = false;                 ///< reports not ready; requests are still served
+    std::shared_ptr<const RouteTable> table;           ///< null until a configuration is received
+    std::size_t nodes = 1;                             ///< set by setNodes()
+    const TimePoint startedAt = MonotonicClock::now(); ///< of this process
+    bool isDraining = false; ///< reports not ready; requests are still served
     /// Refuses new requests, because they might not complete before the process exits.
     bool isShuttingDown = false;
     /// Age of the latest freshness proof of the configuration, on a clock that includes time in
--- a/src/vanilladyke/app/node_command.cpp
+++ b/src/vanilladyke/app/node_command.cpp
@@ -73,10 +73,8 @@
             return StoreEraView{m_follower.operatorEra(), TimePoint(Duration(m_eraSince.load()))};
         };
         m_traffic.operatorNext = [this] { return m_follower.operatorNext(); };
-        FleetRetryLimits limits = settings.control.fleetRetries;
-        limits.nodes = AssumedNodeCount;
-        m_traffic.nodes = AssumedNodeCount;
-        m_traffic.retryBudget.setLimits(limits);
+        m_traffic.retryBudget.setLimits(settings.traffic.fleetRetries);
+        m_traffic.setNodes(AssumedNodeCount, "start");
     }
 
     int run()
@@ -225,9 +223,7 @@
         m_traffic.settings.keysValidFor = settings->traffic.keysValidFor;
         m_traffic.settings.failsClosed = settings->traffic.failsClosed;
         m_traffic.quarantine.setExempted(settings->traffic.releasedRequests);
-        FleetRetryLimits limits = settings->control.fleetRetries;
-        limits.nodes = m_traffic.nodes;
-        m_traffic.retryBudget.setLimits(limits);
+        m_traffic.retryBudget.setLimits(settings->traffic.fleetRetries);
         LogEvent("reload").field("path", m_path).field("needs_start", needsRestart);
     }
 
--- a/src/vanilladyke/app/node_settings.cpp
+++ b/src/vanilladyke/app/node_settings.cpp
@@ -151,7 +151,7 @@
     reader.milliseconds("grace_ms", &settings.grace, MinDuration, MaxDuration);
     if (reader.has("second_sends")) {
         reader.object("second_sends", [&settings](JsonReader &inner) {
-            readRetryLimits(inner, &settings.control.fleetRetries);
+            readRetryLimits(inner, &settings.traffic.fleetRetries);
         });
     }
     if (reader.has("placement")) {
--- a/src/vanilladyke/node/control_plane.cpp
+++ b/src/vanilladyke/node/control_plane.cpp
@@ -199,11 +199,8 @@
 
 void ControlPlane::nodesListed(std::vector<Endpoint> peers)
 {
-    FleetRetryLimits terms = m_settings.fleetRetries;
-    terms.nodes = std::max<std::size_t>(peers.size(), 1);
-    postToTraffic([terms, peers = std::move(peers)](TrafficState &traffic) {
-        traffic.nodes = terms.nodes;
-        traffic.retryBudget.setLimits(terms);
+    postToTraffic([peers = std::move(peers)](TrafficState &traffic) {
+        traffic.setNodes(std::max<std::size_t>(peers.size(), 1), "listing");
         if (traffic.onPeersChanged) {
             traffic.onPeersChanged(peers);
         }
--- a/src/vanilladyke/node/load_sharing.cpp
+++ b/src/vanilladyke/node/load_sharing.cpp
@@ -192,8 +192,7 @@
 
 void LoadSharing::countPeers()
 {
-    m_state.nodes = std::max(m_state.nodes, m_routes.size() + 1);
-    m_state.retryBudget.setNodes(m_state.nodes);
+    m_state.setNodes(std::max(m_state.nodes, m_routes.size() + 1), "peer");
     m_places.setInterval(regularInterval());
 }
 
--- a/src/vanilladyke/policy/fleet_retry_budget.cpp
+++ b/src/vanilladyke/policy/fleet_retry_budget.cpp
@@ -23,23 +23,29 @@
     ++current(m_services[service], now).requests;
 }
 
-bool FleetRetryBudget::spend(const ServiceId &service, TimePoint now)
+RetryAccount FleetRetryBudget::account(const ServiceId &service, TimePoint now)
 {
     std::deque<Slice> &slices = m_services[service];
-    Slice &slice = current(slices, now);
+    const std::int64_t newest = current(slices, now).number;
+    RetryAccount result;
+    result.nodes = m_nodes;
     int requests = 0;
-    int spent = 0;
     for (const Slice &each : slices) {
-        const bool leaving = each.number == slice.number - Slices;
+        const bool leaving = each.number == newest - Slices;
         requests += leaving ? 0 : each.requests;
-        spent += each.spent;
+        result.spent += each.spent;
     }
-    const double extra =
-            m_limits.extra / static_cast<double>(std::max<std::size_t>(m_limits.nodes, 1));
-    if (spent + 1 > Margin * (m_limits.ratio * requests + extra)) {
+    const double extra = m_limits.extra / static_cast<double>(result.nodes);
+    result.left = Margin * (m_limits.ratio * requests + extra) - result.spent;
+    return result;
+}
+
+bool FleetRetryBudget::spend(const ServiceId &service, TimePoint now)
+{
+    if (account(service, now).left < 1) {
         return false;
     }
-    ++slice.spent;
+    ++current(m_services[service], now).spent;
     return true;
 }
 
--- a/src/vanilladyke/policy/fleet_retry_budget_test.cpp
+++ b/src/vanilladyke/policy/fleet_retry_budget_test.cpp
@@ -24,13 +24,14 @@
 TEST(FleetRetryBudget, NodesTogetherStayBelowTheBoundInEveryWindow)
 {
     constexpr int Nodes = 6;
-    const FleetRetryLimits limits{0.2, 52, std::chrono::seconds(10), Nodes};
+    const FleetRetryLimits limits{0.2, 52, std::chrono::seconds(10)};
     std::vector<FleetRetryBudget> nodes(Nodes);
     Random random(7);
     std::vector<int> requests;
     std::vector<int> retries;
     for (auto &node : nodes) {
         node.setLimits(limits);
+        node.setNodes(Nodes);
     }
     for (int ms = 0; ms < 60'000; ++ms) {
         const bool isBurst = ms > 20'000 && ms < 23'000;
@@ -57,7 +58,8 @@
 TEST(FleetRetryBudget, AQuietServiceMayUseTheExtra)
 {
     FleetRetryBudget budget;
-    budget.setLimits({0.2, 30, std::chrono::seconds(10), 3});
+    budget.setLimits({0.2, 30, std::chrono::seconds(10)});
+    budget.setNodes(3);
     budget.countRequest(theService, at(0));
     int spent = 0;
     while (budget.spend(theService, at(1))) {
--- a/src/vanilladyke/traffic/exchange_fixture.hpp
+++ b/src/vanilladyke/traffic/exchange_fixture.hpp
@@ -41,7 +41,7 @@
         , m_acceptor(m_context, Tcp::endpoint(asio::ip::address_v4::loopback(), 0))
     {
         m_state.configAge = [this] { return m_configAge; };
-        m_state.retryBudget.setLimits({0.2, 1000, std::chrono::seconds(10), 1});
+        m_state.retryBudget.setLimits({0.2, 1000, std::chrono::seconds(10)});
         m_state.ticker.start();
         setRoute(RequestKind::Safe, false);
     }
--- a/src/vanilladyke/traffic/exchange_hedging.cpp
+++ b/src/vanilladyke/traffic/exchange_hedging.cpp
@@ -134,6 +134,7 @@
     }
     m_hasReservedRetry = m_hasReservedRetry || m_state.retryBudget.spend(m_service, now);
     if (!m_hasReservedRetry) {
+        m_state.metrics.count("retries_denied_total{reason=\"silent\"}");
         m_denial = FurtherTryDenial::BudgetSpent;
         return std::nullopt;
     }
--- a/src/vanilladyke/traffic/exchange_tries.cpp
+++ b/src/vanilladyke/traffic/exchange_tries.cpp
@@ -112,7 +112,7 @@
         ++m_connectFailures;
         co_return TryResult::Unreached;
     }
-    if (!takeRetry(now)) {
+    if (!takeRetry(attempt, now)) {
         attempt->releaseUnused();
         m_budgetSpent = true;
         co_return TryResult::Lost;
@@ -177,14 +177,47 @@
     co_return false;
 }
 
-bool Exchange::takeRetry(TimePoint now)
+bool Exchange::takeRetry(const BackendTryPtr &attempt, TimePoint now)
 {
+    const bool isFirst = m_sends == 0;
     const bool isAllowed =
-            m_sends == 0 || m_hasReservedRetry || m_state.retryBudget.spend(m_service, now);
+            isFirst || m_hasReservedRetry || m_state.retryBudget.spend(m_service, now);
     m_hasReservedRetry = false;
+    if (!isFirst) {
+        logRetry(attempt, isAllowed, now);
+    }
     return isAllowed;
 }
 
+std::string_view Exchange::retryReason(const BackendTryPtr &attempt) const
+{
+    if (std::find(m_hedges.begin(), m_hedges.end(), attempt) != m_hedges.end()) {
+        return "silent";
+    }
+    return m_lastEnd ? toString(*m_lastEnd) : "none";
+}
+
+void Exchange::logRetry(const BackendTryPtr &attempt, bool isAllowed, TimePoint now)
+{
+    const std::string reason(retryReason(attempt));
+    const RetryAccount account = m_state.retryBudget.account(m_service, now);
+    m_state.metrics.count(std::string(isAllowed ? "retries" : "retries_denied") + "_total{reason=\""
+                          + reason + "\"}");
+    LogEvent(isAllowed ? "retry" : "retry_denied")
+            .field("id", m_request->id)
+            .field("service", m_service.str())
+            .field("backend", attempt->choice().backend.id.str())
+            .field("reason", reason)
+            .field("handed_on", attempt->isRelay())
+            .field("for_node", m_request->relay.has_value())
+            .field("resumed", m_headWritten)
+            .field("sends", m_sends)
+            .field("spent", account.spent)
+            .field("left", account.left)
+            .field("nodes", account.nodes)
+            .field("up_ms", now - m_state.startedAt);
+}
+
 void Exchange::recordSent(const BackendTry &attempt, TimePoint now)
 {
     const BackendChoice &choice = attempt.choice();
@@ -221,6 +254,7 @@
     const TimePoint now = MonotonicClock::now();
     const AbortReason reason = attempt->abortReason();
     m_lastAbort = reason;
+    m_lastEnd = end;
     m_ownAborts += isOwnChoice(reason) ? 1 : 0;
     m_mayHaveRun = m_mayHaveRun || attempt->ran() != Ran::No;
     const bool hasEndedEarly = end == TryResult::Lost || end == TryResult::Interrupted;
--- a/src/vanilladyke/traffic/held_answer_fixture.hpp
+++ b/src/vanilladyke/traffic/held_answer_fixture.hpp
@@ -81,7 +81,7 @@
     }
 
     /// Allows exactly one retry.
-    void allowOneRetry() { m_state.retryBudget.setLimits({0, 2, std::chrono::seconds(10), 1}); }
+    void allowOneRetry() { m_state.retryBudget.setLimits({0, 2, std::chrono::seconds(10)}); }
 
     /// Runs an action once, in the tick in which the node leaves the first server and before it
     /// looks for another one.
--- a/src/vanilladyke/traffic/traffic_state.cpp
+++ b/src/vanilladyke/traffic/traffic_state.cpp
@@ -4,6 +4,16 @@
 
 namespace vanilladyke {
 
+void TrafficState::setNodes(std::size_t count, std::string_view by)
+{
+    if (nodes != count) {
+        LogEvent("nodes_counted").field("nodes", count).field("before", nodes).field("by", by);
+    }
+    nodes = count;
+    retryBudget.setNodes(count);
+    metrics.gauge("nodes", static_cast<double>(count));
+}
+
 void TrafficState::setBackends(const std::vector<BackendEntry> &serving, TimePoint now)
 {
     tracker.setBackends(serving, now);
