--- a/tests/integration/platform_fleet.py
+++ b/tests/integration/platform_fleet.py
@@ -286,6 +286,7 @@
         self.requests, self.runs, self.orders = [], [], []
         self.seconds = 0.0  # that a request runs
         self.full = False
+        self.fails = 0.0  # share of the requests that it answers with an error of its own
         self.limit = None  # requests a second that it names in its answers
         self.leaving, self.rest = False, None  # what its answers say; seconds of rest, for which it rejects
         self.rests = []  # when it asked for rest
@@ -371,6 +372,8 @@
             self.rests.append(time.monotonic())
         elif self.full or (self.busy and self.service == "llm"):
             call.answer(503, headers={**common, "X-Vanilladyke-Not-Executed": "1"})
+        elif random.random() < self.fails:
+            call.answer(500, b"failed", {**common, "X-Vanilladyke-Response-Stamp": "stamp-" + identity})
         elif not self.enter(self.tokens(call)):
             self.reject(call, common)
         else:
@@ -503,6 +506,7 @@
         self.ends_under, self.ends = set(), []  # bodies that end engines; when engines ended, and which
         self.ends_on = set()  # parts of prompts that do
         self.beating = True
+        self.second_sends = {"ratio": 0.2, "extra": 500, "window_ms": 10000}  # in the settings of nodes
         self.config = {
             "version": 5,
             "routes": [route("call", "unsafe", "app"), route("fetch", "safe", "app"),
@@ -576,7 +580,7 @@
                     "questions": f"127.0.0.1:{harness.free_port()}",
                     "store": f"127.0.0.1:{store_port or self.store.port}", "keys_valid_ms": keys_valid_ms,
                     "fails_closed": True, "weights_time_ms": 15000, "order_gap_ms": 1000, "grace_ms": 8000,
-                    "second_sends": {"ratio": 0.2, "extra": 500, "window_ms": 10000}}
+                    "second_sends": self.second_sends}
         path = self.cluster.write(name + ".jsonc", settings)
         program = next(self.cluster.programs)
         node = self.cluster.start(name, [program, "node", "--settings", path])
