Let a request earn its fraction of a retry for one window, and half of the ratio (BUDGET)

What callers saw: repeats at a service beyond what is allowed, after nodes were killed and where callers moved between nodes.

Cause: a node bounded its retries of a window by its own requests of that window. Over a fleet the windows are not the same: nodes that callers leave (or processes that end) have spent what one window earned, those that callers come to spend what the next one earns, and both lie within one window of retries. Class of fault: a shared limit of which each keeps its own part by its own count, though the parts move.

Change: a request earns half of the ratio, to be spent within one window and whichever process it came to. The retries of any window are then earned by the requests of two adjacent windows, of which the rule takes the larger: within the limit whatever nodes and callers do, with no message between nodes.

--- a/include/vanilladyke/policy/fleet_retry_budget.hpp
+++ b/include/vanilladyke/policy/fleet_retry_budget.hpp
@@ -9,12 +9,15 @@
 
 /// Limits the retries of all nodes together at a second backend server.
 ///
-/// Load pattern: half of a service's servers begin to refuse, and every node retries every request.
-/// A node only sees its own requests and therefore limits its own retries: the sum over all nodes
-/// of ratio × own requests is ratio × all requests, and the fixed extra is divided by the number of
-/// nodes that may exist. Requests and retries are counted in slices of a sliding window. A slice
-/// that has begun to leave the window no longer earns retries, while one that is partly in it still
-/// counts as spent; this keeps a window at any offset within the limit.
+/// Load pattern: half of a service's servers begin to refuse, and every node retries every request,
+/// while nodes start again and callers move to others. A node only sees its own requests, and a
+/// process forgets what it has counted when it ends. Each request therefore earns a fraction of a
+/// retry at the node that it came to, for one window. Whatever becomes of nodes and callers, the
+/// retries of a window are then earned in that window and the one before it, so that half of the
+/// ratio for each request keeps them within the ratio of the larger one. If a node counted its
+/// retries against its own requests alone, nodes that callers leave would spend what one window has
+/// earned beside those that callers come to, which spend what the next one earns. The fixed extra
+/// is divided by the number of nodes that may exist.
 namespace vanilladyke {
 
 /// @brief Limits set by the platform.
@@ -29,8 +32,11 @@
 struct RetryAccount
 {
     int spent = 0;         ///< retries within the window
-    double left = 0;       ///< retries that may be spent now
+    double earned = 0;     ///< retries that recent requests have earned and that were not spent
+    double extra = 0;      ///< rest of the node's part of the extra
     std::size_t nodes = 1; ///< nodes among which the extra is divided
+
+    [[nodiscard]] double left() const { return earned + extra; }
 };
 
 /// @brief Retry budget of one node for all services. Pure.
@@ -38,15 +44,18 @@
 {
 public:
     static constexpr int Slices = 20;
-    /// Fraction of the limit that is used: requests counted here may fall into a window that is
-    /// checked later.
-    static constexpr double Margin = 0.8;
+    /// Fraction of the ratio that a request earns: the requests of two windows earn the retries of
+    /// one.
+    static constexpr double EarnedFraction = 0.5;
+    /// Fraction of the extra that is used. The rest covers retries that arrive in a later window
+    /// than the one in which they were spent.
+    static constexpr double ExtraFraction = 0.8;
 
     void setLimits(const FleetRetryLimits &limits) { m_limits = limits; }
     /// @brief Sets the number of nodes among which the extra is divided.
     void setNodes(std::size_t nodes) { m_nodes = std::max<std::size_t>(nodes, 1); }
     void countRequest(const ServiceId &service, TimePoint now);
-    /// @brief Takes one retry from the budget if the window allows it.
+    /// @brief Takes one retry from the budget if there is one.
     [[nodiscard]] bool spend(const ServiceId &service, TimePoint now);
     [[nodiscard]] RetryAccount account(const ServiceId &service, TimePoint now);
 
@@ -54,7 +63,8 @@
     struct Slice
     {
         std::int64_t number = 0;
-        int requests = 0;
+        double earned = 0; ///< not spent yet
+        double extra = 0;  ///< spent of the node's part of the extra
         int spent = 0;
     };
 
--- a/src/vanilladyke/policy/fleet_retry_budget.cpp
+++ b/src/vanilladyke/policy/fleet_retry_budget.cpp
@@ -1,9 +1,14 @@
 #include "vanilladyke/policy/fleet_retry_budget.hpp"
 
-#include <algorithm>
-
 namespace vanilladyke {
 
+namespace {
+
+/// Compensates for the rounding error in sums of many fractions.
+constexpr double RoundingTolerance = 1e-9;
+
+} // namespace
+
 FleetRetryBudget::Slice &FleetRetryBudget::current(std::deque<Slice> &slices, TimePoint now) const
 {
     const Duration width =
@@ -13,14 +18,14 @@
         slices.pop_front();
     }
     if (slices.empty() || slices.back().number < number) {
-        slices.push_back({number, 0, 0});
+        slices.push_back({number, 0, 0, 0});
     }
     return slices.back();
 }
 
 void FleetRetryBudget::countRequest(const ServiceId &service, TimePoint now)
 {
-    ++current(m_services[service], now).requests;
+    current(m_services[service], now).earned += EarnedFraction * m_limits.ratio;
 }
 
 RetryAccount FleetRetryBudget::account(const ServiceId &service, TimePoint now)
@@ -29,23 +34,34 @@
     const std::int64_t newest = current(slices, now).number;
     RetryAccount result;
     result.nodes = m_nodes;
-    int requests = 0;
+    double spentExtra = 0;
     for (const Slice &each : slices) {
-        const bool leaving = each.number == newest - Slices;
-        requests += leaving ? 0 : each.requests;
+        result.earned += each.number > newest - Slices ? each.earned : 0;
         result.spent += each.spent;
+        spentExtra += each.extra;
     }
-    const double extra = m_limits.extra / static_cast<double>(result.nodes);
-    result.left = Margin * (m_limits.ratio * requests + extra) - result.spent;
+    const double part = ExtraFraction * m_limits.extra / static_cast<double>(m_nodes);
+    result.extra = std::max(0.0, part - spentExtra);
     return result;
 }
 
 bool FleetRetryBudget::spend(const ServiceId &service, TimePoint now)
 {
-    if (account(service, now).left < 1) {
+    if (account(service, now).left() + RoundingTolerance < 1) {
         return false;
     }
-    ++current(m_services[service], now).spent;
+    std::deque<Slice> &slices = m_services[service];
+    Slice &newest = current(slices, now);
+    double due = 1;
+    for (Slice &each : slices) { // what expires first is spent first
+        if (each.number > newest.number - Slices) {
+            const double taken = std::min(due, each.earned);
+            each.earned -= taken;
+            due -= taken;
+        }
+    }
+    newest.extra += due;
+    ++newest.spent;
     return true;
 }
 
--- a/src/vanilladyke/traffic/exchange_tries.cpp
+++ b/src/vanilladyke/traffic/exchange_tries.cpp
@@ -213,7 +213,8 @@
             .field("resumed", m_headWritten)
             .field("sends", m_sends)
             .field("spent", account.spent)
-            .field("left", account.left)
+            .field("earned", account.earned)
+            .field("extra", account.extra)
             .field("nodes", account.nodes)
             .field("up_ms", now - m_state.startedAt);
 }
