Leave a node's part of the extra retries alone for one window after a start (BUDGET)

What callers saw: repeats at a service beyond what is allowed, within ten seconds after nodes were killed.

Cause: a process that starts has the whole part of its node of the fixed extra, though the process before it may have spent that within the same window, and what it spent was known to it alone. Class of fault: what was taken from a shared limit is remembered only by the process that took it.

Change: FleetRetryBudget knows when the process started, and allows its part once a window has passed since. What recent requests earn is allowed from the first request on. A start before any traffic loses nothing, as it lies a window ahead.

--- a/include/vanilladyke/policy/fleet_retry_budget.hpp
+++ b/include/vanilladyke/policy/fleet_retry_budget.hpp
@@ -17,7 +17,8 @@
 /// ratio for each request keeps them within the ratio of the larger one. If a node counted its
 /// retries against its own requests alone, nodes that callers leave would spend what one window has
 /// earned beside those that callers come to, which spend what the next one earns. The fixed extra
-/// is divided by the number of nodes that may exist.
+/// is divided by the number of nodes that may exist. A process that starts leaves its node's part
+/// alone for one window: the process before it may have spent that and told nobody.
 namespace vanilladyke {
 
 /// @brief Limits set by the platform.
@@ -33,7 +34,7 @@
 {
     int spent = 0;         ///< retries within the window
     double earned = 0;     ///< retries that recent requests have earned and that were not spent
-    double extra = 0;      ///< rest of the node's part of the extra
+    double extra = 0;      ///< rest of the node's part of the extra; 0 in a process's first window
     std::size_t nodes = 1; ///< nodes among which the extra is divided
 
     [[nodiscard]] double left() const { return earned + extra; }
@@ -51,6 +52,11 @@
     /// than the one in which they were spent.
     static constexpr double ExtraFraction = 0.8;
 
+    /// @param startedAt when this process started
+    explicit FleetRetryBudget(TimePoint startedAt)
+        : m_startedAt(startedAt)
+    {}
+
     void setLimits(const FleetRetryLimits &limits) { m_limits = limits; }
     /// @brief Sets the number of nodes among which the extra is divided.
     void setNodes(std::size_t nodes) { m_nodes = std::max<std::size_t>(nodes, 1); }
@@ -70,6 +76,7 @@
 
     Slice &current(std::deque<Slice> &slices, TimePoint now) const;
 
+    TimePoint m_startedAt;
     FleetRetryLimits m_limits;
     std::size_t m_nodes = 1;
     std::unordered_map<ServiceId, std::deque<Slice>> m_services;
--- a/include/vanilladyke/traffic/traffic_state.hpp
+++ b/include/vanilladyke/traffic/traffic_state.hpp
@@ -146,7 +146,8 @@
     TrafficSettings settings;
     BackendTracker tracker;
     KeptCacheView keptCache;
-    FleetRetryBudget retryBudget;
+    const TimePoint startedAt = MonotonicClock::now(); ///< of this process
+    FleetRetryBudget retryBudget{startedAt};
     WorkDigester digester;
     RequestQuarantine quarantine;
     Random random;
@@ -157,10 +158,9 @@
     ReachMonitor reach;
     /// Open requests that other nodes handed to this one; shared like openExchanges.
     std::shared_ptr<int> openRelayed = std::make_shared<int>(0);
-    std::shared_ptr<const RouteTable> table;           ///< null until a configuration is received
-    std::size_t nodes = 1;                             ///< set by setNodes()
-    const TimePoint startedAt = MonotonicClock::now(); ///< of this process
-    bool isDraining = false; ///< reports not ready; requests are still served
+    std::shared_ptr<const RouteTable> table; ///< null until a configuration is received
+    std::size_t nodes = 1;                   ///< set by setNodes()
+    bool isDraining = false;                 ///< reports not ready; requests are still served
     /// Refuses new requests, because they might not complete before the process exits.
     bool isShuttingDown = false;
     /// Age of the latest freshness proof of the configuration, on a clock that includes time in
--- a/src/vanilladyke/policy/fleet_retry_budget.cpp
+++ b/src/vanilladyke/policy/fleet_retry_budget.cpp
@@ -40,8 +40,10 @@
         result.spent += each.spent;
         spentExtra += each.extra;
     }
-    const double part = ExtraFraction * m_limits.extra / static_cast<double>(m_nodes);
-    result.extra = std::max(0.0, part - spentExtra);
+    if (now - m_startedAt >= m_limits.window) {
+        const double part = ExtraFraction * m_limits.extra / static_cast<double>(m_nodes);
+        result.extra = std::max(0.0, part - spentExtra);
+    }
     return result;
 }
 
--- a/src/vanilladyke/policy/fleet_retry_replay.hpp
+++ b/src/vanilladyke/policy/fleet_retry_replay.hpp
@@ -29,16 +29,16 @@
     explicit RetryReplay(const RetryReplayTerms &terms)
         : m_terms(terms)
         , m_random(terms.seed)
-        , m_nodes(terms.nodes)
+        , m_nodes(terms.nodes, FleetRetryBudget(TimePoint()))
     {
         // Nodes have run for a while when the first callers come.
         restartAll(-static_cast<int>(millisOf(terms.limits.window)));
     }
 
     /// @brief The process of a node ends, and one that knows nothing takes its place.
-    void restart(std::size_t node, int /*ms*/)
+    void restart(std::size_t node, int ms)
     {
-        m_nodes[node] = FleetRetryBudget();
+        m_nodes[node] = FleetRetryBudget(at(ms));
         m_nodes[node].setLimits(m_terms.limits);
         m_nodes[node].setNodes(m_nodes.size());
     }
