Divide the extra retries by the largest number of nodes of the last window (BUDGET)

What callers saw: nothing that is known; found by reading and by a replay. Repeats at a service beyond what is allowed after nodes knew of fewer nodes than there are.

Cause: each node's part of the extra follows the number of listed nodes at once. A listing of a store that came back from an older copy, or the end of nodes that have spent their parts, lets the others take more within the same window. Class of fault: a share by a view that may fall faster than what was taken under it.

Change: a smaller number counts once a window has passed.

Measured: replay in which nodes know of one node for 0.7 s: 36 to 19044 retries over the limit at 3 to 410 nodes before, within it after; policy_test's 18 tests of the budget pass.

--- a/include/vanilladyke/policy/fleet_retry_budget.hpp
+++ b/include/vanilladyke/policy/fleet_retry_budget.hpp
@@ -58,8 +58,9 @@
     {}
 
     void setLimits(const FleetRetryLimits &limits) { m_limits = limits; }
-    /// @brief Sets the number of nodes among which the extra is divided.
-    void setNodes(std::size_t nodes) { m_nodes = std::max<std::size_t>(nodes, 1); }
+    /// @brief Sets the number of nodes among which the extra is divided. A smaller number counts
+    /// once a window has passed: the parts of nodes that have gone may have been spent.
+    void setNodes(std::size_t nodes, TimePoint now);
     void countRequest(const ServiceId &service, TimePoint now);
     /// @brief Takes one retry from the budget if there is one.
     [[nodiscard]] bool spend(const ServiceId &service, TimePoint now);
@@ -74,11 +75,14 @@
         int spent = 0;
     };
 
+    [[nodiscard]] std::size_t nodesAt(TimePoint now) const;
     Slice &current(std::deque<Slice> &slices, TimePoint now) const;
 
     TimePoint m_startedAt;
     FleetRetryLimits m_limits;
     std::size_t m_nodes = 1;
+    std::size_t m_formerNodes = 1; ///< largest number before; counts until then
+    TimePoint m_formerUntil;
     std::unordered_map<ServiceId, std::deque<Slice>> m_services;
 };
 
--- a/src/vanilladyke/policy/fleet_retry_budget.cpp
+++ b/src/vanilladyke/policy/fleet_retry_budget.cpp
@@ -9,6 +9,21 @@
 
 } // namespace
 
+void FleetRetryBudget::setNodes(std::size_t nodes, TimePoint now)
+{
+    const std::size_t next = std::max<std::size_t>(nodes, 1);
+    if (next < m_nodes) {
+        m_formerNodes = nodesAt(now);
+        m_formerUntil = now + m_limits.window;
+    }
+    m_nodes = next;
+}
+
+std::size_t FleetRetryBudget::nodesAt(TimePoint now) const
+{
+    return now < m_formerUntil ? std::max(m_nodes, m_formerNodes) : m_nodes;
+}
+
 FleetRetryBudget::Slice &FleetRetryBudget::current(std::deque<Slice> &slices, TimePoint now) const
 {
     const Duration width =
@@ -33,7 +48,7 @@
     std::deque<Slice> &slices = m_services[service];
     const std::int64_t newest = current(slices, now).number;
     RetryAccount result;
-    result.nodes = m_nodes;
+    result.nodes = nodesAt(now);
     double spentExtra = 0;
     for (const Slice &each : slices) {
         result.earned += each.number > newest - Slices ? each.earned : 0;
@@ -41,7 +56,7 @@
         spentExtra += each.extra;
     }
     if (now - m_startedAt >= m_limits.window) {
-        const double part = ExtraFraction * m_limits.extra / static_cast<double>(m_nodes);
+        const double part = ExtraFraction * m_limits.extra / static_cast<double>(result.nodes);
         result.extra = std::max(0.0, part - spentExtra);
     }
     return result;
--- a/src/vanilladyke/policy/fleet_retry_budget_test.cpp
+++ b/src/vanilladyke/policy/fleet_retry_budget_test.cpp
@@ -32,7 +32,7 @@
     std::vector<int> retries;
     for (auto &node : nodes) {
         node.setLimits(limits);
-        node.setNodes(Nodes);
+        node.setNodes(Nodes, at(-60'000));
     }
     for (int ms = 0; ms < 60'000; ++ms) {
         const bool isBurst = ms > 20'000 && ms < 23'000;
@@ -60,7 +60,7 @@
 {
     FleetRetryBudget budget(at(-60'000));
     budget.setLimits({0.2, 30, std::chrono::seconds(10)});
-    budget.setNodes(3);
+    budget.setNodes(3, at(-60'000));
     budget.countRequest(theService, at(0));
     int spent = 0;
     while (budget.spend(theService, at(1))) {
@@ -155,7 +155,7 @@
     const auto step = [&](int ms) {
         const bool isShort = ms >= FaultyFrom + 1000 && ms < FaultyFrom + 1700;
         for (std::size_t i = 0; i < replay.size(); ++i) {
-            replay.node(i).setNodes(isShort ? 1 : GetParam().nodes);
+            replay.node(i).setNodes(isShort ? 1 : GetParam().nodes, RetryReplay::at(ms));
         }
     };
     replay.run([](int, Random &random) { return anyNode(random); }, step, isFaulty);
--- a/src/vanilladyke/policy/fleet_retry_replay.hpp
+++ b/src/vanilladyke/policy/fleet_retry_replay.hpp
@@ -40,7 +40,7 @@
     {
         m_nodes[node] = FleetRetryBudget(at(ms));
         m_nodes[node].setLimits(m_terms.limits);
-        m_nodes[node].setNodes(m_nodes.size());
+        m_nodes[node].setNodes(m_nodes.size(), at(ms));
     }
     void restartAll(int ms)
     {
--- a/src/vanilladyke/traffic/traffic_state.cpp
+++ b/src/vanilladyke/traffic/traffic_state.cpp
@@ -10,7 +10,7 @@
         LogEvent("nodes_counted").field("nodes", count).field("before", nodes).field("by", by);
     }
     nodes = count;
-    retryBudget.setNodes(count);
+    retryBudget.setNodes(count, MonotonicClock::now());
     metrics.gauge("nodes", static_cast<double>(count));
 }
 
