--- a/tests/integration/platform_brittle.py
+++ b/tests/integration/platform_brittle.py
@@ -2,6 +2,7 @@
 real processes, engines of the stand-in."""
 
 import random
+import signal
 import threading
 import time
 
@@ -157,6 +158,60 @@
         self.check_falls()
 
 
+class PlatformBrittleLeavers(BrittleCase):
+    NODES, ENGINES, PLACES, CALLERS, RUN_SECONDS = 4, 6, 4, 60, 0.15
+    PATIENCE, GONE_AFTER = 0.2, 0.5
+    MOST_AFTER_LEAVING = 4  # requests that may reach an engine so long after their callers have left
+
+    def setUp(self):
+        self.left = {}  # when callers left, by their request
+        super().setUp()
+
+    def ask(self, index, number):
+        if number % 2:
+            return super().ask(index, number)
+        identity = f"call-{index}-{number}"
+        try:
+            status, _, headers = self.fleet.ask(self.nodes[(index + number) % self.NODES], "/call/x", identity,
+                                                timeout=self.PATIENCE, body=f"{index}/{number}")
+        except Exception:  # noqa: BLE001: the caller has left
+            self.left[identity] = time.monotonic()
+            return 0, 0.01
+        return status, min(float(headers.get("Retry-After") or 0.01), 1) if status == 503 else 0.01
+
+    def late_arrivals(self):
+        return sum(at > self.left.get(fields["X-Vanilladyke-Attempt-Id"], at) + self.GONE_AFTER
+                   for engine in list(self.fleet.engines) for at, fields in list(engine.requests))
+
+    def test_callers_that_leave_while_they_wait_for_a_place_neither_take_it_nor_end_engines(self):
+        """Every second caller leaves while its request waits for a place. A request that is sent all the same takes an
+        engine's place for nobody, and one that has left without giving its place back makes nodes send too much or too
+        little."""
+        self.begin_brittleness()
+        self.check_falls()
+        print(f"{self.id()}: {len(self.left)} callers left, {self.late_arrivals()} requests came later", flush=True)
+        self.assertGreater(len(self.left), 20)
+        self.assertLessEqual(self.late_arrivals(), self.MOST_AFTER_LEAVING)
+
+
+class PlatformBrittleStarts(BrittleCase):
+    NODES, ENGINES, PLACES, CALLERS, RUN_SECONDS = 3, 6, 4, 90, 0.15
+
+    def test_nodes_that_all_start_again_do_not_end_engines_that_they_know_nothing_of(self):
+        """All nodes end at the same moment, and with them all knowledge of how much the engines bear. Callers come back
+        at once, and processes that take the engines for sturdy ones send to them whatever comes."""
+        self.begin_brittleness()
+        for node in self.nodes:
+            node.stop(signal.SIGKILL)
+        for node in list(self.nodes):
+            self.fleet.restart(node)
+        self.check_falls()
+
+
+class PlatformBrittleStartsManyNodes(PlatformBrittleStarts):
+    NODES = 16
+
+
 class PlatformBrittleMemory(BrittleCase):
     NODES, ENGINES, PLACES, CALLERS, RUN_SECONDS = 4, 6, 16, 60, 0.15
     SERVICE, MEMORY, WAITING = "llm", 16_000, 12
