--- a/tests/integration/platform_retries.py
+++ b/tests/integration/platform_retries.py
@@ -38,8 +38,11 @@
         self.pass_seconds(CALM_SECONDS)
 
     def wait_ready(self, node):
-        harness.wait_until(lambda: self.fleet.is_ready(node) and self.fleet.knows_all(node), node.name + " ready")
-        harness.wait_until(lambda: "event=fleet_key_known" in node.log_text(), node.name + " hears the others")
+        try:
+            harness.wait_until(lambda: self.fleet.is_ready(node) and self.fleet.knows_all(node), node.name + " ready")
+            harness.wait_until(lambda: "event=fleet_key_known" in node.log_text(), node.name + " hears the others")
+        except AssertionError as error:
+            raise AssertionError(f"{error}; exit {node.popen.poll()}; its log:\n{node.log_text()[-2000:]}") from error
 
     def stop_callers(self):
         self.over = True
--- a/tools/check_promises.py
+++ b/tools/check_promises.py
@@ -13,7 +13,7 @@
     names = set()
     for source in ROOT.glob("src/**/*_test.cpp"):
         text = source.read_text(encoding="utf-8")
-        for suite, test in re.findall(r"(?:TEST|TEST_F|RC_GTEST_PROP)\(\s*(\w+),\s*(\w+)", text):
+        for suite, test in re.findall(r"(?:TEST|TEST_F|TEST_P|RC_GTEST_PROP)\(\s*(\w+),\s*(\w+)", text):
             names.add(f"{suite}.{test}")
     for driver in (ROOT / "tests/integration").glob("*.py"):
         names.add(driver.name)
