Quotas of customers over all nodes: each node keeps all accounts, told by all (QUOTA)

Change: platform/records decodes the fields once into CustomerQuota (a unit that is not known or a negative amount makes the version a bad one); policy/fleet_quota decides, pure; node/spend_sharing tells what a node admitted with the load updates, or sooner where a customer is near its limit; the exchange takes a request from its customer's account and refuses it with 429, not run, and the time at which it could be admitted.

--- a/include/vanilladyke/model/routing.hpp
+++ b/include/vanilladyke/model/routing.hpp
@@ -55,13 +55,31 @@
     std::optional<DataCentreId> dataCentre; ///< of the kept-cache store
 };
 
+/// @brief What a customer's quota counts.
+enum class QuotaUnit {
+    Requests,
+    Tokens, ///< of the prompt, and the most that may be generated
+};
+
+/// @brief What a customer may ask for over all nodes together.
+struct CustomerQuota
+{
+    QuotaUnit unit = QuotaUnit::Requests;
+    double perSecond = 0;
+    double burst = 0;
+    double plainTokens = 0; ///< of a request that names no number of tokens
+
+    bool operator==(const CustomerQuota &) const = default;
+};
+
 /// @brief A customer, its keys and its rights.
 struct RoutedCustomer
 {
     CustomerId id;
     std::vector<std::string> keys;
-    std::optional<int> priority; ///< goes before the route's
-    bool isIsolated = false;     ///< shares no KV cache with other customers
+    std::optional<int> priority;             ///< goes before the route's
+    bool isIsolated = false;                 ///< shares no KV cache with other customers
+    std::optional<CustomerQuota> quota = {}; ///< none: no limit
 };
 
 /// @brief What a caller may send, and how long it may take.
--- a/include/vanilladyke/node/load_sharing.hpp
+++ b/include/vanilladyke/node/load_sharing.hpp
@@ -3,6 +3,7 @@
 #include "vanilladyke/node/origin_sharing.hpp"
 #include "vanilladyke/node/place_sharing.hpp"
 #include "vanilladyke/node/signed_port.hpp"
+#include "vanilladyke/node/spend_sharing.hpp"
 #include "vanilladyke/policy/update_routes.hpp"
 #include "vanilladyke/traffic/traffic_state.hpp"
 
@@ -27,6 +28,8 @@
     /// proportion, so that the number of datagrams per node and second stays the same.
     static constexpr Duration Interval = std::chrono::milliseconds(80);
     static constexpr std::size_t NodesAtFullRate = 9;
+    /// Part by which a single interval may be shorter or longer.
+    static constexpr double IntervalSpread = 0.2;
     /// Upper bound of the datagrams sent per second. Within it, the placement of a prompt with a
     /// prefill time of 100 ms is sent at once.
     static constexpr std::int64_t MaxSendsPerSecond = 900;
@@ -75,11 +78,17 @@
     void dropExpired(TimePoint now);
     /// Interval of updates that are not urgent.
     [[nodiscard]] Duration regularInterval() const;
+    /// Time until the next of them.
+    [[nodiscard]] Duration nextInterval();
     /// Minimum interval of urgent updates, which bounds the datagrams per second.
     [[nodiscard]] Duration spacing() const;
     /// Counts nodes that are not in the list too, since they share the fleet's limits.
     void countPeers();
     void forward(wire::NodeLoad message);
+    /// Sends a message to all other nodes, through those that forward it in their data centres.
+    void sendToAll(wire::NodeLoad message, TimePoint now);
+    /// Tells what was admitted of quotas, without waiting for the next update.
+    void sendSpends(TimePoint now);
     void applyLimits(const wire::NodeLoad &message, TimePoint now);
     void applyLeaving(const wire::NodeLoad &message, TimePoint now);
     void applyBrittle(const wire::NodeLoad &message, TimePoint now);
@@ -94,6 +103,7 @@
     UpdateRoutes<Udp::endpoint> m_routes;
     OriginSharing m_origins;
     PlaceSharing m_places;
+    SpendSharing m_spends;
     std::unordered_map<std::uint64_t, Peer> m_peers;
     TimePoint m_nextAt;
     TimePoint m_sentAt;
--- a/include/vanilladyke/traffic/dialect.hpp
+++ b/include/vanilladyke/traffic/dialect.hpp
@@ -43,6 +43,7 @@
     ModelId model; ///< empty if the request specifies none
     std::uint64_t promptTokens = 0;
     std::uint64_t maxOutputTokens = 0;
+    bool namesTokens = false; ///< the request gives both numbers
     std::vector<PromptPart> parts;
     std::string lastEventId; ///< the caller resumes a stream after this event
     /// Id of the caller's attempt that brought the first event of that stream; empty if not named.
--- a/include/vanilladyke/traffic/exchange.hpp
+++ b/include/vanilladyke/traffic/exchange.hpp
@@ -74,6 +74,12 @@
     /// Chooses the server of the next try, waiting for one if necessary. @return null if the
     /// request has to end without another try
     [[nodiscard]] asio::awaitable<BackendTryPtr> nextTry();
+    /// Takes the request from its customer's quota. @return why it is refused, if it is
+    [[nodiscard]] std::optional<Refusal> chargeQuota(TimePoint now);
+    /// Gives back what was taken from the quota if the request has not run.
+    void returnUnusedCharge();
+    /// Serves a request that was admitted, with further tries if necessary.
+    [[nodiscard]] asio::awaitable<ExchangeResult> serve();
     /// Ends the tries that are still open when the request has its final answer.
     [[nodiscard]] asio::awaitable<void> endOpenTries();
     /// Waits until then, or until a try ends or begins to answer.
@@ -242,6 +248,7 @@
     const Route *m_route = nullptr;
     const RoutedCustomer *m_customer = nullptr;
     ServiceId m_service;
+    double m_charged = 0; ///< taken from the customer's quota
     TimePoint m_deadline;
     AbortReason m_deadlineReason = AbortReason::RouteTimeout; ///< whose deadline m_deadline is
     std::optional<TimePoint> m_answerDeadline;
--- a/include/vanilladyke/traffic/traffic_state.hpp
+++ b/include/vanilladyke/traffic/traffic_state.hpp
@@ -4,6 +4,7 @@
 #include "vanilladyke/base/random.hpp"
 #include "vanilladyke/model/work_digest.hpp"
 #include "vanilladyke/policy/backend_tracker.hpp"
+#include "vanilladyke/policy/fleet_quota.hpp"
 #include "vanilladyke/policy/fleet_retry_budget.hpp"
 #include "vanilladyke/policy/kept_cache_view.hpp"
 #include "vanilladyke/policy/place_book.hpp"
@@ -36,6 +37,7 @@
     DataCentreId dataCentre;
     BackendCostParameters rates;
     FleetRetryLimits fleetRetries;
+    QuotaTolerance quotaTolerance;
     Duration keysValidFor = std::chrono::milliseconds(4500); ///< after their last freshness proof
     bool failsClosed = true; ///< refuses requests with a key without a valid freshness proof
     bool withdrawsRequests =
@@ -126,6 +128,8 @@
     /// @brief Sets the number of nodes that share the fleet's limits; logs a change.
     /// @param by source of the number, for the log
     void setNodes(std::size_t count, std::string_view by);
+    /// @brief Replaces the configuration.
+    void setTable(std::shared_ptr<const RouteTable> newTable, TimePoint now);
     /// @brief Replaces the list of servers.
     void setBackends(const std::vector<BackendEntry> &serving, TimePoint now);
     /// @brief Records which software version began a stream, and tells other nodes unless the
@@ -148,6 +152,7 @@
     KeptCacheView keptCache;
     const TimePoint startedAt = MonotonicClock::now(); ///< of this process
     FleetRetryBudget retryBudget{startedAt};
+    FleetQuota quota{startedAt};
     WorkDigester digester;
     RequestQuarantine quarantine;
     Random random;
--- a/src/vanilladyke/app/node_command.cpp
+++ b/src/vanilladyke/app/node_command.cpp
@@ -39,6 +39,22 @@
 /// exceeded hundreds of times.
 constexpr std::size_t AssumedNodeCount = 1000;
 
+/// Metrics of the customers' quotas, written when they are asked for.
+std::string quotaMetrics(FleetQuota &quota)
+{
+    const TimePoint now = MonotonicClock::now();
+    Metrics metrics;
+    metrics.gauge("quota_heard_part", quota.heardPart(now));
+    for (const QuotaAccount &each : quota.usedAccounts(now)) {
+        const std::string label = "{customer=\"" + each.customer.str() + "\"}";
+        metrics.gauge("quota_per_second" + label, each.perSecond);
+        metrics.gauge("quota_level" + label, each.level);
+        metrics.gauge("quota_admitted" + label, each.admitted);
+        metrics.count("quota_refusals_total" + label, each.refusals);
+    }
+    return metrics.text();
+}
+
 /// A node: the traffic side and the control side, each on its own thread.
 class RoutingNode
 {
@@ -74,6 +90,7 @@
         };
         m_traffic.operatorNext = [this] { return m_follower.operatorNext(); };
         m_traffic.retryBudget.setLimits(settings.traffic.fleetRetries);
+        m_traffic.quota.setTolerance(settings.traffic.quotaTolerance);
         m_traffic.setNodes(AssumedNodeCount, "start");
     }
 
@@ -92,10 +109,12 @@
             return CommandFailed;
         }
         connectNodes();
-        m_server.metricsText = [] {
-            return "log_lines_dropped_total " + std::to_string(droppedLogLines()) + "\n";
+        m_server.metricsText = [this] {
+            return "log_lines_dropped_total " + std::to_string(droppedLogLines()) + "\n"
+                   + quotaMetrics(m_traffic.quota);
         };
         m_traffic.ticker.onStep = [this](TimePoint now) {
+            m_traffic.quota.step(now);
             m_sharing.step(now);
             if (m_traffic.reach.step(now)) {
                 Exchange::suspectSilentServers(m_traffic, now);
@@ -224,6 +243,7 @@
         m_traffic.settings.failsClosed = settings->traffic.failsClosed;
         m_traffic.quarantine.setExempted(settings->traffic.releasedRequests);
         m_traffic.retryBudget.setLimits(settings->traffic.fleetRetries);
+        m_traffic.quota.setTolerance(settings->traffic.quotaTolerance);
         LogEvent("reload").field("path", m_path).field("needs_start", needsRestart);
     }
 
--- a/src/vanilladyke/app/node_settings.cpp
+++ b/src/vanilladyke/app/node_settings.cpp
@@ -21,6 +21,15 @@
     reader.milliseconds("window_ms", &limits->window, MinDuration, MaxDuration);
 }
 
+void readQuotaTolerance(JsonReader &reader, QuotaTolerance *tolerance)
+{
+    constexpr double MaxSlack = 1e12;
+    reader.allowOnly({"window_ms", "over", "slack"});
+    reader.milliseconds("window_ms", &tolerance->window, MinDuration, MaxDuration);
+    reader.number("over", &tolerance->over, 0, 1);
+    reader.number("slack", &tolerance->slack, 0, MaxSlack);
+}
+
 void readPenalty(JsonReader &reader, const char *name, Millis *penalty)
 {
     constexpr double MaxMillis = 1e6;
@@ -119,6 +128,7 @@
                       "configuration_ms",
                       "grace_ms",
                       "second_sends",
+                      "quota",
                       "placement",
                       "rollout",
                       "off",
@@ -154,6 +164,11 @@
             readRetryLimits(inner, &settings.traffic.fleetRetries);
         });
     }
+    if (reader.has("quota")) {
+        reader.object("quota", [&settings](JsonReader &inner) {
+            readQuotaTolerance(inner, &settings.traffic.quotaTolerance);
+        });
+    }
     if (reader.has("placement")) {
         reader.object("placement", [&settings](JsonReader &inner) {
             readPlacement(inner, &settings.traffic.rates);
--- a/src/vanilladyke/node/control_plane.cpp
+++ b/src/vanilladyke/node/control_plane.cpp
@@ -111,11 +111,8 @@
             .field("services", config.services.size())
             .field("customers", config.customers.size());
     auto table = std::make_shared<const RouteTable>(std::move(config));
-    postToTraffic([table](TrafficState &traffic) {
-        traffic.table = table;
-        traffic.tracker.setTransferRates(table->transferRates());
-        traffic.keptCache.setStores(table->keptStores());
-    });
+    postToTraffic(
+            [table](TrafficState &traffic) { traffic.setTable(table, MonotonicClock::now()); });
     std::vector<Endpoint> stores;
     for (const KeptStore &store : table->keptStores()) {
         stores.push_back(store.endpoint);
--- a/src/vanilladyke/node/load_sharing.cpp
+++ b/src/vanilladyke/node/load_sharing.cpp
@@ -159,6 +159,11 @@
                    *message.mutable_places() = places;
                    m_port.send(message.SerializeAsString(), {to});
                })
+    , m_spends(state, [this](const wire::Spends &spends, const Udp::endpoint &to) {
+        wire::NodeLoad message;
+        *message.mutable_spends() = spends;
+        m_port.send(message.SerializeAsString(), {to});
+    })
 {}
 
 std::optional<std::string> LoadSharing::open()
@@ -178,6 +183,7 @@
     }
     m_routes.setNodes(addresses);
     m_origins.setPeers(addresses);
+    m_state.quota.setInterval(regularInterval());
 }
 
 Duration LoadSharing::spacing() const
@@ -190,10 +196,21 @@
     return Interval * std::max<std::size_t>(1, (m_routes.size() + 1) / NodesAtFullRate);
 }
 
+Duration LoadSharing::nextInterval()
+{
+    // The first one is drawn from a whole interval: processes that start together would else send
+    // together, and nothing in between.
+    const double least = m_sentAt == TimePoint() ? 0 : 1 - IntervalSpread;
+    const double most = m_sentAt == TimePoint() ? 1 : 1 + IntervalSpread;
+    const double factor = least + (most - least) * uniform(m_state.random);
+    return spanOfSeconds(secondsOf(regularInterval()) * factor);
+}
+
 void LoadSharing::countPeers()
 {
     m_state.setNodes(std::max(m_state.nodes, m_routes.size() + 1), "peer");
     m_places.setInterval(regularInterval());
+    m_state.quota.setInterval(regularInterval());
 }
 
 void LoadSharing::step(TimePoint now)
@@ -207,9 +224,12 @@
             m_hasUrgentUpdate || m_state.tracker.hasPlacements() || m_state.quarantine.hasUpdates();
     const bool isUrgent = hasUpdates && now - m_sentAt >= spacing();
     if (now < m_nextAt && !isUrgent) {
+        if (m_spends.isDue(now)) {
+            sendSpends(now);
+        }
         return;
     }
-    m_nextAt = now + regularInterval();
+    m_nextAt = now + nextInterval();
     m_state.tracker.dropExpiredPeers(now);
     dropExpired(now);
     sendUpdate(now);
@@ -287,12 +307,29 @@
         update->set_backend(each.backend);
         update->set_age_ms(millis(each.age));
     }
+    if (m_spends.hasUpdates(now)) {
+        m_spends.write(now, message.mutable_spends());
+    }
+    sendToAll(std::move(message), now);
+}
+
+void LoadSharing::sendToAll(wire::NodeLoad message, TimePoint now)
+{
     const auto recipients = m_routes.recipients(m_state.random, now);
     m_port.send(message.SerializeAsString(), recipients.direct);
     message.set_pass_on(true);
     m_port.send(message.SerializeAsString(), recipients.forwarders);
 }
 
+void LoadSharing::sendSpends(TimePoint now)
+{
+    wire::NodeLoad message;
+    message.set_address(m_port.listen().str());
+    m_spends.write(now, message.mutable_spends());
+    m_state.metrics.count("spend_messages_sent_alone_total");
+    sendToAll(std::move(message), now);
+}
+
 void LoadSharing::forward(wire::NodeLoad message)
 {
     message.set_pass_on(false);
@@ -322,6 +359,16 @@
     Endpoint address;
     const bool hasAddress = parseEndpoint(message.address(), &address);
     const auto origin = hasAddress ? SignedPort::addressOf(address) : std::optional(from);
+    const TimePoint now = MonotonicClock::now();
+    if (message.has_spends()) {
+        m_spends.receive(message.spends(), origin, now);
+    }
+    if (message.sequence() == 0) { // spends alone
+        if (message.pass_on()) {
+            forward(message);
+        }
+        return;
+    }
     if (!origin) {
         m_state.metrics.count("peer_datagrams_unreadable_total");
         return;
@@ -330,11 +377,11 @@
     if (message.node() == m_self || message.sequence() <= peer.sequence) {
         return;
     }
-    const TimePoint now = MonotonicClock::now();
     peer.sequence = message.sequence();
     peer.at = now;
     m_origins.nodeSeen(*origin, now);
     m_places.nodeTold(*origin, message, now);
+    m_state.quota.nodeHeard(message.node(), !message.grants_places(), now);
     if (m_routes.nodeSeen(*origin, message.data_centre(), now)) {
         countPeers(); // it started after the list was read
     }
--- a/src/vanilladyke/policy/request_timeline.cpp
+++ b/src/vanilladyke/policy/request_timeline.cpp
@@ -24,7 +24,7 @@
     const char *text;
 };
 
-constexpr std::array<OutcomeText, 9> OutcomeTexts{{
+constexpr std::array<OutcomeText, 10> OutcomeTexts{{
         {"answered", "The caller received the server's complete answer."},
         {"backend_failed",
          "Every eligible server failed the request; the caller received the last failure."},
@@ -39,6 +39,10 @@
         {"not_ready",
          "The node's freshness proof of its configuration and keys was too old: see proof_age_ms "
          "and store_lost; the request did not run."},
+        {"rate_limited",
+         "The customer was over its quota, which all nodes share: the line over_quota has the "
+         "quota, the level of its account, and how much of the fleet the node had heard from. The "
+         "request did not run."},
         {"stream_broken",
          "The stream's server was lost during the stream and no other server resumed it."},
         {"caller_left", "The caller closed its connection before the answer was complete."},
--- a/src/vanilladyke/traffic/exchange.cpp
+++ b/src/vanilladyke/traffic/exchange.cpp
@@ -41,6 +41,13 @@
         }
         co_return co_await refuse(httpStatus(refusal->reason), toString(refusal->reason), after);
     }
+    const ExchangeResult result = co_await serve();
+    returnUnusedCharge();
+    co_return result;
+}
+
+asio::awaitable<ExchangeResult> Exchange::serve()
+{
     const bool isTakenUp = m_route->kind == RequestKind::Stream && !m_resumeAfter.empty();
     if (isTakenUp && !co_await bindToOrigin()) {
         co_return co_await refuse(httpStatus(RefusalReason::UnknownOrigin),
@@ -109,6 +116,9 @@
     if (const auto until = heldUntil(now)) {
         return Refusal{RefusalReason::EndsEngines, "engines ended under it", Ran::No, until};
     }
+    if (const auto overQuota = chargeQuota(now)) {
+        return overQuota;
+    }
     m_service = RouteTable::pickService(*m_route, uniform(m_state.random));
     m_resumeAfter = m_request->lastEventId;
     if (m_route->kind == RequestKind::Stream && m_resumeAfter.empty() && !m_request->relay) {
--- a/src/vanilladyke/traffic/traffic_state.cpp
+++ b/src/vanilladyke/traffic/traffic_state.cpp
@@ -11,9 +11,18 @@
     }
     nodes = count;
     retryBudget.setNodes(count, MonotonicClock::now());
+    quota.setNodes(count);
     metrics.gauge("nodes", static_cast<double>(count));
 }
 
+void TrafficState::setTable(std::shared_ptr<const RouteTable> newTable, TimePoint now)
+{
+    table = std::move(newTable);
+    tracker.setTransferRates(table->transferRates());
+    keptCache.setStores(table->keptStores());
+    quota.setCustomers(table->config().customers, now);
+}
+
 void TrafficState::setBackends(const std::vector<BackendEntry> &serving, TimePoint now)
 {
     tracker.setBackends(serving, now);
--- a/tests/integration/platform_fleet.py
+++ b/tests/integration/platform_fleet.py
@@ -506,6 +506,7 @@
         self.ends_under, self.ends = set(), []  # bodies that end engines; when engines ended, and which
         self.ends_on = set()  # parts of prompts that do
         self.beating = True
+        self.quota = None  # what may lie above quotas, in the settings of nodes
         self.second_sends = {"ratio": 0.2, "extra": 500, "window_ms": 1000}  # in the settings of nodes
         self.config = {
             "version": 5,
@@ -580,7 +581,7 @@
                     "questions": f"127.0.0.1:{harness.free_port()}",
                     "store": f"127.0.0.1:{store_port or self.store.port}", "keys_valid_ms": keys_valid_ms,
                     "fails_closed": True, "weights_time_ms": 15000, "order_gap_ms": 1000, "grace_ms": 8000,
-                    "second_sends": self.second_sends}
+                    "second_sends": self.second_sends, **({"quota": self.quota} if self.quota else {})}
         path = self.cluster.write(name + ".jsonc", settings)
         program = next(self.cluster.programs)
         node = self.cluster.start(name, [program, "node", "--settings", path])
