A server in whose place another one answers has ended, and all nodes are told

Cause: engines that crash come back at their addresses under new ids, and the store's listing drops the old ids seconds later. A request that expects the old id gets a 421 that names the new one. Ruled out: late orders (134 orders; 421s begin at 5.0 s, when the engines that crashed at 4.0 s come back). Change: the id in a 421 is read; another one than expected ends the expected server at this node and, with the next update, at all others, by what engines say in answers (engine_statements). Nothing else in such an answer is about the expected server. Measured: ExchangeTest.AServerInWhosePlaceAnotherAnswersIsNotAskedAgain.

--- a/include/vanilladyke/traffic/dialect.hpp
+++ b/include/vanilladyke/traffic/dialect.hpp
@@ -102,6 +102,8 @@
     std::optional<ReportedLoad> load;
     /// Rate limit of the server over all nodes, in requests per second; none if it reports none.
     std::optional<double> requestsPerSecond;
+    /// Id of the server that has answered in place of the expected one; empty if not named.
+    EngineId instance;
     bool isLeaving = false;       ///< the server says that it leaves
     std::optional<Duration> rest; ///< for which the server wants no request of this node
     /// Rejections in a second over which the server falls over; none if it bears any number.
--- a/src/vanilladyke/quota_trial_main.cpp
+++ b/src/vanilladyke/quota_trial_main.cpp
@@ -51,7 +51,8 @@
     const auto killAt = [](double part, double demand) {
         return [part, demand](int ms, std::size_t nodes, auto &kill, auto &start, auto &, auto &,
                               auto &setDemand) {
-            for (std::size_t i = 0; i < nodes * part; ++i) {
+            for (std::size_t i = 0; static_cast<double>(i) < part * static_cast<double>(nodes);
+                 ++i) {
                 if (ms == 12'000) {
                     kill(i);
                 }
--- a/src/vanilladyke/traffic/backend_try.cpp
+++ b/src/vanilladyke/traffic/backend_try.cpp
@@ -276,14 +276,24 @@
     if (m_head.status != 421) { // 421 comes from another engine at the same address
         m_state.quarantine.recordEngineAnswer(BackendTracker::hashOf(id), now);
     }
-    if (m_head.status != 421 && m_head.isLeaving && m_state.tracker.leavingObserved(id, now)) {
-        m_state.metrics.count("engines_leaving_total");
-        LogEvent("engine_leaving")
+    // Another server has the address: the one that was expected has ended and comes back under
+    // another id. The store's listing says so seconds later. Taken for a server with other weights,
+    // it would be sent further requests until then.
+    const bool isReplaced =
+            m_head.status == 421 && !m_head.instance.str().empty() && m_head.instance != id;
+    const bool isLeaving = m_head.status != 421 && m_head.isLeaving;
+    if ((isLeaving || isReplaced) && m_state.tracker.leavingObserved(id, now)) {
+        m_state.metrics.count(isReplaced ? "engines_replaced_total" : "engines_leaving_total");
+        LogEvent(isReplaced ? "engine_replaced" : "engine_leaving")
                 .field("backend", id.str())
                 .field("by", "answer")
+                .field("instance", m_head.instance.str())
                 .field("id", m_request->id);
         m_state.notifyPeers();
     }
+    if (isReplaced) {
+        return; // nothing else in the answer is about the expected server
+    }
     if (m_head.rest) {
         const TimePoint until = m_state.tracker.restAsked(id, *m_head.rest, now);
         m_state.metrics.count("engine_rests_total");
--- a/src/vanilladyke/traffic/exchange_test.cpp
+++ b/src/vanilladyke/traffic/exchange_test.cpp
@@ -122,6 +122,26 @@
     EXPECT_EQ(ask("1"), 0);
 }
 
+// A server has ended, and another one answers at its address before the store's listing says so.
+// Guards against sending it request after request meanwhile, each of which spends a retry.
+TEST_F(ExchangeTest, AServerInWhosePlaceAnotherAnswersIsNotAskedAgain)
+{
+    auto &replaced = addBackend([](const ReceivedRequest &received) {
+        return ScriptedAnswer{answer(received.fields.at("Id"), "", 421, "Instance: e9\r\n"),
+                              NextAction::KeepOpen};
+    });
+    addBackend(good);
+    EXPECT_EQ(ask("1"), 200);
+    EXPECT_EQ(replaced.received.size(), 1U);
+    const TimePoint now = MonotonicClock::now();
+    EXPECT_EQ(m_state.tracker.ownLeaving(now).size(), 1U) << "the other nodes are told";
+    BackendQuery query;
+    query.service = ServiceId("s");
+    const auto choice = m_state.tracker.choose(query, now + std::chrono::seconds(5));
+    ASSERT_TRUE(choice);
+    EXPECT_EQ(choice->backend.id, EngineId("e2"));
+}
+
 // A server sends a duplicate answer to an earlier request on the connection of the next one.
 TEST_F(ExchangeTest, AnAnswerToAnotherRequestIsNotForwarded)
 {
--- a/src/vanilladyke/traffic/scripted_backend.hpp
+++ b/src/vanilladyke/traffic/scripted_backend.hpp
@@ -207,6 +207,7 @@
         head.isStamped = fields.count("Stamp") > 0;
         head.isNotExecuted = fields.count("Refused") > 0;
         head.isEncoded = fields.count("Content-Encoding") > 0;
+        head.instance = EngineId(std::string(fields["Instance"]));
         if (fields.count("Software") > 0) {
             head.software = std::stoull(std::string(fields["Software"]));
         }
