A new grantor of places waits for the longest interval between updates, which is now drawn

Cause: since updates are spread in time, two of a node may lie 1.2 intervals apart, and the pause of a node that becomes a grantor was one interval and 100 ms: at 72 nodes 740 ms, below 768 ms. Change: places reckon with the longest interval. Also: the linter's finding in exchange.cpp.

--- a/include/vanilladyke/node/load_sharing.hpp
+++ b/include/vanilladyke/node/load_sharing.hpp
@@ -78,6 +78,8 @@
     void dropExpired(TimePoint now);
     /// Interval of updates that are not urgent.
     [[nodiscard]] Duration regularInterval() const;
+    /// The longest time between two of them.
+    [[nodiscard]] Duration longestInterval() const;
     /// Time until the next of them.
     [[nodiscard]] Duration nextInterval();
     /// Minimum interval of urgent updates, which bounds the datagrams per second.
--- a/src/vanilladyke/node/load_sharing.cpp
+++ b/src/vanilladyke/node/load_sharing.cpp
@@ -196,6 +196,11 @@
     return Interval * std::max<std::size_t>(1, (m_routes.size() + 1) / NodesAtFullRate);
 }
 
+Duration LoadSharing::longestInterval() const
+{
+    return spanOfSeconds(secondsOf(regularInterval()) * (1 + IntervalSpread));
+}
+
 Duration LoadSharing::nextInterval()
 {
     // The first one is drawn from a whole interval: processes that start together would else send
@@ -209,7 +214,7 @@
 void LoadSharing::countPeers()
 {
     m_state.setNodes(std::max(m_state.nodes, m_routes.size() + 1), "peer");
-    m_places.setInterval(regularInterval());
+    m_places.setInterval(longestInterval());
     m_state.quota.setInterval(regularInterval());
 }
 
--- a/src/vanilladyke/traffic/exchange.cpp
+++ b/src/vanilladyke/traffic/exchange.cpp
@@ -116,7 +116,8 @@
     if (const auto until = heldUntil(now)) {
         return Refusal{RefusalReason::EndsEngines, "engines ended under it", Ran::No, until};
     }
-    if (const auto overQuota = chargeQuota(now)) {
+    std::optional<Refusal> overQuota = chargeQuota(now);
+    if (overQuota) {
         return overQuota;
     }
     m_service = RouteTable::pickService(*m_route, uniform(m_state.random));
