--- a/tests/integration/platform_cut.py
+++ b/tests/integration/platform_cut.py
@@ -16,18 +16,21 @@
 NEW_REFUSED = {"refuse": True}  # what is open lives on
 
 
-class PlatformCut(platform_fleet.FleetTest):
+class CutCase(platform_fleet.FleetTest):
+    """Nodes of which each has links of its own to the engines."""
+
+    LLM_ENGINES, APP_ENGINES = 3, 2
+
     def setUp(self):
         super().setUp()
         self.start_proxy()
-        self.engines = [self.fleet.engine(f"llm-{i}") for i in range(3)]
-        self.engines += [self.fleet.engine(f"app-{i}", service="app") for i in range(2)]
+        self.engines = [self.fleet.engine(f"llm-{i}") for i in range(self.LLM_ENGINES)]
+        self.engines += [self.fleet.engine(f"app-{i}", service="app") for i in range(self.APP_ENGINES)]
         self.nodes = [self.node(f"n{i}") for i in range(NODES)]
         for node in self.nodes:
             harness.wait_until(lambda n=node: self.fleet.is_ready(n) and self.fleet.knows_all(n)
                                and "event=fleet_key_known" in n.log_text(), node.name + " ready")
-        self.over, self.lock, self.answers = False, threading.Lock(), []
-        self.callers = [threading.Thread(target=self.call, args=(i,)) for i in range(2 * NODES)]
+        self.over, self.callers = False, []
         self.addCleanup(self.stop_callers)
 
     def node(self, name):
@@ -48,6 +51,13 @@
             if each.ident:
                 each.join()
 
+
+class PlatformCut(CutCase):
+    def setUp(self):
+        super().setUp()
+        self.lock, self.answers = threading.Lock(), []
+        self.callers = [threading.Thread(target=self.call, args=(i,)) for i in range(2 * NODES)]
+
     def call(self, index):
         node = self.nodes[index % NODES]
         number = 0
--- a/tests/standins/fault_proxy.py
+++ b/tests/standins/fault_proxy.py
@@ -11,6 +11,8 @@
         "lose_answers": N       for the next N connections: the request gets through, the answer not
         "freeze": bool          connections that are open now stay open, and carry nothing ever again
         "freeze_new": bool      connections from now on carry nothing
+        "hold": bool            bytes wait until this ends, and are then carried on; those of an end that has reset its
+                                connection meanwhile are lost
         "hang_new": bool        the opening packets of new connections get no answer
         "break_open": bool      reset all connections that are open now
         "delay_ms": N           hold back every piece of an answer
@@ -34,7 +36,7 @@
 
 def clean_faults():
     return {"refuse": False, "reset": False, "cut_request_at": None, "cut_answer_at": None, "lose_answers": 0,
-            "freeze": False, "freeze_new": False, "hang_new": False, "delay_ms": 0, "duplicate": False}
+            "freeze": False, "freeze_new": False, "hang_new": False, "hold": False, "delay_ms": 0, "duplicate": False}
 
 
 def reset(writer):
@@ -81,6 +83,10 @@
             data = await reader.read(PIECE)
             if self.frozen:
                 await self.thawed.wait()
+            await self.link.flowing.wait()
+            if reader.exception():
+                self.break_off()
+                return
             if not data:
                 break
             if answering and self.deaf:
@@ -112,6 +118,8 @@
         self.faults = clean_faults()
         self.open, self.connections, self.port, self.server = set(), 0, 0, None
         self.plug = []  # a listener whose queue is full, and what fills it
+        self.flowing = asyncio.Event()  # set unless bytes are held
+        self.flowing.set()
         self.bytes = {"bytes_to": 0, "bytes_from": 0}
         self.changing = asyncio.Lock()  # two orders at once must not both open the port
 
@@ -161,6 +169,7 @@
         if self.faults.pop("break_open", False):
             for connection in list(self.open):
                 connection.break_off()
+        (self.flowing.clear if self.faults["hold"] else self.flowing.set)()
         async with self.changing:
             listens = not (self.faults["refuse"] or self.faults["hang_new"])
             self.unplug()
