--- a/include/vanilladyke/traffic/backend_try.hpp
+++ b/include/vanilladyke/traffic/backend_try.hpp
@@ -94,6 +94,9 @@
     [[nodiscard]] const AnswerHead &head() const { return m_head; }
     [[nodiscard]] AbortReason abortReason() const { return m_abortReason; }
     [[nodiscard]] bool isAborted() const { return m_abortReason != AbortReason::None; }
+    /// @brief Bytes of the request that the server's kernel had not acknowledged when the try was
+    /// aborted; none if it was not, or if the system does not tell.
+    [[nodiscard]] std::optional<std::size_t> unackedAtAbort() const { return m_unackedAtAbort; }
     /// @brief Whether the request was sent and the server has not begun to answer it.
     [[nodiscard]] bool isWaiting() const { return m_sentAt && !m_hasHead; }
     /// @brief When the request was sent; none if it was not.
@@ -145,6 +148,7 @@
     std::optional<TimePoint> m_sentAt;
     std::optional<TimePoint> m_beganAt;
     AbortReason m_abortReason = AbortReason::None;
+    std::optional<std::size_t> m_unackedAtAbort;
     bool m_hasHead = false;    ///< m_head is of the answer to this request
     bool m_wasLoading = false; ///< the engine loaded weights when it answered
     /// Bytes that were buffered after the last read, such as the line end of a chunk.
--- a/include/vanilladyke/traffic/caller_session.hpp
+++ b/include/vanilladyke/traffic/caller_session.hpp
@@ -38,6 +38,7 @@
     void watchForClose();
     [[nodiscard]] asio::awaitable<bool> write(std::string bytes) override;
     [[nodiscard]] std::string connectionLine() override;
+    [[nodiscard]] bool hasCallerLeft() override;
     void close();
 
     TrafficState &m_state;
--- a/include/vanilladyke/traffic/exchange.hpp
+++ b/include/vanilladyke/traffic/exchange.hpp
@@ -19,6 +19,9 @@
     [[nodiscard]] virtual asio::awaitable<bool> write(std::string bytes) = 0;
     /// @brief "Connection" header line with its line end; empty if the connection stays open.
     [[nodiscard]] virtual std::string connectionLine() = 0;
+    /// @brief Whether the caller has closed its connection, also if the event loop has not
+    /// delivered the close yet.
+    [[nodiscard]] virtual bool hasCallerLeft() = 0;
 };
 
 /// @brief Result of an exchange for the caller's connection.
--- a/src/vanilladyke/traffic/backend_try.cpp
+++ b/src/vanilladyke/traffic/backend_try.cpp
@@ -2,6 +2,7 @@
 
 #include "vanilladyke/base/log.hpp"
 #include "vanilladyke/traffic/event_splitter.hpp"
+#include "vanilladyke/traffic/peer_close.hpp"
 
 #include <boost/beast/http/read.hpp>
 
@@ -448,6 +449,9 @@
 {
     if (!isAborted()) {
         m_abortReason = reason;
+        if (m_connection != nullptr && m_connection->isOpen) {
+            m_unackedAtAbort = unacknowledgedBytes(m_connection->socket);
+        }
     }
     close();
 }
--- a/src/vanilladyke/traffic/caller_session.cpp
+++ b/src/vanilladyke/traffic/caller_session.cpp
@@ -1,6 +1,7 @@
 #include "vanilladyke/traffic/caller_session.hpp"
 
 #include "vanilladyke/base/log.hpp"
+#include "vanilladyke/traffic/peer_close.hpp"
 #include "vanilladyke/traffic/relay_seal.hpp"
 
 #include <boost/beast/http/read.hpp>
@@ -227,4 +228,9 @@
     return m_keepsOpen ? std::string() : "Connection: close\r\n";
 }
 
+bool CallerSession::hasCallerLeft()
+{
+    return !m_socket.is_open() || hasPeerClosed(m_socket);
+}
+
 } // namespace vanilladyke
--- a/src/vanilladyke/traffic/exchange_hedging.cpp
+++ b/src/vanilladyke/traffic/exchange_hedging.cpp
@@ -222,7 +222,15 @@
 
 void Exchange::callerDisconnected()
 {
+    if (m_callerDisconnected) {
+        return;
+    }
     m_callerDisconnected = true;
+    LogEvent("caller_left")
+            .field("id", m_request->id)
+            .field("sends", m_sends)
+            .field("open_tries", openTries().size())
+            .field("after_ms", MonotonicClock::now() - m_request->arrived);
     abortTries(AbortReason::CallerLeft);
 }
 
--- a/src/vanilladyke/traffic/exchange_tries.cpp
+++ b/src/vanilladyke/traffic/exchange_tries.cpp
@@ -117,6 +117,14 @@
         m_budgetSpent = true;
         co_return TryResult::Lost;
     }
+    if (m_sink.hasCallerLeft()) {
+        m_state.metrics.count("requests_closed_before_send_total");
+        LogEvent("closed_before_send")
+                .field("id", m_request->id)
+                .field("backend", engine.str())
+                .field("sends", m_sends)
+                .field("after_ms", now - m_request->arrived);
+    }
     recordSent(*attempt, now);
     if (attempt->isRelay()) {
         attempt->sendToRelay(relayOptions());
@@ -320,6 +328,8 @@
             .field("status", attempt.head().status)
             .field("sends", m_sends)
             .field("aborted", toString(reason))
+            .field("unacked",
+                   attempt.unackedAtAbort() ? std::to_string(*attempt.unackedAtAbort()) : "none")
             .field("after_ms", now - *attempt.sentAt())
             .field("began", attempt.beganAt().has_value())
             .field("stalled", isLeftAsSilent(reason))
