Ask the caller's socket for a close before each send (GONE)

Cause: whether a caller is there was an event of the loop. A request that lay unread, and the close behind it in the same socket, come in two turns; with an idle connection to an engine the request is sent in the first of them. The same after a wait for a place or a connection, and at a node that is handed requests.

Now Exchange asks the socket (poll, readable hang-up) in the same turn in which it sends; the unused connection goes back to the pool, no retry is spent. One system call a send.

--- a/src/vanilladyke/traffic/exchange_tries.cpp
+++ b/src/vanilladyke/traffic/exchange_tries.cpp
@@ -112,18 +112,23 @@
         ++m_connectFailures;
         co_return TryResult::Unreached;
     }
-    if (!takeRetry(attempt, now)) {
-        attempt->releaseUnused();
-        m_budgetSpent = true;
-        co_return TryResult::Lost;
-    }
     if (m_sink.hasCallerLeft()) {
+        // The loop may deliver the close long after it came: the request and its end lay unread, or
+        // the close came during a wait. An event alone would come after the send.
+        attempt->releaseUnused();
         m_state.metrics.count("requests_closed_before_send_total");
         LogEvent("closed_before_send")
                 .field("id", m_request->id)
                 .field("backend", engine.str())
                 .field("sends", m_sends)
                 .field("after_ms", now - m_request->arrived);
+        callerDisconnected();
+        co_return TryResult::Unreached;
+    }
+    if (!takeRetry(attempt, now)) {
+        attempt->releaseUnused();
+        m_budgetSpent = true;
+        co_return TryResult::Lost;
     }
     recordSent(*attempt, now);
     if (attempt->isRelay()) {
