See a caller leave also when bytes lie behind its request (GONE)

Cause: the session waited once for the socket to become readable. Bytes behind the request (a line end, the next request) kept the wait from being armed, or ended it, and no close was seen from then on: the engine's work went on for nobody, and a next request on that connection was read from the buffer and sent.

Now a session with bytes behind its request checks for the close every 100 ms; the kernel tells of a hang-up also behind unread bytes. Sessions without such bytes wait for the event as before and cost nothing more.

--- a/include/vanilladyke/traffic/caller_session.hpp
+++ b/include/vanilladyke/traffic/caller_session.hpp
@@ -36,6 +36,9 @@
     [[nodiscard]] asio::awaitable<void> rejectRequest(int status);
     /// Cancels the current exchange when the caller closes the connection.
     void watchForClose();
+    /// Cancels the current exchange if the caller has closed the connection; else checks again
+    /// after a while.
+    void checkForClose();
     [[nodiscard]] asio::awaitable<bool> write(std::string bytes) override;
     [[nodiscard]] std::string connectionLine() override;
     [[nodiscard]] bool hasCallerLeft() override;
@@ -46,6 +49,7 @@
     SessionKind m_kind;
     boost::beast::flat_buffer m_buffer;
     std::shared_ptr<DeadlineTimer> m_deadlineTimer;
+    std::shared_ptr<DeadlineTimer> m_closeCheck; ///< null until bytes lay behind a request
     std::shared_ptr<Exchange> m_exchange;
     bool m_keepsOpen = true;
     bool m_isReading = false; ///< a request has been received in part
--- a/src/vanilladyke/traffic/caller_leaves_test.cpp
+++ b/src/vanilladyke/traffic/caller_leaves_test.cpp
@@ -4,11 +4,24 @@
 namespace vanilladyke {
 namespace {
 
+ScriptedAnswer hangs(const ReceivedRequest & /*received*/)
+{
+    return {"", NextAction::Hang};
+}
+
 class CallerLeavesTest : public ExchangeTest
 {
 protected:
     void leave() { m_caller.reset(); }
 
+    void runFor(Duration span)
+    {
+        const TimePoint until = MonotonicClock::now() + span;
+        while (MonotonicClock::now() < until) {
+            m_context.run_one_until(until);
+        }
+    }
+
     [[nodiscard]] int leftCallers() const
     {
         return static_cast<int>(m_state.metrics.counter("requests_total{outcome=\"caller_left\"}"));
@@ -31,5 +44,46 @@
     EXPECT_EQ(backend.received[1].connection, 1); // the unused connection went back
 }
 
+// A line end behind a request, as some callers send it, hides the end of the connection: the server
+// works on for a caller that has left.
+TEST_F(CallerLeavesTest, ACallerIsSeenToLeaveWithBytesBehindItsRequest)
+{
+    auto &backend = addBackend(hangs);
+    connect();
+    send(request("1") + "\r\n");
+    runUntil([&] { return backend.received.size() == 1; });
+    leave();
+    runUntil([&] { return backend.closedByPeer == 1; });
+    EXPECT_EQ(leftCallers(), 1);
+}
+
+// The same with bytes that come after the request was read.
+TEST_F(CallerLeavesTest, ACallerIsSeenToLeaveWithBytesThatCameAfterItsRequest)
+{
+    auto &backend = addBackend(hangs);
+    connect();
+    send(request("1"));
+    runUntil([&] { return backend.received.size() == 1; });
+    send(request("2"));
+    runFor(milliseconds(300));
+    EXPECT_EQ(backend.closedByPeer, 0);
+    leave();
+    runUntil([&] { return backend.closedByPeer == 1; });
+    EXPECT_EQ(leftCallers(), 1);
+    EXPECT_EQ(backend.received.size(), 1U);
+}
+
+// The second of two requests on one connection is served although a check for the close of the
+// connection was pending when the first one ended.
+TEST_F(CallerLeavesTest, ARequestBehindAnotherOneIsServed)
+{
+    auto &backend = addBackend(good);
+    connect();
+    send(request("1") + request("2"));
+    EXPECT_EQ(receive(), 200);
+    EXPECT_EQ(receive(), 200);
+    EXPECT_EQ(backend.received.size(), 2U);
+}
+
 } // namespace
 } // namespace vanilladyke
--- a/src/vanilladyke/traffic/caller_session.cpp
+++ b/src/vanilladyke/traffic/caller_session.cpp
@@ -24,6 +24,8 @@
 constexpr Duration RelayIdleTimeout = std::chrono::seconds(15);
 /// Another node adds its header lines to those of a caller, which may reach the limit already.
 constexpr std::uint32_t RelayHeaderBytes = 1024;
+/// Interval of the checks for a close behind unread bytes.
+constexpr Duration CloseCheckInterval = std::chrono::milliseconds(100);
 constexpr std::size_t ReadSize = 4096;
 constexpr std::size_t MaxBufferedBytes = 65536;
 
@@ -91,6 +93,9 @@
         const ExchangeResult end = co_await exchange->run();
         m_exchange.reset();
         m_deadlineTimer->dueAt.reset();
+        if (m_closeCheck != nullptr) {
+            m_closeCheck->dueAt.reset();
+        }
         if (end == ExchangeResult::Broken) {
             break;
         }
@@ -196,23 +201,40 @@
 void CallerSession::watchForClose()
 {
     if (m_buffer.size() > 0) {
-        return; // a pipelined request has arrived: the socket is readable without a close
+        checkForClose();
+        return;
     }
     m_socket.async_wait(Tcp::socket::wait_read,
                         [self = shared_from_this(),
                          watched = std::weak_ptr(m_exchange)](const ErrorCode &error) {
                             const auto exchange = watched.lock();
-                            if (error || exchange == nullptr || exchange != self->m_exchange) {
-                                return;
-                            }
-                            ErrorCode failed;
-                            if (self->m_socket.available(failed) == 0 || failed) {
-                                exchange->callerDisconnected();
-                                self->close();
+                            if (!error && exchange != nullptr && exchange == self->m_exchange) {
+                                self->checkForClose();
                             }
                         });
 }
 
+void CallerSession::checkForClose()
+{
+    if (m_exchange == nullptr) {
+        return;
+    }
+    ErrorCode failed;
+    const bool isAtEnd = m_buffer.size() == 0 && m_socket.available(failed) == 0;
+    if (isAtEnd || failed || hasCallerLeft()) {
+        m_exchange->callerDisconnected();
+        close();
+        return;
+    }
+    // Unread bytes keep the socket readable, so that a wait would not show the close behind them.
+    if (m_closeCheck == nullptr) {
+        m_closeCheck = std::make_shared<DeadlineTimer>();
+        m_closeCheck->onDue = [this] { checkForClose(); };
+        m_state.ticker.add(m_closeCheck);
+    }
+    m_closeCheck->dueAt = MonotonicClock::now() + CloseCheckInterval;
+}
+
 asio::awaitable<bool> CallerSession::write(std::string bytes)
 {
     m_deadlineTimer->dueAt = MonotonicClock::now() + WriteTimeout;
