--- a/src/vanilladyke/traffic/backend_try.cpp
+++ b/src/vanilladyke/traffic/backend_try.cpp
@@ -451,6 +451,9 @@
         m_abortReason = reason;
         if (m_connection != nullptr && m_connection->isOpen) {
             m_unackedAtAbort = unacknowledgedBytes(m_connection->socket);
+            // Closed in order, the kernel would still deliver what a link holds back, and the
+            // server would run the request long after it was withdrawn.
+            m_connection->discardUnsentData();
         }
     }
     close();
--- a/src/vanilladyke/traffic/caller_leaves_test.cpp
+++ b/src/vanilladyke/traffic/caller_leaves_test.cpp
@@ -85,5 +85,22 @@
     EXPECT_EQ(backend.received.size(), 2U);
 }
 
+// A link holds back what was written to a server. Were the connection closed in order, the kernel
+// would deliver the request when the link recovers, long after the caller has left.
+TEST_F(CallerLeavesTest, ATryThatIsEndedResetsItsConnection)
+{
+    bool isReset = false;
+    auto &backend = addBackend(hangs);
+    backend.onPeerEnd = [&isReset](const ErrorCode &error) {
+        isReset = error == asio::error::connection_reset;
+    };
+    connect();
+    send(request("1"));
+    runUntil([&] { return backend.received.size() == 1; });
+    leave();
+    runUntil([&] { return backend.closedByPeer == 1; });
+    EXPECT_TRUE(isReset);
+}
+
 } // namespace
 } // namespace vanilladyke
--- a/src/vanilladyke/traffic/scripted_backend.hpp
+++ b/src/vanilladyke/traffic/scripted_backend.hpp
@@ -53,7 +53,8 @@
     void stopListening() { m_acceptor.close(); }
     std::vector<ReceivedRequest> received;
     int closedByPeer = 0; ///< connections that the node closed while no answer was sent
-    int completed = 0;    ///< answers written to their last part without an error
+    std::function<void(const ErrorCode &)> onPeerEnd = [](const ErrorCode &) {}; ///< how it closed
+    int completed = 0; ///< answers written to their last part without an error
 
 private:
     [[nodiscard]] asio::awaitable<void> accept();
@@ -136,6 +137,7 @@
             std::array<char, 1> byte{};
             co_await socket.async_read_some(asio::buffer(byte), redirectError(error));
             ++closedByPeer;
+            onPeerEnd(error);
             co_return;
         }
     }
