--- a/include/vanilladyke/traffic/exchange.hpp
+++ b/include/vanilladyke/traffic/exchange.hpp
@@ -160,6 +160,8 @@
     /// end, and never if the process ends before.
     void logRetry(const BackendTryPtr &attempt, bool isAllowed, TimePoint now);
     void recordSent(const BackendTry &attempt, TimePoint now);
+    /// Logs a send after which the request may run on several servers, here or over several nodes.
+    void logRun(const BackendTry &attempt) const;
     /// Records whether the request may return to the server of a try that ended early.
     void recordLeft(const BackendTry &attempt);
     /// Records the result of a try that has ended.
--- a/src/vanilladyke/traffic/exchange_tries.cpp
+++ b/src/vanilladyke/traffic/exchange_tries.cpp
@@ -232,12 +232,28 @@
             .field("up_ms", now - m_state.startedAt);
 }
 
+void Exchange::logRun(const BackendTry &attempt) const
+{
+    LogEvent("further_run")
+            .field("id", m_request->id)
+            .field("backend", attempt.choice().backend.id.str())
+            .field("handed_on", attempt.isRelay())
+            .field("for_node", m_request->relay.has_value())
+            .field("resumed", m_headWritten)
+            .field("sends", m_sends)
+            .field("runs", m_runs)
+            .field("most", mostServers());
+}
+
 void Exchange::recordSent(const BackendTry &attempt, TimePoint now)
 {
     const BackendChoice &choice = attempt.choice();
     ++m_sends;
     ++m_runs;
     m_lastSentAt = now;
+    if (m_sends > 1 || attempt.isRelay() || m_request->relay) {
+        logRun(attempt);
+    }
     if (attempt.isRelay()) {
         m_state.relays.sent(choice.backend.endpoint);
         return;
--- a/tests/integration/platform_handovers.py
+++ b/tests/integration/platform_handovers.py
@@ -49,8 +49,16 @@
         asked = len(calls)
         print(f"{self.id()}: {len(over)} of {asked} on more than {MOST_ENGINES} engines, at most on "
               f"{max(over.values(), default=MOST_ENGINES)}; answers {dict(self.ledger.statuses)}", flush=True)
+        for identity in sorted(over)[:2]:
+            print("\n".join(self.sends_of(identity)), flush=True)
         self.assertLessEqual(len(over), MOST_OVER, over)
 
+    def sends_of(self, identity):
+        """Lines of all nodes on where the request was sent."""
+        lines = [line for node in self.nodes for line in node.log_text().splitlines()
+                 if f"id={identity} " in line and "event=further_run" in line]
+        return sorted(lines)
+
     def cut_and_wait(self, faults):
         self.cut(self.nodes[:2], faults)
         harness.wait_until(lambda: time.monotonic() > self.cut_at + CONTACT_SECONDS, "the nodes know that they are cut off")
