Let a request that is handed on run on one server there (BUDGET)

Cause: a node that hands a request on counted one run and granted all that was left of the limit. The other node used that up; when it was silent or ended, the first node had counted one and handed the rest to a third. A part of a limit was given away by a promise of which nobody hears the outcome.

Now a request that is handed on runs on one server there, so that one run is one run wherever it is counted. Where the other node's server ends or stays silent, the first node sends the request on.

--- a/src/vanilladyke/traffic/exchange_relay.cpp
+++ b/src/vanilladyke/traffic/exchange_relay.cpp
@@ -13,6 +13,9 @@
 /// A request that waits so long at a server without any answer of that server has the server
 /// checked.
 constexpr Duration SuspectAfter = std::chrono::milliseconds(350);
+/// Servers on which another node may run a request that is handed to it, so that what is handed on
+/// is one run wherever it is counted.
+constexpr int ServersPerHandOver = 1;
 
 } // namespace
 
@@ -66,8 +69,8 @@
     options.deadline = m_deadline;
     options.key = m_request->key;
     options.resumeAfter = m_resumeAfter;
-    // This try has been counted as one of the runs already.
-    options.terms.mostServers = std::max(1, mostServers() - (m_runs - 1));
+    // A node that ends or stays silent doesn't say how many servers it has used.
+    options.terms.mostServers = ServersPerHandOver;
     options.terms.software = m_software;
     options.terms.seal =
             relaySeal(m_state.digester, *m_request, m_resumeAfter, options.terms).str();
--- a/src/vanilladyke/traffic/exchange_relay_test.cpp
+++ b/src/vanilladyke/traffic/exchange_relay_test.cpp
@@ -333,6 +333,20 @@
     EXPECT_LE(sends, 2U);
 }
 
+// A node that is handed a request ends, or stays silent, and doesn't say on how many servers it has
+// run it. The node that handed it on counts one run and sends it elsewhere.
+TEST_F(RelayTest, ARequestThatIsHandedOnRunsOnOneServerOnly)
+{
+    const auto hangs = [](const ReceivedRequest &) { return ScriptedAnswer{"", NextAction::Hang}; };
+    addBackend(hangs);
+    addBackend(hangs);
+    cutOff(RequestKind::Safe);
+    setRoute(RequestKind::Safe, false, std::chrono::seconds(2), milliseconds(100));
+    m_other.table = m_state.table;
+    EXPECT_EQ(ask("1"), 504);
+    EXPECT_EQ(m_backends[0]->received.size() + m_backends[1]->received.size(), 1U);
+}
+
 // The links of a node are reset and refused: every server looks as if it had ended under the
 // request. Told to the other nodes, that would keep a harmless request from being served anywhere.
 TEST_F(RelayTest, ANodeThatIsCutOffBlamesNoRequestForTheEndOfServers)
