Test: a request whose caller leaves while it waits for a place is not sent

The check before each send is what keeps it back: the close comes after the request was read and before the loop delivers it.

--- a/src/vanilladyke/traffic/caller_leaves_test.cpp
+++ b/src/vanilladyke/traffic/caller_leaves_test.cpp
@@ -14,6 +14,22 @@
 protected:
     void leave() { m_caller.reset(); }
 
+    /// From now on the server gets requests with a place only. @param onAsk is called at each ask
+    void askForPlaces(std::function<void()> onAsk)
+    {
+        constexpr double Rejections = 4;
+        static_cast<void>(
+                m_state.tracker.brittleObserved(EngineId("e1"), Rejections, MonotonicClock::now()));
+        m_state.askPlace = [this, onAsk = std::move(onAsk)](
+                                   const PlaceQuery &) -> asio::awaitable<PlaceReply> {
+            ++m_places;
+            onAsk();
+            PlaceReply reply;
+            reply.isGranted = true;
+            co_return reply;
+        };
+    }
+
     void runFor(Duration span)
     {
         const TimePoint until = MonotonicClock::now() + span;
@@ -26,6 +42,8 @@
     {
         return static_cast<int>(m_state.metrics.counter("requests_total{outcome=\"caller_left\"}"));
     }
+
+    int m_places = 0; ///< that were asked for
 };
 
 // A node that is behind reads a request whose caller gave up meanwhile. The close lies behind the
@@ -44,6 +62,19 @@
     EXPECT_EQ(backend.received[1].connection, 1); // the unused connection went back
 }
 
+// The caller gives up while its request waits for a place at an engine.
+TEST_F(CallerLeavesTest, ARequestWhoseCallerLeavesDuringAWaitIsNotSent)
+{
+    auto &backend = addBackend(good);
+    EXPECT_EQ(ask("1"), 200);
+    askForPlaces([this] { leave(); });
+    connect();
+    send(request("2"));
+    runUntil([this] { return leftCallers() == 1; });
+    EXPECT_EQ(m_places, 1);
+    EXPECT_EQ(backend.received.size(), 1U);
+}
+
 // A line end behind a request, as some callers send it, hides the end of the connection: the server
 // works on for a caller that has left.
 TEST_F(CallerLeavesTest, ACallerIsSeenToLeaveWithBytesBehindItsRequest)
