--- a/src/vanilladyke/traffic/exchange_relay.cpp
+++ b/src/vanilladyke/traffic/exchange_relay.cpp
@@ -83,7 +83,9 @@
     m_state.relays.ended(relay);
     m_state.metrics.count("relayed_requests_total{end=\"" + std::string(toString(end)) + "\"}");
     const bool brokeOff = end == TryResult::Lost || end == TryResult::Interrupted;
-    if (brokeOff && !attempt.isAborted() && !m_callerDisconnected) {
+    // An error that the other node answers with is of its server: that node goes on to serve.
+    const bool hasAnswered = attempt.head().status >= 500;
+    if (brokeOff && !hasAnswered && !attempt.isAborted() && !m_callerDisconnected) {
         m_state.relays.failed(relay, now);
     }
 }
