PlatformLeavers: a play goes on until enough callers have left

How many callers leave within 3 s hangs on how fast the machine is: 70 and 62 here (control), 20 there. The play now goes on until more than 20 have left; the bound and what is checked stay as they were.

--- a/tests/integration/platform_leavers.py
+++ b/tests/integration/platform_leavers.py
@@ -13,6 +13,7 @@
 
 GONE_AFTER = 0.5  # seconds after a caller's close from which its request may reach no engine
 MOST_LATE = 3     # requests that may all the same
+FEWEST_LEFT = 20  # callers; a play in which no more leave shows nothing
 MOST_OVER = 3     # requests that may run on more engines than their route allows
 
 
@@ -124,7 +125,8 @@
         harness.wait_until(lambda: self.ledger.statuses[200] >= 100, "callers are served")
         begin = time.monotonic()
         self.trouble()
-        harness.wait_until(lambda: time.monotonic() > begin + seconds, "the play is over")
+        harness.wait_until(lambda: time.monotonic() > begin + seconds and len(self.ledger.left) > FEWEST_LEFT,
+                           "the play is over, and enough callers have left")
         self.stop_callers()
         end = time.monotonic() + GONE_AFTER + 1
         harness.wait_until(lambda: time.monotonic() > end, "what is late has come")
@@ -136,7 +138,7 @@
 
     def check(self, seconds=3.0):
         late, over = self.play(seconds)
-        self.assertGreater(len(self.ledger.left), 20)
+        self.assertGreater(len(self.ledger.left), FEWEST_LEFT)
         self.assertLessEqual(len(late), MOST_LATE)
         self.assertLessEqual(len(over), MOST_OVER)
 
