--- a/src/vanilladyke/traffic/held_answer_fixture.hpp
+++ b/src/vanilladyke/traffic/held_answer_fixture.hpp
@@ -69,6 +69,15 @@
         };
     }
 
+    /// Answers with an error of its own, as a server does that lacks what the request names.
+    static ScriptedBackend::Script errs(int status)
+    {
+        return [status](const ReceivedRequest &received) {
+            return ScriptedAnswer{answer(received.fields.at("Id"), "lacking", status),
+                                  NextAction::KeepOpen};
+        };
+    }
+
     void setSlowSafe(int mostBackends = 2, Duration timeout = Ample)
     {
         setRoute(RequestKind::Safe, false, timeout, milliseconds(20), mostBackends);
