--- a/include/vanilladyke/node/record_store.hpp
+++ b/include/vanilladyke/node/record_store.hpp
@@ -31,8 +31,9 @@
 struct NewestRecords
 {
     std::vector<KeyedRecord> items;
-    std::uint64_t end = 0; ///< offset from which to continue reading
-    std::uint64_t era = 0; ///< of the store; offsets hold in one era only
+    std::uint64_t end = 0;    ///< offset from which to continue reading
+    std::uint64_t era = 0;    ///< of the store; offsets hold in one era only
+    bool hadFailures = false; ///< the store left a part of the listing unanswered at first
 };
 
 /// @brief Consecutive records from an offset on.
--- a/src/vanilladyke/node/backends_follower.cpp
+++ b/src/vanilladyke/node/backends_follower.cpp
@@ -63,6 +63,9 @@
     if (!newest) {
         co_return false;
     }
+    if (newest->hadFailures) {
+        m_context.listener.storeFailed(); // entries may have lapsed meanwhile
+    }
     std::map<EngineId, bool> present;
     for (const KeyedRecord &record : newest->items) {
         present[EngineId(record.key)] = true;
--- a/tests/integration/platform_fleet.py
+++ b/tests/integration/platform_fleet.py
@@ -516,8 +516,8 @@
 class Fleet:
     """Store, engines and nodes of one test."""
 
-    def __init__(self, cluster):
-        self.cluster, self.store, self.engines, self.nodes = cluster, Store(), [], []
+    def __init__(self, cluster, store=None):
+        self.cluster, self.store, self.engines, self.nodes = cluster, store or Store(), [], []
         self.ends_under, self.ends = set(), []  # bodies that end engines; when engines ended, and which
         self.ends_on = set()  # parts of prompts that do
         self.beating = True
