The proof of a configuration is seen by traffic after the configuration, not before

What it then read, versions 28, 32 and 35, was posted to the traffic thread, while the proof went there at once through an atomic. A traffic thread that is behind with its work has a fresh proof for the table of before, and admits by it; the request was sent at 32.912 and reached an engine at 32.935 s.

Change: the proof is posted behind the tables. ControlPlane.AProofIsSeenOnlyWithThe- ConfigurationThatItProves fails before (the proof is 506 ns old, no table yet), passes after; node_test 37 of 37.

--- a/src/vanilladyke/node/control_plane.cpp
+++ b/src/vanilladyke/node/control_plane.cpp
@@ -182,7 +182,9 @@
         m_storeIsDown = false;
         LogEvent("store_regained").field("proof_age_ms", m_proof.age());
     }
-    m_proof.renew(sentAt);
+    // Behind the configurations that were posted: seen at once, the proof would vouch for the table
+    // that the traffic thread still uses.
+    postToTraffic([this, sentAt](TrafficState & /*traffic*/) { m_proof.renew(sentAt); });
 }
 
 void ControlPlane::storeFailed()
