Tests wait for a node's readiness in one place, which tells what the node wrote

Change: Fleet.wait_ready, used by ten test programs that each had their own wait; a failure shows the end of the node's log, its exit code and how many calls for its readiness were not answered, and a process that has ended fails at once.

--- a/tests/integration/harness.py
+++ b/tests/integration/harness.py
@@ -19,6 +19,7 @@
 import zlib
 
 WAIT_SECONDS = 30.0
+LOG_TAIL = 4000  # characters of a log that a failure shows
 OPERATOR_KEY = "operator-key"
 OPERATOR = {"Authorization": "Bearer " + OPERATOR_KEY}
 # A key pair for tests only: the secret half holds the public one at its end.
@@ -77,6 +78,26 @@
     raise AssertionError(f"never came about: {what}")
 
 
+def wait_for_node(node, condition, what):
+    """Fails with what the node wrote, and at once if its process has ended."""
+    unanswered = []
+
+    def holds():
+        if node.popen.poll() is not None:
+            raise AssertionError("its process has ended")
+        try:
+            return condition()
+        except TimeoutError as error:
+            unanswered.append(error)
+            return False
+
+    try:
+        wait_until(holds, f"{node.name} {what}")
+    except AssertionError as error:
+        raise AssertionError(f"{error}; exit {node.popen.poll()}, {len(unanswered)} calls without an answer; its log:\n"
+                             f"{node.log_text()[-LOG_TAIL:]}") from error
+
+
 def http_call(port, method, path, body=None, headers=None, timeout=WAIT_SECONDS):
     connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
     try:
--- a/tests/integration/platform_brittle.py
+++ b/tests/integration/platform_brittle.py
@@ -34,8 +34,7 @@
             self.fleet.node(f"n{i}", keys_valid_ms=KEYS_VALID_MS)
         self.nodes = self.fleet.nodes
         for node in self.nodes:
-            harness.wait_until(lambda n=node: self.fleet.is_ready(n) and self.fleet.knows_all(n), node.name + " ready")
-            harness.wait_until(lambda n=node: "event=fleet_key_known" in n.log_text(), "nodes hear each other")
+            self.fleet.wait_ready(node, hears_others=True)
         self.over, self.lock, self.answers = False, threading.Lock(), []
         self.callers = [threading.Thread(target=self.call, args=(i,)) for i in range(self.CALLERS)]
         self.addCleanup(self.stop_callers)
--- a/tests/integration/platform_cut.py
+++ b/tests/integration/platform_cut.py
@@ -28,8 +28,7 @@
         self.engines += [self.fleet.engine(f"app-{i}", service="app") for i in range(self.APP_ENGINES)]
         self.nodes = [self.node(f"n{i}") for i in range(NODES)]
         for node in self.nodes:
-            harness.wait_until(lambda n=node: self.fleet.is_ready(n) and self.fleet.knows_all(n)
-                               and "event=fleet_key_known" in n.log_text(), node.name + " ready")
+            self.fleet.wait_ready(node, hears_others=True)
         self.over, self.callers = False, []
         self.addCleanup(self.stop_callers)
 
--- a/tests/integration/platform_endless.py
+++ b/tests/integration/platform_endless.py
@@ -114,7 +114,7 @@
 
     def start_node(self, name="n0", **options):
         node = self.fleet.node(name, keys_valid_ms=KEYS_VALID_MS, **options)
-        harness.wait_until(lambda: self.fleet.is_ready(node) and self.fleet.knows_all(node), name + " ready")
+        self.fleet.wait_ready(node)
         # A process has no part of the extra retries in its first window.
         mayRetryAt = time.monotonic() + self.fleet.second_sends["window_ms"] / 1000
         harness.wait_until(lambda: time.monotonic() > mayRetryAt, "a window has passed")
@@ -236,8 +236,7 @@
         ports[server.port] = harness.free_port()
         other = self.start_node("n1")
         alone = self.fleet.node("n0", store_port=store.port, keys_valid_ms=KEYS_VALID_MS)
-        harness.wait_until(lambda: self.fleet.is_ready(alone) and self.fleet.knows_all(alone)
-                           and "event=fleet_key_known" in alone.log_text(), "n0 ready")
+        self.fleet.wait_ready(alone, hears_others=True)
         harness.wait_until(lambda: "quota_heard_part 1" in harness.http_call(alone.metrics_port, "GET", "/metrics")[1],
                            "n0 hears the other")
         before = memory_kb(other)
--- a/tests/integration/platform_era.py
+++ b/tests/integration/platform_era.py
@@ -19,8 +19,7 @@
         for i in range(nodes):
             self.fleet.node(f"n{i}")
         for node in self.fleet.nodes:
-            harness.wait_until(lambda n=node: self.fleet.is_ready(n) and self.fleet.knows_all(n), node.name + " ready")
-            harness.wait_until(lambda n=node: "event=fleet_key_known" in n.log_text(), "nodes hear each other")
+            self.fleet.wait_ready(node, hears_others=True)
 
     def orders(self):
         """Orders that engines got, in their sequence: when, from whom, with which fencing number, and which engine."""
--- a/tests/integration/platform_fleet.py
+++ b/tests/integration/platform_fleet.py
@@ -607,9 +607,15 @@
 
     def ready_node(self, name):
         node = self.node(name)
-        harness.wait_until(lambda: self.is_ready(node) and self.knows_all(node), name + " ready")
+        self.wait_ready(node)
         return node
 
+    def wait_ready(self, node, hears_others=False):
+        """Until the node is ready and knows the engines; also shares a key with the others if so asked."""
+        harness.wait_for_node(node, lambda: self.is_ready(node) and self.knows_all(node), "ready")
+        if hears_others:
+            harness.wait_for_node(node, lambda: "event=fleet_key_known" in node.log_text(), "hears the others")
+
     def restart(self, node):
         """A new process of a node that has ended."""
         program = next(self.cluster.programs)
--- a/tests/integration/platform_quota.py
+++ b/tests/integration/platform_quota.py
@@ -32,7 +32,7 @@
         self.addCleanup(self.stop_callers)
 
     def await_hearing(self, node):
-        harness.wait_until(lambda: self.fleet.is_ready(node) and self.fleet.knows_all(node), "node is ready")
+        self.fleet.wait_ready(node)
         harness.wait_until(lambda: "quota_heard_part 1" in harness.http_call(node.metrics_port, "GET", "/metrics")[1],
                            "it hears the others")
 
@@ -127,7 +127,7 @@
         self.nodes[0].stop(signal.SIGKILL)
         started = self.fleet.restart(self.nodes[0])
         harness.wait_until(lambda: "event=quota_levels_received" in started.log_text(), "the others tell their levels")
-        harness.wait_until(lambda: self.fleet.is_ready(started) and self.fleet.knows_all(started), "it is ready")
+        self.fleet.wait_ready(started)
         for number in range(5):
             status, _, _ = self.fleet.ask(started, "/stream/x", f"early-{number}", headers=self.fleet.prompt())
             self.assertEqual(status, 200)
--- a/tests/integration/platform_retries.py
+++ b/tests/integration/platform_retries.py
@@ -28,7 +28,7 @@
         for i in range(self.NODES):
             self.fleet.node(f"n{i}", keys_valid_ms=KEYS_VALID_MS)
         for node in self.fleet.nodes:
-            self.wait_ready(node)
+            self.fleet.wait_ready(node, hears_others=True)
         self.over, self.lock, self.asked, self.statuses = False, threading.Lock(), [], collections.Counter()
         self.targets = list(range(self.NODES))  # nodes that callers ask
         self.callers = [threading.Thread(target=self.call, args=(i,)) for i in range(self.CALLERS)]
@@ -37,13 +37,6 @@
             each.start()
         self.pass_seconds(CALM_SECONDS)
 
-    def wait_ready(self, node):
-        try:
-            harness.wait_until(lambda: self.fleet.is_ready(node) and self.fleet.knows_all(node), node.name + " ready")
-            harness.wait_until(lambda: "event=fleet_key_known" in node.log_text(), node.name + " hears the others")
-        except AssertionError as error:
-            raise AssertionError(f"{error}; exit {node.popen.poll()}; its log:\n{node.log_text()[-2000:]}") from error
-
     def stop_callers(self):
         self.over = True
         for each in self.callers:
@@ -85,7 +78,7 @@
         for node in nodes:
             self.fleet.restart(node)
         for node in self.fleet.nodes:
-            self.wait_ready(node)
+            self.fleet.wait_ready(node, hears_others=True)
 
     def further_arrivals(self):
         """When requests reached engines that had reached one before."""
--- a/tests/integration/platform_soak.py
+++ b/tests/integration/platform_soak.py
@@ -113,7 +113,7 @@
         for i in range(3):
             self.fleet.node(f"n{i}", self.store_port)
         for node in self.fleet.nodes:
-            harness.wait_until(lambda n=node: self.fleet.is_ready(n) and self.fleet.knows_all(n), "ready")
+            self.fleet.wait_ready(node)
         callers = [threading.Thread(target=self.caller, args=(i,)) for i in range(CALLERS)]
         for each in callers:
             each.start()
--- a/tests/integration/platform_versions.py
+++ b/tests/integration/platform_versions.py
@@ -22,7 +22,7 @@
             self.engines.append(engine)
         self.nodes = [self.fleet.node(f"n{i}", keys_valid_ms=5000) for i in range(3)]
         for node in self.nodes:
-            harness.wait_until(lambda n=node: self.fleet.is_ready(n) and self.fleet.knows_all(n), "ready")
+            self.fleet.wait_ready(node)
         for node in self.nodes:
             harness.wait_until(lambda n=node: self.hears_others(n), "nodes hear each other")
         self.lock, self.went_on, self.taken_up, self.others = threading.Lock(), 0, 0, []
