--- a/tests/integration/platform_cut.py
+++ b/tests/integration/platform_cut.py
@@ -6,6 +6,7 @@
 
 import harness
 import platform_fleet
+import platform_store
 
 CONTACT_SECONDS = 3.0  # from the cut until callers of all nodes have to be served alike
 OBSERVED_SECONDS = 2.0
@@ -34,7 +35,7 @@
 
     def node(self, name):
         ports = {engine.port: self.link(f"{name}/{engine.name}", engine.port) for engine in self.engines}
-        store = platform_fleet.StoreOfANode(self.fleet.store, ports)
+        store = platform_store.StoreOfANode(self.fleet.store, ports)
         self.addCleanup(store.close)
         return self.fleet.node(name, store_port=store.port, keys_valid_ms=5000)
 
--- a/tests/integration/platform_endless.py
+++ b/tests/integration/platform_endless.py
@@ -8,6 +8,7 @@
 
 import harness
 import platform_fleet
+import platform_store
 
 KEYS_VALID_MS = 5000
 ROUTE_SECONDS = 4.0  # timeout of the routes
@@ -230,7 +231,7 @@
         ports = {each.port: harness.free_port() for each in self.fleet.engines}
         for each in self.fleet.engines:
             each.entry_port = each.port
-        store = platform_fleet.StoreOfANode(self.fleet.store, ports)
+        store = platform_store.StoreOfANode(self.fleet.store, ports)
         self.addCleanup(store.close)
         server = self.endless("app", "", JUNK)
         ports[server.port] = harness.free_port()
--- /dev/null
+++ b/tests/integration/platform_http.py
@@ -0,0 +1,64 @@
+"""HTTP servers in threads of the test, for the stand-ins of the platform and its engines."""
+
+import contextlib
+import json
+import socket
+import struct
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+
+class Server(ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 256
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.open = set()
+
+    def handle_error(self, request, client_address):
+        pass  # a peer that leaves is no fault of the test
+
+    def process_request(self, request, client_address):
+        self.open.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request):
+        self.open.discard(request)
+        super().shutdown_request(request)
+
+    def end(self):
+        """As a process that crashes: what is open is reset, nobody listens any more."""
+        self.socket.shutdown(socket.SHUT_RDWR)
+        for each in list(self.open):
+            with contextlib.suppress(OSError):
+                each.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                each.shutdown(socket.SHUT_RDWR)
+                each.close()
+        self.shutdown()
+        self.server_close()
+
+
+class Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+
+    def log_message(self, *_):
+        pass
+
+    def body(self):
+        return self.rfile.read(int(self.headers.get("Content-Length") or 0))
+
+    def answer(self, status, body=b"", headers=None):
+        if isinstance(body, (dict, list)):
+            body = json.dumps(body).encode()
+        self.send_response(status)
+        for name, value in (headers or {}).items():
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def do_GET(self):
+        self.server.owner.handle(self)
+
+    do_POST = do_GET
--- a/tests/integration/platform_listing.py
+++ b/tests/integration/platform_listing.py
@@ -6,6 +6,7 @@
 
 import harness
 import platform_fleet
+import platform_store
 
 NODES = 24
 SERVERS = 1500             # three pages
@@ -14,7 +15,7 @@
 MOST_READ = 3              # times what all nodes need: a page may be given up twice
 
 
-class SharedReads(platform_fleet.Store):
+class SharedReads(platform_store.Store):
     """Answers listings at one rate for all who ask, in slices or each page as a whole once its time has come."""
 
     def __init__(self, comes_late):
