Tests reserve the ports that they hand to processes

Cause: a port was known to be free when it was drawn, and nobody kept it until the process had bound it; another program could draw and bind it meanwhile. Only TCP was tried, though nodes take UDP, too, and a program that had drawn 550 ports left its part of the range.

Change: a drawn port stays bound by a socket that does not listen, until the test's processes have ended; taking it is exclusive, so that two programs can't draw the same one, and UDP is tried with it. The parts of the range are not needed any more. A TCP server binds it beside the keeper (SO_REUSEADDR or SO_REUSEPORT).

--- a/tests/integration/harness.py
+++ b/tests/integration/harness.py
@@ -32,30 +32,43 @@
 PEER_SECRET_KEY = 'sH5PtY068MU7s}ce^UNo?gL:6v5tCc:OoX5.HzBu'
 
 
-# Below the range that the kernel takes for outgoing connections: a port from there may be in use
-# as one by the time that a process binds it, and a test would fail now and then.
+# Below the range that the kernel takes for outgoing connections.
 PORTS = range(10_000, 32_000)
-# Test programs that run at the same time draw from different parts of it: a port that one of them has drawn is free
-# until its node has started, so that two could draw the same one, and the second node would not start.
-LANES = 20
-LANE_PORTS = len(PORTS) // LANES
+reserved_ports = {}  # the socket that keeps each port, by port
 given_ports = set()
 
 
-def drawn_port():
-    lane = os.getpid() % LANES
-    is_worn = len(given_ports) > LANE_PORTS // 2
-    return random.SystemRandom().choice(PORTS if is_worn else PORTS[lane * LANE_PORTS:(lane + 1) * LANE_PORTS])
+def reserve(port):
+    """Keeps others from the port until release_ports(). A port that is only known to be free can be taken by another test
+    program before the process that it is meant for binds it, and that process would end."""
+    keeper = socket.socket()
+    try:
+        keeper.bind(("127.0.0.1", port))  # without an option that would share the port of another test's keeper
+        with socket.socket(type=socket.SOCK_DGRAM) as datagrams:
+            datagrams.bind(("127.0.0.1", port))
+    except OSError:
+        keeper.close()
+        return False
+    # From here on a process may bind the port, too: the keeper does not listen.
+    keeper.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    keeper.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    reserved_ports[port] = keeper
+    return True
+
+
+def release_ports():
+    for keeper in reserved_ports.values():
+        keeper.close()
+    reserved_ports.clear()
 
 
 def free_port():
+    """A port for TCP and UDP that no other test gets; this program doesn't get it twice."""
     while True:
-        port = drawn_port()
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(("127.0.0.1", port))
-            if port not in given_ports:
-                given_ports.add(port)
-                return port
+        port = random.SystemRandom().choice(PORTS)
+        if port not in given_ports and reserve(port):
+            given_ports.add(port)
+            return port
 
 
 def key_digest(key):
@@ -345,6 +358,7 @@
                 process.popen.kill()
                 process.popen.wait()
             process.log.close()
+        release_ports()
         self.folder.cleanup()
 
 
