Tests: what callers did and engines saw in a file of its own, and a failure tells the requests' stories

The ledger of PlatformLeavers is used by the hand-overs and, in place of a second count, by PlatformBrittleLeavers, which counts each arrival as before. A failure names, for three of the requests, when the caller left, when engines read them, and what the nodes logged.

--- a/tests/integration/platform_brittle.py
+++ b/tests/integration/platform_brittle.py
@@ -6,6 +6,7 @@
 import threading
 import time
 
+import caller_ledger
 import harness
 import platform_fleet
 
@@ -36,6 +37,9 @@
         for node in self.nodes:
             self.fleet.wait_ready(node, hears_others=True)
         self.over, self.lock, self.answers = False, threading.Lock(), []
+        self.start_callers()
+
+    def start_callers(self):
         self.callers = [threading.Thread(target=self.call, args=(i,)) for i in range(self.CALLERS)]
         self.addCleanup(self.stop_callers)
         for each in self.callers:
@@ -159,12 +163,12 @@
 
 class PlatformBrittleLeavers(BrittleCase):
     NODES, ENGINES, PLACES, CALLERS, RUN_SECONDS = 4, 6, 4, 60, 0.15
-    PATIENCE, GONE_AFTER = 0.2, 0.5
+    PATIENCE = 0.2
     MOST_AFTER_LEAVING = 4  # requests that may reach an engine so long after their callers have left
 
-    def setUp(self):
-        self.left = {}  # when callers left, by their request
-        super().setUp()
+    def start_callers(self):
+        self.ledger = caller_ledger.Ledger(self.fleet)
+        super().start_callers()
 
     def ask(self, index, number):
         if number % 2:
@@ -174,23 +178,20 @@
             status, _, headers = self.fleet.ask(self.nodes[(index + number) % self.NODES], "/call/x", identity,
                                                 timeout=self.PATIENCE, body=f"{index}/{number}")
         except Exception:  # noqa: BLE001: the caller has left
-            self.left[identity] = time.monotonic()
+            self.ledger.closing(identity)
             return 0, 0.01
         return status, min(float(headers.get("Retry-After") or 0.01), 1) if status == 503 else 0.01
 
-    def late_arrivals(self):
-        return sum(at > self.left.get(fields["X-Vanilladyke-Attempt-Id"], at) + self.GONE_AFTER
-                   for engine in list(self.fleet.engines) for at, fields in list(engine.requests))
-
     def test_callers_that_leave_while_they_wait_for_a_place_neither_take_it_nor_end_engines(self):
         """Every second caller leaves while its request waits for a place. A request that is sent all the same takes an
         engine's place for nobody, and one that has left without giving its place back makes nodes send too much or too
         little."""
         self.begin_brittleness()
         self.check_falls()
-        print(f"{self.id()}: {len(self.left)} callers left, {self.late_arrivals()} requests came later", flush=True)
-        self.assertGreater(len(self.left), 20)
-        self.assertLessEqual(self.late_arrivals(), self.MOST_AFTER_LEAVING)
+        late = self.ledger.late_arrivals()
+        print(f"{self.id()}: {len(self.ledger.left)} callers left, {len(late)} requests came later", flush=True)
+        self.assertGreater(len(self.ledger.left), 20)
+        self.assertLessEqual(len(late), self.MOST_AFTER_LEAVING, self.ledger.story(dict(late)))
 
 
 class PlatformBrittleStarts(BrittleCase):
--- a/tests/integration/platform_fleet.py
+++ b/tests/integration/platform_fleet.py
@@ -155,6 +155,10 @@
     def is_ready(node):
         return harness.http_call(node.ready_port, "GET", "/readiness")[0] == 200
 
+    def log_lines(self, identity):
+        """What the nodes logged of a request."""
+        return [line for node in self.nodes for line in node.log_text().splitlines() if f" id={identity} " in line]
+
     def knows_all(self, node):
         text = node.log_text()
         return all(f"backend={each.name} " in text for each in self.engines if each.state != "gone")
--- a/tests/integration/platform_handovers.py
+++ b/tests/integration/platform_handovers.py
@@ -5,6 +5,7 @@
 import threading
 import time
 
+import caller_ledger
 import harness
 import platform_cut
 import platform_leavers
@@ -21,7 +22,7 @@
 
     def setUp(self):
         super().setUp()
-        self.ledger = platform_leavers.Ledger(self.fleet)
+        self.ledger = caller_ledger.Ledger(self.fleet)
         for route in self.fleet.config["routes"]:
             route["targetLatencyMs"] = 100  # a further server is asked after 450 ms
         self.fleet.publish()
--- a/tests/integration/platform_leavers.py
+++ b/tests/integration/platform_leavers.py
@@ -1,57 +1,20 @@
 """Callers that leave early while something else is wrong: nodes as real processes, engines of the stand-in. Counts what
 was sent on after its caller had left, and what ran on more engines than its route allows."""
 
-import collections
 import random
 import socket
 import threading
 import time
 
+import caller_ledger
 import harness
 import platform_cut
-import platform_fleet
 
-GONE_AFTER = 0.5  # seconds after a caller's close from which its request may reach no engine
 MOST_LATE = 3     # requests that may all the same
 FEWEST_LEFT = 20  # callers; a play in which no more leave shows nothing
 MOST_OVER = 3     # requests that may run on more engines than their route allows
 
 
-class Ledger:
-    """What callers did and what engines saw, by the request's id."""
-
-    def __init__(self, fleet):
-        self.fleet, self.lock = fleet, threading.Lock()
-        self.left, self.statuses = {}, collections.Counter()
-
-    def closing(self, identity):
-        with self.lock:
-            self.left[identity] = time.monotonic()
-
-    def answered(self, status):
-        with self.lock:
-            self.statuses[status] += 1
-
-    def late(self):
-        """Requests that reached an engine after their caller had left, and how many seconds after."""
-        found = {}
-        for engine in list(self.fleet.engines):
-            for at, fields in list(engine.requests):
-                identity = fields["X-Vanilladyke-Attempt-Id"]
-                if at > self.left.get(identity, at) + GONE_AFTER:
-                    found[identity] = at - self.left[identity]
-        return found
-
-    def over(self, most):
-        """Requests that ran on more engines than `most`, without those that have ended."""
-        engines = collections.defaultdict(set)
-        for engine in list(self.fleet.engines):
-            if engine.state != "gone":
-                for identity in list(engine.runs):
-                    engines[identity].add(engine.name)
-        return {identity: len(names) for identity, names in engines.items() if len(names) > most}
-
-
 def call_and_leave(ledger, node, path, identity, patience, more=b"", prompt=None, body=b"hello"):
     """One request on a connection of its own, which the caller closes after `patience` seconds without an end of the
     answer. @return the status of an answer that was whole or had begun; 0 if there was none"""
@@ -101,7 +64,7 @@
 
     def setUp(self):
         super().setUp()
-        self.ledger = Ledger(self.fleet)
+        self.ledger = caller_ledger.Ledger(self.fleet)
         self.callers = [threading.Thread(target=self.call, args=(i,)) for i in range(self.CALLERS)]
 
     def node_for(self, index, _number):
@@ -128,7 +91,7 @@
         harness.wait_until(lambda: time.monotonic() > begin + seconds and len(self.ledger.left) > FEWEST_LEFT,
                            "the play is over, and enough callers have left")
         self.stop_callers()
-        end = time.monotonic() + GONE_AFTER + 1
+        end = time.monotonic() + caller_ledger.GONE_AFTER + 1
         harness.wait_until(lambda: time.monotonic() > end, "what is late has come")
         late, over = self.ledger.late(), self.ledger.over(2)
         print(f"{self.id()}: answers {dict(self.ledger.statuses)}, {len(self.ledger.left)} callers left, "
@@ -139,8 +102,8 @@
     def check(self, seconds=3.0):
         late, over = self.play(seconds)
         self.assertGreater(len(self.ledger.left), FEWEST_LEFT)
-        self.assertLessEqual(len(late), MOST_LATE)
-        self.assertLessEqual(len(over), MOST_OVER)
+        self.assertLessEqual(len(late), MOST_LATE, self.ledger.story(late))
+        self.assertLessEqual(len(over), MOST_OVER, self.ledger.story(over))
 
 
 class LeaverGroupCase(LeaverCase):
@@ -165,7 +128,7 @@
         """All ask and leave; returns when the time in which their requests may still be sent is over."""
         self.ask_together("left", self.LEAVES_AFTER, more)
         self.assertGreater(len(self.ledger.left), self.GROUP)
-        over = time.monotonic() + GONE_AFTER + 0.2
+        over = time.monotonic() + caller_ledger.GONE_AFTER + 0.2
         harness.wait_until(lambda: time.monotonic() > over, "callers have left for long")
 
     def warm_up(self):
@@ -180,7 +143,7 @@
         print(f"{self.id()}: {len(self.ledger.left)} callers left, {len(late)} requests came later; "
               f"{self.counted('requests_closed_before_send_total')} read or chosen after the close, "
               f"{self.seen_to_leave()} callers seen to leave", flush=True)
-        self.assertLessEqual(len(late), MOST_LATE, late)
+        self.assertLessEqual(len(late), MOST_LATE, self.ledger.story(late))
 
     def counted(self, metric):
         return sum(self.metric(node, metric) for node in self.nodes)
