Engines of the stand-in count a request from when the kernel received it

Cause, shown by a play beside 45 busy loops whose failure tells the requests' stories: call-12-48 was sent at 16:40:30.450, its caller left at .477, the node withdrew it at .478 with nothing of it left in its socket, and the engine read it at 31.077; call-16-10 was sent at 18.483, its caller left at .497, read at 19.083. The engines are threads of the test: what was counted is how late the test's own thread read.

Change: the time is that of the kernel (SO_TIMESTAMPING, software, of the last bytes read). The bound stays.

The check still finds the fault: a trial build in which a node does not ask the caller's socket before it sends fails both tests of PlatformLeaversUnread (23 late of 60 where 3 are allowed; requests received 0.9 s after). Plays after: five tests of PlatformLeavers 0 late; PlatformBrittleLeavers beside 45 busy loops 0 late of 1,411 callers that left.

--- a/tests/integration/caller_ledger.py
+++ b/tests/integration/caller_ledger.py
@@ -51,12 +51,12 @@
         return {identity: len(names) for identity, names in engines.items() if len(names) > most}
 
     def story(self, identities):
-        """Of some of these requests: when their callers left, when engines read them, and what the nodes logged."""
+        """Of some of these requests: when their callers left, when they reached engines, and what the nodes logged."""
         lines = []
         for identity in sorted(identities)[:self.STORIES]:
             left = self.left.get(identity)
             lines.append(f"{identity}: its caller left " + ("at no time" if left is None else f"at {wall_clock(left)}"))
-            lines += [f"  {wall_clock(at)} read by {engine.name}" for engine in list(self.fleet.engines)
+            lines += [f"  {wall_clock(at)} received by {engine.name}" for engine in list(self.fleet.engines)
                       for at, fields in list(engine.requests) if fields["X-Vanilladyke-Attempt-Id"] == identity]
             lines += ["  " + line for line in self.fleet.log_lines(identity)]
         return "\n".join(["", *lines])
--- a/tests/integration/platform_engine.py
+++ b/tests/integration/platform_engine.py
@@ -27,7 +27,7 @@
         self.pace = 0.01  # seconds between two events
         self.wrote = []  # attempt and number of each event that it wrote
         self.lock = threading.Lock()
-        self.requests, self.runs, self.orders = [], [], []
+        self.requests, self.runs, self.orders = [], [], []  # requests: when each reached this host, and its fields
         self.seconds = 0.0  # that a request runs
         self.full = False
         self.fails = 0.0  # share of the requests that it answers with an error of its own
@@ -104,7 +104,7 @@
         if self.brittle is not None:
             common["Server-Brittle"] = str(self.brittle)
         with self.lock:
-            self.requests.append((time.monotonic(), dict(call.headers)))
+            self.requests.append((call.received_at(), dict(call.headers)))
         if self.places is not None:
             with self.free:
                 common["X-Vanilladyke-Server-Load"] = f"{self.running},{len(self.queue)},{self.places}"
--- a/tests/integration/platform_http.py
+++ b/tests/integration/platform_http.py
@@ -1,9 +1,11 @@
 """HTTP servers in threads of the test, for the stand-ins of the platform and its engines."""
 
 import contextlib
+import io
 import json
 import socket
 import struct
+import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 
@@ -38,13 +40,49 @@
         self.server_close()
 
 
+class TimedBytes(io.RawIOBase):
+    """The bytes of a connection, and when the kernel received the last of those that were read. A thread of a busy test
+    may read a request long after that."""
+
+    # Of linux/net_tstamp.h and asm-generic/socket.h.
+    SO_TIMESTAMPING = 37
+    RECEIVED_BY_KERNEL = 1 << 3 | 1 << 4
+    TIMES = struct.Struct("@ll")  # seconds and nanoseconds of the day's clock
+
+    def __init__(self, connection):
+        super().__init__()
+        self.connection, self.received_at = connection, time.monotonic()
+        connection.setsockopt(socket.SOL_SOCKET, self.SO_TIMESTAMPING, self.RECEIVED_BY_KERNEL)
+
+    def readable(self):
+        return True
+
+    def readinto(self, buffer):
+        size, extra, _, _ = self.connection.recvmsg_into([buffer], socket.CMSG_SPACE(3 * self.TIMES.size))
+        self.received_at = time.monotonic()
+        for level, kind, data in extra:
+            if level == socket.SOL_SOCKET and kind == self.SO_TIMESTAMPING:
+                seconds, nanoseconds = self.TIMES.unpack_from(data)
+                self.received_at -= time.time() - seconds - nanoseconds / 1e9
+        return size
+
+
 class Handler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
     disable_nagle_algorithm = True
 
+    def setup(self):
+        super().setup()
+        self.bytes = TimedBytes(self.connection)
+        self.rfile = io.BufferedReader(self.bytes)
+
     def log_message(self, *_):
         pass
 
+    def received_at(self):
+        """When the kernel received what was read last, by the monotonic clock."""
+        return self.bytes.received_at
+
     def body(self):
         return self.rfile.read(int(self.headers.get("Content-Length") or 0))
 
