--- a/tests/integration/platform_engine.py
+++ b/tests/integration/platform_engine.py
@@ -27,7 +27,7 @@
         self.pace = 0.01  # seconds between two events
         self.wrote = []  # attempt and number of each event that it wrote
         self.lock = threading.Lock()
-        self.requests, self.runs, self.orders = [], [], []  # requests: when each reached this host, and its fields
+        self.requests, self.runs, self.orders = [], [], []  # the first and last: when each reached this host, and what it was
         self.seconds = 0.0  # that a request runs
         self.full = False
         self.fails = 0.0  # share of the requests that it answers with an error of its own
@@ -81,7 +81,7 @@
 
     def on_order(self, call, order):
         with self.lock:
-            self.orders.append((time.monotonic(), order))
+            self.orders.append((call.received_at(), order))
             if self.busy or order["precondition"] != self.sequence:
                 call.answer(409)
                 return
