Restarts: the test's balancer sends callers only by news within its lag

Cause: a node refuses so once it has stopped for longer than its balancer's lag, 3 s in this test. The test's balancer asks the nodes in a thread of the test. Beside 10 busy loops it was without news for 4.1 s in one of three plays (printed by a copy of the test), so that callers were sent to a node by older news than the lag. Which news the broken call had was not printed.

Change: each node's news has its time, and callers are given nodes by news of half the lag at most; they wait where there is none. What the node has to do is unchanged.

--- a/tests/integration/restarts.py
+++ b/tests/integration/restarts.py
@@ -10,6 +10,7 @@
 STREAMS = 200
 TOKENS = 40
 BALANCER_LAG_MS = 3000
+NEWS_SECONDS = BALANCER_LAG_MS / 2000  # age up to which the balancer's news count; the rest is left for the caller
 
 
 class Balancer:
@@ -18,7 +19,7 @@
     def __init__(self):
         self.lock = threading.Lock()
         self.nodes = []
-        self.ready = []
+        self.ready = {}  # when each ready node was asked
         self.stopped = threading.Event()
         self.thread = threading.Thread(target=self.watch)
         self.thread.start()
@@ -26,7 +27,7 @@
     def add(self, node):
         with self.lock:
             self.nodes.append(node)
-            self.ready.append(node)
+            self.ready[node] = time.monotonic()
 
     def remove(self, node):
         with self.lock:
@@ -42,13 +43,30 @@
         while not self.stopped.wait(0.1):
             with self.lock:
                 nodes = list(self.nodes)
-            ready = [node for node in nodes if self.is_ready(node)]
-            with self.lock:
-                self.ready = [node for node in ready if node in self.nodes]
+            for node in nodes:
+                asked_at = time.monotonic()
+                is_ready = self.is_ready(node)
+                with self.lock:
+                    self.ready.pop(node, None)
+                    if is_ready and node in self.nodes:
+                        self.ready[node] = asked_at
+
+    def fresh(self):
+        """Ready nodes of which the news are within the lag that nodes are told of. The thread that asks them may itself
+        be late by more, and would send callers to a node that stopped accepting long ago."""
+        now = time.monotonic()
+        with self.lock:
+            return [node for node in self.nodes if now - self.ready.get(node, 0) < NEWS_SECONDS]
 
     def pick(self, chance):
-        with self.lock:
-            return chance.choice(self.ready).port
+        known = []
+
+        def hears():
+            known[:] = self.fresh()
+            return known
+
+        harness.wait_until(hears, "the balancer hears of a ready node")
+        return chance.choice(known).port
 
     def close(self):
         self.stopped.set()
