--- a/tests/integration/platform_crashes.py
+++ b/tests/integration/platform_crashes.py
@@ -22,7 +22,7 @@
             self.fleet.engine(f"llm-{i}")
         self.nodes = [self.fleet.ready_node(f"n{i}") for i in range(3)]
         for node in self.nodes:
-            harness.wait_until(lambda n=node: "event=fleet_key_known" in n.log_text(), "nodes hear each other")
+            self.fleet.wait_ready(node, hears_others=True)
 
     def ask_quietly(self, node, identity, body, headers):
         """@return status, None where the connection ended early."""
@@ -83,7 +83,7 @@
             harness.wait_until(lambda n=node: self.is_held(n, f"held-{time.monotonic()}"), "held everywhere")
         ends = len(self.fleet.ends)
         late = self.fleet.ready_node("late")
-        harness.wait_until(lambda: "event=fleet_key_known" in late.log_text(), "the key")
+        self.fleet.wait_ready(late, hears_others=True)
         harness.wait_until(lambda: "event=request_quarantined" in late.log_text(), "a new node is told")
         self.assertTrue(self.is_held(late, "held-late"))
         self.assertEqual(len(self.fleet.ends), ends)
--- a/tests/integration/platform_crowd.py
+++ b/tests/integration/platform_crowd.py
@@ -21,7 +21,7 @@
             engine.places, engine.seconds = PLACES, 0.15
         self.nodes = [self.fleet.ready_node(f"n{i}") for i in range(3)]
         for node in self.nodes:
-            harness.wait_until(lambda n=node: "event=fleet_key_known" in n.log_text(), "nodes hear each other")
+            self.fleet.wait_ready(node, hears_others=True)
         self.over, self.lock, self.answers, self.crowded = False, threading.Lock(), [], False
 
     def call(self, caller):
--- a/tests/integration/platform_limits.py
+++ b/tests/integration/platform_limits.py
@@ -18,7 +18,7 @@
         self.engines = [self.fleet.engine(f"llm-{i}") for i in range(3)]
         self.nodes = [self.fleet.ready_node(f"n{i}") for i in range(3)]
         for node in self.nodes:
-            harness.wait_until(lambda n=node: "event=fleet_key_known" in n.log_text(), "nodes hear each other")
+            self.fleet.wait_ready(node, hears_others=True)
         self.over, self.statuses = False, []
         self.callers = [threading.Thread(target=self.call, args=(i,)) for i in range(CALLERS)]
         self.addCleanup(self.stop_callers)
--- a/tests/integration/platform_parts.py
+++ b/tests/integration/platform_parts.py
@@ -23,7 +23,7 @@
             self.fleet.engine(f"llm-{i}").seconds = 0.05
         self.nodes = [self.fleet.ready_node(f"n{i}") for i in range(3)]
         for node in self.nodes:
-            harness.wait_until(lambda n=node: "event=fleet_key_known" in n.log_text(), "nodes hear each other")
+            self.fleet.wait_ready(node, hears_others=True)
         self.lock, self.over, self.sound, self.threads = threading.Lock(), False, [], []
         self.addCleanup(self.stop)
 
--- a/tests/integration/platform_statements.py
+++ b/tests/integration/platform_statements.py
@@ -30,7 +30,7 @@
     def begin(self, count):
         self.nodes = [self.fleet.ready_node(f"n{i}") for i in range(count)]
         for node in self.nodes:
-            harness.wait_until(lambda n=node: "event=fleet_key_known" in n.log_text(), "nodes hear each other")
+            self.fleet.wait_ready(node, hears_others=True)
         self.callers = [threading.Thread(target=self.call, args=(i,)) for i in range(CALLERS)]
         for each in self.callers:
             each.start()
--- a/tests/integration/platform_weights.py
+++ b/tests/integration/platform_weights.py
@@ -17,7 +17,7 @@
         self.engines = [self.fleet.engine(f"llm-{i}", load_seconds=600) for i in range(3)]
         self.nodes = [self.fleet.ready_node(f"n{i}") for i in range(3)]
         for node in self.nodes:
-            harness.wait_until(lambda n=node: "event=fleet_key_known" in n.log_text(), "nodes hear each other")
+            self.fleet.wait_ready(node, hears_others=True)
 
     @staticmethod
     def dates(node, version, by=r"\S+"):
--- a/tests/integration/two_builds.py
+++ b/tests/integration/two_builds.py
@@ -28,7 +28,7 @@
     def start_nodes(self):
         nodes = [self.fleet.ready_node(f"n{i}") for i in range(4)]
         for node in nodes:
-            harness.wait_until(lambda n=node: "event=fleet_key_known" in n.log_text(), "nodes reach each other")
+            self.fleet.wait_ready(node, hears_others=True)
         return nodes
 
     def check_datagrams(self, nodes):
