--- a/include/vanilladyke/policy/software_history.hpp
+++ b/include/vanilladyke/policy/software_history.hpp
@@ -14,6 +14,15 @@
 /// back, so that a node which has just started relies on what older nodes say.
 namespace vanilladyke {
 
+/// @brief What a node knows of a service's software versions, for the logs.
+struct SoftwareView
+{
+    std::size_t listed = 0;   ///< versions of the servers that are listed now
+    std::size_t possible = 0; ///< versions that may have begun streams which callers may take up
+    Duration watched{};       ///< for which this process has watched the service
+    Duration needed{};        ///< for which a version has to be alone to be the only one
+};
+
 /// @brief The software versions that one node has seen in the list of servers. Pure.
 class SoftwareHistory
 {
@@ -32,6 +41,7 @@
                                                            TimePoint now) const;
     /// @brief Whether all servers that are listed now have this version.
     [[nodiscard]] bool isAlone(const ServiceId &service, std::uint64_t software) const;
+    [[nodiscard]] SoftwareView view(const ServiceId &service, TimePoint now) const;
     /// @brief Whether a server of this version is listed now.
     [[nodiscard]] bool isListed(const ServiceId &service, std::uint64_t software) const;
 
--- a/include/vanilladyke/traffic/traffic_state.hpp
+++ b/include/vanilladyke/traffic/traffic_state.hpp
@@ -69,7 +69,8 @@
     std::optional<std::uint64_t> software; ///< softwareKey() of the version that began it
     /// The version on which all streams of the service began, as an older node has seen it.
     std::optional<std::uint64_t> only;
-    std::size_t answers = 0; ///< nodes that have answered
+    std::size_t answers = 0;  ///< nodes that have answered
+    std::size_t saidOnly = 0; ///< of them, those that know of one version only
 };
 
 /// @brief A request that needs a place at a brittle engine.
--- a/src/vanilladyke/node/origin_sharing.cpp
+++ b/src/vanilladyke/node/origin_sharing.cpp
@@ -154,11 +154,12 @@
     }
     Question &question = *found->second;
     std::vector<Udp::endpoint> &answered = question.answered;
+    const wire::StreamOriginAnswer &answer = message.answer();
+    OriginReport &report = question.report;
     if (std::find(answered.begin(), answered.end(), from) == answered.end()) {
         answered.push_back(from);
+        report.saidOnly += answer.is_only() ? 1 : 0;
     }
-    const wire::StreamOriginAnswer &answer = message.answer();
-    OriginReport &report = question.report;
     report.answers = answered.size();
     if (answer.is_known()) {
         report.software = answer.software();
--- a/src/vanilladyke/policy/software_history.cpp
+++ b/src/vanilladyke/policy/software_history.cpp
@@ -87,6 +87,23 @@
                           });
 }
 
+SoftwareView SoftwareHistory::view(const ServiceId &service, TimePoint now) const
+{
+    const Service *const known = find(service);
+    if (known == nullptr) {
+        return {};
+    }
+    SoftwareView view;
+    view.watched = now - known->since;
+    view.needed = std::max(known->lifetime, MinLifetime) + ListingMargin;
+    for (const auto &[software, at] : known->lastListed) {
+        const bool isListed = at == m_listedAt;
+        view.listed += isListed ? 1 : 0;
+        view.possible += isListed || now - at < view.needed ? 1 : 0;
+    }
+    return view;
+}
+
 bool SoftwareHistory::isListed(const ServiceId &service, std::uint64_t software) const
 {
     const Service *const known = find(service);
--- a/src/vanilladyke/traffic/exchange_software.cpp
+++ b/src/vanilladyke/traffic/exchange_software.cpp
@@ -41,6 +41,7 @@
             m_service = serves && share.weight > 0 ? share.service : m_service;
         }
     }
+    const SoftwareView view = m_state.software.view(m_service, now);
     m_state.metrics.count("streams_taken_up_total{origin=\"" + std::string(source) + "\"}");
     m_state.metrics.observe("stream_origin_seconds", now - begin);
     LogEvent("stream_taken_up")
@@ -51,6 +52,12 @@
             .field("origin", source)
             .field("software", m_software.value_or(0))
             .field("answers", report.answers)
+            .field("said_only", report.saidOnly)
+            .field("listed", view.listed)
+            .field("possible", view.possible)
+            .field("watched_ms", view.watched)
+            .field("needed_ms", view.needed)
+            .field("left_ms", comesBackUntil() - now)
             .field("after_ms", now - begin);
     co_return m_software.has_value();
 }
