Record the software versions of services in the platform's store (ORDER, streams refused after a kill of all)

Cause: which versions may have begun streams was known to processes only. A process that starts knows nothing until it has watched the list for as long as callers may come back; after a kill of all there is no older one to ask.

Change: a record for each service in the store, under a topic of the nodes: its versions that may have begun streams, and the longest time that callers had. A node reads it after its first whole list of servers and counts what is recorded with what is listed. It is written when a version is added and when a node has watched the list long enough without one, under the condition that nothing was written since the listing; the first in the order of nodes writes, the others after it. A version that is used before it is recorded is in the list of whoever starts, so that serving waits for no write. Without a record only the fleet's first start (a setting) knows that no stream began before. In the same topic while versions differ: two entries, so that a stream of unknown origin is refused as before.

Four tests of SoftwareHistory. A listing for each start and two to four appends for each rollout, over all nodes.

--- a/include/vanilladyke/node/control_plane.hpp
+++ b/include/vanilladyke/node/control_plane.hpp
@@ -43,6 +43,8 @@
     std::function<std::optional<std::size_t>()> standbyRank = [] { return std::size_t{0}; };
     /// @brief Number of other nodes that were seen recently.
     std::function<std::size_t()> otherNodes = [] { return std::size_t{0}; };
+    /// @brief Called with the records of software versions that have to be written.
+    std::function<void(SoftwareRecords due)> onSoftwareDue = [](const SoftwareRecords &) {};
     /// @brief Stops sending orders and releases the lease, before the node stops.
     void releaseLease();
     [[nodiscard]] const FreshnessProof &proof() const { return m_proof; }
@@ -58,12 +60,15 @@
     void configurationProved(TimePoint sentAt) override;
     void storeFailed() override;
     void nodesListed(std::vector<Endpoint> peers) override;
+    void softwareRecorded(SoftwareRecords records) override;
     void keptCacheReset(const Endpoint &store, KeptCacheState state) override;
     void keptCacheChanged(const Endpoint &store, std::vector<KeptPart> parts) override;
 
 private:
     void step();
     void schedule();
+    /// Asks the traffic thread for records that have to be written.
+    void checkSoftware();
     /// Posted, so that a page of a thousand entries is published once.
     void publishBackends();
     void publishNow();
--- a/include/vanilladyke/node/ports.hpp
+++ b/include/vanilladyke/node/ports.hpp
@@ -3,6 +3,7 @@
 #include "vanilladyke/model/routing.hpp"
 #include "vanilladyke/policy/kept_cache_view.hpp"
 #include "vanilladyke/policy/order_lease.hpp"
+#include "vanilladyke/policy/software_history.hpp"
 
 #include <functional>
 #include <map>
@@ -44,6 +45,9 @@
     virtual void storeFailed() = 0;
     /// @param peers where the registered nodes, including this one, receive each other's datagrams
     virtual void nodesListed(std::vector<Endpoint> peers) = 0;
+    /// @brief The records of the services' software versions were read, after the first whole list
+    /// of servers.
+    virtual void softwareRecorded(SoftwareRecords records) = 0;
     /// @brief The recorded parts of a kept-cache store are no longer valid.
     virtual void keptCacheReset(const Endpoint &store, KeptCacheState state) = 0;
     virtual void keptCacheChanged(const Endpoint &store, std::vector<KeptPart> parts) = 0;
--- a/include/vanilladyke/node/record_store.hpp
+++ b/include/vanilladyke/node/record_store.hpp
@@ -58,6 +58,7 @@
     Backends, ///< entries of backend servers
     Nodes,    ///< endpoints for datagrams between nodes
     FleetKey, ///< the key that signs datagrams between nodes
+    Software, ///< software versions of each service that may have begun streams
 };
 
 /// @brief Calls to the store. Each topic has its own connection; reads of the operator's records
--- /dev/null
+++ b/include/vanilladyke/node/software_recorder.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "vanilladyke/node/follow_context.hpp"
+#include "vanilladyke/node/read_sharing.hpp"
+#include "vanilladyke/policy/software_history.hpp"
+
+/// Keeps in the platform's store which software versions of each service may have begun streams.
+///
+/// Load pattern: all nodes are killed at once, and callers take their streams up at processes that
+/// have just started; see software_history.hpp. The records change when a rollout begins and after
+/// it has ended, so that they cost a listing for each start and a few calls for each rollout.
+namespace vanilladyke {
+
+/// @brief Reads the records once at start and writes what is due. Runs on the control thread.
+class SoftwareRecorder
+{
+public:
+    /// @param context, sharing, backends must outlive the recorder
+    SoftwareRecorder(FollowContext &context, const ReadSharing &sharing,
+                     const FollowedTopic &backends)
+        : m_context(context)
+        , m_sharing(sharing)
+        , m_backends(backends)
+    {}
+
+    /// @brief Reads and writes the records until the followers are stopped.
+    [[nodiscard]] asio::awaitable<void> follow();
+    /// @brief Sets what has to be written.
+    void setDue(SoftwareRecords due);
+
+private:
+    [[nodiscard]] asio::awaitable<bool> list(CallCause cause);
+    [[nodiscard]] asio::awaitable<void> write();
+    /// For how long this node leaves a change to others.
+    [[nodiscard]] Duration turnDelay();
+
+    FollowContext &m_context;
+    const ReadSharing &m_sharing;
+    const FollowedTopic &m_backends;
+    bool m_isListed = false;
+    std::uint64_t m_era = 0;     ///< of the store, in which the records were listed
+    std::uint64_t m_end = 0;     ///< offset behind the listed records
+    std::uint64_t m_reading = 0; ///< number of the last listing
+    SoftwareRecords m_due;
+    std::optional<TimePoint> m_turnAt; ///< when this node writes what is due
+};
+
+} // namespace vanilladyke
--- a/include/vanilladyke/node/state_follower.hpp
+++ b/include/vanilladyke/node/state_follower.hpp
@@ -3,6 +3,7 @@
 #include "vanilladyke/node/backends_follower.hpp"
 #include "vanilladyke/node/node_list.hpp"
 #include "vanilladyke/node/operator_follower.hpp"
+#include "vanilladyke/node/software_recorder.hpp"
 
 /// Follows everything that a node reads from the platform's store.
 namespace vanilladyke {
@@ -43,6 +44,8 @@
     /// @brief The answer to a node that requests updates.
     [[nodiscard]] SharedUpdates updatesSince(std::uint64_t operatorNext,
                                              std::uint64_t backendsNext) const;
+    /// @brief Writes these records of software versions, unless another node has.
+    void recordSoftware(SoftwareRecords due) { m_software.setDue(std::move(due)); }
     /// @brief Called with the key that signs datagrams between nodes, and whenever it is replaced.
     std::function<void(std::string key)> onFleetKey;
 
@@ -59,6 +62,7 @@
     ReadSharing m_sharing;
     OperatorFollower m_operator{m_context, m_sharing};
     BackendsFollower m_backends{m_context, m_sharing};
+    SoftwareRecorder m_software{m_context, m_sharing, m_backends.topic()};
 };
 
 } // namespace vanilladyke
--- a/include/vanilladyke/node/store_calls.hpp
+++ b/include/vanilladyke/node/store_calls.hpp
@@ -20,7 +20,7 @@
     Append, ///< one record
 };
 
-enum class StoreTopic { Operator, Backends, Nodes, FleetKey, Lease };
+enum class StoreTopic { Operator, Backends, Nodes, FleetKey, Lease, Software };
 
 /// @brief Why a node calls the store itself.
 enum class CallCause {
@@ -32,6 +32,7 @@
     PeerCouldNotTell, ///< the reader lacks the topic, or the answer is too large
     PeerKnowsMore,    ///< another node has read further; an own call was missed
     Rollout,          ///< new weights are being rolled out
+    Versions,         ///< software versions of a service have changed
 };
 
 [[nodiscard]] std::string_view toString(StoreCall call);
@@ -55,8 +56,8 @@
 
 private:
     static constexpr std::size_t Calls = 4;
-    static constexpr std::size_t Topics = 5;
-    static constexpr std::size_t Causes = 8;
+    static constexpr std::size_t Topics = 6;
+    static constexpr std::size_t Causes = 9;
 
     Metrics &m_metrics;
     std::array<std::array<std::array<std::uint64_t, Causes>, Topics>, Calls> m_counts{};
--- a/include/vanilladyke/policy/software_history.hpp
+++ b/include/vanilladyke/policy/software_history.hpp
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 /// Which software versions the servers of a service had lately.
@@ -11,16 +12,37 @@
 /// Load pattern: most of the time all servers of a service have one version. Then nothing needs to
 /// be told of its streams, and a stream of unknown origin can go on, as it can only have begun on
 /// that version. This holds only once the version has been alone for as long as a caller may come
-/// back, so that a node which has just started relies on what older nodes say.
+/// back. No process may have run for so long: all may have been killed at once. The versions of
+/// each service are therefore recorded in the platform's store, and a version is taken out of the
+/// record only by a node that has watched the list for long enough without it.
 namespace vanilladyke {
 
+/// @brief What is recorded of a service.
+struct RecordedSoftware
+{
+    /// Versions that may have begun streams which callers may still take up: softwareKey() of each.
+    std::set<std::uint64_t> versions;
+    /// The longest time that a caller was seen to have after the first event of its stream.
+    Duration callersTime{};
+
+    bool operator==(const RecordedSoftware &) const = default;
+};
+
+/// @brief The records of all services, as read from the store or to be written to it.
+struct SoftwareRecords
+{
+    std::map<ServiceId, RecordedSoftware> services;
+    std::uint64_t reading = 0; ///< number of the reading that they are, or that they follow
+};
+
 /// @brief What a node knows of a service's software versions, for the logs.
 struct SoftwareView
 {
     std::size_t listed = 0;   ///< versions of the servers that are listed now
     std::size_t possible = 0; ///< versions that may have begun streams which callers may take up
-    Duration watched{};       ///< for which this process has watched the service
+    Duration watched{};       ///< for which this process has watched the list
     Duration needed{};        ///< for which a version has to be alone to be the only one
+    bool isRecorded = false;  ///< the service's versions were read from the store
 };
 
 /// @brief The software versions that one node has seen in the list of servers. Pure.
@@ -30,11 +52,21 @@
     /// A server that has left the list may begin requests of nodes which learn of that later.
     static constexpr Duration ListingMargin = std::chrono::seconds(3);
 
+    /// @param isFirstStart the fleet starts for the first time: no stream began before
+    explicit SoftwareHistory(bool isFirstStart = false)
+        : m_isFirstStart(isFirstStart)
+    {}
+
     /// @brief Replaces the list of servers. @return whether a service that had one version lately
     /// has several now
     bool setServers(const std::vector<BackendEntry> &serving, TimePoint now);
     /// @brief Records how long after a stream's first event its caller may come back.
     void observeLifetime(const ServiceId &service, Duration lifetime);
+    /// @brief Replaces what is recorded. To be called after the first whole list of servers.
+    void setRecords(SoftwareRecords records);
+    /// @brief What has to be written: the services whose record lacks a version, holds one that
+    /// began no stream which a caller may still take up, or a shorter time of callers.
+    [[nodiscard]] SoftwareRecords dueRecords(TimePoint now) const;
     /// @brief The version on which every stream of the service began that a caller may still take
     /// up. @return softwareKey() of it; none if there may be several
     [[nodiscard]] std::optional<std::uint64_t> onlyVersion(const ServiceId &service,
@@ -49,13 +81,23 @@
     struct Service
     {
         std::map<std::uint64_t, TimePoint> lastListed; ///< by version
-        TimePoint since;                               ///< first seen by this node
         Duration lifetime{};
     };
 
     [[nodiscard]] const Service *find(const ServiceId &service) const;
+    [[nodiscard]] const RecordedSoftware *findRecord(const ServiceId &service) const;
+    /// For how long a version has to be alone to be the only one.
+    [[nodiscard]] Duration neededTime(const ServiceId &id, const Service &service) const;
+    /// Whether no version is missing from possibleVersions().
+    [[nodiscard]] bool isWhole(const ServiceId &id, const Service &service, TimePoint now) const;
+    /// The versions seen or recorded that may have begun streams which callers may take up.
+    [[nodiscard]] std::set<std::uint64_t>
+    possibleVersions(const ServiceId &id, const Service &service, TimePoint now) const;
 
+    bool m_isFirstStart;
     std::map<ServiceId, Service> m_services;
+    std::optional<SoftwareRecords> m_records;
+    std::optional<TimePoint> m_watchedSince; ///< the first list of servers
     TimePoint m_listedAt; ///< of the current list; versions with this time are listed now
 };
 
--- a/include/vanilladyke/traffic/traffic_state.hpp
+++ b/include/vanilladyke/traffic/traffic_state.hpp
@@ -39,7 +39,8 @@
     FleetRetryLimits fleetRetries;
     QuotaTolerance quotaTolerance;
     Duration keysValidFor = std::chrono::milliseconds(4500); ///< after their last freshness proof
-    bool failsClosed = true; ///< refuses requests with a key without a valid freshness proof
+    bool failsClosed = true;   ///< refuses requests with a key without a valid freshness proof
+    bool isFirstStart = false; ///< of the whole fleet: no stream began before
     bool withdrawsRequests =
             true; ///< withdraws requests that have not begun when old weights expire
     /// A waiting request is hedged this long before the end of its server's weights, so that
@@ -158,7 +159,7 @@
     RequestQuarantine quarantine;
     Random random;
     StreamOrigins origins;
-    SoftwareHistory software;
+    SoftwareHistory software{settings.isFirstStart};
     RelayNodes relays;
     Metrics metrics;
     ReachMonitor reach;
--- a/src/vanilladyke/app/node_command.cpp
+++ b/src/vanilladyke/app/node_command.cpp
@@ -185,6 +185,9 @@
             });
         };
         m_control.standbyRank = [this] { return m_follower.standbyRank(); };
+        m_control.onSoftwareDue = [this](SoftwareRecords due) {
+            m_follower.recordSoftware(std::move(due));
+        };
         m_control.otherNodes = [this] { return m_follower.otherNodes(); };
         m_follower.onFleetKey = [this](const std::string &key) {
             LogEvent("fleet_key_known").field("bytes", key.size());
--- a/src/vanilladyke/app/node_settings.cpp
+++ b/src/vanilladyke/app/node_settings.cpp
@@ -110,30 +110,12 @@
     }
     NodeSettings settings;
     JsonReader reader(object, "", &errors);
-    reader.allowOnly({"node",
-                      "address",
-                      "data_centre",
-                      "callers",
-                      "ready",
-                      "ready_path",
-                      "metrics",
-                      "peers",
-                      "questions",
-                      "store",
-                      "keys_valid_ms",
-                      "fails_closed",
-                      "weights_time_ms",
-                      "order_gap_ms",
-                      "drain_ms",
-                      "configuration_ms",
-                      "grace_ms",
-                      "second_sends",
-                      "quota",
-                      "placement",
-                      "rollout",
-                      "off",
-                      "freed_requests",
-                      "log_level"});
+    reader.allowOnly(
+            {"node",        "address",          "data_centre",  "callers",         "ready",
+             "ready_path",  "metrics",          "peers",        "questions",       "store",
+             "first_start", "keys_valid_ms",    "fails_closed", "weights_time_ms", "order_gap_ms",
+             "drain_ms",    "configuration_ms", "grace_ms",     "second_sends",    "quota",
+             "placement",   "rollout",          "off",          "freed_requests",  "log_level"});
     reader.text("node", &settings.node);
     reader.text("address", &settings.address);
     reader.id("data_centre", &settings.traffic.dataCentre);
@@ -149,6 +131,7 @@
     settings.listen.relays = settings.peers;
     settings.queries = {settings.peers.host, static_cast<std::uint16_t>(settings.peers.port + 1)};
     reader.endpoint("questions", &settings.queries, false);
+    reader.boolean("first_start", &settings.traffic.isFirstStart);
     Duration keysValid = settings.traffic.keysValidFor + KeyMargin;
     reader.milliseconds("keys_valid_ms", &keysValid, KeyMargin + MinDuration, MaxDuration);
     settings.traffic.keysValidFor = keysValid - KeyMargin;
--- a/src/vanilladyke/node/control_plane.cpp
+++ b/src/vanilladyke/node/control_plane.cpp
@@ -96,6 +96,31 @@
     m_weights.setOtherNodes(otherNodes());
     m_weights.step(now);
     m_calls.log(now);
+    checkSoftware();
+}
+
+void ControlPlane::checkSoftware()
+{
+    postToTraffic([this](TrafficState &traffic) {
+        SoftwareRecords due = traffic.software.dueRecords(MonotonicClock::now());
+        if (!due.services.empty()) {
+            asio::post(m_context, [this, due = std::move(due)] { onSoftwareDue(due); });
+        }
+    });
+}
+
+void ControlPlane::softwareRecorded(SoftwareRecords records)
+{
+    for (const auto &[service, recorded] : records.services) {
+        LogEvent("software_recorded")
+                .field("service", service.str())
+                .field("versions", recorded.versions.size())
+                .field("callers_ms", recorded.callersTime)
+                .field("reading", records.reading);
+    }
+    postToTraffic([records = std::move(records)](TrafficState &traffic) {
+        traffic.software.setRecords(records);
+    });
 }
 
 void ControlPlane::configurationRead(RoutingConfig config)
--- a/src/vanilladyke/node/state_follower.cpp
+++ b/src/vanilladyke/node/state_follower.cpp
@@ -33,6 +33,7 @@
     asio::co_spawn(m_context.io, m_backends.follow(), asio::detached);
     asio::co_spawn(m_context.io, followNodeList(m_context, m_self), asio::detached);
     asio::co_spawn(m_context.io, reportFleetKey(), asio::detached);
+    asio::co_spawn(m_context.io, m_software.follow(), asio::detached);
     asio::co_spawn(m_context.io, followReader(), asio::detached);
 }
 
--- a/src/vanilladyke/node/state_follower_fixture.hpp
+++ b/src/vanilladyke/node/state_follower_fixture.hpp
@@ -167,6 +167,7 @@
     }
     void storeFailed() override { ++failures; }
     void nodesListed(std::vector<Endpoint>) override {}
+    void softwareRecorded(SoftwareRecords records) override { software = std::move(records); }
     void keptCacheReset(const Endpoint &, KeptCacheState) override {}
     void keptCacheChanged(const Endpoint &, std::vector<KeptPart>) override {}
 
@@ -174,6 +175,7 @@
     TimePoint writtenAt =
             TimePoint::min(); ///< earliest time of the last weights that were announced
     int failures = 0;
+    std::optional<SoftwareRecords> software;
     std::vector<std::string> backends;
     TimePoint provedAt = TimePoint::min();
 };
--- a/src/vanilladyke/node/store_calls.cpp
+++ b/src/vanilladyke/node/store_calls.cpp
@@ -9,11 +9,11 @@
 namespace {
 
 constexpr std::array<std::string_view, 4> CallNames{"list", "read", "wait", "append"};
-constexpr std::array<std::string_view, 5> TopicNames{"operator", "backends", "nodes", "fleet_key",
-                                                     "lease"};
-constexpr std::array<std::string_view, 8> CauseNames{
-        "start",           "follow", "for_others", "alone", "old_proof", "peer_could_not_tell",
-        "peer_knows_more", "rollout"};
+constexpr std::array<std::string_view, 6> TopicNames{"operator",  "backends", "nodes",
+                                                     "fleet_key", "lease",    "software"};
+constexpr std::array<std::string_view, 9> CauseNames{
+        "start",           "follow",  "for_others", "alone", "old_proof", "peer_could_not_tell",
+        "peer_knows_more", "rollout", "versions"};
 
 template <typename Enum>
 std::size_t indexOf(Enum value)
--- a/src/vanilladyke/policy/software_history.cpp
+++ b/src/vanilladyke/policy/software_history.cpp
@@ -11,16 +11,27 @@
 /// Until any caller's deadline is seen.
 constexpr Duration MinLifetime = std::chrono::seconds(5);
 
+/// Deadlines of callers differ a little. Recorded in these steps, they cause few writes.
+constexpr auto CallersTimeStep = std::chrono::seconds(10);
+
+Duration roundedUp(Duration callersTime)
+{
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(callersTime);
+    return (seconds + CallersTimeStep - std::chrono::seconds(1)) / CallersTimeStep
+           * CallersTimeStep;
+}
+
 } // namespace
 
 bool SoftwareHistory::setServers(const std::vector<BackendEntry> &serving, TimePoint now)
 {
+    m_watchedSince = m_watchedSince.value_or(now);
     // Versions that were listed until now were so up to this moment.
     for (auto &[id, service] : m_services) {
         for (auto &[software, at] : service.lastListed) {
             at = at == m_listedAt ? now : at;
         }
-        const Duration kept = std::max(service.lifetime, MinLifetime) + 2 * ListingMargin;
+        const Duration kept = neededTime(id, service) + ListingMargin;
         std::erase_if(service.lastListed,
                       [&](const auto &item) { return now - item.second > kept; });
     }
@@ -28,11 +39,7 @@
     m_listedAt = now + Duration(1);
     bool hasSecond = false;
     for (const BackendEntry &entry : serving) {
-        const auto [place, isNew] = m_services.try_emplace(entry.service);
-        Service &service = place->second;
-        if (isNew) {
-            service.since = now;
-        }
+        Service &service = m_services[entry.service];
         const std::size_t before = service.lastListed.size();
         service.lastListed[softwareKey(entry.software)] = m_listedAt;
         hasSecond = hasSecond || (before == 1 && service.lastListed.size() == 2);
@@ -49,32 +56,90 @@
     }
 }
 
+void SoftwareHistory::setRecords(SoftwareRecords records)
+{
+    m_records = std::move(records);
+}
+
+SoftwareRecords SoftwareHistory::dueRecords(TimePoint now) const
+{
+    SoftwareRecords due;
+    if (!m_records) {
+        return due;
+    }
+    due.reading = m_records->reading;
+    for (const auto &[id, service] : m_services) {
+        if (!isWhole(id, service, now)) {
+            continue;
+        }
+        const RecordedSoftware *const recorded = findRecord(id);
+        RecordedSoftware wanted{possibleVersions(id, service, now), roundedUp(service.lifetime)};
+        if (recorded != nullptr) {
+            wanted.callersTime = std::max(wanted.callersTime, recorded->callersTime);
+        }
+        const bool isDue = recorded == nullptr || wanted != *recorded;
+        if (isDue && !wanted.versions.empty()) {
+            due.services.emplace(id, std::move(wanted));
+        }
+    }
+    return due;
+}
+
 const SoftwareHistory::Service *SoftwareHistory::find(const ServiceId &service) const
 {
     const auto known = m_services.find(service);
     return known == m_services.end() ? nullptr : &known->second;
 }
 
+const RecordedSoftware *SoftwareHistory::findRecord(const ServiceId &service) const
+{
+    if (!m_records) {
+        return nullptr;
+    }
+    const auto known = m_records->services.find(service);
+    return known == m_records->services.end() ? nullptr : &known->second;
+}
+
+Duration SoftwareHistory::neededTime(const ServiceId &id, const Service &service) const
+{
+    const RecordedSoftware *const recorded = findRecord(id);
+    const Duration callersTime = recorded == nullptr ? Duration::zero() : recorded->callersTime;
+    return std::max({service.lifetime, callersTime, MinLifetime}) + ListingMargin;
+}
+
+bool SoftwareHistory::isWhole(const ServiceId &id, const Service &service, TimePoint now) const
+{
+    const bool isRecorded = findRecord(id) != nullptr || (m_records && m_isFirstStart);
+    return isRecorded || (m_watchedSince && now - *m_watchedSince >= neededTime(id, service));
+}
+
+std::set<std::uint64_t>
+SoftwareHistory::possibleVersions(const ServiceId &id, const Service &service, TimePoint now) const
+{
+    const Duration needed = neededTime(id, service);
+    std::set<std::uint64_t> possible;
+    for (const auto &[software, at] : service.lastListed) {
+        if (at == m_listedAt || now - at < needed) {
+            possible.insert(software);
+        }
+    }
+    const RecordedSoftware *const recorded = findRecord(id);
+    if (recorded == nullptr || !m_watchedSince || now - *m_watchedSince >= needed) {
+        return possible;
+    }
+    possible.insert(recorded->versions.begin(), recorded->versions.end());
+    return possible;
+}
+
 std::optional<std::uint64_t> SoftwareHistory::onlyVersion(const ServiceId &service,
                                                           TimePoint now) const
 {
     const Service *const known = find(service);
-    if (known == nullptr) {
+    if (known == nullptr || !isWhole(service, *known, now)) {
         return std::nullopt;
     }
-    const Duration needed = std::max(known->lifetime, MinLifetime) + ListingMargin;
-    if (now - known->since < needed) {
-        return std::nullopt;
-    }
-    std::optional<std::uint64_t> only;
-    for (const auto &[software, at] : known->lastListed) {
-        const bool mayHaveBegunStreams = at == m_listedAt || now - at < needed;
-        if (mayHaveBegunStreams && only) {
-            return std::nullopt;
-        }
-        only = mayHaveBegunStreams ? std::optional(software) : only;
-    }
-    return only;
+    const std::set<std::uint64_t> possible = possibleVersions(service, *known, now);
+    return possible.size() == 1 ? std::optional(*possible.begin()) : std::nullopt;
 }
 
 bool SoftwareHistory::isAlone(const ServiceId &service, std::uint64_t software) const
@@ -94,12 +159,12 @@
         return {};
     }
     SoftwareView view;
-    view.watched = now - known->since;
-    view.needed = std::max(known->lifetime, MinLifetime) + ListingMargin;
+    view.watched = now - m_watchedSince.value_or(now);
+    view.needed = neededTime(service, *known);
+    view.possible = possibleVersions(service, *known, now).size();
+    view.isRecorded = findRecord(service) != nullptr;
     for (const auto &[software, at] : known->lastListed) {
-        const bool isListed = at == m_listedAt;
-        view.listed += isListed ? 1 : 0;
-        view.possible += isListed || now - at < view.needed ? 1 : 0;
+        view.listed += at == m_listedAt ? 1 : 0;
     }
     return view;
 }
--- a/src/vanilladyke/policy/stream_origins_test.cpp
+++ b/src/vanilladyke/policy/stream_origins_test.cpp
@@ -43,6 +43,17 @@
         return m_history.onlyVersion(llm, m_now);
     }
 
+    static SoftwareRecords recordOf(const std::vector<std::string> &versions, Duration callersTime)
+    {
+        SoftwareRecords records;
+        RecordedSoftware &recorded = records.services[llm];
+        for (const std::string &each : versions) {
+            recorded.versions.insert(softwareKey(each));
+        }
+        recorded.callersTime = callersTime;
+        return records;
+    }
+
     SoftwareHistory m_history;
     TimePoint m_now = TimePoint() + std::chrono::hours(1);
     bool m_hasSecond = false;
@@ -105,6 +116,58 @@
     EXPECT_EQ(only(), softwareKey("v2"));
 }
 
+// All nodes are killed while one version serves. What began the streams is known to no process.
+TEST_F(SoftwareHistoryTest, TheRecordOutlivesAllNodes)
+{
+    list({"v1"});
+    m_history.setRecords(recordOf({"v1"}, seconds(10)));
+    EXPECT_EQ(only(), softwareKey("v1"));
+    EXPECT_TRUE(m_history.dueRecords(m_now).services.empty());
+}
+
+// All nodes are killed when the last server of a version has left. Its streams would be joined with
+// what the next version writes.
+TEST_F(SoftwareHistoryTest, ARecordedVersionThatIsNotListedMayHaveBegunStreams)
+{
+    list({"v2"});
+    m_history.setRecords(recordOf({"v1", "v2"}, seconds(120)));
+    EXPECT_EQ(only(), std::nullopt);
+    m_now += seconds(122);
+    EXPECT_EQ(only(), std::nullopt);
+    EXPECT_TRUE(m_history.dueRecords(m_now).services.empty());
+    m_now += seconds(2);
+    EXPECT_EQ(only(), softwareKey("v2"));
+    const SoftwareRecords due = m_history.dueRecords(m_now);
+    ASSERT_EQ(due.services.count(llm), 1U);
+    EXPECT_EQ(due.services.at(llm).versions, std::set{softwareKey("v2")});
+}
+
+// A version is used before it is recorded; the record still holds the one that left.
+TEST_F(SoftwareHistoryTest, AListedVersionThatIsNotRecordedCountsAndIsDue)
+{
+    list({"v2"});
+    m_history.setRecords(recordOf({"v1"}, seconds(10)));
+    EXPECT_EQ(only(), std::nullopt);
+    const SoftwareRecords due = m_history.dueRecords(m_now);
+    ASSERT_EQ(due.services.count(llm), 1U);
+    EXPECT_EQ(due.services.at(llm).versions, (std::set{softwareKey("v1"), softwareKey("v2")}));
+}
+
+// Without a record nobody knows what began streams before, except where none was.
+TEST_F(SoftwareHistoryTest, WithoutARecordOnlyTheFirstStartKnows)
+{
+    list({"v1"});
+    m_history.setRecords({});
+    EXPECT_EQ(only(), std::nullopt);
+    EXPECT_TRUE(m_history.dueRecords(m_now).services.empty());
+    m_history = SoftwareHistory(true);
+    list({"v1"});
+    EXPECT_EQ(only(), std::nullopt); // nothing was read yet
+    m_history.setRecords({});
+    EXPECT_EQ(only(), softwareKey("v1"));
+    EXPECT_EQ(m_history.dueRecords(m_now).services.count(llm), 1U);
+}
+
 // Both lists come apart, never together: streams of the first version were told to nobody.
 TEST_F(SoftwareHistoryTest, AReplacementWithoutOverlapIsASecondVersion)
 {
--- a/tests/integration/platform_fleet.py
+++ b/tests/integration/platform_fleet.py
@@ -45,6 +45,7 @@
         self.ends_on = set()  # parts of prompts that do
         self.beating = True
         self.quota = None  # what may lie above quotas, in the settings of nodes
+        self.first_start = False  # the nodes that are started now are the fleet's first
         self.second_sends = {"ratio": 0.2, "extra": 500, "window_ms": 1000}  # in the settings of nodes
         self.config = {
             "version": 5,
@@ -120,7 +121,8 @@
                     "questions": f"127.0.0.1:{harness.free_port()}",
                     "store": f"127.0.0.1:{store_port or self.store.port}", "keys_valid_ms": keys_valid_ms,
                     "fails_closed": True, "weights_time_ms": 15000, "order_gap_ms": 1000, "grace_ms": 8000,
-                    "second_sends": self.second_sends, **({"quota": self.quota} if self.quota else {})}
+                    "second_sends": self.second_sends, "first_start": self.first_start,
+                    **({"quota": self.quota} if self.quota else {})}
         path = self.cluster.write(name + ".jsonc", settings)
         program = next(self.cluster.programs)
         node = self.cluster.start(name, [program, "node", "--settings", path])
@@ -142,6 +144,10 @@
 
     def restart(self, node):
         """A new process of a node that has ended."""
+        with open(node.settings, encoding="utf-8") as file:
+            settings = json.load(file)
+        with open(node.settings, "w", encoding="utf-8") as file:
+            json.dump({**settings, "first_start": False}, file)
         program = next(self.cluster.programs)
         process = self.cluster.start(node.name + f"-{random.getrandbits(24)}",
                                      [program, "node", "--settings", node.settings])
--- a/tests/integration/platform_rejoined.py
+++ b/tests/integration/platform_rejoined.py
@@ -16,6 +16,7 @@
         for each in self.fleet.config["routes"]:
             each["timeoutMs"] = 40000
         self.fleet.publish()
+        self.fleet.first_start = True
         self.engines = [self.engine(f"llm-{i}", "v1") for i in range(2)]
         self.nodes = [self.fleet.node(f"n{i}", keys_valid_ms=5000) for i in range(3)]
         self.wait_ready()
@@ -102,6 +103,7 @@
 
     def test_streams_go_on_where_there_has_been_one_version(self):
         """All nodes are killed while one version serves, as it did all the time. Each stream can only go on there."""
+        harness.wait_until(lambda: "llm" in self.fleet.store.newest("keyed.vanilladyke.software"), "it is recorded")
         begun = self.begin(10)
         self.kill_all()
         self.assertGreaterEqual(2 * len(self.take_up(begun, 1)), len(begun))
