--- a/src/vanilladyke/policy/software_history.cpp
+++ b/src/vanilladyke/policy/software_history.cpp
@@ -8,8 +8,10 @@
 
 namespace {
 
-/// Until any caller's deadline is seen.
-constexpr Duration MinLifetime = std::chrono::seconds(5);
+/// A caller that takes its stream up states a new deadline each time, and nothing bounds how often
+/// it does. A shorter time than this joins the texts of two versions for callers that come back
+/// late.
+constexpr Duration MinLifetime = std::chrono::seconds(60);
 
 /// Deadlines of callers differ a little. Recorded in these steps, they cause few writes.
 constexpr auto CallersTimeStep = std::chrono::seconds(10);
--- a/src/vanilladyke/policy/stream_origins_test.cpp
+++ b/src/vanilladyke/policy/stream_origins_test.cpp
@@ -91,24 +91,39 @@
     list({"v1", "v1"});
     EXPECT_EQ(only(), std::nullopt);
     EXPECT_TRUE(m_history.isAlone(llm, softwareKey("v1")));
-    m_now += seconds(9);
+    m_now += seconds(62);
+    EXPECT_EQ(only(), std::nullopt);
+    m_now += seconds(2);
     EXPECT_EQ(only(), softwareKey("v1"));
 }
 
+// Nobody has stated a deadline to a process that has just started. A caller that comes back after
+// half a minute must not get the rest of its stream from another version.
+TEST_F(SoftwareHistoryTest, CallersThatComeBackLateAreNotGuessedFor)
+{
+    list({"v1"});
+    m_history.observeLifetime(llm, seconds(4));
+    m_now += minutes(2);
+    EXPECT_EQ(only(), softwareKey("v1"));
+    list({"v2"});
+    m_now += seconds(60);
+    EXPECT_EQ(only(), std::nullopt);
+}
+
 // The last server of the old version leaves. Callers may still come back for its streams.
 TEST_F(SoftwareHistoryTest, AVersionThatLeftCountsAsLongAsCallersMayComeBack)
 {
     list({"v1"});
-    m_history.observeLifetime(llm, seconds(20));
-    m_now += minutes(1);
+    m_history.observeLifetime(llm, seconds(90));
+    m_now += minutes(2);
     EXPECT_EQ(only(), softwareKey("v1"));
     list({"v1", "v2"});
     EXPECT_TRUE(m_hasSecond);
     EXPECT_EQ(only(), std::nullopt);
-    m_now += minutes(1);
+    m_now += minutes(2);
     list({"v2"});
     EXPECT_FALSE(m_hasSecond);
-    m_now += seconds(20);
+    m_now += seconds(90);
     EXPECT_EQ(only(), std::nullopt);
     EXPECT_TRUE(m_history.isListed(llm, softwareKey("v2")));
     EXPECT_FALSE(m_history.isListed(llm, softwareKey("v1")));
--- a/src/vanilladyke/traffic/exchange_software.cpp
+++ b/src/vanilladyke/traffic/exchange_software.cpp
@@ -41,6 +41,12 @@
             m_service = serves && share.weight > 0 ? share.service : m_service;
         }
     }
+    if (m_software && !m_request->relay && !m_request->firstAttempt.empty()) {
+        // The caller may come back once more, later than its first attempt said.
+        m_state.streamBegan(m_service,
+                            {attemptKey(m_request->firstAttempt), *m_software, comesBackUntil()},
+                            now);
+    }
     const SoftwareView view = m_state.software.view(m_service, now);
     m_state.metrics.count("streams_taken_up_total{origin=\"" + std::string(source) + "\"}");
     m_state.metrics.observe("stream_origin_seconds", now - begin);
