Only the first nodes of the order write and look at the records of software versions

Change: the first of the order of nodes writes; the next seven list when their turn comes and write only if the change is still due; the others leave it to them, as their own watch of the list tells them what they need.

The calls were not counted at more than three nodes; that the second node writes if the first does not is not tested.

--- a/include/vanilladyke/node/software_recorder.hpp
+++ b/include/vanilladyke/node/software_recorder.hpp
@@ -8,10 +8,13 @@
 ///
 /// Load pattern: all nodes are killed at once, and callers take their streams up at processes that
 /// have just started; see software_history.hpp. The records change when a rollout begins and after
-/// it has ended, so that they cost a listing for each start and a few calls for each rollout.
+/// it has ended. They cost a listing for each start, and for each change an append and some
+/// listings, however many nodes there are.
 namespace vanilladyke {
 
-/// @brief Reads the records once at start and writes what is due. Runs on the control thread.
+/// @brief Reads the records once at start. A few nodes write what is due: the first in the order of
+/// nodes at once, the next ones if it has not done so when their turn comes. Runs on the control
+/// thread.
 class SoftwareRecorder
 {
 public:
@@ -31,8 +34,8 @@
 private:
     [[nodiscard]] asio::awaitable<bool> list(CallCause cause);
     [[nodiscard]] asio::awaitable<void> write();
-    /// For how long this node leaves a change to others.
-    [[nodiscard]] Duration turnDelay();
+    /// Whether this node's turn to write has come.
+    [[nodiscard]] bool isTurn(TimePoint now) const;
 
     FollowContext &m_context;
     const ReadSharing &m_sharing;
@@ -42,7 +45,8 @@
     std::uint64_t m_end = 0;     ///< offset behind the listed records
     std::uint64_t m_reading = 0; ///< number of the last listing
     SoftwareRecords m_due;
-    std::optional<TimePoint> m_turnAt; ///< when this node writes what is due
+    std::optional<TimePoint> m_dueSince; ///< none: nothing is due
+    std::optional<TimePoint> m_lookedAt; ///< when the records were read again for the change
 };
 
 } // namespace vanilladyke
--- a/src/vanilladyke/node/software_recorder.cpp
+++ b/src/vanilladyke/node/software_recorder.cpp
@@ -12,9 +12,10 @@
 constexpr Duration CheckInterval = std::chrono::milliseconds(250);
 /// Until the servers are listed, after which the records are read.
 constexpr Duration StartCheckInterval = std::chrono::milliseconds(20);
-/// All nodes notice a change. The first in the order of nodes writes it at once, the others only if
-/// it has not done so when their turn comes.
+/// All nodes notice a change. Each place in the order of nodes waits so much longer.
 constexpr Duration TurnInterval = std::chrono::seconds(1);
+/// Places from which on nodes leave changes to others: more than fail together before the order of
+/// nodes is a new one.
 constexpr std::size_t Turns = 8;
 
 std::string encode(const RecordedSoftware &recorded)
@@ -58,7 +59,7 @@
             }
             continue;
         }
-        if (m_turnAt && BootClock::now() >= *m_turnAt) {
+        if (m_dueSince && isTurn(BootClock::now())) {
             co_await write();
         }
         co_await m_context.pause(CheckInterval);
@@ -71,16 +72,13 @@
         return; // made before the last listing
     }
     m_due = std::move(due);
-    if (!m_turnAt) {
-        m_turnAt = BootClock::now() + turnDelay();
-    }
+    m_dueSince = m_dueSince.value_or(BootClock::now());
 }
 
-Duration SoftwareRecorder::turnDelay()
+bool SoftwareRecorder::isTurn(TimePoint now) const
 {
-    const std::size_t rank = std::min(m_sharing.readers.rank(BootClock::now()), Turns);
-    const double spread = rank == Turns ? uniform(m_context.random) * Turns : 0;
-    return spanOfSeconds((static_cast<double>(rank) + spread) * secondsOf(TurnInterval));
+    const std::size_t rank = m_sharing.readers.rank(now);
+    return rank < Turns && now - *m_dueSince >= static_cast<Duration::rep>(rank) * TurnInterval;
 }
 
 asio::awaitable<bool> SoftwareRecorder::list(CallCause cause)
@@ -102,15 +100,29 @@
     records.reading = ++m_reading;
     m_era = newest->era;
     m_end = newest->end;
-    m_turnAt.reset();
+    m_due.services.clear();
     m_context.listener.softwareRecorded(std::move(records));
     co_return true;
 }
 
 asio::awaitable<void> SoftwareRecorder::write()
 {
-    const SoftwareRecords due = std::move(m_due);
-    m_turnAt.reset();
+    const TimePoint now = BootClock::now();
+    const bool isFirst = m_sharing.readers.rank(now) == 0;
+    if (!isFirst && !m_lookedAt) {
+        // Most likely another node has written. If not, the change becomes due once more.
+        m_lookedAt = now;
+        m_isListed = co_await list(CallCause::Versions);
+        co_return;
+    }
+    if (m_due.services.empty()) {
+        if (!m_lookedAt || now - *m_lookedAt > TurnInterval) {
+            m_dueSince.reset();
+            m_lookedAt.reset();
+        }
+        co_return;
+    }
+    const SoftwareRecords due = m_due;
     for (const auto &[service, recorded] : due.services) {
         KeyedRecord record{service.str(), encode(recorded)};
         m_context.calls.count(StoreCall::Append, StoreTopic::Software, CallCause::Versions);
@@ -125,6 +137,8 @@
                 .field("versions", recorded.versions.size())
                 .field("callers_ms", recorded.callersTime);
     }
+    m_dueSince.reset();
+    m_lookedAt.reset();
     m_isListed = co_await list(CallCause::Versions);
 }
 
