LogClientTest: the server's thread does not look at a variable that is gone

Cause: the answer's loop polled a local variable of the test after its return; where its place on the stack is used again the loop never ends, and the test's teardown waits for it. Change: the flag is shared.

--- a/src/vanilladyke/platform/log_client_test.cpp
+++ b/src/vanilladyke/platform/log_client_test.cpp
@@ -10,6 +10,7 @@
 
 #include <atomic>
 #include <functional>
+#include <memory>
 #include <thread>
 
 namespace vanilladyke {
@@ -131,14 +132,15 @@
 // that nothing happened.
 TEST_F(LogClientTest, AMissingResponseEndsAtTheDeadlineAndLeavesTheAppendUnknown)
 {
-    std::atomic<bool> release = false;
-    m_answer = [&](httplib::Response &) {
-        while (!release) {
+    // Shared: the server's thread may look at it once more when this function has returned.
+    const auto release = std::make_shared<std::atomic<bool>>(false);
+    m_answer = [release](httplib::Response &) {
+        while (!*release) {
             std::this_thread::sleep_for(milliseconds(1));
         }
     };
     const auto offset = client().append("x", MonotonicClock::now() + milliseconds(200));
-    release = true;
+    *release = true;
     ASSERT_FALSE(offset.has_value());
     EXPECT_EQ(offset.error().error, LogError::Unanswered);
 }
