--- a/review/standins/common.py
+++ b/review/standins/common.py
@@ -1,6 +1,7 @@
 """What the scripts of the cases share: nodes by the command of the deploy file, the project's own stand-ins of the
 platform's store and engines, and the record."""
 
+import http.client
 import json
 import os
 import random
@@ -189,3 +190,19 @@
     finally:
         case.end()
     return code
+
+
+def call(node, method, path, identity, key="brand-key", headers=None, body="hello", timeout=8):
+    """A request on a connection of its own. @return the status; None if there was no whole answer"""
+    connection = http.client.HTTPConnection("127.0.0.1", node.port, timeout=timeout)
+    try:
+        connection.request(method, path, body, {"Host": "h.example", "X-Vanilladyke-Attempt-Id": identity,
+                                                "X-Vanilladyke-Deadline-Ms": "4000", "Authorization": "Token " + key,
+                                                **(headers or {})})
+        answer = connection.getresponse()
+        answer.read()
+        return answer.status
+    except (OSError, http.client.HTTPException):
+        return None
+    finally:
+        connection.close()
