--- a/review/2/case.py
+++ b/review/2/case.py
@@ -20,7 +20,7 @@
     case.engine("app-1", kind=reborn.RebornEngine, service="app", beats=BEATS_BEFORE)
     case.engine("llm-0")
     for engine in case.engines[:2]:
-        engine.seconds = 0.03
+        engine.seconds = 0.1
     case.publish()
     case.start_nodes(3)
 
@@ -36,9 +36,9 @@
             status = common.call(node, "POST", "/call/x", identity)
             with lock:
                 answers.append((sent, identity, status))
-            time.sleep(0.05)
+            time.sleep(0.02)
 
-    threads = [threading.Thread(target=call_on_and_on, args=(i,)) for i in range(6)]
+    threads = [threading.Thread(target=call_on_and_on, args=(i,)) for i in range(24)]
     for each in threads:
         each.start()
     time.sleep(2.0)
@@ -54,6 +54,11 @@
     acknowledged = time.monotonic()
     case.note(f"the store has accepted that app-0 is draining, sequence {leaver.beats}")
     time.sleep(DRAIN_SECONDS + OBSERVED_SECONDS)
+    leaver.crash()  # it ends; a sound one would have nothing left to do
+    case.store.put("keyed.servers", leaver.name, None)
+    ended = case.at()
+    case.note("app-0 has left")
+    time.sleep(1.0)
     over.set()
     for each in threads:
         each.join()
@@ -62,6 +67,8 @@
     before = [at for at, _ in list(leaver.requests) if at <= acknowledged]
     for sent, identity, status in answers:
         case.note(f"request {identity} sent at {sent:.3f} answered {status}")
+    lost = [each for each in answers if each[2] != 200 and each[0] > acknowledged - case.began and each[0] < ended]
+    case.note(f"{len(lost)} unsafe requests, sent after the acknowledgement, were not answered with success")
     case.note(f"app-0 got {len(before)} requests before it was draining")
     for at, fields in late:
         case.note(f"DRAIN: request {fields['X-Vanilladyke-Attempt-Id']} reached app-0 {at - acknowledged:.3f} s after the "
