--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""A server that has crashed and started again under its id leaves in a planned way."""
+"""The node that orders new weights loses its links to the engines while an order is on its way."""
 
 import os
 import sys
@@ -7,73 +7,65 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins"))
 import common  # noqa: E402: the path is set above
-import reborn  # noqa: E402
+import links  # noqa: E402
+import platform_store  # noqa: E402
 
-DRAIN_SECONDS = 2.0     # bounds.drainMs
-CONTACT_SECONDS = 3.0   # bounds.contactMs
-OBSERVED_SECONDS = 4.0  # for which the leaving server still serves after the drain time
-BEATS_BEFORE = 3000     # entries that the server had written: an hour at one in 1.2 s
+LEASE_SECONDS = 3.0  # bounds.leaseMs
+THAW_SECONDS = 0.3   # bounds.thawMs
+CUT_SECONDS = 5.5    # node_cut, for_s
+ENGINES, NODES = 6, 4
 
 
 def play(case):
-    leaver = case.engine("app-0", kind=reborn.RebornEngine, service="app", beats=BEATS_BEFORE)
-    case.engine("app-1", kind=reborn.RebornEngine, service="app", beats=BEATS_BEFORE)
-    case.engine("llm-0")
-    for engine in case.engines[:2]:
-        engine.seconds = 0.1
+    for i in range(ENGINES):
+        case.engine(f"llm-{i}", load_seconds=0.43)
+    case.engine("app-0", service="app")
     case.publish()
-    case.start_nodes(3)
+    all_links, stores = [], []
+    for _ in range(NODES):
+        own = links.Links()
+        all_links.append(own)
+        stores.append(platform_store.StoreOfANode(case.store, {e.port: own.to(e.port) for e in case.engines}))
+    case.start_nodes(NODES, [store.port for store in stores])
 
-    over, answers, lock = threading.Event(), [], threading.Lock()
+    healed, cut_node = [], []
 
-    def call_on_and_on(number):
-        count = 0
-        while not over.is_set():
-            count += 1
-            node = case.nodes[number % len(case.nodes)]
-            identity = f"c{number}-{count}"
-            sent = case.at()
-            status = common.call(node, "POST", "/call/x", identity)
-            with lock:
-                answers.append((sent, identity, status))
-            time.sleep(0.02)
+    def watch(number, data):
+        if data.startswith(b"POST /order") and not cut_node and common.TROUBLE:
+            cut_node.append(number)
+            all_links[number].cut()
+            case.note(f"the links of n{number} to all engines are cut; an order is on its way")
 
-    threads = [threading.Thread(target=call_on_and_on, args=(i,)) for i in range(24)]
-    for each in threads:
-        each.start()
-    time.sleep(2.0)
-    if common.TROUBLE:
-        leaver.crash()
-        case.note("app-0 crashes")
-        time.sleep(1.0)
-        leaver.begin_again()
-        case.note("app-0 starts again under its id, at its address; its sequence starts anew")
-    time.sleep(CONTACT_SECONDS + 2.0)
-    leaver.state = "draining"
-    case.store.put("keyed.servers", leaver.name, leaver.entry())
-    acknowledged = time.monotonic()
-    case.note(f"the store has accepted that app-0 is draining, sequence {leaver.beats}")
-    time.sleep(DRAIN_SECONDS + OBSERVED_SECONDS)
-    leaver.crash()  # it ends; a sound one would have nothing left to do
-    case.store.put("keyed.servers", leaver.name, None)
-    ended = case.at()
-    case.note("app-0 has left")
-    time.sleep(1.0)
-    over.set()
-    for each in threads:
-        each.join()
+            def heal():
+                all_links[number].heal()
+                healed.append(time.monotonic())
+                case.note(f"the links of n{number} have healed")
+
+            threading.Timer(CUT_SECONDS, heal).start()
 
-    late = [(at, fields) for at, fields in list(leaver.requests) if at > acknowledged + DRAIN_SECONDS]
-    before = [at for at, _ in list(leaver.requests) if at <= acknowledged]
-    for sent, identity, status in answers:
-        case.note(f"request {identity} sent at {sent:.3f} answered {status}")
-    lost = [each for each in answers if each[2] != 200 and each[0] > acknowledged - case.began and each[0] < ended]
-    case.note(f"{len(lost)} unsafe requests, sent after the acknowledgement, were not answered with success")
-    case.note(f"app-0 got {len(before)} requests before it was draining")
-    for at, fields in late:
-        case.note(f"DRAIN: request {fields['X-Vanilladyke-Attempt-Id']} reached app-0 {at - acknowledged:.3f} s after the "
-                  f"acknowledgement")
-    return common.BROKEN if late else common.HELD
+    for number, own in enumerate(all_links):
+        own.on_bytes = lambda data, n=number: watch(n, data)
+    case.name_weights(2)
+    case.wait(lambda: all(e.version == 2 for e in case.engines if e.service == "llm"), "all engines have the weights", 30)
+    if common.TROUBLE:
+        time.sleep(max(0.0, healed[0] + 4 - time.monotonic()) if healed else 4)
+    every = sorted(((at, engine.name, order) for engine in case.engines for at, order in list(engine.orders)),
+                   key=lambda each: each[0])
+    broken, last = 0, {}
+    for at, engine, order in every:
+        late = bool(healed) and order["holder"].startswith(f"n{cut_node[0]}@") and at > healed[0] - CUT_SECONDS
+        excused = late and at < healed[0] + THAW_SECONDS
+        case.note(f"order at {at - case.began:.3f} to {engine} by {order['holder']} fence {order['fence']}"
+                  + (" (within thawMs)" if excused else ""))
+        before = last.get(engine)
+        if before and not excused and before[1]["holder"] != order["holder"]:
+            if at - before[0] < LEASE_SECONDS or order["fence"] < before[1]["fence"]:
+                broken += 1
+                case.note(f"ONE: {engine} got an order of {before[1]['holder']}, fence {before[1]['fence']}, and "
+                          f"{at - before[0]:.3f} s later one of {order['holder']}, fence {order['fence']}")
+        if not excused:
+            last[engine] = (at, order)
+    return common.BROKEN if broken else common.HELD
 
 
 sys.exit(common.run("review/2", play))
--- a/review/standins/common.py
+++ b/review/standins/common.py
@@ -138,10 +138,10 @@
                     self.store.put("keyed.servers", engine.name, engine.entry())
             time.sleep(self.beat_seconds)
 
-    def start_nodes(self, count):
+    def start_nodes(self, count, store_ports=()):
         if not os.path.exists(PROGRAM):
             raise CannotRun("the program is not built")
-        self.nodes = [Node(self, f"n{i}") for i in range(count)]
+        self.nodes = [Node(self, f"n{i}", store_ports[i] if store_ports else None) for i in range(count)]
         release_ports()
         for node in self.nodes:
             node.start()
