--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""The node that orders new weights loses its links to the engines while an order is on its way."""
+"""The node that orders new weights is cut off while an order is on its way."""
 
 import os
 import sys
@@ -21,12 +21,13 @@
         case.engine(f"llm-{i}", load_seconds=0.43)
     case.engine("app-0", service="app")
     case.publish()
-    all_links, stores = [], []
+    all_links, stores, store_ports = [], [], []
     for _ in range(NODES):
         own = links.Links()
         all_links.append(own)
         stores.append(platform_store.StoreOfANode(case.store, {e.port: own.to(e.port) for e in case.engines}))
-    case.start_nodes(NODES, [store.port for store in stores])
+        store_ports.append(own.to(stores[-1].port))
+    case.start_nodes(NODES, store_ports)
 
     healed, cut_node = [], []
 
@@ -34,12 +35,12 @@
         if data.startswith(b"POST /order") and not cut_node and common.TROUBLE:
             cut_node.append(number)
             all_links[number].cut()
-            case.note(f"the links of n{number} to all engines are cut; an order is on its way")
+            case.note(f"n{number} is cut off from the store and all engines; an order is on its way")
 
             def heal():
                 all_links[number].heal()
                 healed.append(time.monotonic())
-                case.note(f"the links of n{number} have healed")
+                case.note(f"the cut of n{number} has healed")
 
             threading.Timer(CUT_SECONDS, heal).start()
 
