--- a/review/1/case.py
+++ b/review/1/case.py
@@ -15,7 +15,7 @@
 LOAD_SECONDS = 0.43     # new weights take an engine 0.43 s on the sheet of Hinokuni
 GAP_SECONDS = 1.3       # roll_term, gap_s
 REST_SECONDS = 9.0      # until nodes count as gone that have been silent, and orders as over
-ENGINES, NODES, ROUNDS = 4, 5, 3
+ENGINES, NODES, ROUNDS = 4, 7, 3
 
 
 def orders(case):
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -13,7 +13,7 @@
 LEASE_SECONDS = 3.0  # bounds.leaseMs
 THAW_SECONDS = 0.3   # bounds.thawMs
 CUT_SECONDS = 5.5    # node_cut, for_s
-ENGINES, NODES = 6, 4
+ENGINES, NODES = 6, 6
 
 
 def play(case):
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,14 +12,16 @@
 DRAIN_SECONDS = 2.0     # bounds.drainMs
 CONTACT_SECONDS = 3.0   # bounds.contactMs
 OBSERVED_SECONDS = 4.0  # for which the leaving server still serves after the drain time
+SERVERS = 3             # of the service; one of them crashes and leaves
 BEATS_BEFORE = 3000     # entries that the server had written: an hour at one in 1.2 s
 
 
 def play(case):
     leaver = case.engine("app-0", kind=reborn.RebornEngine, service="app", beats=BEATS_BEFORE)
-    case.engine("app-1", kind=reborn.RebornEngine, service="app", beats=BEATS_BEFORE)
+    for i in range(1, SERVERS):
+        case.engine(f"app-{i}", kind=reborn.RebornEngine, service="app", beats=BEATS_BEFORE)
     case.engine("llm-0")
-    for engine in case.engines[:2]:
+    for engine in case.engines[:SERVERS]:
         engine.seconds = 0.1
     case.publish()
     case.start_nodes(3)
@@ -38,7 +40,7 @@
                 answers.append((sent, identity, status))
             time.sleep(0.02)
 
-    threads = [threading.Thread(target=call_on_and_on, args=(i,)) for i in range(24)]
+    threads = [threading.Thread(target=call_on_and_on, args=(i,)) for i in range(36)]
     for each in threads:
         each.start()
     time.sleep(2.0)
