--- a/include/vanilladyke/node/backends_follower.hpp
+++ b/include/vanilladyke/node/backends_follower.hpp
@@ -31,6 +31,8 @@
     [[nodiscard]] asio::awaitable<bool> list();
     void apply(std::uint64_t offset, std::string record);
     void setNext(std::uint64_t next);
+    /// All entries that were written before @p at have been applied.
+    void proved(TimePoint at);
     void applyUpdates(const RecordRelay::Updates &updates, TimePoint requestedAt);
 
     FollowContext &m_context;
--- a/include/vanilladyke/node/control_plane.hpp
+++ b/include/vanilladyke/node/control_plane.hpp
@@ -16,7 +16,7 @@
     RolloutTerms rollout;
 };
 
-/// @brief Time of the configuration's last freshness proof; shared by both threads.
+/// @brief Time of the last freshness proof of a topic; shared by both threads.
 class FreshnessProof
 {
 public:
@@ -48,6 +48,8 @@
     /// @brief Stops sending orders and releases the lease, before the node stops.
     void releaseLease();
     [[nodiscard]] const FreshnessProof &proof() const { return m_proof; }
+    /// @brief Proof of the list of servers that the traffic thread uses.
+    [[nodiscard]] const FreshnessProof &backendsProof() const { return m_backendsProof; }
     /// @brief Counter of all store calls of the control thread.
     [[nodiscard]] StoreCalls &storeCalls() { return m_calls; }
 
@@ -57,6 +59,8 @@
     bool backendRead(BackendEntry entry) override;
     void backendRemoved(const EngineId &id) override;
     void backendsListed(const std::map<EngineId, bool> &present, bool mayLackEntries) override;
+    void backendsProved(TimePoint sentAt) override;
+    void backendsReadFailed() override;
     void configurationProved(TimePoint sentAt) override;
     void storeFailed() override;
     void nodesListed(std::vector<Endpoint> peers) override;
@@ -88,6 +92,7 @@
     WeightsController m_weights;
     KeptCacheFollower &m_keptCache;
     FreshnessProof m_proof;
+    FreshnessProof m_backendsProof;
     asio::steady_timer m_timer;
     std::uint64_t m_version = 0;
     bool m_hasConfig = false;
--- a/include/vanilladyke/node/ports.hpp
+++ b/include/vanilladyke/node/ports.hpp
@@ -39,6 +39,10 @@
     /// @brief The whole list was read; servers that are not in it are removed.
     /// @param mayLackEntries the store came back from an older copy, and servers write again
     virtual void backendsListed(const std::map<EngineId, bool> &present, bool mayLackEntries) = 0;
+    /// @brief Freshness proof: all entries that servers wrote before @p sentAt were applied.
+    virtual void backendsProved(TimePoint sentAt) = 0;
+    /// @brief A read of the entries failed.
+    virtual void backendsReadFailed() = 0;
     /// @brief Freshness proof: all records that the operator wrote before @p sentAt were applied.
     virtual void configurationProved(TimePoint sentAt) = 0;
     /// @brief A call to the store failed.
--- a/include/vanilladyke/traffic/ticker.hpp
+++ b/include/vanilladyke/traffic/ticker.hpp
@@ -46,6 +46,9 @@
 private:
     void step();
 
+    /// A step that is this late shows that the process stood still or is far behind its work.
+    static constexpr Duration StandstillAfter = std::chrono::milliseconds(250);
+
     boost::asio::steady_timer m_timer;
     std::list<std::weak_ptr<DeadlineTimer>> m_deadlineTimers;
     bool m_stopped = false;
--- a/include/vanilladyke/traffic/traffic_state.hpp
+++ b/include/vanilladyke/traffic/traffic_state.hpp
@@ -175,6 +175,8 @@
     /// Age of the latest freshness proof of the configuration, on a clock that includes time in
     /// suspension.
     std::function<Duration()> configAge = [] { return Duration::max(); };
+    /// Age of the latest freshness proof of the list of servers, on the same clock.
+    std::function<Duration()> backendsAge = [] { return Duration::max(); };
     /// Shared, because an exchange may outlive this state when the context is destroyed.
     std::shared_ptr<std::unordered_set<Exchange *>> openExchanges =
             std::make_shared<std::unordered_set<Exchange *>>();
--- a/src/vanilladyke/app/node_command.cpp
+++ b/src/vanilladyke/app/node_command.cpp
@@ -79,6 +79,7 @@
         , m_stopTimer(m_trafficContext)
     {
         m_traffic.configAge = [this] { return m_control.proof().age(); };
+        m_traffic.backendsAge = [this] { return m_control.backendsProof().age(); };
         m_era.onChanged = [this](const StoreEraView &era) {
             m_eraSince = era.since.time_since_epoch().count();
             LogEvent("store_era")
--- a/src/vanilladyke/node/backends_follower.cpp
+++ b/src/vanilladyke/node/backends_follower.cpp
@@ -77,8 +77,7 @@
     m_topic.era = newest->era;
     m_topic.next = newest->end;
     m_topic.relay.restart(newest->end, newest->era);
-    m_topic.provedAt = sentAt;
-    m_topic.relay.addFreshnessProof(sentAt);
+    proved(sentAt);
     co_return true;
 }
 
@@ -111,11 +110,17 @@
     m_topic.mustRead = false;
     setNext(std::max(m_topic.next, next));
     if (m_topic.next >= page->end) {
-        m_topic.provedAt = std::max(m_topic.provedAt, sentAt);
-        m_topic.relay.addFreshnessProof(sentAt);
+        proved(sentAt);
     }
 }
 
+void BackendsFollower::proved(TimePoint at)
+{
+    m_topic.provedAt = std::max(m_topic.provedAt, at);
+    m_topic.relay.addFreshnessProof(at);
+    m_context.listener.backendsProved(m_topic.provedAt);
+}
+
 void BackendsFollower::apply(std::uint64_t offset, std::string record)
 {
     const auto keyed = m_context.translator.split(record);
@@ -138,8 +143,7 @@
         }
     }
     setNext(updates.next);
-    m_topic.provedAt = std::max(m_topic.provedAt, requestedAt - updates.age);
-    m_topic.relay.addFreshnessProof(m_topic.provedAt);
+    proved(requestedAt - updates.age);
 }
 
 } // namespace vanilladyke
--- a/src/vanilladyke/node/control_plane.cpp
+++ b/src/vanilladyke/node/control_plane.cpp
@@ -201,6 +201,18 @@
     }
 }
 
+void ControlPlane::backendsProved(TimePoint sentAt)
+{
+    // Behind a publication that is posted, so that the traffic thread has the proved list first.
+    asio::post(m_context, [this, sentAt] {
+        postToTraffic([this, sentAt](TrafficState & /*traffic*/) {
+            m_backendsProof.renew(sentAt);
+        });
+    });
+}
+
+void ControlPlane::backendsReadFailed() {}
+
 void ControlPlane::configurationProved(TimePoint sentAt)
 {
     if (m_storeIsDown) {
--- a/src/vanilladyke/node/state_follower_fixture.hpp
+++ b/src/vanilladyke/node/state_follower_fixture.hpp
@@ -159,6 +159,13 @@
     }
     void backendRemoved(const EngineId &) override {}
     void backendsListed(const std::map<EngineId, bool> &, bool) override {}
+    void backendsProved(TimePoint at) override
+    {
+        EXPECT_GE(at, backendsProvedAt);
+        EXPECT_LE(at, BootClock::now());
+        backendsProvedAt = at;
+    }
+    void backendsReadFailed() override { ++backendsFailures; }
     void configurationProved(TimePoint at) override
     {
         EXPECT_GT(at, provedAt);
@@ -178,6 +185,8 @@
     std::optional<SoftwareRecords> software;
     std::vector<std::string> backends;
     TimePoint provedAt = TimePoint::min();
+    TimePoint backendsProvedAt = TimePoint::min();
+    int backendsFailures = 0;
 };
 
 /// A node that reads the store and a second one that asks it, on one thread.
--- a/src/vanilladyke/traffic/ticker.cpp
+++ b/src/vanilladyke/traffic/ticker.cpp
@@ -1,5 +1,7 @@
 #include "vanilladyke/traffic/ticker.hpp"
 
+#include "vanilladyke/base/log.hpp"
+
 namespace vanilladyke {
 
 Ticker::Ticker(boost::asio::io_context &context)
@@ -26,6 +28,10 @@
 void Ticker::step()
 {
     const TimePoint now = MonotonicClock::now();
+    const Duration late = now - m_timer.expiry();
+    if (late > StandstillAfter) {
+        LogEvent("stood_still", Severity::Warning).field("for_ms", late);
+    }
     for (auto each = m_deadlineTimers.begin(); each != m_deadlineTimers.end();) {
         const std::shared_ptr<DeadlineTimer> timer = each->lock();
         if (!timer) {
