--- a/include/vanilladyke/node/control_plane.hpp
+++ b/include/vanilladyke/node/control_plane.hpp
@@ -45,6 +45,11 @@
     std::function<std::size_t()> otherNodes = [] { return std::size_t{0}; };
     /// @brief Called with the records of software versions that have to be written.
     std::function<void(SoftwareRecords due)> onSoftwareDue = [](const SoftwareRecords &) {};
+    /// @brief Called on the traffic thread when it has the list of servers that a call gave which
+    /// began at @p sentAt.
+    std::function<void(TimePoint sentAt)> onBackendsProved = [](TimePoint) {};
+    /// @brief Called on the traffic thread when a call for the list that began at @p sentAt failed.
+    std::function<void(TimePoint sentAt)> onBackendsReadFailed = [](TimePoint) {};
     /// @brief Stops sending orders and releases the lease, before the node stops.
     void releaseLease();
     [[nodiscard]] const FreshnessProof &proof() const { return m_proof; }
@@ -60,7 +65,7 @@
     void backendRemoved(const EngineId &id) override;
     void backendsListed(const std::map<EngineId, bool> &present, bool mayLackEntries) override;
     void backendsProved(TimePoint sentAt) override;
-    void backendsReadFailed() override;
+    void backendsReadFailed(TimePoint sentAt) override;
     void configurationProved(TimePoint sentAt) override;
     void storeFailed() override;
     void nodesListed(std::vector<Endpoint> peers) override;
@@ -97,6 +102,7 @@
     std::uint64_t m_version = 0;
     bool m_hasConfig = false;
     bool m_storeIsDown = false;
+    bool m_hasListed = false;    ///< the servers were listed once
     bool m_isPublishing = false; ///< a publication of the servers is posted
 };
 
--- a/include/vanilladyke/node/followed_topic.hpp
+++ b/include/vanilladyke/node/followed_topic.hpp
@@ -16,6 +16,7 @@
     RecordRelay relay;
     std::uint64_t next = 0; ///< offset up to which the topic was read
     bool isListed = false;
+    std::uint64_t listings = 0; ///< whole lists that were read
     std::uint64_t era = 0;  ///< of the store in which the topic was listed; `next` holds in it only
     bool mustRead = false;  ///< the reader's answer lacked this topic
     bool isReading = false; ///< this node's own call is pending
--- a/include/vanilladyke/node/ports.hpp
+++ b/include/vanilladyke/node/ports.hpp
@@ -38,11 +38,12 @@
     virtual void backendRemoved(const EngineId &id) = 0;
     /// @brief The whole list was read; servers that are not in it are removed.
     /// @param mayLackEntries the store came back from an older copy, and servers write again
+    /// @note Servers that came and left since the whole list was read before are not reported.
     virtual void backendsListed(const std::map<EngineId, bool> &present, bool mayLackEntries) = 0;
     /// @brief Freshness proof: all entries that servers wrote before @p sentAt were applied.
     virtual void backendsProved(TimePoint sentAt) = 0;
-    /// @brief A read of the entries failed.
-    virtual void backendsReadFailed() = 0;
+    /// @brief A read of the entries that began at @p sentAt failed.
+    virtual void backendsReadFailed(TimePoint sentAt) = 0;
     /// @brief Freshness proof: all records that the operator wrote before @p sentAt were applied.
     virtual void configurationProved(TimePoint sentAt) = 0;
     /// @brief A call to the store failed.
--- a/include/vanilladyke/node/software_recorder.hpp
+++ b/include/vanilladyke/node/software_recorder.hpp
@@ -41,9 +41,10 @@
     const ReadSharing &m_sharing;
     const FollowedTopic &m_backends;
     bool m_isListed = false;
-    std::uint64_t m_era = 0;     ///< of the store, in which the records were listed
-    std::uint64_t m_end = 0;     ///< offset behind the listed records
-    std::uint64_t m_reading = 0; ///< number of the last listing
+    std::uint64_t m_era = 0;      ///< of the store, in which the records were listed
+    std::uint64_t m_listings = 0; ///< of the servers, before the records were listed
+    std::uint64_t m_end = 0;      ///< offset behind the listed records
+    std::uint64_t m_reading = 0;  ///< number of the last listing
     SoftwareRecords m_due;
     std::optional<TimePoint> m_dueSince; ///< none: nothing is due
     std::optional<TimePoint> m_lookedAt; ///< when the records were read again for the change
--- a/include/vanilladyke/node/state_follower.hpp
+++ b/include/vanilladyke/node/state_follower.hpp
@@ -46,6 +46,8 @@
                                              std::uint64_t backendsNext) const;
     /// @brief Writes these records of software versions, unless another node has.
     void recordSoftware(SoftwareRecords due) { m_software.setDue(std::move(due)); }
+    /// @brief Reads the servers' entries soon, by a call that begins at @p since or later.
+    void readBackends(TimePoint since) { m_backends.readSince(since); }
     /// @brief Called with the key that signs datagrams between nodes, and whenever it is replaced.
     std::function<void(std::string key)> onFleetKey;
 
--- a/include/vanilladyke/policy/software_history.hpp
+++ b/include/vanilladyke/policy/software_history.hpp
@@ -60,6 +60,11 @@
     /// @brief Replaces the list of servers. @return whether a service that had one version lately
     /// has several now
     bool setServers(const std::vector<BackendEntry> &serving, TimePoint now);
+    /// @brief The list was read as a whole once more: versions that came and left since the last
+    /// list are known from records only, which have to be read after it.
+    void watchInterrupted(TimePoint now);
+    /// @brief Since when the list has been watched without a gap; none: it was never read.
+    [[nodiscard]] std::optional<TimePoint> watchedSince() const { return m_watchedSince; }
     /// @brief Records how long after a stream's first event its caller may come back.
     void observeLifetime(const ServiceId &service, Duration lifetime);
     /// @brief Replaces what is recorded. To be called after the first whole list of servers.
@@ -68,7 +73,8 @@
     /// began no stream which a caller may still take up, or a shorter time of callers.
     [[nodiscard]] SoftwareRecords dueRecords(TimePoint now) const;
     /// @brief The version on which every stream of the service began that a caller may still take
-    /// up. @return softwareKey() of it; none if there may be several
+    /// up, as of the time at which the list was read. @return softwareKey() of it; none if there
+    /// may be several
     [[nodiscard]] std::optional<std::uint64_t> onlyVersion(const ServiceId &service,
                                                            TimePoint now) const;
     /// @brief Whether all servers that are listed now have this version.
@@ -97,7 +103,7 @@
     bool m_isFirstStart;
     std::map<ServiceId, Service> m_services;
     std::optional<SoftwareRecords> m_records;
-    std::optional<TimePoint> m_watchedSince; ///< the first list of servers
+    std::optional<TimePoint> m_watchedSince; ///< the first list of servers, or that after a gap
     TimePoint m_listedAt; ///< of the current list; versions with this time are listed now
 };
 
--- a/include/vanilladyke/traffic/exchange.hpp
+++ b/include/vanilladyke/traffic/exchange.hpp
@@ -2,6 +2,7 @@
 
 #include "vanilladyke/policy/answer_rank.hpp"
 #include "vanilladyke/policy/further_try.hpp"
+#include "vanilladyke/policy/stream_version.hpp"
 #include "vanilladyke/policy/wait_limit.hpp"
 #include "vanilladyke/traffic/backend_try.hpp"
 #include "vanilladyke/traffic/event_splitter.hpp"
@@ -103,7 +104,10 @@
     [[nodiscard]] asio::awaitable<bool> bindToOrigin();
     /// Binds the stream to the version of the server that has written its first event, and records
     /// it under the attempt. Called before the caller gets the event.
-    void bindToServer(const BackendTry &attempt);
+    [[nodiscard]] asio::awaitable<void> bindToServer(BackendTryPtr attempt);
+    /// What is known of the service's versions when a stream of unknown origin is taken up.
+    [[nodiscard]] VersionEvidence versionEvidence(const OriginReport &report,
+                                                  bool isListFresh) const;
     /// Whether the answer comes from another version than the one that began the stream.
     [[nodiscard]] bool hasOtherSoftware(const BackendTry &attempt) const;
     /// Whether no server is left that may go on with the stream.
--- a/include/vanilladyke/traffic/traffic_state.hpp
+++ b/include/vanilladyke/traffic/traffic_state.hpp
@@ -70,8 +70,10 @@
     std::optional<std::uint64_t> software; ///< softwareKey() of the version that began it
     /// The version on which all streams of the service began, as an older node has seen it.
     std::optional<std::uint64_t> only;
-    std::size_t answers = 0;  ///< nodes that have answered
-    std::size_t saidOnly = 0; ///< of them, those that know of one version only
+    TimePoint onlyListedAt;      ///< when that node's list of servers was read at the latest
+    std::size_t answers = 0;     ///< nodes that have answered
+    std::size_t saidOnly = 0;    ///< of them, those that know of one version only
+    std::size_t saidSeveral = 0; ///< of them, those that know of several
 };
 
 /// @brief A request that needs a place at a brittle engine.
@@ -205,6 +207,11 @@
     /// Asks other nodes for the origin of a stream.
     std::function<asio::awaitable<OriginReport>(OriginQuery)> askOrigin =
             [](const OriginQuery &) -> asio::awaitable<OriginReport> { co_return OriginReport{}; };
+    /// Waits for a list of servers that is read by a call which begins now or later; see
+    /// fresh_backends.hpp. False if the store gives none in time.
+    std::function<asio::awaitable<bool>()> readBackends = []() -> asio::awaitable<bool> {
+        co_return true;
+    };
 };
 
 } // namespace vanilladyke
--- a/src/vanilladyke/app/node_command.cpp
+++ b/src/vanilladyke/app/node_command.cpp
@@ -12,6 +12,7 @@
 #include "vanilladyke/base/log.hpp"
 #include "vanilladyke/model/json_reader.hpp"
 #include "vanilladyke/node/boot_clock.hpp"
+#include "vanilladyke/node/fresh_backends.hpp"
 #include "vanilladyke/node/load_sharing.hpp"
 #include "vanilladyke/node/peer_queries.hpp"
 
@@ -160,6 +161,12 @@
             m_sharing.setPeers(peers);
         };
         m_traffic.notifyPeers = [this] { m_sharing.sendSoon(); };
+        m_traffic.readBackends = [this] { return m_freshBackends.wait(); };
+        m_freshBackends.onWanted = [this](TimePoint since) {
+            asio::post(m_controlContext, [this, since] { m_follower.readBackends(since); });
+        };
+        m_control.onBackendsProved = [this](TimePoint at) { m_freshBackends.proved(at); };
+        m_control.onBackendsReadFailed = [this](TimePoint at) { m_freshBackends.failed(at); };
         m_traffic.tellOrigin = [this](const StreamOrigin &origin) {
             m_sharing.origins().tell(origin);
         };
@@ -286,6 +293,7 @@
     platform::StateRecords m_records;
     StateFollower m_follower;
     PeerQueries m_queries;
+    FreshBackends m_freshBackends{m_trafficContext};
     LoadSharing m_sharing;
     asio::signal_set m_signals;
     asio::signal_set m_hangup; ///< SIGHUP: reload the settings file
--- a/src/vanilladyke/node/backends_follower.cpp
+++ b/src/vanilladyke/node/backends_follower.cpp
@@ -27,20 +27,38 @@
             continue;
         }
         const Duration limit = fractionOf(m_context.limits.drain, PollFraction);
-        if (m_sharing.isShared(m_topic, limit)) {
-            co_await m_context.pause(ReadSharing::AskInterval / 4);
+        if (!isWanted() && m_sharing.isShared(m_topic, limit)) {
+            co_await pause(ReadSharing::AskInterval / 4);
             continue;
         }
         const double fraction = m_sharing.readsForOthers() ? ReaderPollFraction : PollFraction;
         const Duration age = BootClock::now() - m_topic.provedAt;
         const Duration rest = fractionOf(m_context.limits.drain, fraction) - age;
-        if (rest > Duration::zero()) {
-            co_await m_context.pause(rest);
+        if (!isWanted() && rest > Duration::zero()) {
+            co_await pause(rest);
         }
         co_await read(backOff);
     }
 }
 
+void BackendsFollower::readSince(TimePoint since)
+{
+    m_wantedSince = std::max(m_wantedSince, since);
+    m_pause.cancel();
+}
+
+bool BackendsFollower::isWanted() const
+{
+    return m_topic.provedAt < m_wantedSince;
+}
+
+asio::awaitable<void> BackendsFollower::pause(Duration span)
+{
+    m_pause.expires_after(span);
+    ErrorCode ignored;
+    co_await m_pause.async_wait(redirectError(ignored));
+}
+
 bool BackendsFollower::isTooOld(const std::optional<RecordRelay::Updates> &updates) const
 {
     return updates && updates->age >= fractionOf(m_context.limits.drain, PollFraction);
@@ -61,6 +79,7 @@
     m_context.calls.count(StoreCall::List, StoreTopic::Backends, CallCause::Start);
     const auto newest = co_await m_context.store.newest(StateTopic::Backends);
     if (!newest) {
+        m_context.listener.backendsReadFailed(sentAt);
         co_return false;
     }
     if (newest->hadFailures) {
@@ -77,6 +96,7 @@
     m_topic.era = newest->era;
     m_topic.next = newest->end;
     m_topic.relay.restart(newest->end, newest->era);
+    ++m_topic.listings;
     proved(sentAt);
     co_return true;
 }
@@ -92,6 +112,7 @@
     if (!page) {
         m_topic.isListed = page.error() != StoreError::Expired;
         if (m_topic.isListed) {
+            m_context.listener.backendsReadFailed(sentAt);
             co_await m_context.failed(backOff);
         }
         co_return;
--- a/src/vanilladyke/node/control_plane.cpp
+++ b/src/vanilladyke/node/control_plane.cpp
@@ -196,6 +196,12 @@
 
 void ControlPlane::backendsListed(const std::map<EngineId, bool> &present, bool mayLackEntries)
 {
+    if (std::exchange(m_hasListed, true)) {
+        LogEvent("backends_listed_anew").field("present", present.size());
+        postToTraffic([](TrafficState &traffic) {
+            traffic.software.watchInterrupted(MonotonicClock::now());
+        });
+    }
     if (m_roster.keepOnly(present, mayLackEntries, BootClock::now())) {
         publishBackends();
     }
@@ -207,11 +213,15 @@
     asio::post(m_context, [this, sentAt] {
         postToTraffic([this, sentAt](TrafficState & /*traffic*/) {
             m_backendsProof.renew(sentAt);
+            onBackendsProved(sentAt);
         });
     });
 }
 
-void ControlPlane::backendsReadFailed() {}
+void ControlPlane::backendsReadFailed(TimePoint sentAt)
+{
+    postToTraffic([this, sentAt](TrafficState & /*traffic*/) { onBackendsReadFailed(sentAt); });
+}
 
 void ControlPlane::configurationProved(TimePoint sentAt)
 {
--- a/src/vanilladyke/node/origin_sharing.cpp
+++ b/src/vanilladyke/node/origin_sharing.cpp
@@ -11,6 +11,9 @@
 /// Origins in one datagram, so that it fits into one packet.
 constexpr int MaxOrigins = 50;
 
+/// Cap of the ages that are sent; a list that is older proves nothing.
+constexpr Duration MaxListAge = std::chrono::hours(1);
+
 std::uint64_t hashOf(const OriginSharing::Udp::endpoint &node)
 {
     return hashOfName(Endpoint{node.address().to_string(), node.port()}.str());
@@ -142,6 +145,11 @@
     const auto only = m_state.software.onlyVersion(ServiceId(message.ask().service()), now);
     out->set_is_only(only.has_value());
     out->set_only(only.value_or(0));
+    out->set_is_several(m_state.software.view(ServiceId(message.ask().service()), now).possible
+                        > 1);
+    const Duration age = std::min<Duration>(m_state.backendsAge(), MaxListAge);
+    const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+    out->set_list_age_ms(static_cast<std::uint32_t>(millis) + 1);
     m_state.metrics.count("stream_origin_questions_total");
     m_send(reply, {from});
 }
@@ -159,13 +167,16 @@
     if (std::find(answered.begin(), answered.end(), from) == answered.end()) {
         answered.push_back(from);
         report.saidOnly += answer.is_only() ? 1 : 0;
+        report.saidSeveral += answer.is_several() ? 1 : 0;
     }
     report.answers = answered.size();
     if (answer.is_known()) {
         report.software = answer.software();
     }
-    if (answer.is_only()) {
+    if (answer.is_only() && answer.list_age_ms() > 0) { // an older build tells no age
         report.only = answer.only();
+        report.onlyListedAt =
+                MonotonicClock::now() - std::chrono::milliseconds(answer.list_age_ms());
     }
     if (question.isDone()) {
         question.timer.cancel();
--- a/src/vanilladyke/node/software_recorder.cpp
+++ b/src/vanilladyke/node/software_recorder.cpp
@@ -52,7 +52,8 @@
         co_await m_context.pause(StartCheckInterval);
     }
     while (!m_context.isStopped) {
-        if (!m_isListed || m_era != m_context.era.view().era) {
+        const bool isInterrupted = m_listings != m_backends.listings;
+        if (!m_isListed || isInterrupted || m_era != m_context.era.view().era) {
             m_isListed = co_await list(CallCause::Start);
             if (!m_isListed) {
                 co_await m_context.failed(backOff);
@@ -84,6 +85,7 @@
 asio::awaitable<bool> SoftwareRecorder::list(CallCause cause)
 {
     m_context.calls.count(StoreCall::List, StoreTopic::Software, cause);
+    const std::uint64_t listings = m_backends.listings;
     const auto newest = co_await m_context.store.newest(StateTopic::Software);
     if (!newest) {
         co_return false;
@@ -100,6 +102,7 @@
     records.reading = ++m_reading;
     m_era = newest->era;
     m_end = newest->end;
+    m_listings = listings;
     m_due.services.clear();
     m_context.listener.softwareRecorded(std::move(records));
     co_return true;
--- a/src/vanilladyke/node/state_follower_fixture.hpp
+++ b/src/vanilladyke/node/state_follower_fixture.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "vanilladyke/node/boot_clock.hpp"
+#include "vanilladyke/node/fresh_backends.hpp"
 #include "vanilladyke/node/state_follower.hpp"
 
 #include <gtest/gtest.h>
@@ -164,8 +165,9 @@
         EXPECT_GE(at, backendsProvedAt);
         EXPECT_LE(at, BootClock::now());
         backendsProvedAt = at;
+        onBackendsProved(at);
     }
-    void backendsReadFailed() override { ++backendsFailures; }
+    void backendsReadFailed(TimePoint at) override { onBackendsFailed(at); }
     void configurationProved(TimePoint at) override
     {
         EXPECT_GT(at, provedAt);
@@ -186,7 +188,8 @@
     std::vector<std::string> backends;
     TimePoint provedAt = TimePoint::min();
     TimePoint backendsProvedAt = TimePoint::min();
-    int backendsFailures = 0;
+    std::function<void(TimePoint)> onBackendsProved = [](TimePoint) {};
+    std::function<void(TimePoint)> onBackendsFailed = [](TimePoint) {};
 };
 
 /// A node that reads the store and a second one that asks it, on one thread.
--- a/src/vanilladyke/node/state_follower_test.cpp
+++ b/src/vanilladyke/node/state_follower_test.cpp
@@ -144,5 +144,54 @@
     EXPECT_LT(m_asked.size() - before, 5U) << "requests, one every 300 to 500 ms";
 }
 
+// A request that has just come waits for the list. The reader's next answer, or an own read in its
+// turn, would come too late for it.
+TEST_F(StateFollowerTest, ReadsTheServersAtOnceForARequestThatWaits)
+{
+    m_store.topics[StateTopic::Backends] = {"e=1"};
+    start();
+    ASSERT_TRUE(awaitAnswer());
+    FreshBackends fresh(m_context);
+    fresh.onWanted = [this](TimePoint since) { m_asking.readBackends(since); };
+    m_askingListener.onBackendsProved = [&](TimePoint at) { fresh.proved(at); };
+    m_askingListener.onBackendsFailed = [&](TimePoint at) { fresh.failed(at); };
+    const auto wait = [&] {
+        std::optional<bool> isFresh;
+        asio::co_spawn(
+                m_context,
+                [&]() -> asio::awaitable<void> {
+                    const bool result = co_await fresh.wait();
+                    isFresh = result;
+                },
+                asio::detached);
+        EXPECT_TRUE(runUntil([&] { return isFresh.has_value(); }));
+        return isFresh.value_or(false);
+    };
+    m_ownStore.topics[StateTopic::Backends].push_back("f=1");
+    EXPECT_TRUE(wait());
+    EXPECT_TRUE(askingHasReceived("f=1"));
+    m_ownStore.isDown = true;
+    EXPECT_FALSE(wait());
+}
+
+// A call that began before the request came may have been answered before a server joined.
+TEST(FreshBackends, AListOfAnEarlierCallDoesNotCount)
+{
+    asio::io_context context;
+    FreshBackends fresh(context);
+    std::optional<bool> isFresh;
+    const auto answered = [&](const std::exception_ptr &, bool result) { isFresh = result; };
+    asio::co_spawn(context, fresh.wait(), answered);
+    const TimePoint before = BootClock::now();
+    context.run_one();
+    fresh.proved(before);
+    fresh.failed(before);
+    context.poll();
+    EXPECT_FALSE(isFresh);
+    fresh.proved(BootClock::now());
+    context.run();
+    EXPECT_EQ(isFresh, true);
+}
+
 } // namespace
 } // namespace vanilladyke
--- a/src/vanilladyke/policy/software_history.cpp
+++ b/src/vanilladyke/policy/software_history.cpp
@@ -49,6 +49,13 @@
     return hasSecond;
 }
 
+void SoftwareHistory::watchInterrupted(TimePoint now)
+{
+    m_watchedSince = now;
+    m_records.reset();
+    m_isFirstStart = false;
+}
+
 void SoftwareHistory::observeLifetime(const ServiceId &service, Duration lifetime)
 {
     const auto known = m_services.find(service);
--- a/src/vanilladyke/policy/stream_origins_test.cpp
+++ b/src/vanilladyke/policy/stream_origins_test.cpp
@@ -140,6 +140,19 @@
     EXPECT_TRUE(m_history.dueRecords(m_now).services.empty());
 }
 
+// The store has forgotten its history while the node was cut off: the list was read as a whole
+// again.
+TEST_F(SoftwareHistoryTest, AVersionThatCameAndLeftDuringAGapMayHaveBegunStreams)
+{
+    list({"v1"});
+    m_history.setRecords(recordOf({"v1"}, seconds(10)));
+    m_now += minutes(5);
+    m_history.watchInterrupted(m_now);
+    EXPECT_EQ(only(), std::nullopt) << "the records were read before the gap ended";
+    m_history.setRecords(recordOf({"v1", "v1.1"}, seconds(10)));
+    EXPECT_EQ(only(), std::nullopt);
+}
+
 // All nodes are killed when the last server of a version has left. Its streams would be joined with
 // what the next version writes.
 TEST_F(SoftwareHistoryTest, ARecordedVersionThatIsNotListedMayHaveBegunStreams)
--- a/src/vanilladyke/traffic/exchange_answers.cpp
+++ b/src/vanilladyke/traffic/exchange_answers.cpp
@@ -90,7 +90,7 @@
         if (!whole.empty() || isLast) {
             dropHedges();
             if (!whole.empty()) {
-                bindToServer(*attempt);
+                co_await bindToServer(attempt);
             }
             const bool isWritten = co_await writeEvents(attempt->head(), whole, isLast);
             if (!isWritten) {
--- a/src/vanilladyke/traffic/exchange_software.cpp
+++ b/src/vanilladyke/traffic/exchange_software.cpp
@@ -1,6 +1,7 @@
 #include "vanilladyke/traffic/exchange.hpp"
 
 #include "vanilladyke/base/log.hpp"
+#include "vanilladyke/policy/stream_version.hpp"
 
 #include <algorithm>
 
@@ -25,13 +26,16 @@
         report = co_await m_state.askOrigin(std::move(query));
         m_software = report.software;
     }
+    // A list that lacks the version that is known may only be old.
+    const bool needsList = !m_software || !m_state.tracker.serves(m_service, *m_software);
+    bool isListFresh = false;
+    if (needsList) {
+        isListFresh = co_await m_state.readBackends();
+    }
     const TimePoint now = MonotonicClock::now();
     if (!m_software && m_state.isFresh()) {
         source = "only_version";
-        m_software = m_state.software.onlyVersion(m_service, now);
-        if (!m_software && report.only && m_state.software.isAlone(m_service, *report.only)) {
-            m_software = report.only;
-        }
+        m_software = onlyPossibleVersion(versionEvidence(report, isListFresh));
     }
     if (!m_software) {
         source = "none";
@@ -59,6 +63,9 @@
             .field("software", m_software.value_or(0))
             .field("answers", report.answers)
             .field("said_only", report.saidOnly)
+            .field("said_several", report.saidSeveral)
+            .field("list_read", needsList)
+            .field("list_fresh", isListFresh)
             .field("listed", view.listed)
             .field("possible", view.possible)
             .field("recorded", view.isRecorded)
@@ -71,25 +78,39 @@
     co_return m_software.has_value();
 }
 
+VersionEvidence Exchange::versionEvidence(const OriginReport &report, bool isListFresh) const
+{
+    VersionEvidence evidence;
+    evidence.isListFresh = isListFresh;
+    evidence.areSeveralKnown = report.saidSeveral > 0;
+    evidence.own = m_state.software.onlyVersion(m_service, MonotonicClock::now());
+    evidence.others = report.only;
+    evidence.othersListedAt = report.onlyListedAt;
+    evidence.isOthersAlone = report.only && m_state.software.isAlone(m_service, *report.only);
+    evidence.watchedSince = m_state.software.watchedSince();
+    return evidence;
+}
+
 TimePoint Exchange::comesBackUntil() const
 {
     return m_request->deadline.value_or(m_request->arrived + StreamOrigins::MaxLifetime);
 }
 
-void Exchange::bindToServer(const BackendTry &attempt)
+asio::awaitable<void> Exchange::bindToServer(BackendTryPtr attempt)
 {
     if (m_isOriginRecorded) {
-        return;
+        co_return;
     }
     m_isOriginRecorded = true;
-    const TimePoint now = MonotonicClock::now();
     if (!m_software) {
-        m_software = attempt.isRelay() ? attempt.head().software
-                                       : softwareKey(attempt.choice().backend.software);
+        m_software = attempt->isRelay() ? attempt->head().software
+                                        : softwareKey(attempt->choice().backend.software);
     }
     if (!m_software) { // handed on by a node of an older build
-        m_software = m_state.software.onlyVersion(m_service, now);
+        const bool isListFresh = co_await m_state.readBackends();
+        m_software = onlyPossibleVersion(versionEvidence({}, isListFresh));
     }
+    const TimePoint now = MonotonicClock::now();
     if (m_software) {
         m_state.streamBegan(m_service, {attemptKey(m_request->id), *m_software, comesBackUntil()},
                             now);
--- a/src/vanilladyke/traffic/stream_version_test.cpp
+++ b/src/vanilladyke/traffic/stream_version_test.cpp
@@ -146,6 +146,7 @@
     m_state.askOrigin = [](const OriginQuery &) -> asio::awaitable<OriginReport> {
         OriginReport report;
         report.only = softwareKey("v1");
+        report.onlyListedAt = MonotonicClock::now();
         co_return report;
     };
     setSoftware({"v1", "v2"});
@@ -155,6 +156,41 @@
     EXPECT_TRUE(other.received.empty());
 }
 
+// The node stood still or does not reach the store: servers of another version may have joined.
+TEST_F(StreamVersionTest, AnOldListDoesNotTellTheOnlyVersion)
+{
+    setRoute(RequestKind::Stream, true);
+    const auto &server = addBackend(rest);
+    m_state.software = SoftwareHistory(true);
+    setSoftware({"v1"});
+    m_state.software.setRecords({});
+    m_state.readBackends = []() -> asio::awaitable<bool> { co_return false; };
+    EXPECT_EQ(takeUp("1", "0"), 503);
+    EXPECT_NE(m_body.find(R"("ran":"no")"), std::string::npos);
+    EXPECT_TRUE(server.received.empty());
+    m_state.readBackends = []() -> asio::awaitable<bool> { co_return true; };
+    EXPECT_EQ(takeUp("2", "0"), 200);
+}
+
+// The list of the node lacks a version that other nodes know. Once it is read anew the stream goes
+// on.
+TEST_F(StreamVersionTest, AStreamOfAVersionThatIsNotListedYetGoesOnOnceItIs)
+{
+    setRoute(RequestKind::Stream, true);
+    addBackend(rest);
+    const auto &joined = addBackend(rest);
+    setSoftware({"v1", "v2"});
+    m_state.setBackends({m_entries[0]}, MonotonicClock::now());
+    m_state.origins.record({attemptKey("0"), softwareKey("v2"), TimePoint::max()},
+                           MonotonicClock::now());
+    m_state.readBackends = [this]() -> asio::awaitable<bool> {
+        m_state.setBackends(m_entries, MonotonicClock::now());
+        co_return true;
+    };
+    EXPECT_EQ(takeUp("1", "0"), 200);
+    EXPECT_EQ(joined.received.size(), 1U);
+}
+
 // The node dies right after the caller has got the first event: others have to know the version
 // before that.
 TEST_F(StreamVersionTest, OthersAreToldBeforeTheCallerGetsTheFirstEvent)
--- a/src/vanilladyke/traffic/traffic_state.cpp
+++ b/src/vanilladyke/traffic/traffic_state.cpp
@@ -34,7 +34,7 @@
 void TrafficState::streamBegan(const ServiceId &service, const StreamOrigin &origin, TimePoint now)
 {
     origins.record(origin, now);
-    if (!software.onlyVersion(service, now)) {
+    if (software.onlyVersion(service, now) != origin.software) {
         tellOrigin(origin);
     }
 }
