JSON from outside is parsed in one place, which bounds its depth

What callers saw: one entry of the servers' topic whose `models` is a list nested 100,000 deep ended every node that read it by SIGSEGV, before it was ready and again after each start. The same came of a report of one engine, and of a record of the operator or of another node's lease.

Cause: the JSON library parses and destroys without recursion, but copies and serializes with one call for each level. `object.value(key, default)` copies what it finds. Only the bodies of completions were bounded. Class: a bound that one reader has, and the others of the same kind lack.

Change: parseForeignJson() in the model refuses JSON that is nested more than 100 deep before it is parsed, with the count that the gateway had, which knows comments now. All readers of JSON use it: records, reports, cache events and pages of the platform, the log client, host list, bundles, settings, frames and cache feeds of engines, answers to the operator's commands. By reading, the usage in an engine's last frame and the unknown fields that JsonReader shows were open to the same.

Conclusion: depth ends no node any more; a text that is too deep counts as malformed, as other odd bytes do.

--- a/src/vanilladyke/app/operator_commands.cpp
+++ b/src/vanilladyke/app/operator_commands.cpp
@@ -3,6 +3,7 @@
 #include "vanilladyke/app/command.hpp"
 #include "vanilladyke/app/settings.hpp"
 #include "vanilladyke/model/bundle_record.hpp"
+#include "vanilladyke/model/foreign_json.hpp"
 #include "vanilladyke/model/json_reader.hpp"
 #include "vanilladyke/platform/http_call.hpp"
 
@@ -65,7 +66,7 @@
         std::cerr << "the node rejected the operator key (status 401)\n";
         return std::nullopt;
     }
-    json parsed = json::parse(answer->body, nullptr, false);
+    json parsed = parseForeignJsonOrDiscard(answer->body);
     if (parsed.is_discarded()) {
         std::cerr << "the node's response is not valid JSON (status " << answer->status << ")\n";
         return std::nullopt;
--- a/src/vanilladyke/control/engine_poller.cpp
+++ b/src/vanilladyke/control/engine_poller.cpp
@@ -1,6 +1,7 @@
 #include "vanilladyke/control/engine_poller.hpp"
 
 #include "vanilladyke/base/log.hpp"
+#include "vanilladyke/model/foreign_json.hpp"
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
@@ -28,7 +29,7 @@
 
 EngineReported parseReport(const EngineId &engine, const std::string &body, TimePoint now)
 {
-    const nlohmann::json json = nlohmann::json::parse(body);
+    const nlohmann::json json = parseForeignJson(body);
     EngineReported report;
     report.engine = engine;
     report.incarnation = Incarnation{json.at("incarnation").get<std::uint64_t>()};
@@ -45,7 +46,7 @@
 
 CacheEventsRead parseCacheEvents(const EngineId &engine, const std::string &body)
 {
-    const nlohmann::json json = nlohmann::json::parse(body);
+    const nlohmann::json json = parseForeignJson(body);
     CacheEventsRead page;
     page.engine = engine;
     page.incarnation = Incarnation{json.at("incarnation").get<std::uint64_t>()};
--- a/src/vanilladyke/gateway/answer_assembly.cpp
+++ b/src/vanilladyke/gateway/answer_assembly.cpp
@@ -1,5 +1,7 @@
 #include "vanilladyke/gateway/answer_assembly.hpp"
 
+#include "vanilladyke/model/foreign_json.hpp"
+
 namespace vanilladyke {
 
 namespace {
@@ -33,7 +35,7 @@
 bool AnswerAssembly::add(const StreamFrame &frame)
 {
     try {
-        const nlohmann::json chunk = nlohmann::json::parse(frame.data);
+        const nlohmann::json chunk = parseForeignJson(frame.data);
         m_text += chunkText(chunk);
         if (const nlohmann::json *choice = firstChoice(chunk)) {
             const auto reason = choice->find("finish_reason");
--- a/src/vanilladyke/gateway/completion_handler.cpp
+++ b/src/vanilladyke/gateway/completion_handler.cpp
@@ -2,6 +2,7 @@
 
 #include "vanilladyke/gateway/answer_assembly.hpp"
 #include "vanilladyke/gateway/refusal_response.hpp"
+#include "vanilladyke/model/foreign_json.hpp"
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
@@ -27,7 +28,7 @@
     if (frame.data.find("\"usage\"") == std::string::npos) {
         return false;
     }
-    const nlohmann::json chunk = nlohmann::json::parse(frame.data, nullptr, false);
+    const nlohmann::json chunk = parseForeignJsonOrDiscard(frame.data);
     const auto choices = chunk.find("choices");
     return chunk.is_object() && choices != chunk.end() && choices->empty();
 }
--- a/src/vanilladyke/gateway/filters.cpp
+++ b/src/vanilladyke/gateway/filters.cpp
@@ -3,9 +3,9 @@
 #include "vanilladyke/model/signing.hpp"
 
 #include "vanilladyke/gateway/deadline_header.hpp"
-#include "vanilladyke/gateway/json_depth.hpp"
 
 #include "vanilladyke/model/customer_index.hpp"
+#include "vanilladyke/model/foreign_json.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -102,7 +102,7 @@
     if (nestingDepth(context.body) > MaxJsonDepth) {
         throw std::invalid_argument("the JSON is nested too deeply");
     }
-    nlohmann::json body = nlohmann::json::parse(context.body);
+    nlohmann::json body = parseForeignJson(context.body);
     context.model = ModelId(body.at("model").get<std::string>());
     context.streamed = body.value("stream", false);
     context.wantsUsage = !context.streamed || requestsUsage(body);
--- a/src/vanilladyke/gateway/filters_test.cpp
+++ b/src/vanilladyke/gateway/filters_test.cpp
@@ -1,5 +1,4 @@
 #include "vanilladyke/gateway/filters.hpp"
-#include "vanilladyke/gateway/json_depth.hpp"
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
@@ -91,7 +90,6 @@
     RequestContext context = requestWith(
             R"({"model":"copy","messages":[{"role":"user","content":"x"}],"user":)" + deep + "}");
     EXPECT_TRUE(ParseCompletion{}(context).has_value());
-    EXPECT_EQ(nestingDepth(R"({"a":"[[[\"[[","b":[{}]})"), 3U);
 }
 
 RC_GTEST_PROP(ParseCompletion, TakesOrRefusesAnyBytes, (const std::string &bytes, bool chat))
--- a/src/vanilladyke/gateway/partial_answer.cpp
+++ b/src/vanilladyke/gateway/partial_answer.cpp
@@ -1,6 +1,7 @@
 #include "vanilladyke/gateway/partial_answer.hpp"
 
 #include "vanilladyke/gateway/answer_assembly.hpp"
+#include "vanilladyke/model/foreign_json.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -10,7 +11,7 @@
 
 std::string textOf(const std::string &frame)
 {
-    const nlohmann::json chunk = nlohmann::json::parse(frame, nullptr, false);
+    const nlohmann::json chunk = parseForeignJsonOrDiscard(frame);
     return chunk.is_discarded() ? std::string() : chunkText(chunk);
 }
 
@@ -61,7 +62,7 @@
     if (have == 0) {
         return context.engineBody;
     }
-    nlohmann::json body = nlohmann::json::parse(context.engineBody);
+    nlohmann::json body = parseForeignJson(context.engineBody);
     if (isChat(context)) {
         body["messages"].push_back({{"role", "assistant"}, {"content", text()}});
         body["add_generation_prompt"] = false;
--- a/src/vanilladyke/gateway/placer.cpp
+++ b/src/vanilladyke/gateway/placer.cpp
@@ -1,10 +1,9 @@
 #include "vanilladyke/gateway/placer.hpp"
 
 #include "vanilladyke/base/log.hpp"
+#include "vanilladyke/model/foreign_json.hpp"
 #include "vanilladyke/policy/explain.hpp"
 
-#include <nlohmann/json.hpp>
-
 namespace vanilladyke {
 
 namespace {
@@ -99,7 +98,7 @@
         return std::nullopt;
     }
     try {
-        const nlohmann::json chunk = nlohmann::json::parse(frame);
+        const nlohmann::json chunk = parseForeignJson(frame);
         return chunk.at("usage").at("prompt_tokens_details").at("cached_tokens");
     } catch (const nlohmann::json::exception &) {
         return std::nullopt;
--- a/src/vanilladyke/model/bundle_record.cpp
+++ b/src/vanilladyke/model/bundle_record.cpp
@@ -1,6 +1,6 @@
 #include "vanilladyke/model/bundle_record.hpp"
 
-#include <nlohmann/json.hpp>
+#include "vanilladyke/model/foreign_json.hpp"
 
 #include <stdexcept>
 
@@ -133,7 +133,7 @@
         return failure(std::string("larger than a record may be"));
     }
     return outcomeOf([&] {
-        const json object = json::parse(data);
+        const json object = parseForeignJson(data);
         BundleRecord record;
         record.nonce = object.at("nonce").get<std::string>();
         record.bundle = readSigned(object);
@@ -147,7 +147,7 @@
 Outcome<BundleHeader, std::string> parseBundleHeader(std::string_view text)
 {
     return outcomeOf([&] {
-        const json object = json::parse(text, nullptr, true, true);
+        const json object = parseForeignJson(text, JsonComments::Skipped);
         BundleHeader header;
         const json &version = object.at("version");
         if (!version.is_number_unsigned() || version.get<std::uint64_t>() == 0) {
@@ -166,7 +166,7 @@
 
 Outcome<SignedBundle, std::string> parseSignedBundle(std::string_view data)
 {
-    return outcomeOf([&] { return readSigned(json::parse(data)); });
+    return outcomeOf([&] { return readSigned(parseForeignJson(data)); });
 }
 
 std::string writeHistory(const std::vector<HistoryEntry> &history)
@@ -176,7 +176,7 @@
 
 Outcome<std::vector<HistoryEntry>, std::string> parseHistory(std::string_view data)
 {
-    return outcomeOf([&] { return readHistory(json::parse(data)); });
+    return outcomeOf([&] { return readHistory(parseForeignJson(data)); });
 }
 
 } // namespace vanilladyke
--- a/src/vanilladyke/model/json_reader.cpp
+++ b/src/vanilladyke/model/json_reader.cpp
@@ -1,5 +1,7 @@
 #include "vanilladyke/model/json_reader.hpp"
 
+#include "vanilladyke/model/foreign_json.hpp"
+
 #include <boost/asio/ip/address.hpp>
 
 #include <algorithm>
@@ -226,7 +228,7 @@
 nlohmann::json parseJsonObject(std::string_view text, std::vector<FieldError> *errors)
 {
     try {
-        nlohmann::json parsed = nlohmann::json::parse(text, nullptr, true, true);
+        nlohmann::json parsed = parseForeignJson(text, JsonComments::Skipped);
         if (parsed.is_object()) {
             return parsed;
         }
--- a/src/vanilladyke/platform/log_client.cpp
+++ b/src/vanilladyke/platform/log_client.cpp
@@ -1,5 +1,6 @@
 #include "vanilladyke/platform/log_client.hpp"
 
+#include "vanilladyke/model/foreign_json.hpp"
 #include "vanilladyke/platform/http_call.hpp"
 
 #include <nlohmann/json.hpp>
@@ -59,7 +60,7 @@
 Outcome<LogOffset, LogFailure> parseAppendAnswer(std::string_view body)
 {
     try {
-        return nlohmann::json::parse(body).at("offset").get<LogOffset>();
+        return parseForeignJson(body).at("offset").get<LogOffset>();
     } catch (const nlohmann::json::exception &error) {
         return failure(LogFailure{LogError::Malformed, error.what()});
     }
@@ -68,7 +69,7 @@
 Outcome<LogPage, LogFailure> parseLogPage(std::string_view body)
 {
     try {
-        const nlohmann::json json = nlohmann::json::parse(body);
+        const nlohmann::json json = parseForeignJson(body);
         LogPage page;
         page.firstOffset = json.at("first_offset").get<LogOffset>();
         page.nextOffset = json.at("next_offset").get<LogOffset>();
--- /dev/null
+++ b/tests/integration/platform_odd_entries.py
@@ -0,0 +1,114 @@
+"""Odd entries that another writer leaves among those of the servers, and odd answers of engines: nodes as real processes."""
+
+import json
+
+import harness
+import platform_engine
+import platform_fleet
+
+LEVELS = 100_000  # of nested lists; sound JSON below the most bytes of a record
+DEEP = b"[" * LEVELS + b"]" * LEVELS
+DEEP_OBJECT = b'{"a":' * 40_000 + b"1" + b"}" * 40_000
+
+
+def entry(raw=None, **more):
+    """An entry's bytes, with raw texts in place of the values of some fields."""
+    fields = {"service": "odd", "address": "127.0.0.1:9", "zone": "z", "slots": 8, "state": "ready", "coldRemainingMs": 0,
+              "sequence": 1, "models": [], **more}
+    fields.update({name: f"@{name}@" for name in raw or {}})
+    text = json.dumps(fields).encode()
+    for name, value in (raw or {}).items():
+        text = text.replace(f'"@{name}@"'.encode(), value)
+    return text
+
+
+DEEP_ENTRIES = [entry({"models": DEEP}), entry({"models": DEEP_OBJECT}), entry({"models": b'[{"name":' + DEEP + b"}]"}),
+                *(entry({name: DEEP}) for name in ("zone", "slots", "service", "state", "sequence", "unknown")), DEEP,
+                b"[" * 250_000]
+NUMBERS = [b"1e400", b"1e300", b"-1e300", b"2147483647", b"9223372036854775807", b"18446744073709551615",
+           b"18446744073709551616", b"-1", b"0", b"0.5", b"9" * 20_000]
+OTHER_TYPES = [b"null", b"true", b'"x"', b"7", b"[]", b"{}", b"[1]", b'{"a":1}']
+ADDRESSES = [*(f"127.0.0.1:{port}" for port in ("0", "65536", "99999", "-1", "9" * 400, "", "1e3")), "localhost:80", "[::1]:80",
+             "224.0.0.1:80", "1" * 20_000, "", ":"]
+FLAT_ENTRIES = [*(entry({name: value}) for name in ("service", "address", "zone", "slots", "state", "coldRemainingMs", "sequence",
+                                                    "models", "version") for value in NUMBERS + OTHER_TYPES),
+                *(entry(address=address) for address in ADDRESSES), *OTHER_TYPES, bytes(range(256)), b"\0" * 100,
+                entry(models=[1, 2]), entry(models=[{"name": "m", "version": -5}]), entry(service="a\nevent=x")]
+
+
+class PlatformOddEntries(platform_fleet.FleetTest):
+    def write(self, values, name="odd", topic="keyed.servers"):
+        for number, value in enumerate(values):
+            key = f"{name}-{number}".encode()
+            self.fleet.store.append(topic, bytes([len(key)]) + key + value)
+
+    def play(self, values):
+        """Two nodes start among such entries, further ones come, then a server joins and requests are served."""
+        self.fleet.engine("app-1", service="app")
+        self.write(values, "before")
+        nodes = [self.fleet.node(f"n{i}") for i in range(2)]
+        for node in nodes:
+            self.fleet.wait_ready(node)
+        self.write(values, "running")
+        self.check_follows(nodes)
+
+    def check_follows(self, nodes, path="fetch"):
+        self.fleet.engine("zz-late", service="app")
+        for node in nodes:
+            harness.wait_for_node(node, lambda node=node: self.fleet.knows_all(node), "follows the list")
+        for number in range(10):
+            status = self.fleet.ask(nodes[number % 2], f"/{path}/x", f"r{number}", method="GET", body=None)[0]
+            self.assertEqual(status, 200)
+        for node in nodes:
+            self.assertIsNone(node.popen.poll(), "the process has ended")
+
+    def test_nodes_live_on_among_deeply_nested_entries(self):
+        """What is copied out of JSON by one call for each level overflows the stack: all nodes end at the same entry."""
+        self.play(DEEP_ENTRIES)
+
+    def test_nodes_live_on_among_odd_numbers_addresses_and_types(self):
+        self.play(FLAT_ENTRIES)
+
+    def test_nodes_live_on_among_deeply_nested_records_of_the_operator_and_of_nodes(self):
+        """The same stack overflows where the configuration, announced weights, or another node's lease are read."""
+        self.fleet.store.append("vanilladyke.lease", b'{"holder":"n9","incarnation":1,"attempt":1,"ordered":' + DEEP + b"}")
+        sound = self.fleet.engine("llm-1")
+        self.fleet.engine("app-1", service="app")
+        nodes = [self.fleet.ready_node(f"n{i}") for i in range(2)]
+        for name in (b"services", b"tenants", b"limits", b"routes"):
+            self.fleet.store.append("keyed.op", b'\6config{"version":900,"routes":[],"' + name + b'":' + DEEP + b"}")
+        self.fleet.store.append("keyed.op", b'\x09version/m{"model":"m","version":' + DEEP + b"}")
+        self.fleet.name_weights(2)
+        harness.wait_until(lambda: sound.version == 2, "the weights that are named next are ordered")
+        self.fleet.config["routes"].append(platform_fleet.route("late", "safe", "app"))
+        self.fleet.publish()
+        self.check_follows(nodes, "late")
+
+    def test_nodes_live_on_after_deeply_nested_reports_of_engines(self):
+        """A rollout asks all engines for reports; one of them answers so."""
+        odd, sound = OddReports("odd", "models"), self.fleet.engine("llm-1")
+        self.fleet.engines.append(odd)
+        self.fleet.engine("app-1", service="app")
+        nodes = [self.fleet.ready_node(f"n{i}") for i in range(2)]
+        self.fleet.name_weights(2)
+        harness.wait_until(lambda: odd.asked >= 2 and sound.version == 2, "both were asked, and the sound one is ordered")
+        self.check_follows(nodes)
+
+
+class OddReports(platform_engine.Engine):
+    """Reports hold a deeply nested field."""
+
+    def __init__(self, name, field):
+        super().__init__(name)
+        self.field, self.asked = field, 0
+
+    def handle(self, call):
+        if call.path != "/report":
+            super().handle(call)
+            return
+        self.asked += 1
+        call.answer(200, b'{"sequence":0,"busy":false,"' + self.field.encode() + b'":' + DEEP + b"}")
+
+
+if __name__ == "__main__":
+    harness.main()
