A line of the log is text, whatever bytes its values hold

What was seen: an odd entry among those of the servers put bytes that are no UTF-8 into the log, by the JSON library's error that quotes them and by the entry's key. Control characters stood there as they came. A collector may drop such a line, or the rest.

Cause: LogEvent quoted values for spaces, quotes and line ends only, and a line longer than a pipe takes at once was cut between any two bytes. Class: a bound on what is written that is left to each writer.

Change: LogEvent writes control characters and bytes that belong to no character as \xNN between quotes, by utf8CharacterBytes() in base; a long line is cut between characters. Values without such bytes are written as before.

Conclusion: the log can be read as UTF-8 at any entry.

--- a/include/vanilladyke/base/log.hpp
+++ b/include/vanilladyke/base/log.hpp
@@ -31,7 +31,9 @@
 
 /// @brief One event under construction; the line is written when the object ends.
 ///
-/// Values that hold spaces, quotes or '=' are quoted, so that a line can always be split again.
+/// Values that hold spaces, quotes or '=' are quoted, so that a line can always be split again. So
+/// are values with control characters or bytes that are no UTF-8, which are written as \\xNN: a
+/// line is always text.
 class LogEvent
 {
 public:
--- a/src/vanilladyke/base/log.cpp
+++ b/src/vanilladyke/base/log.cpp
@@ -1,6 +1,7 @@
 #include "vanilladyke/base/log.hpp"
 
 #include "vanilladyke/base/log_budget.hpp"
+#include "vanilladyke/base/utf8.hpp"
 
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
@@ -10,6 +11,7 @@
 #include <poll.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <climits>
@@ -38,25 +40,78 @@
     return log4cplus::INFO_LOG_LEVEL;
 }
 
+bool isControl(char c)
+{
+    constexpr unsigned char Space = 0x20;
+    constexpr unsigned char Delete = 0x7f;
+    return static_cast<unsigned char>(c) < Space || static_cast<unsigned char>(c) == Delete;
+}
+
+std::string escaped(char byte)
+{
+    std::array<char, 5> text{};
+    std::snprintf(text.data(), text.size(), "\\x%02x", static_cast<unsigned char>(byte));
+    return text.data();
+}
+
+/// The first character of a value as it stands between quotes; a byte of none is escaped.
+std::string quotedCharacter(std::string_view character)
+{
+    switch (character.front()) {
+    case '"':
+    case '\\':
+        return std::string("\\").append(character);
+    case '\n':
+        return "\\n";
+    case '\r':
+        return "\\r";
+    case '\t':
+        return "\t";
+    default:
+        return isControl(character.front()) ? escaped(character.front()) : std::string(character);
+    }
+}
+
 std::string quoted(std::string_view value)
 {
     std::string result = "\"";
-    for (const char c : value) {
-        if (c == '"' || c == '\\') {
-            result += '\\';
-        }
-        if (c == '\n') {
-            result += "\\n";
-        } else if (c == '\r') {
-            result += "\\r";
-        } else {
-            result += c;
-        }
+    while (!value.empty()) {
+        const std::size_t length = utf8CharacterBytes(value);
+        result += length > 0 ? quotedCharacter(value.substr(0, length)) : escaped(value.front());
+        value.remove_prefix(std::max<std::size_t>(length, 1));
     }
     result += '"';
     return result;
 }
 
+/// Whether a value can be written as it is.
+bool isPlain(std::string_view value)
+{
+    if (value.empty() || value.find_first_of(NeedsQuotes) != std::string_view::npos
+        || std::any_of(value.begin(), value.end(), isControl)) {
+        return false;
+    }
+    while (!value.empty()) {
+        const std::size_t length = utf8CharacterBytes(value);
+        if (length == 0) {
+            return false;
+        }
+        value.remove_prefix(length);
+    }
+    return true;
+}
+
+/// Cuts the line to so many bytes and ends it, between two characters.
+void cutLine(std::string *line, std::size_t most)
+{
+    std::size_t end = most - 1;
+    while (end > 0 && (static_cast<unsigned char>((*line)[end]) & 0xc0U) == 0x80U) {
+        --end;
+    }
+    line->resize(end);
+    *line += '\n';
+}
+
 /// Silent until initializeLog: a program without a log must not write complaints about it.
 log4cplus::Logger silentRoot()
 {
@@ -99,8 +154,7 @@
         layout->formatAndAppend(text, event);
         std::string line = text.str();
         if (line.size() > PIPE_BUF) {
-            line.resize(PIPE_BUF - 1);
-            line += '\n';
+            cutLine(&line, PIPE_BUF);
         }
         pollfd output{STDOUT_FILENO, POLLOUT, 0};
         const bool hasRoom = poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
@@ -165,8 +219,10 @@
 
 LogEvent &LogEvent::field(std::string_view key, std::string_view value)
 {
-    const bool plain = !value.empty() && value.find_first_of(NeedsQuotes) == std::string_view::npos;
-    return raw(key, plain ? std::string(value) : quoted(value));
+    if (!m_enabled) {
+        return *this;
+    }
+    return raw(key, isPlain(value) ? std::string(value) : quoted(value));
 }
 
 LogEvent &LogEvent::field(std::string_view key, const char *value)
--- a/tests/integration/platform_odd_entries.py
+++ b/tests/integration/platform_odd_entries.py
@@ -33,7 +33,7 @@
 FLAT_ENTRIES = [*(entry({name: value}) for name in ("service", "address", "zone", "slots", "state", "coldRemainingMs", "sequence",
                                                     "models", "version") for value in NUMBERS + OTHER_TYPES),
                 *(entry(address=address) for address in ADDRESSES), *OTHER_TYPES, bytes(range(256)), b"\0" * 100,
-                entry(models=[1, 2]), entry(models=[{"name": "m", "version": -5}]), entry(service="a\nevent=x")]
+                entry(models=[1, 2]), entry(models=[{"name": "m", "version": -5}]), entry(service="a\nevent=x"), entry({"zone": b'"\xff\xfe"'})]
 
 
 class PlatformOddEntries(platform_fleet.FleetTest):
@@ -67,6 +67,7 @@
         self.play(DEEP_ENTRIES)
 
     def test_nodes_live_on_among_odd_numbers_addresses_and_types(self):
+        """All lines of the log are text, too: harness reads them as UTF-8."""
         self.play(FLAT_ENTRIES)
 
     def test_nodes_live_on_among_deeply_nested_records_of_the_operator_and_of_nodes(self):
