One odd record does not end a listing

What was seen: where the last key of a listing's page held a space, `&`, `#`, `%` or a line end, where one value was no base64, one item of another type, or one key no UTF-8, the whole listing failed, at each node and each time: a node that starts never gets ready, a node that has to list again stops following.

Cause: the key stood in the call for the next page as it was, the whole page failed for one item, and the parser refuses all of a text that holds one byte of no UTF-8. Class: one record's fault taken for a fault of all that is read with it.

Conclusion: what one record holds decides over that record alone.

--- a/tests/integration/platform_odd_entries.py
+++ b/tests/integration/platform_odd_entries.py
@@ -1,10 +1,14 @@
 """Odd entries that another writer leaves among those of the servers, and odd answers of engines: nodes as real processes."""
 
+import base64
 import json
+import re
+import urllib.parse
 
 import harness
 import platform_engine
 import platform_fleet
+import platform_store
 
 LEVELS = 100_000  # of nested lists; sound JSON below the most bytes of a record
 DEEP = b"[" * LEVELS + b"]" * LEVELS
@@ -36,6 +40,32 @@
                 entry(models=[1, 2]), entry(models=[{"name": "m", "version": -5}]), entry(service="a\nevent=x"), entry({"zone": b'"\xff\xfe"'})]
 
 
+ODD_KEYS = [b"", b" ", b"odd one", b"odd&after=zz", b"odd#1", b"odd%41", b"odd%", b"odd\r\nX: y", b"odd+1", "odd\u00e9".encode(),
+            b"odd/../x?y=1", b"odd=", b"odd\0", b'odd"\\', b"odd\x7f", b"odd\xff\xfe", b"odd\xfe", b"k" * 255]
+ODD_ITEMS = [7, None, [], {"key": "odd-a", "value": "!!", "offset": 0}, {"key": 3, "value": "", "offset": 0}, {"key": "odd-b"},
+             {"key": "odd-c", "value": "", "offset": "x"}, {"value": "", "offset": 0}]
+
+
+class OddStore(platform_store.Store):
+    """Lists keys in the order of their bytes, which are no text, perhaps; its pages hold odd items, too."""
+
+    raw = False  # bytes that are no text stand in the page as they are
+
+    def on_newest(self, call, query):
+        latest = {}
+        with self.changed:
+            for offset, record in enumerate(self.topics.get(query["topic"], [])):
+                latest[record[1:1 + record[0]]] = (record[1 + record[0]:], offset)
+            end = len(self.topics.get(query["topic"], []))
+        after = re.search("[?&]after=([^&]*)", call.path)
+        after = urllib.parse.unquote_to_bytes(after.group(1)) if after else None
+        keys = sorted(key for key in latest if latest[key][0] and (after is None or key > after))
+        page = [{"key": key.decode(errors="surrogateescape" if self.raw else "replace"),
+                 "value": base64.b64encode(latest[key][0]).decode(), "offset": latest[key][1]} for key in keys[:self.page_items]]
+        body = {"items": ODD_ITEMS + page, "hasMore": len(page) < len(keys), "end": end}
+        self.answer(call, 200, json.dumps(body, ensure_ascii=False).encode(errors="surrogateescape"))
+
+
 class PlatformOddEntries(platform_fleet.FleetTest):
     def write(self, values, name="odd", topic="keyed.servers"):
         for number, value in enumerate(values):
@@ -45,6 +75,7 @@
     def play(self, values):
         """Two nodes start among such entries, further ones come, then a server joins and requests are served."""
         self.fleet.engine("app-1", service="app")
+        self.fleet.store.page_items = 20
         self.write(values, "before")
         nodes = [self.fleet.node(f"n{i}") for i in range(2)]
         for node in nodes:
@@ -96,6 +127,37 @@
         self.check_follows(nodes)
 
 
+class PlatformOddListings(platform_fleet.FleetTest):
+    """Listings in small pages, in which there are odd records."""
+
+    raw = False
+
+    def setUp(self):
+        harness.ClusterTest.setUp(self)
+        store = OddStore()
+        store.raw = self.raw
+        self.fleet = platform_fleet.Fleet(self.cluster, store)
+        self.addCleanup(self.fleet.close)
+
+    def test_nodes_list_the_servers_behind_odd_keys(self):
+        """The next page is asked for behind the last key of this one; one that garbles the call, or that JSON cannot hold, ends
+        the listing of every node, which then never gets ready."""
+        for key in ODD_KEYS:
+            self.fleet.store.append("keyed.servers", bytes([len(key)]) + key + entry())
+        self.fleet.beating = False
+        first, last = (self.fleet.engine(name, service="app") for name in ("app-1", "zz-last"))
+        for engine in (first, last):
+            self.fleet.store.put("keyed.servers", engine.name, engine.entry())
+        for size in (3, 4, 5, 7):  # other keys are the last of a page
+            self.fleet.store.page_items = size
+            node = self.fleet.ready_node(f"n{size}")
+            self.assertNotIn("listing_page_repeated", node.log_text())
+
+
+class PlatformOddRawListings(PlatformOddListings):
+    raw = True
+
+
 class OddReports(platform_engine.Engine):
     """Reports hold a deeply nested field."""
 
