No entry of the servers adds lines to the calls of nodes

What was seen: an entry under a key with a line end was taken for a server. Its id stands in the head of calls that name the server they are meant for, so that `/report` at its address carried a header that another writer had written; a whole call could follow. An address of the form [fe80::1%NAME]:80 was kept with any bytes as NAME, and stands in the Host header.

Cause: keys and addresses are checked for what they mean, not for what they are written into. Class: bytes from outside that are copied into a line protocol as they are (the listing's `after=` was another).

Conclusion: what another writer writes into an entry stays a value.

--- a/src/vanilladyke/app/records_test.cpp
+++ b/src/vanilladyke/app/records_test.cpp
@@ -32,5 +32,20 @@
     EXPECT_FALSE(decodeNewest(R"({"items":7,"end":9})"));
 }
 
+// What an entry holds stands in heads of calls; a line end would add lines to them.
+TEST(Records, NeitherIdNorAddressOfAnEntryHoldsALineEnd)
+{
+    const std::string scoped =
+            R"({"service":"a","state":"ready","address":"[fe80::1%x\r\nInjected: 1]:80"})";
+    const auto entry = decodeBackend("a", scoped);
+    EXPECT_TRUE(!entry || entry->endpoint.str().find('\r') == std::string::npos);
+    for (const std::string id : {"", "a\r\nb", " a", "a ", "a\x7f"}) {
+        EXPECT_FALSE(isServerId(id)) << id;
+    }
+    for (const std::string id : {"i-7f3a91c2", "odd one", "odd\u00e9", "\xff"}) {
+        EXPECT_TRUE(isServerId(id)) << id;
+    }
+}
+
 } // namespace
 } // namespace vanilladyke::platform
--- a/src/vanilladyke/model/json_reader.cpp
+++ b/src/vanilladyke/model/json_reader.cpp
@@ -250,7 +250,9 @@
         host = host.substr(1, host.size() - 2);
     }
     boost::system::error_code error;
-    boost::asio::ip::make_address(host, error);
+    // The number is kept as the library writes it, since it takes any bytes for an interface's
+    // name.
+    host = boost::asio::ip::make_address(host, error).to_string();
     const std::string_view port = text.substr(colon + 1);
     std::uint16_t number = 0;
     const auto parsed = std::from_chars(port.data(), port.data() + port.size(), number);
--- a/tests/integration/platform_odd_entries.py
+++ b/tests/integration/platform_odd_entries.py
@@ -126,6 +126,18 @@
         harness.wait_until(lambda: odd.asked >= 2 and sound.version == 2, "both were asked, and the sound one is ordered")
         self.check_follows(nodes)
 
+    def test_no_key_of_an_entry_adds_lines_to_calls(self):
+        """A call names the server that it is meant for; a key with a line end would put headers, or a call of its own, behind."""
+        odd, sound = OddNames("odd\r\nInjected: 1"), self.fleet.engine("llm-1")
+        self.addCleanup(odd.close)
+        self.fleet.engine("app-1", service="app")
+        self.fleet.store.put("keyed.servers", odd.name, odd.entry())
+        nodes = [self.fleet.ready_node(f"n{i}") for i in range(2)]
+        self.fleet.name_weights(2)
+        harness.wait_until(lambda: sound.version == 2, "the sound one is ordered")
+        self.check_follows(nodes)
+        self.assertEqual(odd.calls, [])
+
 
 class PlatformOddListings(platform_fleet.FleetTest):
     """Listings in small pages, in which there are odd records."""
@@ -158,6 +170,18 @@
     raw = True
 
 
+class OddNames(platform_engine.Engine):
+    """Notes what it is asked."""
+
+    def __init__(self, name):
+        super().__init__(name)
+        self.calls = []
+
+    def handle(self, call):
+        self.calls.append((call.path, dict(call.headers)))
+        super().handle(call)
+
+
 class OddReports(platform_engine.Engine):
     """Reports hold a deeply nested field."""
 
