--- a/src/vanilladyke/model/json_reader.cpp
+++ b/src/vanilladyke/model/json_reader.cpp
@@ -1,5 +1,7 @@
 #include "vanilladyke/model/json_reader.hpp"
 
+#include "vanilladyke/model/foreign_json.hpp"
+
 #include <boost/asio/ip/address.hpp>
 
 #include <algorithm>
@@ -226,7 +228,7 @@
 nlohmann::json parseJsonObject(std::string_view text, std::vector<FieldError> *errors)
 {
     try {
-        nlohmann::json parsed = nlohmann::json::parse(text, nullptr, true, true);
+        nlohmann::json parsed = parseForeignJson(text, JsonComments::Skipped);
         if (parsed.is_object()) {
             return parsed;
         }
@@ -248,7 +250,9 @@
         host = host.substr(1, host.size() - 2);
     }
     boost::system::error_code error;
-    boost::asio::ip::make_address(host, error);
+    // The number is kept as the library writes it, since it takes any bytes for an interface's
+    // name.
+    host = boost::asio::ip::make_address(host, error).to_string();
     const std::string_view port = text.substr(colon + 1);
     std::uint16_t number = 0;
     const auto parsed = std::from_chars(port.data(), port.data() + port.size(), number);
