A stream that ends with its connection is not complete before its first event

Callers saw a 200 whose body was empty and framed as complete: the server of a stream without length or chunks had ended after its answer's head. Where the stream went on at another server, such a head alone ended it as complete, before its last event.

Cause: an orderly close counts as the end of an answer without length or chunks, and the kernel closes the connections of a process that ends in order, too. A stream that ended inside an event was already taken for broken; one that ended before its first event was not. Class: an absence is read as knowledge.

Change: nothing but a connection's end, and no whole event, is a lost try, of a stream that begins or goes on.

Conclusion: a stream that ends in order between two events still can't be told from a complete one.

--- a/include/vanilladyke/traffic/backend_try.hpp
+++ b/include/vanilladyke/traffic/backend_try.hpp
@@ -122,7 +122,8 @@
     void beginHead();
     void write();
     [[nodiscard]] asio::awaitable<bool> readCompleteBody(std::string *out);
-    /// Reads up to the end of the stream's first event. @return false if there is none
+    /// Reads up to the end of the stream's first event.
+    /// @return false if there is none and nothing but the connection's end marks the stream's end
     [[nodiscard]] asio::awaitable<bool> readFirstEvent();
     /// Counts the buffered body among those of all tries. @return false if it has to be given up
     [[nodiscard]] bool fitsIntoMemory();
--- a/src/vanilladyke/traffic/backend_try.cpp
+++ b/src/vanilladyke/traffic/backend_try.cpp
@@ -434,7 +434,8 @@
             co_return false;
         }
     }
-    co_return true;
+    // A server that ends after its head closes the connection in order, too.
+    co_return hasWholeEvent(m_body) || !endsWithConnection();
 }
 
 void BackendTry::release()
