A call that is given up resets its connection: no order arrives after another holder's

Seen: an engine got an order with a lower fence 0.5 to 0.9 s after one of the next holder of the lease. The first one was on its way when its sender was cut off, and its sender gave it up after 0.5 s. Cause: HttpClient closed the socket of a call without an answer in order, so that the kernel went on to deliver what it held. The end of a call at its caller was taken for the end of the call. Requests of callers were reset already (BackendTry::abort), calls of the control side were not. The proxy of the tests can hold a link from the first piece of a request that contains a text. Not covered: a process that stands still while its link is cut resets nothing until it goes on; calls of the own interface (platform/http_call, gateway/) are still closed in order.

--- a/include/vanilladyke/traffic/backend_pool.hpp
+++ b/include/vanilladyke/traffic/backend_pool.hpp
@@ -32,8 +32,6 @@
     ~BackendConnection();
 
     void close();
-    /// @brief Has close() reset the connection: what the peer's host has not received is lost.
-    void discardUnsentData();
 
     /// A head, or the frame of a chunk, has to end within so many bytes. The parser would otherwise
     /// go on to read an endless one into memory.
--- a/src/vanilladyke/traffic/backend_pool.cpp
+++ b/src/vanilladyke/traffic/backend_pool.cpp
@@ -32,12 +32,6 @@
     socket.close(ignored);
 }
 
-void BackendConnection::discardUnsentData()
-{
-    ErrorCode ignored;
-    socket.set_option(asio::socket_base::linger(true, 0), ignored);
-}
-
 BackendPool::BackendPool(asio::io_context &context, Ticker &ticker)
     : m_context(context)
     , m_ticker(ticker)
--- a/src/vanilladyke/traffic/backend_try.cpp
+++ b/src/vanilladyke/traffic/backend_try.cpp
@@ -3,6 +3,7 @@
 #include "vanilladyke/base/log.hpp"
 #include "vanilladyke/traffic/event_splitter.hpp"
 #include "vanilladyke/traffic/peer_close.hpp"
+#include "vanilladyke/traffic/reset_on_close.hpp"
 
 #include <boost/beast/http/read.hpp>
 
@@ -458,7 +459,7 @@
             m_unackedAtAbort = unacknowledgedBytes(m_connection->socket);
             // Closed in order, the kernel would still deliver what a link holds back, and the
             // server would run the request long after it was withdrawn.
-            m_connection->discardUnsentData();
+            setResetOnClose(m_connection->socket, true);
         }
     }
     close();
--- a/tests/standins/fault_proxy.py
+++ b/tests/standins/fault_proxy.py
@@ -13,6 +13,7 @@
         "freeze_new": bool      connections from now on carry nothing
         "hold": bool            bytes wait until this ends, and are then carried on; those of an end that has reset its
                                 connection meanwhile are lost
+        "hold_on": TEXT         the same, from the first piece of a request on that contains the text
         "hang_new": bool        the opening packets of new connections get no answer
         "break_open": bool      reset all connections that are open now
         "delay_ms": N           hold back every piece of an answer
@@ -36,7 +37,7 @@
 
 def clean_faults():
     return {"refuse": False, "reset": False, "cut_request_at": None, "cut_answer_at": None, "lose_answers": 0,
-            "freeze": False, "freeze_new": False, "hang_new": False, "hold": False, "delay_ms": 0, "duplicate": False}
+            "freeze": False, "freeze_new": False, "hang_new": False, "hold": False, "hold_on": None, "delay_ms": 0, "duplicate": False}
 
 
 def reset(writer):
@@ -83,6 +84,8 @@
             data = await reader.read(PIECE)
             if self.frozen:
                 await self.thawed.wait()
+            if not answering and self.link.faults["hold_on"] and self.link.faults["hold_on"].encode() in data:
+                self.link.flowing.clear()
             await self.link.flowing.wait()
             if reader.exception():
                 self.break_off()
