Each record of the lease names the orders of all holders within the gap

Seen: nodes that were stopped in turn, or killed after a claim, ordered one engine 1.2 to 2.8 s apart with a required gap of 3 s. Cause: a record of the lease named what its writer had ordered. What the writer let rest for a holder before it stood only in its memory: once its record was the last of the log, those engines counted as ordered by nobody. An absence was read as knowledge. Change: OrderLease keeps the time of each holder's last order to each engine, from its own orders and from every record that it reads, and writes all that lie within gap + margin into each claim, renewal and release: engine, holder, age. Ages count from when a record was first read. A process that claims what an earlier process of its host held writes an order to any engine, as the last orders of that one stand nowhere. An engine's last order by the own host doesn't let it rest. The random walk of the lease wrote the engine into each record, as no node did; it now records orders as nodes do, and its nodes are stopped, killed and started again.

--- a/include/vanilladyke/node/weights_controller.hpp
+++ b/include/vanilladyke/node/weights_controller.hpp
@@ -103,7 +103,7 @@
     /// Whether the delay of this node's rank has passed and it has read the claims of lower ranks.
     [[nodiscard]] bool mayClaim(TimePoint now);
     void applyLeaseState(const LeaseLogState &state);
-    [[nodiscard]] LeaseUpdate leaseUpdate(TimePoint now) const;
+    [[nodiscard]] std::vector<WeightsAge> weightsAges(TimePoint now) const;
     void startLoads(TimePoint now);
     void stepLoad(const EngineId &id, Load &load, TimePoint now);
     void reportReceived(const EngineId &id, const std::optional<EngineReport> &report);
@@ -131,8 +131,6 @@
     std::map<ModelId, WeightsRollout> m_rollouts;
     std::map<EngineId, Load> m_loads;
     std::map<std::pair<EngineId, ModelId>, std::uint64_t> m_observed;
-    std::map<EngineId, TimePoint> m_orderedAt; ///< last order from this node to the engine
-    Duration m_gap;
     int m_pendingOrders = 0; ///< without an answer yet
     bool m_stopping = false;
     std::optional<std::size_t> m_rank = 0;  ///< among the standby nodes
--- a/include/vanilladyke/policy/order_lease.hpp
+++ b/include/vanilladyke/policy/order_lease.hpp
@@ -5,8 +5,10 @@
 #include "vanilladyke/policy/store_era.hpp"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 /// The lease for sending orders to engines: one holder at a time, agreed on through a log with
@@ -31,9 +33,12 @@
 /// go back.
 ///
 /// A holder that has no more orders to send, or that shuts down, releases the lease, so that its
-/// successor need not wait for the time-out. It sends no more orders, and its last record lists the
-/// engines that it ordered within the gap. Only these engines get no order for the gap after the
-/// release was read.
+/// successor need not wait for the time-out. It sends no more orders. Each record lists the orders
+/// of all holders within gap + margin, with their ages, so that the last record of the log tells
+/// any process which engines to leave alone until then, however many holders came and went since.
+/// How long a record has been in the log is unknown: its ages count from when it was first read.
+/// A process that claims what an earlier process of its host held doesn't know what that one
+/// ordered after its last record: it lists an order to any engine.
 namespace vanilladyke {
 
 /// @brief Lower bound of the time since new weights were announced.
@@ -46,10 +51,20 @@
     bool operator==(const WeightsAge &) const = default;
 };
 
+/// @brief An order that was sent before its record.
+struct PastOrder
+{
+    EngineId engine;    ///< empty: it may have been any engine
+    std::string holder; ///< host; empty: unknown
+    Duration age{};     ///< lower bound
+
+    bool operator==(const PastOrder &) const = default;
+};
+
 /// @brief State that a holder writes with each of its records.
 struct LeaseUpdate
 {
-    std::vector<EngineId> ordered;   ///< engines that were sent an order within the gap
+    std::vector<PastOrder> orders;   ///< by any holder, within gap + margin
     std::vector<WeightsAge> weights; ///< for nodes that started after the announcement
 
     bool operator==(const LeaseUpdate &) const = default;
@@ -100,10 +115,13 @@
     /// @param needsLease claims or renews the lease; if false, a held lease is released, and no
     /// order may be in progress
     /// @param claimDelay added before a claim, so that nodes don't claim at the same time
-    /// @param update written with the record
+    /// @param weights written with the record
     [[nodiscard]] std::optional<LeaseAppend> nextAppend(bool needsLease, Duration claimDelay,
-                                                        const LeaseUpdate &update, TimePoint now);
-    /// @brief Whether a former holder may have sent the engine an order within the gap.
+                                                        std::vector<WeightsAge> weights,
+                                                        TimePoint now);
+    /// @brief This node has sent the engine an order, or learned the result of one.
+    void orderSent(const EngineId &engine, TimePoint now) { noteOrder(engine, m_self, now); }
+    /// @brief Whether another holder may have sent the engine an order within the gap.
     [[nodiscard]] bool isInHandoverGap(const EngineId &engine, TimePoint now) const;
     /// @brief The last record that was read or appended.
     [[nodiscard]] const std::optional<LeaseRecord> &last() const { return m_last; }
@@ -127,6 +145,12 @@
     void hold(std::uint64_t end);
     /// Whether a holder of an older era may still send orders.
     [[nodiscard]] bool mayBeHeldFromBefore(TimePoint now) const;
+    void noteOrder(const EngineId &engine, const std::string &holder, TimePoint at);
+    /// Takes the orders that the last record tells of.
+    void noteOrdersOfLast();
+    [[nodiscard]] bool isWithinGap(TimePoint orderedAt, TimePoint now) const;
+    /// All orders that are within the gap; older ones are forgotten.
+    [[nodiscard]] std::vector<PastOrder> recentOrders(TimePoint now);
 
     std::string m_self;
     std::uint64_t m_incarnation;
@@ -144,8 +168,8 @@
     std::uint64_t m_appendEra = 0; ///< in which the log was read for it
     std::optional<TimePoint> m_holdsUntil;
     std::uint64_t m_fence = 0;
-    std::vector<EngineId> m_recentlyOrdered; ///< by a former holder that released the lease
-    TimePoint m_handoverUntil;
+    /// Upper bound of the time of a holder's last order to an engine; see PastOrder.
+    std::map<std::pair<EngineId, std::string>, TimePoint> m_orderedAt;
 };
 
 } // namespace vanilladyke
--- a/src/vanilladyke/node/weights_controller.cpp
+++ b/src/vanilladyke/node/weights_controller.cpp
@@ -30,7 +30,6 @@
     , m_clock(std::move(clock))
     , m_rolloutTerms(rolloutTerms)
     , m_claimDelay(spanOfSeconds(uniform(random) * MaxClaimDelaySeconds))
-    , m_gap(terms.gap + terms.margin)
 {}
 
 void WeightsController::stop()
@@ -38,20 +37,15 @@
     m_stopping = true;
 }
 
-LeaseUpdate WeightsController::leaseUpdate(TimePoint now) const
+std::vector<WeightsAge> WeightsController::weightsAges(TimePoint now) const
 {
-    LeaseUpdate update;
-    for (const auto &[engine, at] : m_orderedAt) {
-        if (now - at < m_gap) {
-            update.ordered.push_back(engine);
-        }
-    }
+    std::vector<WeightsAge> result;
     for (const auto &[model, rollout] : m_rollouts) {
         if (rollout.target() > 0) {
-            update.weights.push_back({model, rollout.target(), now - rollout.announcedAt()});
+            result.push_back({model, rollout.target(), now - rollout.announcedAt()});
         }
     }
-    return update;
+    return result;
 }
 
 void WeightsController::weightsAnnounced(const ModelId &model, std::uint64_t version, TimePoint now)
@@ -195,7 +189,7 @@
     if (needsLease && !mayClaim(now)) {
         return;
     }
-    if (const auto append = m_lease.nextAppend(needsLease, m_claimDelay, leaseUpdate(now), now)) {
+    if (const auto append = m_lease.nextAppend(needsLease, m_claimDelay, weightsAges(now), now)) {
         m_calls.count(StoreCall::Append, StoreTopic::Lease, CallCause::Rollout);
         m_log.append(*append, [this](const LeaseAppendAnswer &answer) { appended(answer); });
         return;
@@ -216,7 +210,8 @@
                 .field("era", answer.era)
                 .field("fence", m_lease.fence())
                 .field("holds", m_lease.mayOrder(now))
-                .field("release", m_lease.last() && m_lease.last()->isRelease);
+                .field("release", m_lease.last() && m_lease.last()->isRelease)
+                .field("past_orders", m_lease.last() ? m_lease.last()->update.orders.size() : 0);
         return;
     }
     LogEvent("lease_append_failed").field("known", answer.result == LeaseAppendResult::Refused);
@@ -402,7 +397,7 @@
     load.version = rollout.target();
     rollout.orderSent(engine.id, m_clock());
     announce(engine.id, load, rollout.orderTime());
-    m_orderedAt[engine.id] = m_clock();
+    m_lease.orderSent(engine.id, m_clock());
     ++m_pendingOrders;
     const WeightsOrder order{load.model, load.version, m_self, m_lease.fence(), accepted};
     LogEvent("weights_order")
@@ -418,7 +413,7 @@
 void WeightsController::orderAnswered(const EngineId &id, OrderResult end)
 {
     --m_pendingOrders;
-    m_orderedAt[id] = m_clock();
+    m_lease.orderSent(id, m_clock());
     const auto found = m_loads.find(id);
     if (found == m_loads.end()) {
         return;
--- a/src/vanilladyke/policy/order_lease.cpp
+++ b/src/vanilladyke/policy/order_lease.cpp
@@ -54,10 +54,7 @@
         hold(end);
     }
     m_uncertainAppend.reset();
-    if (last && last->isRelease && last->holder != m_self) {
-        m_recentlyOrdered = last->update.ordered;
-        m_handoverUntil = m_lastSeenAt + m_terms.gap + m_terms.margin;
-    }
+    noteOrdersOfLast();
     const bool isOthers = last && (last->holder != m_self || last->incarnation != m_incarnation);
     // A record of an older copy is older than this node's claim, which the copy lacks.
     if (isOthers && m_heldEra == m_era.era) {
@@ -65,8 +62,42 @@
     }
 }
 
+void OrderLease::noteOrder(const EngineId &engine, const std::string &holder, TimePoint at)
+{
+    TimePoint &known = m_orderedAt[{engine, holder}];
+    known = std::max(known, at);
+}
+
+void OrderLease::noteOrdersOfLast()
+{
+    if (!m_last || (m_last->holder == m_self && m_last->incarnation == m_incarnation)) {
+        return;
+    }
+    for (const PastOrder &each : m_last->update.orders) {
+        noteOrder(each.engine, each.holder, m_lastSeenAt - each.age);
+    }
+    if (m_last->holder == m_self && !m_last->isRelease) {
+        noteOrder(EngineId(), m_self, m_lastSeenAt);
+    }
+}
+
+bool OrderLease::isWithinGap(TimePoint orderedAt, TimePoint now) const
+{
+    return now - orderedAt < m_terms.gap + m_terms.margin;
+}
+
+std::vector<PastOrder> OrderLease::recentOrders(TimePoint now)
+{
+    std::erase_if(m_orderedAt, [&](const auto &item) { return !isWithinGap(item.second, now); });
+    std::vector<PastOrder> result;
+    for (const auto &[order, at] : m_orderedAt) {
+        result.push_back({order.first, order.second, now - at});
+    }
+    return result;
+}
+
 std::optional<LeaseAppend> OrderLease::nextAppend(bool needsLease, Duration claimDelay,
-                                                  const LeaseUpdate &update, TimePoint now)
+                                                  std::vector<WeightsAge> weights, TimePoint now)
 {
     if (!m_isLogCurrent || m_pendingAppend) {
         return std::nullopt;
@@ -88,7 +119,9 @@
     if (!isOurs && !isHeld && !mayClaim) {
         return std::nullopt;
     }
-    m_pendingAppend = LeaseAppend{m_end, {m_self, m_incarnation, ++m_attempt, !needsLease, update}};
+    LeaseUpdate update{recentOrders(now), std::move(weights)};
+    m_pendingAppend = LeaseAppend{
+            m_end, {m_self, m_incarnation, ++m_attempt, !needsLease, std::move(update)}};
     m_sentAt = now;
     m_appendEra = m_era.era;
     if (!needsLease) {
@@ -118,9 +151,11 @@
 
 bool OrderLease::isInHandoverGap(const EngineId &engine, TimePoint now) const
 {
-    return now < m_handoverUntil
-           && std::find(m_recentlyOrdered.begin(), m_recentlyOrdered.end(), engine)
-                      != m_recentlyOrdered.end();
+    return std::any_of(m_orderedAt.begin(), m_orderedAt.end(), [&](const auto &item) {
+        const auto &[ordered, holder] = item.first;
+        const bool concerns = ordered == engine || ordered.empty();
+        return concerns && holder != m_self && isWithinGap(item.second, now);
+    });
 }
 
 void OrderLease::appendUnresolved()
--- a/src/vanilladyke/policy/order_lease_test.cpp
+++ b/src/vanilladyke/policy/order_lease_test.cpp
@@ -53,7 +53,7 @@
 {
     OrderLease lease("b", 1);
     LeaseRecord last = record("a", 4, true);
-    last.update.ordered = {EngineId("e")};
+    last.update.orders = {{EngineId("e"), "a", Duration::zero()}};
     lease.logRead(5, last, at(0));
     ASSERT_TRUE(lease.nextAppend(true, milliseconds(0), {}, at(10)));
     lease.appended(6, at(15));
@@ -63,6 +63,48 @@
     EXPECT_FALSE(lease.isInHandoverGap(EngineId("e"), at(3700)));
 }
 
+// Nodes stop in turn: the second holder releases the lease before it orders. Guards against a third
+// one, or another process of the second, that orders an engine of the first within the gap.
+TEST(OrderLease, ARecordTellsOfTheOrdersOfHoldersBefore)
+{
+    OrderLease second("b", 1);
+    LeaseRecord first = record("a", 4, true);
+    first.update.orders = {{EngineId("e"), "a", milliseconds(100)}};
+    second.logRead(5, first, at(0));
+    ASSERT_TRUE(second.nextAppend(true, milliseconds(0), {}, at(0)));
+    second.appended(6, at(10));
+    const auto claim = second.last();
+    const auto release = second.nextAppend(false, milliseconds(0), {}, at(1000));
+    ASSERT_TRUE(release);
+    for (const auto &last : {claim, std::optional(release->record)}) {
+        OrderLease third("c", 1);
+        OrderLease again("b", 2);
+        for (OrderLease *each : {&third, &again}) {
+            each->logRead(7, last, at(1010));
+            EXPECT_TRUE(each->isInHandoverGap(EngineId("e"), at(3500)));
+            EXPECT_FALSE(each->isInHandoverGap(EngineId("f"), at(1010)));
+        }
+        OrderLease firstAgain("a", 2);
+        firstAgain.logRead(7, last, at(1010));
+        EXPECT_FALSE(firstAgain.isInHandoverGap(EngineId("e"), at(1010))) << "its own host's order";
+    }
+}
+
+// A holder is killed, and a new process of its host claims and releases the lease. Guards against
+// another node that orders an engine which the killed process ordered after its last record.
+TEST(OrderLease, AProcessThatStartsAgainNamesAnyEngineAsOrdered)
+{
+    OrderLease again("a", 2);
+    again.logRead(3, record("a", 9), at(0));
+    EXPECT_FALSE(again.isInHandoverGap(EngineId("e"), at(0)));
+    const auto append = again.nextAppend(true, milliseconds(0), {}, at(100));
+    ASSERT_TRUE(append);
+    OrderLease other("b", 1);
+    other.logRead(4, append->record, at(200));
+    EXPECT_TRUE(other.isInHandoverGap(EngineId("e"), at(3600)));
+    EXPECT_FALSE(other.isInHandoverGap(EngineId("e"), at(3800)));
+}
+
 TEST(OrderLease, ARestartedHolderRenewsAtOnce)
 {
     OrderLease lease("a", 2);
@@ -152,8 +194,9 @@
 }
 
 /// Random walk of a few nodes that use OrderLease over a log whose appends and answers are delayed,
-/// lost and reordered. Nodes pause between their check and their order. The log may come back from
-/// an older copy. Choices depend on the seed.
+/// lost and reordered. Nodes pause between their check and their order. Nodes are stopped, which
+/// releases the lease, or killed, and start again. The log may come back from an older copy.
+/// Choices depend on the seed.
 class LeaseRandomWalk
 {
 public:
@@ -164,7 +207,7 @@
         , m_era(lossRate > 0 ? 1 : 0)
     {
         for (const char *name : {"a", "b", "c"}) {
-            m_nodes.push_back({name, OrderLease(name, 1), {}, {}, at(0), {}});
+            m_nodes.push_back({name, OrderLease(name, 1), at(0), {}});
         }
     }
 
@@ -192,8 +235,6 @@
     {
         std::string name;
         OrderLease lease;
-        std::optional<LeaseAppend> sent;
-        std::optional<TimePoint> answeredAt; ///< the append took effect; the answer is in transit
         TimePoint pausedUntil;
         StoreEra era;
     };
@@ -246,6 +287,10 @@
             node.pausedUntil = m_now + milliseconds(uniformBelow(m_random, 9000));
             return;
         }
+        if (uniform(m_random) < RestartRate) {
+            restart(node);
+            return;
+        }
         if (node.lease.mayOrder(m_now) && !node.lease.isInHandoverGap(theEngine, m_now)) {
             order(node);
         }
@@ -256,8 +301,7 @@
             node.lease.eraKnown(node.era.view(), m_now);
         }
         const bool needsLease = uniform(m_random) < (m_lossRate > 0 ? 0.9 : 0.97);
-        if (const auto append =
-                    node.lease.nextAppend(needsLease, milliseconds(0), {{theEngine}, {}}, m_now)) {
+        if (const auto append = node.lease.nextAppend(needsLease, milliseconds(0), {}, m_now)) {
             exchange(node, *append);
         } else if (node.lease.needsRead() || !node.lease.mayOrder(m_now)) {
             node.lease.logRead(m_log.size(),
@@ -266,6 +310,18 @@
         }
     }
 
+    /// Another process of the node starts, after a stop or a kill.
+    void restart(Node &node)
+    {
+        if (m_now >= m_storeDownUntil && uniform(m_random) < 0.5) {
+            if (const auto release = node.lease.nextAppend(false, {}, {}, m_now)) {
+                exchange(node, *release);
+            }
+        }
+        node.lease = OrderLease(node.name, ++m_incarnation);
+        node.era = {};
+    }
+
     void exchange(Node &node, const LeaseAppend &append)
     {
         const double outcome = uniform(m_random);
@@ -299,14 +355,18 @@
         m_lastHolder = node.name;
         m_lastArrival = std::max(m_lastArrival, arrives);
         m_lastFence = node.lease.fence();
+        node.lease.orderSent(theEngine, m_now);
     }
 
+    static constexpr double RestartRate = 0.05;
+
     Random m_random;
     double m_lossRate;
     std::uint64_t m_era;
     TimePoint m_now = at(0);
     TimePoint m_storeDownUntil = at(0);
     std::vector<Node> m_nodes;
+    std::uint64_t m_incarnation = 1; ///< of the process that started last
     std::vector<LeaseRecord> m_log;
     std::vector<TimePoint> m_times; ///< of the records
     std::vector<Late> m_late;
--- a/tests/integration/platform_fleet.py
+++ b/tests/integration/platform_fleet.py
@@ -45,6 +45,7 @@
         self.ends_on = set()  # parts of prompts that do
         self.beating = True
         self.quota = None  # what may lie above quotas, in the settings of nodes
+        self.order_gap_ms = 1000  # in the settings of nodes
         self.first_start = False  # the nodes that are started now are the fleet's first
         self.second_sends = {"ratio": 0.2, "extra": 500, "window_ms": 1000}  # in the settings of nodes
         self.config = {
@@ -120,7 +121,7 @@
                     "peers": f"127.0.0.1:{harness.free_port()}",
                     "questions": f"127.0.0.1:{harness.free_port()}",
                     "store": f"127.0.0.1:{store_port or self.store.port}", "keys_valid_ms": keys_valid_ms,
-                    "fails_closed": True, "weights_time_ms": 15000, "order_gap_ms": 1000, "grace_ms": 8000,
+                    "fails_closed": True, "weights_time_ms": 15000, "order_gap_ms": self.order_gap_ms, "grace_ms": 8000,
                     "second_sends": self.second_sends, "first_start": self.first_start,
                     **({"quota": self.quota} if self.quota else {})}
         path = self.cluster.write(name + ".jsonc", settings)
--- a/tests/integration/platform_orders.py
+++ b/tests/integration/platform_orders.py
@@ -1,6 +1,8 @@
 """Orders of new weights while nodes and links fail: which node's orders reach an engine, and when. Nodes as real processes,
 store and engines of the stand-in."""
 
+import json
+import signal
 import time
 
 import harness
@@ -8,6 +10,7 @@
 import platform_store
 
 NODES = 3
+ORDER_GAP_SECONDS = 6.0
 
 
 class PlatformOrdersOnTheirWay(platform_fleet.FleetTest):
@@ -46,5 +49,53 @@
         self.assertNotIn(senders[0].name, holders, self.engine.orders)
 
 
+class PlatformOrdersOfNodesStoppedInTurn(platform_fleet.FleetTest):
+    ENGINES = 3
+
+    def setUp(self):
+        super().setUp()
+        self.fleet.order_gap_ms = int(ORDER_GAP_SECONDS * 1000)
+        self.engines = [self.fleet.engine(f"llm-{i}", load_seconds=0.6) for i in range(self.ENGINES)]
+        for i in range(NODES):
+            self.fleet.node(f"n{i}")
+        for node in self.fleet.nodes:
+            self.fleet.wait_ready(node, hears_others=True)
+
+    def holder(self):
+        """The node that has the lease by the last record of its log; none after a release."""
+        records = self.fleet.store.topics.get("vanilladyke.lease", [])
+        record = json.loads(records[-1]) if records else {"release": True}
+        name = None if record["release"] else record["holder"].split("@")[0]
+        return next((node for node in self.fleet.nodes if node.name == name), None)
+
+    def play(self, end_second):
+        """One node orders all engines and stops, newer weights are named, and the next holder ends in the given way."""
+        self.fleet.name_weights(2)
+        harness.wait_until(lambda: all(each.orders for each in self.engines), "all engines were ordered")
+        first = self.holder()
+        first.popen.send_signal(signal.SIGTERM)
+        self.fleet.name_weights(3)
+        harness.wait_until(lambda: self.holder() not in (None, first), "another node has the lease")
+        end_second(self.holder())
+        harness.wait_until(lambda: all(each.version == 3 for each in self.engines), "the weights are in place")
+        for each in self.engines:
+            orders = list(each.orders)
+            for (at, order), (later, following) in zip(orders, orders[1:]):
+                if order["holder"] != following["holder"]:
+                    self.assertGreaterEqual(later - at, ORDER_GAP_SECONDS, (each.name, orders))
+
+    def test_no_two_holders_order_an_engine_within_the_gap_while_nodes_are_stopped_in_turn(self):
+        """The second holder stops before it orders. Its record is the last one, and has to name the first one's engines."""
+        self.play(lambda node: node.popen.send_signal(signal.SIGTERM))
+
+    def test_no_two_holders_order_an_engine_within_the_gap_after_a_kill(self):
+        """The second holder is killed after its claim. Its new process knows only what the claim says."""
+        def kill(node):
+            node.stop(signal.SIGKILL)
+            self.fleet.restart(node)
+
+        self.play(kill)
+
+
 if __name__ == "__main__":
     harness.main()
