Servers: the order of the store's records tells a newer entry

What callers saw: requests reached an engine seconds after its leaving was acknowledged, if it had started again under its id, and unsafe ones were lost when it exited. Where another writer's entry with a huge `sequence` lay under engines' ids, they got no requests for good.

Cause: the roster ordered entries by a number in them. That number begins anew when a server starts again, and other writers choose any.

Change: each entry and each removal has its position in the store (era and offset); what is not behind the last record of its id is ignored. `born` is read as the server's start: with another one its load, limits, rests, leavings and drain mark begin anew. The count is asked only after a removal or in another era, where a record may repeat an older one. A software version or data centre that alone changed counts as a change. Nothing changes on the wire between nodes.

--- a/include/vanilladyke/model/routing.hpp
+++ b/include/vanilladyke/model/routing.hpp
@@ -3,6 +3,7 @@
 #include "vanilladyke/base/time.hpp"
 #include "vanilladyke/model/ids.hpp"
 
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -101,17 +102,29 @@
     CallerLimits limits;
 };
 
+/// @brief Place of a record among all that the platform's store accepted in a topic; later records
+/// are greater.
+struct StorePosition
+{
+    std::uint64_t era = 0; ///< of the store
+    std::uint64_t offset = 0;
+
+    auto operator<=>(const StorePosition &) const = default;
+};
+
 /// @brief A backend server as it registered itself.
 struct BackendEntry
 {
     EngineId id;
+    StorePosition position;  ///< of the record that holds this entry
+    std::uint64_t start = 0; ///< of the server, grows with each under one id; 0: not known
     ServiceId service;
     Endpoint endpoint;
     DataCentreId dataCentre;
     int slots = 1;
     std::string software; ///< version of the server's software; empty: not known
     bool isDraining = false;
-    std::uint64_t heartbeat = 0;              ///< grows with each entry that the server writes
+    std::uint64_t heartbeat = 0; ///< grows with each entry that the server writes in one start
     std::map<ModelId, std::uint64_t> weights; ///< version of each model's weights
 };
 
--- a/include/vanilladyke/node/control_plane.hpp
+++ b/include/vanilladyke/node/control_plane.hpp
@@ -55,7 +55,7 @@
     void weightsAnnounced(const ModelId &model, std::uint64_t version,
                           std::optional<Duration> age) override;
     bool backendRead(BackendEntry entry) override;
-    void backendRemoved(const EngineId &id) override;
+    void backendRemoved(const EngineId &id, StorePosition position) override;
     void backendsListed(const std::map<EngineId, bool> &present, bool mayLackEntries) override;
     void configurationProved(TimePoint sentAt) override;
     void storeFailed() override;
--- a/include/vanilladyke/node/ports.hpp
+++ b/include/vanilladyke/node/ports.hpp
@@ -33,9 +33,10 @@
     /// node's first read
     virtual void weightsAnnounced(const ModelId &model, std::uint64_t version,
                                   std::optional<Duration> age) = 0;
-    /// @return whether anything but the server's heartbeat changed
+    /// @return whether nodes that are told of changes only need the entry
     virtual bool backendRead(BackendEntry entry) = 0;
-    virtual void backendRemoved(const EngineId &id) = 0;
+    /// @param position of the record that says so
+    virtual void backendRemoved(const EngineId &id, StorePosition position) = 0;
     /// @brief The whole list was read; servers that are not in it are removed.
     /// @param mayLackEntries the store came back from an older copy, and servers write again
     virtual void backendsListed(const std::map<EngineId, bool> &present, bool mayLackEntries) = 0;
--- a/include/vanilladyke/node/record_store.hpp
+++ b/include/vanilladyke/node/record_store.hpp
@@ -18,7 +18,7 @@
 {
     std::string key;
     std::string value;        ///< empty: the key was removed
-    std::uint64_t offset = 0; ///< in the topic; only set in listings
+    std::uint64_t offset = 0; ///< in the topic, if it was read from there
 };
 
 /// @brief Why a call to the store failed.
@@ -92,8 +92,10 @@
     /// @param age upper bound of the record's age; none: unknown
     virtual void applyOperator(const KeyedRecord &record, std::optional<Duration> age,
                                StateListener &listener) const = 0;
-    /// @return whether anything but the server's heartbeat changed
-    virtual bool applyBackend(const KeyedRecord &record, StateListener &listener) const = 0;
+    /// @param era of the store in which the record's offset holds
+    /// @return whether nodes that are told of changes only need the record
+    virtual bool applyBackend(const KeyedRecord &record, std::uint64_t era,
+                              StateListener &listener) const = 0;
 };
 
 } // namespace vanilladyke
--- a/include/vanilladyke/policy/backend_roster.hpp
+++ b/include/vanilladyke/policy/backend_roster.hpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <unordered_map>
 
 /// Tracks which backend servers may get requests, from the entries that they keep in the platform's
@@ -16,8 +17,14 @@
 /// affects most entries at once: if most of them are removed within LapseWindow, soon after a
 /// failed call to the store, all of these are kept for RewriteGrace, in which running servers write
 /// again. A few removed entries take effect at once, also after a store failure, which may have
-/// affected this node alone. A server that reported that it drains never returns, nor does one that
-/// was removed with an entry that is no newer: a store that came back from an older copy lists it.
+/// affected this node alone. A start of a server that reported that it drains never returns, nor
+/// does one that was removed with an entry that is no newer: a store that came back from an older
+/// copy lists it.
+///
+/// Which of two entries of a server is newer, the order of the store's records tells: the server's
+/// own count begins anew when it starts again, and entries of other writers hold any number. The
+/// count only tells whether what follows a removal or a change of the store's era is a new
+/// statement.
 namespace vanilladyke {
 
 /// @brief The roster of one node. Pure.
@@ -35,9 +42,10 @@
 
     /// @brief Adds or updates an entry. One that is older than the recorded one is ignored.
     /// @return whether anything but the heartbeat changed
-    bool put(BackendEntry entry, TimePoint now);
+    bool put(BackendEntry entry);
     /// @brief Removes an entry that is no longer in the store. @return whether an entry was removed
-    bool remove(const EngineId &id, TimePoint now);
+    /// @param position of the record that says so; one before the recorded entry's is ignored
+    bool remove(const EngineId &id, StorePosition position, TimePoint now);
     /// @brief Records that a call to the store failed or timed out.
     void storeFailed(TimePoint now) { m_lastStoreFailure = now; }
     /// @brief Drops lapsed entries that were not written again in time. @return whether there were
@@ -68,12 +76,22 @@
         std::optional<TimePoint> dropAt; ///< set if the entry lapsed: when it is dropped
     };
 
+    /// The last that the store's records say of a server, which may have been removed since.
+    struct LastRecord
+    {
+        StorePosition position;
+        std::uint64_t start = 0;
+        std::uint64_t heartbeat = 0;
+        std::set<std::uint64_t> drained; ///< starts that reported that they drain
+    };
+
+    bool removeEntry(const EngineId &id, TimePoint now);
     [[nodiscard]] bool isLapse(TimePoint now) const;
     void restoreLapsed(TimePoint now);
 
     std::map<EngineId, TrackedEntry> m_entries;
     std::map<EngineId, std::pair<BackendEntry, TimePoint>> m_removed; ///< within LapseWindow
-    std::unordered_map<EngineId, std::uint64_t> m_lastHeartbeat;      ///< also of removed servers
+    std::unordered_map<EngineId, LastRecord> m_last;                  ///< also of removed servers
     TimePoint m_lastStoreFailure = TimePoint::min();
 };
 
--- a/include/vanilladyke/policy/engine_statements.hpp
+++ b/include/vanilladyke/policy/engine_statements.hpp
@@ -18,7 +18,8 @@
 /// a matter between the engine and one node, and not told to others.
 ///
 /// Kept apart from the listing, by the engine's id: an older listing, or one without the engine,
-/// takes nothing back. An engine that starts again has a new id and has said nothing yet.
+/// takes nothing back. An engine that starts again, under a new id or the same, has said nothing
+/// yet.
 namespace vanilladyke {
 
 /// @brief What one node tells others about an engine that leaves.
@@ -44,6 +45,8 @@
     bool leavingSaid(std::uint64_t engine, TimePoint now);
     /// @brief Applies what another node told. @return whether that is new to this node
     bool received(const LeavingUpdate &update, TimePoint now);
+    /// @brief The engine started again under its id: what it said before doesn't hold.
+    void startedAgain(std::uint64_t engine, TimePoint now);
     [[nodiscard]] bool isLeaving(std::uint64_t engine, TimePoint now) const;
     /// @brief Records that the engine turned a request of this node away and asked for rest.
     /// @return the end of its rest
@@ -64,6 +67,7 @@
 
     std::unordered_map<std::uint64_t, Leaving> m_leaving;
     std::unordered_map<std::uint64_t, TimePoint> m_restUntil;
+    std::unordered_map<std::uint64_t, TimePoint> m_startedAt; ///< of those that started again
 };
 
 } // namespace vanilladyke
--- a/src/vanilladyke/node/backends_follower.cpp
+++ b/src/vanilladyke/node/backends_follower.cpp
@@ -69,7 +69,7 @@
     std::map<EngineId, bool> present;
     for (const KeyedRecord &record : newest->items) {
         present[EngineId(record.key)] = true;
-        m_context.translator.applyBackend(record, m_context.listener);
+        m_context.translator.applyBackend(record, newest->era, m_context.listener);
     }
     // What servers wrote after an older copy was made is written again within moments.
     const bool mayLackEntries = newest->era != m_topic.era && m_topic.provedAt != TimePoint::min();
@@ -118,8 +118,12 @@
 
 void BackendsFollower::apply(std::uint64_t offset, std::string record)
 {
-    const auto keyed = m_context.translator.split(record);
-    if (keyed && m_context.translator.applyBackend(*keyed, m_context.listener)) {
+    auto keyed = m_context.translator.split(record);
+    if (!keyed) {
+        return;
+    }
+    keyed->offset = offset;
+    if (m_context.translator.applyBackend(*keyed, m_topic.era, m_context.listener)) {
         m_topic.relay.addChange(offset, std::move(record));
     }
 }
--- a/src/vanilladyke/node/control_plane.cpp
+++ b/src/vanilladyke/node/control_plane.cpp
@@ -173,21 +173,24 @@
     const EngineId id = entry.id;
     const bool isDraining = entry.isDraining;
     const std::string software = entry.software;
-    const bool isChanged = m_roster.put(std::move(entry), BootClock::now());
+    const std::uint64_t start = entry.start;
+    const bool isChanged = m_roster.put(std::move(entry));
     if (isChanged) {
         LogEvent("backend_changed")
                 .field("backend", id.str())
                 .field("draining", isDraining)
                 .field("software", software)
+                .field("start", start)
                 .field("known", m_roster.size());
         publishBackends();
     }
-    return isChanged;
+    // A server that isn't listed returns once two of its entries were seen.
+    return isChanged || m_roster.find(id) == nullptr;
 }
 
-void ControlPlane::backendRemoved(const EngineId &id)
+void ControlPlane::backendRemoved(const EngineId &id, StorePosition position)
 {
-    const bool isRemoved = m_roster.remove(id, BootClock::now());
+    const bool isRemoved = m_roster.remove(id, position, BootClock::now());
     LogEvent("backend_gone").field("backend", id.str()).field("at_once", isRemoved);
     if (isRemoved) {
         publishBackends();
--- a/src/vanilladyke/node/state_follower_fixture.hpp
+++ b/src/vanilladyke/node/state_follower_fixture.hpp
@@ -135,7 +135,8 @@
     {
         listener.weightsAnnounced(ModelId("m"), 1, age);
     }
-    bool applyBackend(const KeyedRecord &record, StateListener &listener) const override
+    bool applyBackend(const KeyedRecord &record, std::uint64_t /*era*/,
+                      StateListener &listener) const override
     {
         BackendEntry entry;
         entry.id = EngineId(record.value);
@@ -157,7 +158,7 @@
         backends.push_back(entry.id.str());
         return true;
     }
-    void backendRemoved(const EngineId &) override {}
+    void backendRemoved(const EngineId &, StorePosition) override {}
     void backendsListed(const std::map<EngineId, bool> &, bool) override {}
     void configurationProved(TimePoint at) override
     {
--- a/src/vanilladyke/node/weights_controller_test.cpp
+++ b/src/vanilladyke/node/weights_controller_test.cpp
@@ -176,7 +176,7 @@
             entry.id = idOf(i);
             entry.service = ServiceId("llm");
             entry.weights[llmModel] = 1;
-            m_roster.put(entry, m_now);
+            m_roster.put(entry);
         }
         m_controller = controller("node", m_path);
     }
--- a/src/vanilladyke/policy/backend_roster.cpp
+++ b/src/vanilladyke/policy/backend_roster.cpp
@@ -1,38 +1,61 @@
 #include "vanilladyke/policy/backend_roster.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace vanilladyke {
 
-bool BackendRoster::put(BackendEntry entry, TimePoint now)
+bool BackendRoster::put(BackendEntry entry)
 {
-    std::uint64_t &last = m_lastHeartbeat[entry.id];
-    if (entry.heartbeat < last) {
+    const auto [seen, isFirst] = m_last.try_emplace(entry.id);
+    LastRecord &last = seen->second;
+    if (!isFirst && entry.position <= last.position) {
+        return false;
+    }
+    // After a removal or in another era, the record may repeat what was written before.
+    const bool mayRepeat =
+            !isFirst && (!m_entries.contains(entry.id) || entry.position.era != last.position.era);
+    const bool isNewer =
+            std::tie(entry.start, entry.heartbeat) > std::tie(last.start, last.heartbeat);
+    last.position = entry.position;
+    last.start = entry.start;
+    last.heartbeat = entry.heartbeat;
+    if (entry.isDraining) {
+        last.drained.insert(entry.start);
+    }
+    if (mayRepeat && !isNewer) {
         return false;
     }
-    last = entry.heartbeat;
-    static_cast<void>(now);
     auto [place, isNew] = m_entries.try_emplace(entry.id);
     TrackedEntry &known = place->second;
     const BackendEntry &old = known.entry;
-    // A draining server does not return under the same id.
-    entry.isDraining = entry.isDraining || (!isNew && old.isDraining);
-    const bool changed = isNew || known.dropAt || old.isDraining != entry.isDraining
-                         || old.endpoint != entry.endpoint || old.service != entry.service
-                         || old.weights != entry.weights || old.slots != entry.slots;
+    entry.isDraining = last.drained.contains(entry.start);
+    const auto statements = [](const BackendEntry &each) {
+        return std::tie(each.start, each.isDraining, each.endpoint, each.service, each.weights,
+                        each.slots, each.software, each.dataCentre);
+    };
+    const bool changed = isNew || known.dropAt || statements(old) != statements(entry);
     known.entry = std::move(entry);
     known.dropAt.reset();
     return changed;
 }
 
-bool BackendRoster::remove(const EngineId &id, TimePoint now)
+bool BackendRoster::remove(const EngineId &id, StorePosition position, TimePoint now)
+{
+    const auto last = m_last.find(id);
+    if (last == m_last.end() || position <= last->second.position) {
+        return false;
+    }
+    last->second.position = position;
+    return removeEntry(id, now);
+}
+
+bool BackendRoster::removeEntry(const EngineId &id, TimePoint now)
 {
     const auto found = m_entries.find(id);
     if (found == m_entries.end()) {
         return false;
     }
-    std::uint64_t &last = m_lastHeartbeat[id];
-    last += last > 0 ? 1 : 0; // an entry that returns has to be newer
     if (!found->second.entry.isDraining) {
         m_removed[id] = {found->second.entry, now};
     }
@@ -87,7 +110,7 @@
     }
     bool changed = false;
     for (const EngineId &id : missing) {
-        changed = remove(id, now) || changed;
+        changed = removeEntry(id, now) || changed;
     }
     return changed;
 }
--- a/src/vanilladyke/policy/backend_tracker.cpp
+++ b/src/vanilladyke/policy/backend_tracker.cpp
@@ -22,8 +22,12 @@
     for (const BackendEntry &entry : serving) {
         State state;
         const auto known = m_states.find(entry.id);
-        if (known != m_states.end()) {
+        const bool isListed = known != m_states.end();
+        const bool isSameStart = isListed && known->second.entry.start == entry.start;
+        if (isSameStart) {
             state = std::move(known->second);
+        } else if (isListed) {
+            m_statements.startedAgain(hashOf(entry.id), now);
         }
         const std::map<ModelId, std::uint64_t> seen = std::move(state.entry.weights);
         state.entry = entry;
@@ -34,7 +38,7 @@
         state.hash = hashOf(entry.id);
         state.software = softwareKey(entry.software);
         const auto brittle = m_brittleServices.find(entry.service);
-        if (known == m_states.end() && brittle != m_brittleServices.end()) {
+        if (!isSameStart && brittle != m_brittleServices.end()) {
             state.brittle.presume(brittle->second, now);
         }
         next.emplace(entry.id, std::move(state));
--- a/src/vanilladyke/policy/engine_statements.cpp
+++ b/src/vanilladyke/policy/engine_statements.cpp
@@ -9,6 +9,8 @@
     std::erase_if(m_restUntil, [now](const auto &item) { return item.second <= now; });
     std::erase_if(m_leaving,
                   [now](const auto &item) { return now - item.second.saidAt > LeavingRetention; });
+    std::erase_if(m_startedAt,
+                  [now](const auto &item) { return now - item.second > LeavingRetention; });
 }
 
 TimePoint EngineStatements::restAsked(std::uint64_t engine, Duration rest, TimePoint now)
@@ -36,7 +38,20 @@
 bool EngineStatements::received(const LeavingUpdate &update, TimePoint now)
 {
     removeExpired(now);
-    return m_leaving.try_emplace(update.backend, Leaving{now - update.age, false}).second;
+    const TimePoint saidAt = now - update.age;
+    const auto start = m_startedAt.find(update.backend);
+    if (start != m_startedAt.end() && saidAt <= start->second) {
+        return false;
+    }
+    return m_leaving.try_emplace(update.backend, Leaving{saidAt, false}).second;
+}
+
+void EngineStatements::startedAgain(std::uint64_t engine, TimePoint now)
+{
+    removeExpired(now);
+    m_leaving.erase(engine);
+    m_restUntil.erase(engine);
+    m_startedAt[engine] = now;
 }
 
 bool EngineStatements::isLeaving(std::uint64_t engine, TimePoint now) const
--- a/src/vanilladyke/policy/engine_statements_test.cpp
+++ b/src/vanilladyke/policy/engine_statements_test.cpp
@@ -52,6 +52,20 @@
     EXPECT_EQ(chosen(m_tracker, Start + seconds(60)), "");
 }
 
+// The engine starts again under its id, and another node still tells what the start before said.
+// Guards against keeping a sound engine without requests for ten minutes.
+TEST_F(EngineStatementsTest, WhatAnEngineSaidBeforeItStartedAgainDoesNotHold)
+{
+    static_cast<void>(m_tracker.leavingObserved(EngineId("e1"), Start));
+    static_cast<void>(m_tracker.restAsked(EngineId("e1"), seconds(60), Start));
+    BackendEntry reborn = entry("e1");
+    reborn.start = 1;
+    m_tracker.setBackends({reborn}, Start + seconds(3));
+    const LeavingUpdate late{BackendTracker::hashOf(EngineId("e1")), seconds(4)};
+    EXPECT_TRUE(m_tracker.receivedLeaving({late}, Start + seconds(4)).empty());
+    EXPECT_EQ(chosen(m_tracker, Start + seconds(4)), "e1");
+}
+
 // The store comes back with a listing from before, at first without the engine.
 TEST_F(EngineStatementsTest, AnOlderListingDoesNotTakeALeavingBack)
 {
--- /dev/null
+++ b/tests/integration/platform_entries.py
@@ -0,0 +1,92 @@
+"""Entries of servers that start again under their id, and of other writers: nodes as real processes, engines of the
+stand-in."""
+
+import threading
+import time
+
+import harness
+import platform_fleet
+import platform_http
+
+DRAIN_SECONDS = 2.0
+OBSERVED_SECONDS = 2.0
+CALLERS = 6
+HOUR_OF_BEATS = 3000
+NEXT_BEAT_SECONDS = 1.0  # until the engine has written again and nodes had the time to read it
+
+
+class RebornEngine(platform_fleet.platform_engine.Engine):
+    """Names its start in its entries."""
+
+    born = 1_000
+
+    def entry(self):
+        return {**super().entry(), "born": self.born}
+
+    def start_again(self):
+        """A crash and a start that take no time, at the same address."""
+        self.born, self.beats, self.sequence = self.born + 60_000, 0, 0
+
+
+class PlatformEntries(platform_fleet.FleetTest):
+    def setUp(self):
+        super().setUp()
+        self.engines = [RebornEngine(f"app-{i}", service="app") for i in range(2)]
+        for each in self.engines:
+            each.beats = HOUR_OF_BEATS
+        self.fleet.engines.extend(self.engines)
+        self.over, self.statuses = False, []
+
+    def begin(self):
+        self.nodes = [self.fleet.ready_node(f"n{i}") for i in range(2)]
+        self.callers = [threading.Thread(target=self.call, args=(i,)) for i in range(CALLERS)]
+        self.addCleanup(self.stop_callers)
+        for each in self.callers:
+            each.start()
+
+    def stop_callers(self):
+        self.over = True
+        for each in self.callers:
+            each.join()
+
+    def call(self, index):
+        number = 0
+        while not self.over:
+            number += 1
+            self.statuses.append(self.fleet.ask(self.nodes[index % 2], "/call/x", f"c-{index}-{number}")[0])
+            time.sleep(0.02)
+
+    @staticmethod
+    def observe(seconds):
+        end = time.monotonic() + seconds
+        harness.wait_until(lambda: time.monotonic() > end, "observed")
+
+    def test_an_engine_that_started_again_under_its_id_leaves(self):
+        """Its count of entries begins anew, so that its draining looks like an old entry, and requests go on to it."""
+        self.begin()
+        leaver = self.engines[0]
+        leaver.start_again()
+        self.observe(1.0)
+        leaver.state = "draining"
+        self.fleet.store.put("keyed.servers", leaver.name, leaver.entry())
+        acknowledged = time.monotonic()
+        self.observe(DRAIN_SECONDS + OBSERVED_SECONDS)
+        self.assertGreater(len(leaver.requests), 10)
+        self.assertEqual([at for at, _ in list(leaver.requests) if at > acknowledged + DRAIN_SECONDS], [])
+
+    def test_an_entry_of_another_writer_with_a_huge_sequence_hides_no_engine(self):
+        """It lies under an engine's id, and the engine goes on writing its own with lower numbers."""
+        self.begin()
+        for engine in self.engines:
+            self.fleet.store.put("keyed.servers", engine.name,
+                                 {**engine.entry(), "service": "other", "sequence": 2 ** 64 - 1})
+        self.observe(DRAIN_SECONDS + NEXT_BEAT_SECONDS)
+        before = len(self.statuses)
+        self.observe(OBSERVED_SECONDS)
+        after = self.statuses[before:]
+        self.assertGreater(len(after), 20)
+        self.assertEqual(after.count(200), len(after), after)
+
+
+if __name__ == "__main__":
+    harness.main()
