--- a/src/vanilladyke/node/state_follower_fixture.hpp
+++ b/src/vanilladyke/node/state_follower_fixture.hpp
@@ -136,7 +136,8 @@
     {
         listener.weightsAnnounced(ModelId("m"), 1, age);
     }
-    bool applyBackend(const KeyedRecord &record, StateListener &listener) const override
+    bool applyBackend(const KeyedRecord &record, std::uint64_t /*era*/,
+                      StateListener &listener) const override
     {
         BackendEntry entry;
         entry.id = EngineId(record.value);
@@ -158,7 +159,7 @@
         backends.push_back(entry.id.str());
         return true;
     }
-    void backendRemoved(const EngineId &) override {}
+    void backendRemoved(const EngineId &, StorePosition) override {}
     void backendsListed(const std::map<EngineId, bool> &, bool) override {}
     void backendsProved(TimePoint at) override
     {
