The customers that share cached work change their salt when a customer is isolated

Callers' requests of other customers used cached parts that a customer's requests had made before a configuration isolated it, seconds after that configuration was in force.

Cause: only the isolated customer's salt changed. The others kept theirs, under which its parts lay. Class: a statement about one customer is one about all that shared with it.

Change: RouteTable::cacheGroup() names the group of customers that share. An isolated customer is its own group; the others' group is named after the set of isolated customers, so every node derives it from the configuration, also after a restart. Salts, part keys and the view of the kept cache use the group. With no isolated customer the texts are those of releases before, as are those of isolated customers. Cost: shared parts are read again when the set changes.

Conclusion: nodes with different configurations share nothing meanwhile, which costs reads and breaks no wall.

--- a/include/vanilladyke/policy/backend_choice.hpp
+++ b/include/vanilladyke/policy/backend_choice.hpp
@@ -73,8 +73,8 @@
 struct BackendQuery
 {
     ServiceId service;
-    ModelId model;       ///< empty for plain services
-    CustomerId isolated; ///< set if the customer shares no cached work with others
+    ModelId model;          ///< empty for plain services
+    std::string cacheGroup; ///< RouteTable::cacheGroup() of the customer
     /// The last part of the prompt that other requests may share; may be empty.
     std::string sharedPart;
     /// The part that determines the preferred engine; if empty, sharedPart. Parts with a common
@@ -97,7 +97,7 @@
 
     /// @brief Whether the shared part is expensive enough to prefer certain engines.
     [[nodiscard]] bool hasPreferredEngine() const;
-    /// @brief Hash of the shared part and of the customer that it is isolated for, if any.
+    /// @brief Hash of the shared part and of the group of customers that share it.
     [[nodiscard]] std::uint64_t partKey() const;
     /// @brief Hash from which the rendezvous order of engines is computed.
     [[nodiscard]] std::uint64_t preferenceKey() const;
--- a/include/vanilladyke/policy/kept_cache_view.hpp
+++ b/include/vanilladyke/policy/kept_cache_view.hpp
@@ -19,10 +19,10 @@
 /// them, so that together they hold all.
 namespace vanilladyke {
 
-/// @brief Namespace of cached work: one for each model and version of its weights, and for each
-/// customer that shares no cached work.
+/// @brief Namespace of cached work: one for each model, version of its weights and group of
+/// customers that share cached work. @param group see RouteTable::cacheGroup()
 [[nodiscard]] std::string cacheSalt(const ModelId &model, std::uint64_t weights,
-                                    const CustomerId &isolated);
+                                    const std::string &group);
 
 /// @brief Availability of a store.
 enum class KeptCacheState {
--- a/include/vanilladyke/policy/route_table.hpp
+++ b/include/vanilladyke/policy/route_table.hpp
@@ -34,6 +34,12 @@
     /// @brief The highest configured rates at which engines and the kept-cache store transfer KV
     /// cache.
     [[nodiscard]] TransferRates transferRates() const;
+    /// @brief The group of customers that share cached work with this one. An isolated customer is
+    /// its own group. The group of all others is named after the set of isolated customers: what a
+    /// customer's requests cached before it was isolated is not found by the others afterwards,
+    /// and every node derives the same name from the configuration alone.
+    /// @param customer null: a request without a key
+    [[nodiscard]] std::string cacheGroup(const RoutedCustomer *customer) const;
     [[nodiscard]] bool needsKeys() const { return !m_config.customers.empty(); }
     /// @brief Selects one of the route's services by weight. @param draw random number in [0, 1)
     [[nodiscard]] static ServiceId pickService(const Route &route, double draw);
@@ -43,6 +49,7 @@
     std::unordered_map<std::string, std::vector<std::size_t>> m_byHost; ///< longest prefix first
     std::unordered_map<std::string, std::size_t> m_byKey;
     std::unordered_map<ServiceId, std::size_t> m_byService;
+    std::string m_sharingGroup; ///< of all customers that are not isolated
 };
 
 } // namespace vanilladyke
--- a/src/vanilladyke/policy/backend_choice.cpp
+++ b/src/vanilladyke/policy/backend_choice.cpp
@@ -27,7 +27,7 @@
 
 std::uint64_t BackendQuery::keyOf(const std::string &part) const
 {
-    return hashOfName(isolated.empty() ? part : part + "/" + isolated.str());
+    return hashOfName(cacheGroup.empty() ? part : part + "/" + cacheGroup);
 }
 
 std::uint64_t BackendQuery::partKey() const
@@ -278,7 +278,7 @@
 {
     const PartHolders::Lookup lookup{query.partKey(), weightsOf(engine, query.model),
                                      query.sharedTokens, query.memoryTokens};
-    const std::string salt = cacheSalt(query.model, lookup.weights, query.isolated);
+    const std::string salt = cacheSalt(query.model, lookup.weights, query.cacheGroup);
     const bool isKept =
             store != nullptr && query.kept->holds(store->endpoint, salt, query.sharedPart, now);
     // A preferred engine on older weights cannot hold the part under newer ones, so some engine has
--- a/src/vanilladyke/policy/backend_tracker.cpp
+++ b/src/vanilladyke/policy/backend_tracker.cpp
@@ -257,7 +257,7 @@
     }
     PlacementUpdate update{query.partKey(), state.hash, choice.weights, 0, query.ownTokens, 0, 0};
     if (choice.saveTo) {
-        const std::string salt = cacheSalt(query.model, choice.weights, query.isolated);
+        const std::string salt = cacheSalt(query.model, choice.weights, query.cacheGroup);
         update.saved = KeptCacheView::keyOf(salt, query.sharedPart);
     }
     if (!choice.isCached) {
--- a/src/vanilladyke/policy/kept_cache_view.cpp
+++ b/src/vanilladyke/policy/kept_cache_view.cpp
@@ -6,10 +6,10 @@
 
 namespace vanilladyke {
 
-std::string cacheSalt(const ModelId &model, std::uint64_t weights, const CustomerId &isolated)
+std::string cacheSalt(const ModelId &model, std::uint64_t weights, const std::string &group)
 {
-    std::string salt = model.str() + "." + std::to_string(weights);
-    return isolated.empty() ? salt : salt + "." + isolated.str();
+    const std::string salt = model.str() + "." + std::to_string(weights);
+    return group.empty() ? salt : salt + "." + group;
 }
 
 std::uint64_t KeptCacheView::keyOf(const std::string &salt, const std::string &part)
--- a/src/vanilladyke/policy/kept_cache_view_test.cpp
+++ b/src/vanilladyke/policy/kept_cache_view_test.cpp
@@ -24,8 +24,7 @@
     view.changed(storeHere, first, "p", 800);
     EXPECT_TRUE(view.holds(storeHere, first, "p", start));
     EXPECT_FALSE(view.holds(storeHere, cacheSalt(ModelId("m"), 2, {}), "p", start));
-    EXPECT_FALSE(
-            view.holds(storeHere, cacheSalt(ModelId("m"), 1, CustomerId("walled")), "p", start));
+    EXPECT_FALSE(view.holds(storeHere, cacheSalt(ModelId("m"), 1, "walled"), "p", start));
     view.changed(storeHere, first, "p", 0);
     EXPECT_FALSE(view.holds(storeHere, first, "p", start));
 }
--- a/src/vanilladyke/policy/route_table.cpp
+++ b/src/vanilladyke/policy/route_table.cpp
@@ -1,8 +1,11 @@
 #include "vanilladyke/policy/route_table.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cctype>
 #include <numeric>
+#include <set>
 
 namespace vanilladyke {
 
@@ -16,6 +19,26 @@
     return name;
 }
 
+/// Empty if no customer is isolated; does not depend on the order of the customers.
+std::string sharingGroup(const std::vector<RoutedCustomer> &customers)
+{
+    std::set<std::string_view> isolated;
+    for (const RoutedCustomer &each : customers) {
+        if (each.isIsolated) {
+            isolated.insert(each.id.str());
+        }
+    }
+    if (isolated.empty()) {
+        return {};
+    }
+    std::uint64_t hash = 0;
+    for (const std::string_view name : isolated) {
+        hash = XXH3_64bits_withSeed(name.data(), name.size(), hash);
+    }
+    // The slash sets it apart from the name of a customer.
+    return "/" + std::to_string(hash);
+}
+
 } // namespace
 
 RouteTable::RouteTable(RoutingConfig config)
@@ -37,6 +60,7 @@
     for (std::size_t i = 0; i < m_config.services.size(); ++i) {
         m_byService.emplace(m_config.services[i].id, i);
     }
+    m_sharingGroup = sharingGroup(m_config.customers);
 }
 
 const Route *RouteTable::find(std::string_view host, std::string_view path) const
@@ -61,6 +85,12 @@
     return found == m_byKey.end() ? nullptr : &m_config.customers[found->second];
 }
 
+std::string RouteTable::cacheGroup(const RoutedCustomer *customer) const
+{
+    const bool isIsolated = customer != nullptr && customer->isIsolated;
+    return isIsolated ? customer->id.str() : m_sharingGroup;
+}
+
 const ServiceSpec *RouteTable::service(const ServiceId &id) const
 {
     const auto found = m_byService.find(id);
--- a/src/vanilladyke/policy/route_table_test.cpp
+++ b/src/vanilladyke/policy/route_table_test.cpp
@@ -50,6 +50,37 @@
     EXPECT_EQ(table.service(ServiceId("b")), nullptr);
 }
 
+// A new configuration isolates a customer. Guards against requests of others that use what the
+// customer's requests had cached before.
+TEST(RouteTable, OthersShareNothingFromBeforeACustomerWasIsolated)
+{
+    const auto groupsOf = [](std::vector<RoutedCustomer> customers) {
+        RoutingConfig result;
+        result.customers = std::move(customers);
+        const RouteTable table(result);
+        std::vector<std::string> groups{table.cacheGroup(nullptr)};
+        for (const RoutedCustomer &each : table.config().customers) {
+            groups.push_back(table.cacheGroup(&each));
+        }
+        return groups;
+    };
+    const RoutedCustomer a{CustomerId("a"), {"k"}, std::nullopt, false};
+    const RoutedCustomer b{CustomerId("b"), {"l"}, std::nullopt, false};
+    RoutedCustomer walledA = a;
+    RoutedCustomer walledB = b;
+    walledA.isIsolated = walledB.isIsolated = true;
+
+    const auto before = groupsOf({a, b});
+    const auto after = groupsOf({walledA, b});
+    EXPECT_EQ(before, (std::vector<std::string>{"", "", ""})) << "as in releases before";
+    EXPECT_EQ(after[0], after[2]);
+    EXPECT_NE(after[2], before[2]);
+    EXPECT_EQ(after[1], "a");
+    EXPECT_NE(groupsOf({a, walledB})[1], after[2]);
+    EXPECT_NE(groupsOf({walledA, walledB})[0], after[0]);
+    EXPECT_EQ(groupsOf({walledB, walledA})[0], groupsOf({walledA, walledB})[0]);
+}
+
 TEST(RouteTable, SplitsByWeight)
 {
     Route split = route("split", "h", "/");
--- a/src/vanilladyke/traffic/exchange_query.cpp
+++ b/src/vanilladyke/traffic/exchange_query.cpp
@@ -58,9 +58,7 @@
             result.preferencePart = preferredEnginePart(m_request->parts, shared);
         }
         result.sharedPart = m_request->parts[m_request->parts.size() - 2].id;
-        if (m_customer != nullptr && m_customer->isIsolated) {
-            result.isolated = m_customer->id;
-        }
+        result.cacheGroup = m_table->cacheGroup(m_customer);
         result.sharedTokens = shared;
         result.ownTokens -= std::min(result.ownTokens, shared);
     }
@@ -107,9 +105,8 @@
         options.cacheSalt = "alone-" + m_request->id;
         return options;
     }
-    const bool isIsolated = m_customer != nullptr && m_customer->isIsolated;
     options.cacheSalt =
-            cacheSalt(m_request->model, choice.weights, isIsolated ? m_customer->id : CustomerId());
+            cacheSalt(m_request->model, choice.weights, m_table->cacheGroup(m_customer));
     options.fetchFrom = choice.fetchFrom;
     // Set only if the store lacks the shared part. Saving the request's own part as well would
     // evict shared parts.
--- a/src/vanilladyke/traffic/exchange_tries.cpp
+++ b/src/vanilladyke/traffic/exchange_tries.cpp
@@ -224,7 +224,7 @@
         m_state.metrics.count("requests_to_brittle_engines_total");
     }
     if (choice.saveTo) {
-        const std::string salt = cacheSalt(sentQuery.model, choice.weights, sentQuery.isolated);
+        const std::string salt = cacheSalt(sentQuery.model, choice.weights, sentQuery.cacheGroup);
         m_state.keptCache.recordSaved(KeptCacheView::keyOf(salt, sentQuery.sharedPart), now);
     }
 }
