Bodies wait for memory before they are read

What callers saw: many large bodies that came together took a node over the memory that the platform allows. The process was ended, and requests that engines had begun got no answer.

Cause: each body was read whole, up to the limit for one, and nothing bounded their sum. Strings of bodies in chunks held more while they grew. A limit for each, none for all.

Change: one account (policy/buffer_budget) of bodies and of kept answers, half of the process's memory (memory_mb, from limits.memoryMb), 48 MB where it is not known. A body gets its share by its length before it is read; one in chunks takes a share of the largest size once it is larger than a small one. What gets no share waits unread, in the order of arrival, for half of the time of its request, small and large ones apart, and is refused at once (503, not run, Retry-After) if it would wait longer. The rest of a refused body is discarded for 5 s, so that no reset takes the answer. Receive buffers of accepted connections are bounded. The time limit of a body also holds after 100 Continue.

The own interface has no such account yet.

--- a/include/vanilladyke/traffic/backend_try.hpp
+++ b/include/vanilladyke/traffic/backend_try.hpp
@@ -143,8 +143,8 @@
     std::optional<AnswerParser> m_parser; ///< of the answer being read
     AnswerHead m_head;
     std::string m_body;
-    std::shared_ptr<std::size_t> m_bufferedAnswers; ///< bytes of all tries
-    std::size_t m_counted = 0;                      ///< of them, this try's
+    std::shared_ptr<BufferGate> m_buffers;
+    std::size_t m_counted = 0; ///< bytes of the body that are counted there
     ExchangeState m_progress;
     std::optional<PlaceTicket> m_place;
     std::optional<TimePoint> m_sentAt;
--- a/include/vanilladyke/traffic/dialect.hpp
+++ b/include/vanilladyke/traffic/dialect.hpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http/fields.hpp>
 
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -36,9 +37,10 @@
     std::string method;
     std::string target; ///< path and query, unchanged
     std::string host;
-    std::string id; ///< chosen by the caller, for each attempt
-    TimePoint arrived;
-    std::optional<TimePoint> deadline; ///< end of the caller's own timeout
+    std::string id;                       ///< chosen by the caller, for each attempt
+    TimePoint arrived;                    ///< whole
+    std::optional<TimePoint> headArrived; ///< none: with the rest
+    std::optional<TimePoint> deadline;    ///< end of the caller's own timeout
     std::optional<std::string> key;
     ModelId model; ///< empty if the request specifies none
     std::uint64_t promptTokens = 0;
@@ -50,6 +52,8 @@
     std::string firstAttempt;
     std::string forwardedHeaders; ///< header lines to forward unchanged, each with its line end
     std::string body;
+    /// The body's share of the memory for buffers, given back with the request.
+    std::shared_ptr<const void> bodyShare;
     bool keepsConnection = true;
     /// Set if another node handed the request on; a caller's own value is dropped.
     std::optional<RelayTerms> relay;
--- a/include/vanilladyke/traffic/traffic_state.hpp
+++ b/include/vanilladyke/traffic/traffic_state.hpp
@@ -15,6 +15,7 @@
 #include "vanilladyke/policy/store_era.hpp"
 #include "vanilladyke/policy/stream_origins.hpp"
 #include "vanilladyke/traffic/backend_pool.hpp"
+#include "vanilladyke/traffic/buffer_gate.hpp"
 #include "vanilladyke/traffic/dialect.hpp"
 #include "vanilladyke/traffic/engine_liveness_probe.hpp"
 #include "vanilladyke/traffic/reach_monitor.hpp"
@@ -54,6 +55,8 @@
     bool resumesStreams = true;      ///< resumes interrupted streams on another server
     bool quarantinesRequests = true; ///< quarantines requests under which engines end
     std::vector<WorkDigest> releasedRequests; ///< released from quarantine by an operator
+    /// Memory for bodies of requests and for answers that are kept until they are whole.
+    std::size_t bufferBytes = BufferGate::DefaultBytes;
 };
 
 /// @brief A stream that a caller takes up, and of which this node does not know the origin.
@@ -117,6 +120,7 @@
         , random(seed)
         , relays(hashOfName(settings.dataCentre.str()))
         , reach(context, pool, tracker, metrics)
+        , buffers(std::make_shared<BufferGate>(context, settings.bufferBytes))
     {
         quarantine.setExempted(settings.releasedRequests);
     }
@@ -165,8 +169,8 @@
     ReachMonitor reach;
     /// Open requests that other nodes handed to this one; shared like openExchanges.
     std::shared_ptr<int> openRelayed = std::make_shared<int>(0);
-    /// Bytes of answers that are kept until they are whole; shared like openExchanges.
-    std::shared_ptr<std::size_t> bufferedAnswers = std::make_shared<std::size_t>(0);
+    /// Memory for bodies and for answers that are kept; shared like openExchanges.
+    std::shared_ptr<BufferGate> buffers;
     std::shared_ptr<const RouteTable> table; ///< null until a configuration is received
     std::size_t nodes = 1;                   ///< set by setNodes()
     bool isDraining = false;                 ///< reports not ready; requests are still served
--- a/src/vanilladyke/app/node_settings.cpp
+++ b/src/vanilladyke/app/node_settings.cpp
@@ -11,8 +11,24 @@
 constexpr Duration MaxDuration = std::chrono::hours(1);
 /// A key's freshness proof must still be within the bound when its request is forwarded.
 constexpr Duration KeyMargin = std::chrono::milliseconds(300);
+/// Of the process's memory; the rest is for the state, the buffers of connections and the program.
+constexpr double BufferPart = 0.5;
 constexpr std::uint64_t MaxExtraRetries = 1'000'000;
 
+void readMemory(JsonReader &reader, std::size_t *bufferBytes)
+{
+    if (!reader.has("memory_mb")) {
+        return;
+    }
+    constexpr double MaxMegabytes = 1e6;
+    constexpr double Megabyte = 1024.0 * 1024.0;
+    double megabytes = 0; // no limit
+    reader.number("memory_mb", &megabytes, 0, MaxMegabytes);
+    if (megabytes > 0) {
+        *bufferBytes = static_cast<std::size_t>(megabytes * BufferPart * Megabyte);
+    }
+}
+
 void readRetryLimits(JsonReader &reader, FleetRetryLimits *limits)
 {
     reader.allowOnly({"ratio", "extra", "window_ms"});
@@ -115,7 +131,8 @@
              "ready_path",  "metrics",          "peers",        "questions",       "store",
              "first_start", "keys_valid_ms",    "fails_closed", "weights_time_ms", "order_gap_ms",
              "drain_ms",    "configuration_ms", "grace_ms",     "second_sends",    "quota",
-             "placement",   "rollout",          "off",          "freed_requests",  "log_level"});
+             "placement",   "rollout",          "off",          "freed_requests",  "log_level",
+             "memory_mb"});
     reader.text("node", &settings.node);
     reader.text("address", &settings.address);
     reader.id("data_centre", &settings.traffic.dataCentre);
@@ -142,6 +159,7 @@
     reader.milliseconds("drain_ms", &settings.follow.drain, MinDuration, MaxDuration);
     reader.milliseconds("configuration_ms", &settings.follow.apply, MinDuration, MaxDuration);
     reader.milliseconds("grace_ms", &settings.grace, MinDuration, MaxDuration);
+    readMemory(reader, &settings.traffic.bufferBytes);
     if (reader.has("second_sends")) {
         reader.object("second_sends", [&settings](JsonReader &inner) {
             readRetryLimits(inner, &settings.traffic.fleetRetries);
--- a/src/vanilladyke/traffic/backend_try.cpp
+++ b/src/vanilladyke/traffic/backend_try.cpp
@@ -17,8 +17,7 @@
 /// Upper bound of an answer's body, in bytes.
 constexpr std::uint64_t MaxAnswerBytes = 256ULL << 20U;
 constexpr std::size_t MaxBufferedAnswerBytes = 8U << 20U;
-/// Of all answers at once; above it those that are larger than an ordinary one are given up.
-constexpr std::size_t MaxBufferedBytesOfAll = 24U << 20U;
+/// Without room for answers those that are larger are given up.
 constexpr std::size_t OrdinaryAnswerBytes = 256U << 10U;
 constexpr std::size_t ReadBufferBytes = 16384;
 /// Number of answers to other requests that are skipped on a connection before it is given up.
@@ -109,33 +108,33 @@
     , m_request(std::move(request))
     , m_terms(terms)
     , m_choice(std::move(choice))
-    , m_bufferedAnswers(state.bufferedAnswers)
+    , m_buffers(state.buffers)
 {}
 
 BackendTry::~BackendTry()
 {
-    *m_bufferedAnswers -= m_counted;
+    m_buffers->dropAnswer(m_counted);
 }
 
 std::string BackendTry::takeBody()
 {
-    *m_bufferedAnswers -= std::exchange(m_counted, 0);
+    m_buffers->dropAnswer(std::exchange(m_counted, 0));
     return std::exchange(m_body, {});
 }
 
 bool BackendTry::fitsIntoMemory()
 {
-    *m_bufferedAnswers += m_body.size() - m_counted;
+    m_buffers->keepAnswer(m_body.size() - m_counted);
     m_counted = m_body.size();
     const bool fits =
             m_counted <= OrdinaryAnswerBytes
-            || (m_counted <= MaxBufferedAnswerBytes && *m_bufferedAnswers <= MaxBufferedBytesOfAll);
+            || (m_counted <= MaxBufferedAnswerBytes && m_buffers->budget().hasRoomForAnswers());
     if (!fits) {
         LogEvent("answer_too_large", Severity::Warning)
                 .field("id", m_request->id)
                 .field("backend", m_choice.backend.id.str())
                 .field("bytes", m_counted)
-                .field("bytes_of_all", *m_bufferedAnswers);
+                .field("bytes_of_all", m_buffers->budget().held());
     }
     return fits;
 }
--- a/src/vanilladyke/traffic/exchange.cpp
+++ b/src/vanilladyke/traffic/exchange.cpp
@@ -127,7 +127,7 @@
     }
     // After half the target it is better for the caller to try another node.
     m_waitUntil = now + m_route->targetLatency / 2;
-    m_deadline = now + m_route->timeout;
+    m_deadline = m_request->headArrived.value_or(now) + m_route->timeout;
     if (m_request->deadline && *m_request->deadline < m_deadline) {
         m_deadline = *m_request->deadline;
         m_deadlineReason = AbortReason::CallerDeadline;
--- a/src/vanilladyke/traffic/traffic_server.cpp
+++ b/src/vanilladyke/traffic/traffic_server.cpp
@@ -16,6 +16,10 @@
 constexpr Duration AcceptRetryDelay = std::chrono::milliseconds(50);
 constexpr Duration StatusTimeout = std::chrono::seconds(5);
 constexpr std::size_t AcceptsBetweenCleanups = 256;
+/// Bodies that wait for their share of the memory stay in the receive buffers, which would grow to
+/// megabytes each. Set at the listening socket, since a connection's window is agreed on as it
+/// opens.
+constexpr int ReceiveBufferBytes = 128 * 1024;
 
 } // namespace
 
@@ -38,6 +42,8 @@
     if (!failed) {
         acceptor.set_option(Tcp::acceptor::reuse_address(true), failed);
         acceptor.bind(address, failed);
+        ErrorCode ignored;
+        acceptor.set_option(asio::socket_base::receive_buffer_size(ReceiveBufferBytes), ignored);
     }
     if (!failed) {
         acceptor.listen(Tcp::acceptor::max_listen_connections, failed);
@@ -150,6 +156,12 @@
                                   static_cast<double>(m_state.quarantine.held(now)));
             m_state.metrics.gauge("engines_limited",
                                   static_cast<double>(m_state.tracker.limitedEngines()));
+            const BufferGate &buffers = *m_state.buffers;
+            m_state.metrics.gauge("buffers_held_bytes",
+                                  static_cast<double>(buffers.budget().held()));
+            m_state.metrics.gauge("bodies_waiting",
+                                  static_cast<double>(buffers.budget().waiting()));
+            m_state.metrics.gauge("bodies_waited", static_cast<double>(buffers.waited()));
             body = m_state.metrics.text() + (metricsText ? metricsText() : std::string());
         }
         std::string answer = "HTTP/1.1 " + std::to_string(status) + " "
