--- a/tests/integration/platform_entries.py
+++ b/tests/integration/platform_entries.py
@@ -15,6 +15,21 @@
 NEXT_BEAT_SECONDS = 1.0  # until the engine has written again and nodes had the time to read it
 
 
+class OtherServer:
+    """Carries out whatever it is asked, and knows none of the platform's headers."""
+
+    def __init__(self):
+        self.runs = []
+        self.server = platform_http.Server(("127.0.0.1", 0), platform_http.Handler)
+        self.server.owner = self
+        threading.Thread(target=self.server.serve_forever, args=(0.05,), daemon=True).start()
+
+    def handle(self, call):
+        call.body()
+        self.runs.append(call.path)
+        call.answer(200, b"done")
+
+
 class RebornEngine(platform_fleet.platform_engine.Engine):
     """Names its start in its entries."""
 
@@ -87,6 +102,26 @@
         self.assertGreater(len(after), 20)
         self.assertEqual(after.count(200), len(after), after)
 
+    def test_an_entry_that_lacks_a_field_or_holds_another_type_names_no_server(self):
+        """What listens at its address is no engine, and would carry out requests under a tenant's name."""
+        other = OtherServer()
+        self.addCleanup(other.server.end)
+        sound = {**self.engines[0].entry(), "address": f"127.0.0.1:{other.server.server_address[1]}"}
+        odd = [{name: value for name, value in sound.items() if name != lacked}
+               for lacked in ("service", "address", "zone", "slots", "state", "sequence")]
+        odd += [{**sound, **changed} for changed in (
+            {"state": "idle"}, {"state": None}, {"slots": "8"}, {"slots": 0}, {"slots": 2 ** 40}, {"sequence": -1},
+            {"sequence": 1e18}, {"zone": 7}, {"version": 7}, {"born": "now"})]
+        for number, entry in enumerate(odd):
+            self.fleet.store.put("keyed.servers", f"other-{number}", entry)
+        self.begin()
+        for entry in odd:  # under an engine's id, too, which it must not take away or replace
+            self.fleet.store.put("keyed.servers", self.engines[0].name, entry)
+        self.observe(DRAIN_SECONDS + OBSERVED_SECONDS)
+        self.assertEqual(other.runs, [])
+        self.assertGreater(len(self.engines[0].requests), 20)
+        self.assertEqual(self.statuses.count(200), len(self.statuses))
+
 
 if __name__ == "__main__":
     harness.main()
