--- /dev/null
+++ b/src/vanilladyke/gateway/service_exchange_test.cpp
@@ -0,0 +1,110 @@
+#include "vanilladyke/gateway/service_exchange.hpp"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+
+#include <thread>
+
+namespace vanilladyke {
+namespace {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+enum class Ending { Close, Reset };
+
+/// Accepts one connection, reads a request, sends these bytes and ends the connection.
+class CutServer
+{
+public:
+    CutServer(std::string bytes, Ending ending)
+        : m_acceptor(m_context, Tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+        , m_thread([this, bytes = std::move(bytes), ending] { serve(bytes, ending); })
+    {}
+    CutServer(const CutServer &) = delete;
+    CutServer &operator=(const CutServer &) = delete;
+    ~CutServer() { m_thread.join(); }
+
+    [[nodiscard]] Endpoint endpoint() const
+    {
+        return {"127.0.0.1", m_acceptor.local_endpoint().port()};
+    }
+
+private:
+    void serve(const std::string &bytes, Ending ending)
+    {
+        Tcp::socket socket = m_acceptor.accept();
+        asio::streambuf request;
+        asio::read_until(socket, request, "\r\n\r\n");
+        asio::write(socket, asio::buffer(bytes));
+        if (ending == Ending::Reset) {
+            socket.set_option(asio::socket_base::linger(true, 0));
+        }
+    }
+
+    asio::io_context m_context;
+    Tcp::acceptor m_acceptor;
+    std::thread m_thread;
+};
+
+Outcome<ServiceAnswer, ExchangeFailure> askCut(const std::string &bytes, Ending ending)
+{
+    const CutServer server(bytes, ending);
+    ServiceCall call;
+    call.method = "GET";
+    call.target = "/x";
+    return sendOnce(call, server.endpoint(), {}, MonotonicClock::now() + std::chrono::seconds(5));
+}
+
+struct Answer
+{
+    std::string head;
+    std::string body; ///< as sent
+};
+
+const std::string start = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n";
+const Answer byLength{start + "Content-Length: 8\r\n\r\n", "the body"};
+const Answer byChunks{start + "Transfer-Encoding: chunked\r\n\r\n",
+                      "4\r\nthe \r\n0004\r\nbody\r\n0\r\n\r\n"};
+const Answer byEnd{start + "\r\n", "the body"};
+
+// A service ends within the head of its answer. Guards against an answer that is passed on as
+// complete, with an empty or short body.
+TEST(ServiceExchange, NoAnswerIsMadeOfACutHead)
+{
+    for (const Answer &answer : {byLength, byChunks, byEnd}) {
+        const auto whole = askCut(answer.head + answer.body, Ending::Close);
+        ASSERT_TRUE(whole);
+        ASSERT_EQ(whole->body, "the body");
+        for (std::size_t at = 0; at < answer.head.size(); ++at) {
+            for (const Ending ending : {Ending::Close, Ending::Reset}) {
+                ASSERT_FALSE(askCut(answer.head.substr(0, at), ending))
+                        << answer.head.substr(0, at);
+            }
+        }
+    }
+}
+
+// A service ends within the body of its answer. Guards against a short body that is passed on as
+// complete.
+TEST(ServiceExchange, NoAnswerIsMadeOfACutBody)
+{
+    for (const Answer &answer : {byLength, byChunks}) {
+        for (std::size_t at = 0; at < answer.body.size(); ++at) {
+            for (const Ending ending : {Ending::Close, Ending::Reset}) {
+                const auto cut = askCut(answer.head + answer.body.substr(0, at), ending);
+                EXPECT_FALSE(cut) << answer.body.substr(0, at) << "|" << (cut ? cut->body : "");
+            }
+        }
+    }
+    for (std::size_t at = 0; at < byEnd.body.size(); ++at) {
+        EXPECT_FALSE(askCut(byEnd.head + byEnd.body.substr(0, at), Ending::Reset)) << at;
+    }
+}
+
+} // namespace
+} // namespace vanilladyke
