An answer to HEAD has no body, whoever gives it

What callers see: the node's own refusal of a HEAD request had a body, which the caller takes for the start of the next answer on the connection; on a stream route a HEAD got the last chunk of a stream. Cause: the method was looked at where a server's answer is passed on whole, and nowhere else. Change: refusals leave the body out, and HEAD on a stream route is no stream.

--- a/src/vanilladyke/traffic/cut_answer_test.cpp
+++ b/src/vanilladyke/traffic/cut_answer_test.cpp
@@ -192,5 +192,31 @@
     }
 }
 
+// A server answers HEAD with the length of a body that does not follow, or ends within the head.
+TEST_F(CutAnswerTest, AnswersToHeadHaveNoBody)
+{
+    for (const RequestKind kind : {RequestKind::Safe, RequestKind::Stream}) {
+        setRoute(kind, false);
+        const Answer answer = whole("1", "length", {"body"});
+        for (std::size_t at = 0; at <= answer.head.size(); ++at) {
+            replaceBackends({[&](const ReceivedRequest &) {
+                return ScriptedAnswer{answer.head.substr(0, at), NextAction::Close};
+            }});
+            connect();
+            send("HEAD /a/x HTTP/1.1\r\nHost: h\r\nKey: k\r\nId: 1\r\n\r\n");
+            http::response_parser<http::string_body> parser;
+            parser.skip(true);
+            bool isRead = false;
+            http::async_read(*m_caller, m_buffer, parser,
+                             [&](const ErrorCode &, std::size_t) { isRead = true; });
+            runUntil([&] { return isRead; });
+            ASSERT_EQ(parser.get().result_int(), at == answer.head.size() ? 200U : 502U) << at;
+            // Bytes after the head would be taken for the start of the next answer.
+            send(request("2", "/none/"));
+            ASSERT_EQ(receive(), 404) << at;
+        }
+    }
+}
+
 } // namespace
 } // namespace vanilladyke
--- a/src/vanilladyke/traffic/exchange_answers.cpp
+++ b/src/vanilladyke/traffic/exchange_answers.cpp
@@ -51,7 +51,7 @@
     dropHedges();
     setAnswerDeadline(std::nullopt);
     const bool isSuccess = head.status >= 200 && head.status < 300;
-    if (isSuccess && m_route->kind == RequestKind::Stream) {
+    if (isSuccess && m_route->kind == RequestKind::Stream && m_request->method != "HEAD") {
         const TryResult end = co_await relayEvents(attempt);
         if (end == TryResult::Delivered) {
             attempt->release();
@@ -224,7 +224,10 @@
     if (m_request->relay && ran() == Ran::No) {
         out += m_state.dialect.notExecutedLine;
     }
-    out += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    out += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    if (m_request->method != "HEAD") {
+        out += body;
+    }
     m_status = status;
     const bool isWritten = co_await m_sink.write(std::move(out));
     log(status, reason);
--- a/src/vanilladyke/traffic/exchange_tries.cpp
+++ b/src/vanilladyke/traffic/exchange_tries.cpp
@@ -29,7 +29,8 @@
     } else {
         m_triedEngines.push_back(choice.backend.id);
     }
-    const TryTerms terms{m_route->kind == RequestKind::Stream, m_headWritten};
+    const bool isStream = m_route->kind == RequestKind::Stream && m_request->method != "HEAD";
+    const TryTerms terms{isStream, m_headWritten};
     return std::make_shared<BackendTry>(m_state, m_request, terms, choice);
 }
 
