Log: values of plain text are not searched character by character

Cause: since lines of the log are always text, each value was walked by a table of UTF-8 forms, on each line of each request. Change: values of ASCII without control characters are written at once, as nearly all are.

--- a/src/vanilladyke/base/log.cpp
+++ b/src/vanilladyke/base/log.cpp
@@ -91,6 +91,10 @@
         || std::any_of(value.begin(), value.end(), isControl)) {
         return false;
     }
+    const auto isAscii = [](char c) { return static_cast<unsigned char>(c) < 0x80; };
+    if (std::all_of(value.begin(), value.end(), isAscii)) {
+        return true; // nearly all values: the search below costs more for each character
+    }
     while (!value.empty()) {
         const std::size_t length = utf8CharacterBytes(value);
         if (length == 0) {
