--- a/include/vanilladyke/node/backends_follower.hpp
+++ b/include/vanilladyke/node/backends_follower.hpp
@@ -46,6 +46,7 @@
     FollowContext &m_context;
     const ReadSharing &m_sharing;
     FollowedTopic m_topic;
+    TimePoint m_sentAt = TimePoint::min();      ///< of the last call
     TimePoint m_wantedSince = TimePoint::min(); ///< a list is wanted that is read from then on
     asio::steady_timer m_pause;
 };
--- a/include/vanilladyke/node/control_plane.hpp
+++ b/include/vanilladyke/node/control_plane.hpp
@@ -4,6 +4,7 @@
 #include "vanilladyke/traffic/traffic_state.hpp"
 
 #include <atomic>
+#include <set>
 
 /// The control side of a node: applies changes from the store and posts them to the traffic thread.
 namespace vanilladyke {
@@ -102,6 +103,12 @@
     std::uint64_t m_version = 0;
     bool m_hasConfig = false;
     bool m_storeIsDown = false;
+    /// Versions of the entries that were read since the last publication.
+    std::set<std::pair<ServiceId, std::uint64_t>> m_versionsRead;
+    TimePoint m_backendsProvedAt = TimePoint::min(); ///< on the boot clock
+    /// Until then the list may lack servers that run: their entries had lapsed, or the store came
+    /// back from an older copy.
+    TimePoint m_mayLackServersUntil = TimePoint::min();
     bool m_hasListed = false;    ///< the servers were listed once
     bool m_isPublishing = false; ///< a publication of the servers is posted
 };
--- a/include/vanilladyke/node/origin_sharing.hpp
+++ b/include/vanilladyke/node/origin_sharing.hpp
@@ -44,7 +44,6 @@
     struct Question
     {
         asio::steady_timer timer;
-        bool isNamed = false; ///< the caller named the attempt
         OriginReport report;
         std::size_t asked = 0;
         std::vector<Udp::endpoint> answered;
--- a/include/vanilladyke/policy/software_history.hpp
+++ b/include/vanilladyke/policy/software_history.hpp
@@ -60,6 +60,9 @@
     /// @brief Replaces the list of servers. @return whether a service that had one version lately
     /// has several now
     bool setServers(const std::vector<BackendEntry> &serving, TimePoint now);
+    /// @brief Records a version of an entry that was read, though the next list may lack it: a
+    /// server that came and left since the last list has begun streams, too.
+    void versionRead(const ServiceId &service, std::uint64_t software, TimePoint now);
     /// @brief The list was read as a whole once more: versions that came and left since the last
     /// list are known from records only, which have to be read after it.
     void watchInterrupted(TimePoint now);
--- a/src/vanilladyke/node/backends_follower.cpp
+++ b/src/vanilladyke/node/backends_follower.cpp
@@ -12,6 +12,9 @@
 constexpr double PollFraction = 0.42;
 /// The same for a node that reads for others, which ask it only afterwards.
 constexpr double ReaderPollFraction = 0.25;
+/// Least interval of reads that requests wait for: all that come meanwhile share the next one, and
+/// hundreds of nodes stay within the store's rate.
+constexpr Duration WantedInterval = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -37,6 +40,10 @@
         if (!isWanted() && rest > Duration::zero()) {
             co_await pause(rest);
         }
+        const Duration sinceLast = BootClock::now() - m_sentAt;
+        if (m_sentAt != TimePoint::min() && sinceLast < WantedInterval) {
+            co_await m_context.pause(WantedInterval - sinceLast);
+        }
         co_await read(backOff);
     }
 }
@@ -104,6 +111,7 @@
 asio::awaitable<void> BackendsFollower::read(BackOff &backOff)
 {
     const TimePoint sentAt = BootClock::now();
+    m_sentAt = sentAt;
     const std::uint64_t from = m_topic.next;
     m_context.calls.count(StoreCall::Read, StoreTopic::Backends, m_sharing.readCause(m_topic));
     m_topic.isReading = true;
--- a/src/vanilladyke/node/control_plane.cpp
+++ b/src/vanilladyke/node/control_plane.cpp
@@ -173,6 +173,7 @@
     const EngineId id = entry.id;
     const bool isDraining = entry.isDraining;
     const std::string software = entry.software;
+    m_versionsRead.emplace(entry.service, softwareKey(software));
     const std::uint64_t start = entry.start;
     const bool isChanged = m_roster.put(std::move(entry));
     if (isChanged) {
@@ -199,6 +200,9 @@
 
 void ControlPlane::backendsListed(const std::map<EngineId, bool> &present, bool mayLackEntries)
 {
+    if (mayLackEntries) {
+        m_mayLackServersUntil = BootClock::now() + BackendRoster::RewriteGrace;
+    }
     if (std::exchange(m_hasListed, true)) {
         LogEvent("backends_listed_anew").field("present", present.size());
         postToTraffic([](TrafficState &traffic) {
@@ -212,11 +216,22 @@
 
 void ControlPlane::backendsProved(TimePoint sentAt)
 {
+    const bool wasAway = m_backendsProvedAt != TimePoint::min()
+                         && sentAt - m_backendsProvedAt > SoftwareHistory::ListingMargin;
+    m_backendsProvedAt = sentAt;
+    if (wasAway) {
+        m_mayLackServersUntil = sentAt + BackendRoster::RewriteGrace;
+    }
+    const bool mayLackServers = sentAt < m_mayLackServersUntil;
     // Behind a publication that is posted, so that the traffic thread has the proved list first.
-    asio::post(m_context, [this, sentAt] {
-        postToTraffic([this, sentAt](TrafficState & /*traffic*/) {
+    asio::post(m_context, [this, sentAt, mayLackServers] {
+        postToTraffic([this, sentAt, mayLackServers](TrafficState & /*traffic*/) {
             m_backendsProof.renew(sentAt);
-            onBackendsProved(sentAt);
+            if (mayLackServers) {
+                onBackendsReadFailed(sentAt);
+            } else {
+                onBackendsProved(sentAt);
+            }
         });
     });
 }
@@ -284,7 +299,11 @@
 
 void ControlPlane::publishNow()
 {
-    postToTraffic([serving = m_roster.serving()](TrafficState &traffic) {
+    postToTraffic([serving = m_roster.serving(),
+                   versions = std::exchange(m_versionsRead, {})](TrafficState &traffic) {
+        for (const auto &[service, software] : versions) {
+            traffic.software.versionRead(service, software, MonotonicClock::now());
+        }
         traffic.setBackends(serving, MonotonicClock::now());
         traffic.pool.closeStale(
                 [&](const EngineId &id) { return traffic.tracker.contains(id) || isRelayId(id); },
--- a/src/vanilladyke/node/origin_sharing.cpp
+++ b/src/vanilladyke/node/origin_sharing.cpp
@@ -86,8 +86,8 @@
 asio::awaitable<OriginReport> OriginSharing::ask(OriginQuery query)
 {
     const TimePoint begin = MonotonicClock::now();
-    const auto question = std::make_shared<Question>(
-            Question{asio::steady_timer(m_state.context), query.isNamed, {}, 0, {}});
+    const auto question =
+            std::make_shared<Question>(Question{asio::steady_timer(m_state.context), {}, 0, {}});
     const std::uint64_t id = m_state.random();
     m_questions[id] = question;
     wire::StreamOrigins message;
@@ -114,9 +114,8 @@
 
 bool OriginSharing::Question::isDone() const
 {
-    // Any older node can say that there was one version only. Whether an attempt is known, all
-    // homes have to say.
-    return report.software || (!isNamed && report.only) || (asked > 0 && answered.size() >= asked);
+    // One that knows the attempt suffices. That there was one version only, each may deny.
+    return report.software || (asked > 0 && answered.size() >= asked);
 }
 
 void OriginSharing::receive(const wire::StreamOrigins &message, const Udp::endpoint &from)
@@ -174,6 +173,8 @@
         report.software = answer.software();
     }
     if (answer.is_only() && answer.list_age_ms() > 0) { // an older build tells no age
+        const bool differs = report.only && *report.only != answer.only();
+        report.saidSeveral += differs ? 1 : 0;
         report.only = answer.only();
         report.onlyListedAt =
                 MonotonicClock::now() - std::chrono::milliseconds(answer.list_age_ms());
--- a/src/vanilladyke/policy/software_history.cpp
+++ b/src/vanilladyke/policy/software_history.cpp
@@ -49,6 +49,12 @@
     return hasSecond;
 }
 
+void SoftwareHistory::versionRead(const ServiceId &service, std::uint64_t software, TimePoint now)
+{
+    TimePoint &listed = m_services[service].lastListed[software];
+    listed = std::max(listed, now);
+}
+
 void SoftwareHistory::watchInterrupted(TimePoint now)
 {
     m_watchedSince = now;
--- a/src/vanilladyke/policy/stream_origins_test.cpp
+++ b/src/vanilladyke/policy/stream_origins_test.cpp
@@ -140,6 +140,20 @@
     EXPECT_TRUE(m_history.dueRecords(m_now).services.empty());
 }
 
+// A server of another version joined and left while the node stood still: one page holds both.
+TEST_F(SoftwareHistoryTest, AVersionThatCameAndLeftBetweenTwoListsMayHaveBegunStreams)
+{
+    list({"v1"});
+    m_history.setRecords(recordOf({"v1"}, seconds(10)));
+    m_now += minutes(5);
+    m_history.versionRead(llm, softwareKey("v1.1"), m_now);
+    list({"v1"});
+    EXPECT_EQ(only(), std::nullopt);
+    m_now += seconds(64);
+    list({"v1"});
+    EXPECT_EQ(only(), softwareKey("v1"));
+}
+
 // The store has forgotten its history while the node was cut off: the list was read as a whole
 // again.
 TEST_F(SoftwareHistoryTest, AVersionThatCameAndLeftDuringAGapMayHaveBegunStreams)
