PlatformPath: salts name the group of the tenants that share cached work

Cause: the test wanted the text "m.2" as the salt of a tenant that is not isolated. The tests' configuration has an isolated tenant, so that the group of the others is part of it since. Change: the salt before the new weights is taken down, has to have its whole form, and the one after has to be the same text with the new version: as strict, and it now also shows that the salt changes. Conclusion: the check was wrong for the new salts, the code is not.

--- a/tests/integration/platform_path.py
+++ b/tests/integration/platform_path.py
@@ -132,16 +132,23 @@
 
     def test_new_weights_are_brought_by_one_node_and_salts_change(self):
         nodes = [self.fleet.ready_node(f"n{i}") for i in (1, 2)]
+
+        def seen(identity):
+            """What the engine was told that ran a request."""
+            harness.wait_until(lambda: self.fleet.ask(nodes[0], "/stream/x", identity, headers=self.fleet.prompt())[0] == 200,
+                               "a request runs")
+            return [fields for engine in self.llm for _, fields in engine.requests
+                    if fields["X-Vanilladyke-Attempt-Id"] == identity][-1]
+
+        before = seen("g0")["X-Vanilladyke-Cache-Salt"]
+        self.assertRegex(before, r"^m\.1\./\d+$")  # with the group of the tenants that share
         self.fleet.name_weights(2)
         harness.wait_until(lambda: all(engine.version == 2 for engine in self.llm), "all engines are new")
         self.check_orders()
         self.assertEqual(len({order["holder"] for _, _, order in self.orders()}), 1)
-        harness.wait_until(lambda: self.fleet.ask(nodes[0], "/stream/x", "g1", headers=self.fleet.prompt())[0] == 200,
-                           "requests run on new weights")
-        seen = [fields for engine in self.llm for _, fields in engine.requests
-                if fields["X-Vanilladyke-Attempt-Id"] == "g1"][-1]
-        self.assertEqual(seen["X-Vanilladyke-Expect-Version"], "2")
-        self.assertEqual(seen["X-Vanilladyke-Cache-Salt"], "m.2")
+        after = seen("g1")
+        self.assertEqual(after["X-Vanilladyke-Expect-Version"], "2")
+        self.assertEqual(after["X-Vanilladyke-Cache-Salt"], "m.2" + before.removeprefix("m.1"))
 
     def test_the_next_node_goes_on_when_the_holder_is_killed(self):
         """The node that gives the orders loses power between two of them. Another one must finish the
