--- a/src/vanilladyke/gateway/filters_test.cpp
+++ b/src/vanilladyke/gateway/filters_test.cpp
@@ -1,4 +1,5 @@
 #include "vanilladyke/gateway/filters.hpp"
+#include "vanilladyke/model/foreign_json.hpp"
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
@@ -90,6 +91,7 @@
     RequestContext context = requestWith(
             R"({"model":"copy","messages":[{"role":"user","content":"x"}],"user":)" + deep + "}");
     EXPECT_TRUE(ParseCompletion{}(context).has_value());
+    EXPECT_EQ(nestingDepth(R"({"a":"[[[\"[[","b":[{}]})"), 3U);
 }
 
 RC_GTEST_PROP(ParseCompletion, TakesOrRefusesAnyBytes, (const std::string &bytes, bool chat))
