--- a/include/vanilladyke/traffic/backend_pool.hpp
+++ b/include/vanilladyke/traffic/backend_pool.hpp
@@ -107,8 +107,4 @@
     std::uint64_t m_connectionsOpened = 0;
 };
 
-/// @brief Sets TCP_USER_TIMEOUT: the kernel resets the connection if sent data or a keep-alive
-/// probe stays unacknowledged for @p timeout.
-void setTcpUserTimeout(Tcp::socket &socket, Duration timeout);
-
 } // namespace vanilladyke
--- a/include/vanilladyke/traffic/reset_on_close.hpp
+++ b/include/vanilladyke/traffic/reset_on_close.hpp
@@ -2,7 +2,14 @@
 
 #include "vanilladyke/traffic/asio.hpp"
 
-/// Withdraws what a connection still holds when it is closed.
+#include "vanilladyke/base/time.hpp"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+/// Withdraws what a connection still holds when it is closed, or when its peer's host has been
+/// silent for too long.
 namespace vanilladyke {
 
 /// @brief Sets whether the end of the socket resets its connection, also when the process ends:
@@ -14,4 +21,17 @@
     socket.set_option(asio::socket_base::linger(resets, 0), ignored);
 }
 
+/// @brief Ends the connection if the peer's host doesn't acknowledge sent bytes for @p silence
+/// (TCP_USER_TIMEOUT): they are lost. The kernel does so even while the process stands still, when
+/// a deadline of its own has no effect and the kernel would deliver the bytes once a cut link has
+/// healed.
+inline void setMaxUnacknowledged(Tcp::socket &socket, Duration silence)
+{
+    const auto millis = static_cast<unsigned>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(silence).count());
+    // A failure is ignored: without the option the caller's deadline still applies.
+    static_cast<void>(::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &millis,
+                                   sizeof millis));
+}
+
 } // namespace vanilladyke
--- a/src/vanilladyke/traffic/backend_pool.cpp
+++ b/src/vanilladyke/traffic/backend_pool.cpp
@@ -1,22 +1,9 @@
 #include "vanilladyke/traffic/backend_pool.hpp"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include <algorithm>
 
 namespace vanilladyke {
 
-void setTcpUserTimeout(Tcp::socket &socket, Duration timeout)
-{
-    const auto millis = static_cast<unsigned>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count());
-    // Failure is ignored: on systems without the option the exchange's deadline still applies.
-    static_cast<void>(setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &millis,
-                                 sizeof millis));
-}
-
 BackendConnection::~BackendConnection()
 {
     close();
--- a/tests/integration/platform_orders.py
+++ b/tests/integration/platform_orders.py
@@ -2,13 +2,18 @@
 store and engines of the stand-in."""
 
 import json
+import os
 import signal
+import sys
 import time
 
 import harness
 import platform_fleet
 import platform_store
 
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins"))
+import segment_filter  # noqa: E402: the path is set above
+
 NODES = 3
 ORDER_GAP_SECONDS = 6.0
 
@@ -18,8 +23,10 @@
         super().setUp()
         self.start_proxy()
         self.engine = self.fleet.engine("llm-0", load_seconds=600)
+        self.link_ports = {}
         for i in range(NODES):
-            store = platform_store.StoreOfANode(self.fleet.store, {self.engine.port: self.link(f"n{i}", self.engine.port)})
+            self.link_ports[f"n{i}"] = self.link(f"n{i}", self.engine.port)
+            store = platform_store.StoreOfANode(self.fleet.store, {self.engine.port: self.link_ports[f"n{i}"]})
             self.addCleanup(store.close)
             self.fleet.node(f"n{i}", store_port=store.port)
         for node in self.fleet.nodes:
@@ -28,8 +35,29 @@
     def test_an_order_that_was_given_up_does_not_arrive_after_another_holders(self):
         """A link holds an order back, its sender gives it up, another node takes over, and the link heals. The kernel
         delivers what a connection that was closed in order still holds, with the lower fence."""
+        sender = self.let_an_order_be_held_up("hold_on")
+        self.let_another_node_order(sender, "hold_on")
+        time.sleep(0.5)
+        self.break_link(sender.name, hold_on=None)
+        time.sleep(1.0)
+        self.assertNotIn(sender.name, self.holders(), self.engine.orders)
+
+    def test_an_order_of_a_node_that_stands_still_does_not_arrive_after_another_holders(self):
+        """A link is cut while an order is on its way, and its sender stands still until the link has healed, so that it
+        gives nothing up. Its kernel sends the order again."""
+        sender = self.let_an_order_be_held_up("drop_on")
+        sender.hold_up()
+        self.addCleanup(sender.go_on)
+        self.let_another_node_order(sender, "drop_on")
+        self.break_link(sender.name, drop_on=None)
+        harness.wait_until(lambda: segment_filter.bytes_on_their_way(self.link_ports[sender.name]) == 0,
+                           "the sender's kernel holds nothing more")
+        self.assertNotIn(sender.name, self.holders(), self.engine.orders)
+
+    def let_an_order_be_held_up(self, fault):
+        """New weights are named, and a node sends an order that its link holds up. @return the node"""
         for node in self.fleet.nodes:
-            self.break_link(node.name, hold_on="POST /order")
+            self.break_link(node.name, **{fault: "POST /order"})
         self.fleet.name_weights(2)
         senders = []
 
@@ -38,15 +66,16 @@
             return senders
 
         harness.wait_until(has_sent, "an order is on its way")
+        return senders[0]
+
+    def let_another_node_order(self, sender, fault):
         for node in self.fleet.nodes:
-            if node is not senders[0]:
-                self.break_link(node.name, hold_on=None)
+            if node is not sender:
+                self.break_link(node.name, **{fault: None})
         harness.wait_until(lambda: self.engine.orders, "another node has ordered")
-        time.sleep(0.5)
-        self.break_link(senders[0].name, hold_on=None)
-        time.sleep(1.0)
-        holders = [order["holder"].split("@")[0] for _, order in list(self.engine.orders)]
-        self.assertNotIn(senders[0].name, holders, self.engine.orders)
+
+    def holders(self):
+        return [order["holder"].split("@")[0] for _, order in list(self.engine.orders)]
 
 
 class PlatformOrdersOfNodesStoppedInTurn(platform_fleet.FleetTest):
--- a/tests/standins/fault_proxy.py
+++ b/tests/standins/fault_proxy.py
@@ -14,6 +14,8 @@
         "hold": bool            bytes wait until this ends, and are then carried on; those of an end that has reset its
                                 connection meanwhile are lost
         "hold_on": TEXT         the same, from the first piece of a request on that contains the text
+        "drop_on": TEXT         segments of a request that begin with the text are lost on the link, so that the sender's
+                                kernel holds them and sends them again; null: none
         "hang_new": bool        the opening packets of new connections get no answer
         "break_open": bool      reset all connections that are open now
         "delay_ms": N           hold back every piece of an answer
@@ -31,13 +33,16 @@
 import socket
 import struct
 
+import segment_filter
+
 PIECE = 65536
 NEVER = 1 << 60
 
 
 def clean_faults():
     return {"refuse": False, "reset": False, "cut_request_at": None, "cut_answer_at": None, "lose_answers": 0,
-            "freeze": False, "freeze_new": False, "hang_new": False, "hold": False, "hold_on": None, "delay_ms": 0, "duplicate": False}
+            "freeze": False, "freeze_new": False, "hang_new": False, "hold": False, "hold_on": None,
+            "drop_on": None, "delay_ms": 0, "duplicate": False}
 
 
 def reset(writer):
@@ -173,6 +178,11 @@
             for connection in list(self.open):
                 connection.break_off()
         (self.flowing.clear if self.faults["hold"] else self.flowing.set)()
+        for receiver in self.receivers():
+            if self.faults["drop_on"]:
+                segment_filter.drop_from(receiver, self.faults["drop_on"])
+            else:
+                segment_filter.drop_nothing(receiver)
         async with self.changing:
             listens = not (self.faults["refuse"] or self.faults["hang_new"])
             self.unplug()
@@ -184,6 +194,11 @@
             elif listens and not self.server:
                 await self.listen()
 
+    def receivers(self):
+        """What takes bytes of callers. A connection that comes later takes the filter of its listener."""
+        listeners = list(self.server.sockets) if self.server else []
+        return listeners + [each.writer.get_extra_info("socket") for each in self.open]
+
     def state(self):
         return {"connections": self.connections, "open": len(self.open), **self.bytes}
 
