A lease log whose last record is unknown may be held by any host

Seen: an engine got orders of two holders 0.6, 0.8, 1.5 and 1.8 s apart, 6 s required (ONE). Before the second, the last record of the lease's log could not be decoded, or the store had deleted the log's records and the nodes had started again.

Cause: OrderLease took "no last record" for a log that was never written to, and claimed the lease at once, with no engine at rest. A reader that met a deletion kept the last record that it had read before, which may be a release.

Change: where the log ends behind offset 0 and has no last record, some host may hold the lease and may have ordered any engine: the claim waits for its time-out, all engines rest for the gap. The reader forgets what it read before a deletion.

Cost: after a quiet time longer than the store keeps records, a node that had not read the last one waits 5.1 s before it claims.

--- a/include/vanilladyke/policy/order_lease.hpp
+++ b/include/vanilladyke/policy/order_lease.hpp
@@ -39,6 +39,10 @@
 /// How long a record has been in the log is unknown: its ages count from when it was first read.
 /// A process that claims what an earlier process of its host held doesn't know what that one
 /// ordered after its last record: it lists an order to any engine.
+///
+/// The store may delete records at any moment, and another build may write some that this one can't
+/// read. A log that was written to and whose last record is unknown may be held by any host, which
+/// may have ordered any engine.
 namespace vanilladyke {
 
 /// @brief Lower bound of the time since new weights were announced.
@@ -79,6 +83,10 @@
     bool isRelease = false;    ///< the holder sends no more orders
     LeaseUpdate update;
 
+    /// @brief What a record that is deleted or can't be read may have said: some host has the lease
+    /// and may have ordered any engine.
+    [[nodiscard]] static LeaseRecord unknown() { return {{}, 0, 0, false, {{PastOrder{}}, {}}}; }
+
     bool operator==(const LeaseRecord &) const = default;
 };
 
@@ -108,8 +116,8 @@
     void eraKnown(const StoreEraView &era, TimePoint now);
     /// @brief Takes the result of a read of the log. One of another era than the newest is ignored.
     /// @param end offset after the last record
-    /// @param last that record; none if the log is empty
-    void logRead(std::uint64_t end, const std::optional<LeaseRecord> &last, TimePoint now,
+    /// @param last that record; none if it is unknown, or the log was never written to
+    void logRead(std::uint64_t end, std::optional<LeaseRecord> last, TimePoint now,
                  std::uint64_t era = 0);
     /// @brief The append to send now; none if there is nothing to append or one is in progress.
     /// @param needsLease claims or renews the lease; if false, a held lease is released, and no
--- a/src/vanilladyke/policy/order_lease.cpp
+++ b/src/vanilladyke/policy/order_lease.cpp
@@ -37,25 +37,29 @@
     m_era = era;
 }
 
-void OrderLease::logRead(std::uint64_t end, const std::optional<LeaseRecord> &last, TimePoint now,
+void OrderLease::logRead(std::uint64_t end, std::optional<LeaseRecord> last, TimePoint now,
                          std::uint64_t era)
 {
     if (m_pendingAppend || era != m_era.era) {
         return;
     }
+    if (!last && end > 0) {
+        last = LeaseRecord::unknown();
+    }
     if (!m_isLogCurrent || end != m_end) {
         const bool hasChanged = end != m_end || m_last != last || m_lastSeenAt == TimePoint();
         m_lastSeenAt = hasChanged ? now : m_lastSeenAt;
     }
     m_end = end;
-    m_last = last;
+    m_last = std::move(last);
     m_isLogCurrent = true;
-    if (m_uncertainAppend && last == m_uncertainAppend->record && !last->isRelease) {
+    if (m_uncertainAppend && m_last == m_uncertainAppend->record && !m_last->isRelease) {
         hold(end);
     }
     m_uncertainAppend.reset();
     noteOrdersOfLast();
-    const bool isOthers = last && (last->holder != m_self || last->incarnation != m_incarnation);
+    const bool isOthers =
+            m_last && (m_last->holder != m_self || m_last->incarnation != m_incarnation);
     // A record of an older copy is older than this node's claim, which the copy lacks.
     if (isOthers && m_heldEra == m_era.era) {
         m_holdsUntil.reset();
--- a/src/vanilladyke/policy/order_lease_test.cpp
+++ b/src/vanilladyke/policy/order_lease_test.cpp
@@ -90,6 +90,18 @@
     }
 }
 
+// The store has dropped its history, or another build wrote the last record. Guards against a node
+// that takes such a log for one that nobody has written to, and claims the lease beside its holder.
+TEST(OrderLease, ALogWhoseLastRecordIsUnknownMayBeHeldByAnyHost)
+{
+    OrderLease lease("a", 1);
+    lease.logRead(3, std::nullopt, at(0));
+    EXPECT_TRUE(lease.isInHandoverGap(EngineId("e"), at(3500)));
+    EXPECT_FALSE(lease.isInHandoverGap(EngineId("e"), at(3700)));
+    EXPECT_FALSE(lease.nextAppend(true, milliseconds(0), {}, at(5000)));
+    EXPECT_TRUE(lease.nextAppend(true, milliseconds(0), {}, at(5100)));
+}
+
 // A holder is killed, and a new process of its host claims and releases the lease. Guards against
 // another node that orders an engine which the killed process ordered after its last record.
 TEST(OrderLease, AProcessThatStartsAgainNamesAnyEngineAsOrdered)
@@ -195,15 +207,17 @@
 
 /// Random walk of a few nodes that use OrderLease over a log whose appends and answers are delayed,
 /// lost and reordered. Nodes pause between their check and their order. Nodes are stopped, which
-/// releases the lease, or killed, and start again. The log may come back from an older copy.
-/// Choices depend on the seed.
+/// releases the lease, or killed, and start again. The log may come back from an older copy, and
+/// its records may be deleted. Choices depend on the seed.
 class LeaseRandomWalk
 {
 public:
     /// @param lossRate part of the steps in which the store loses its last seconds
-    explicit LeaseRandomWalk(std::uint64_t seed, double lossRate = 0)
+    /// @param deletionRate part of the steps in which it deletes all records
+    explicit LeaseRandomWalk(std::uint64_t seed, double lossRate = 0, double deletionRate = 0)
         : m_random(seed)
         , m_lossRate(lossRate)
+        , m_deletionRate(deletionRate)
         , m_era(lossRate > 0 ? 1 : 0)
     {
         for (const char *name : {"a", "b", "c"}) {
@@ -214,6 +228,7 @@
     int orders = 0;
     int handovers = 0;
     int losses = 0;
+    int deletions = 0;
 
     void run(int steps)
     {
@@ -225,6 +240,10 @@
             if (m_lossRate > 0 && uniform(m_random) < m_lossRate) {
                 loseRecords();
             }
+            if (m_deletionRate > 0 && uniform(m_random) < m_deletionRate) {
+                m_deleted = m_log.size();
+                ++deletions;
+            }
             executeLate();
             step(m_nodes[uniformBelow(m_random, m_nodes.size())]);
         }
@@ -304,9 +323,9 @@
         if (const auto append = node.lease.nextAppend(needsLease, milliseconds(0), {}, m_now)) {
             exchange(node, *append);
         } else if (node.lease.needsRead() || !node.lease.mayOrder(m_now)) {
-            node.lease.logRead(m_log.size(),
-                               m_log.empty() ? std::nullopt : std::optional(m_log.back()), m_now,
-                               m_era);
+            const bool hasLast = m_log.size() > m_deleted;
+            node.lease.logRead(m_log.size(), hasLast ? std::optional(m_log.back()) : std::nullopt,
+                               m_now, m_era);
         }
     }
 
@@ -362,6 +381,7 @@
 
     Random m_random;
     double m_lossRate;
+    double m_deletionRate;
     std::uint64_t m_era;
     TimePoint m_now = at(0);
     TimePoint m_storeDownUntil = at(0);
@@ -369,6 +389,7 @@
     std::uint64_t m_incarnation = 1; ///< of the process that started last
     std::vector<LeaseRecord> m_log;
     std::vector<TimePoint> m_times; ///< of the records
+    std::size_t m_deleted = 0;      ///< so many of the first records
     std::vector<Late> m_late;
     std::string m_lastHolder;
     TimePoint m_lastArrival = at(0);
@@ -393,6 +414,23 @@
     EXPECT_GT(handovers, 100) << "the walks must reach changes of the holder";
 }
 
+// The same with a store that deletes its records at any moment, so that nodes that start read a log
+// without any. Guards against two holders.
+TEST(OrderLease, NoTwoHoldersOrderWithinTheGapThoughTheStoreDeletesRecords)
+{
+    int handovers = 0;
+    int deletions = 0;
+    for (std::uint64_t seed = 1; seed <= 400; ++seed) {
+        LeaseRandomWalk walk(seed, 0, 0.01);
+        walk.run(600);
+        handovers += walk.handovers;
+        deletions += walk.deletions;
+        ASSERT_FALSE(::testing::Test::HasFailure()) << "seed " << seed;
+    }
+    EXPECT_GT(handovers, 100) << "the walks must reach changes of the holder";
+    EXPECT_GT(deletions, 1000);
+}
+
 // The same with a store that comes back from copies up to 8 s old, again and again, while nodes
 // release the lease and appends take effect in a later era. Guards against two holders, and against
 // a fencing number below one that an engine has seen.
--- a/tests/integration/platform_orders.py
+++ b/tests/integration/platform_orders.py
@@ -97,15 +97,22 @@
         name = None if record["release"] else record["holder"].split("@")[0]
         return next((node for node in self.fleet.nodes if node.name == name), None)
 
-    def play(self, end_second):
-        """One node orders all engines and stops, newer weights are named, and the next holder ends in the given way."""
+    def let_one_node_order_all(self):
+        """@return the node that has ordered all engines and holds the lease"""
         self.fleet.name_weights(2)
         harness.wait_until(lambda: all(each.orders for each in self.engines), "all engines were ordered")
-        first = self.holder()
+        return self.holder()
+
+    def play(self, end_second):
+        """One node orders all engines and stops, newer weights are named, and the next holder ends in the given way."""
+        first = self.let_one_node_order_all()
         first.popen.send_signal(signal.SIGTERM)
         self.fleet.name_weights(3)
         harness.wait_until(lambda: self.holder() not in (None, first), "another node has the lease")
         end_second(self.holder())
+        self.check_holders_kept_apart()
+
+    def check_holders_kept_apart(self):
         harness.wait_until(lambda: all(each.version == 3 for each in self.engines), "the weights are in place")
         for each in self.engines:
             orders = list(each.orders)
@@ -125,6 +132,26 @@
 
         self.play(kill)
 
+    def test_no_two_holders_order_an_engine_within_the_gap_though_the_last_record_cannot_be_read(self):
+        """Another build wrote it. A node that takes the log for empty claims the lease and orders at once."""
+        first = self.let_one_node_order_all()
+        first.stop(signal.SIGKILL)
+        self.fleet.store.append("vanilladyke.lease", b"not a record of this build")
+        self.fleet.name_weights(3)
+        self.check_holders_kept_apart()
+
+    def test_no_two_holders_order_an_engine_within_the_gap_though_the_lease_was_deleted(self):
+        """The store drops its history while a node has the lease, and the other nodes start again: the log is empty."""
+        first = self.let_one_node_order_all()
+        for node in list(self.fleet.nodes):
+            node.stop(signal.SIGKILL)
+        self.fleet.store.forget("vanilladyke.lease")
+        self.fleet.name_weights(3)
+        for node in list(self.fleet.nodes):
+            if node is not first:
+                self.fleet.restart(node)
+        self.check_holders_kept_apart()
+
 
 if __name__ == "__main__":
     harness.main()
--- a/tests/integration/platform_store.py
+++ b/tests/integration/platform_store.py
@@ -71,6 +71,11 @@
             self.era = (self.era or 0) + 1
             self.down = False
 
+    def forget(self, topic):
+        """The records that the topic holds are deleted; offsets go on."""
+        with self.changed:
+            self.first[topic] = len(self.topics[topic])
+
     def answer(self, call, status, body=b"", headers=None):
         named = {} if self.era is None else {"Store-Era": str(self.era)}
         call.answer(status, body, {**(headers or {}), **named})
