A late entry of an earlier start doesn't bring a leaving server back

Seen: requests reached an engine later than drainMs after the store had accepted that it was draining (DRAIN). The engine had started again under its id; after its report the store carried out an entry of the start before, `ready`, with a lower `born` and a higher `sequence`. They went on until the engine wrote again.

Cause: the roster takes the store's order for the order of events. An entry that is carried out late is last in the store and says what was before.

Change: an entry of a lower start that says ready counts with the second one in a row. It can't be ignored for good, since a clock that was set back makes a sound start's `born` the lower one: a late entry comes alone, a server writes on. One that says draining counts at once. A node that reads the list for others tells them all entries that decide between two starts; it told changes only, so that others would never have seen the second.

Cost: a server whose clock was set back is believed a heartbeat later.

--- a/include/vanilladyke/policy/backend_roster.hpp
+++ b/include/vanilladyke/policy/backend_roster.hpp
@@ -25,6 +25,10 @@
 /// own count begins anew when it starts again, and entries of other writers hold any number. The
 /// count only tells whether what follows a removal or a change of the store's era is a new
 /// statement.
+///
+/// The store may carry out an entry seconds after it was sent, when the server has started again
+/// and drains. An entry of a lower start that says ready therefore counts with the second one in a
+/// row: a late one comes alone, and a server whose clock was set back writes on.
 namespace vanilladyke {
 
 /// @brief The roster of one node. Pure.
@@ -67,6 +71,9 @@
         });
     }
     [[nodiscard]] const BackendEntry *find(const EngineId &id) const;
+    /// @brief Whether the last entry of the server is of another start than the one that counts, or
+    /// none counts: the next one may then count without a change of its own.
+    [[nodiscard]] bool isUnsettled(const EngineId &id) const;
     [[nodiscard]] std::size_t size() const { return m_entries.size(); }
 
 private:
--- a/src/vanilladyke/node/control_plane.cpp
+++ b/src/vanilladyke/node/control_plane.cpp
@@ -175,6 +175,7 @@
     const std::string software = entry.software;
     m_versionsRead.emplace(entry.service, softwareKey(software));
     const std::uint64_t start = entry.start;
+    const bool wasUnsettled = m_roster.isUnsettled(id);
     const bool isChanged = m_roster.put(std::move(entry));
     if (isChanged) {
         LogEvent("backend_changed")
@@ -185,8 +186,8 @@
                 .field("known", m_roster.size());
         publishBackends();
     }
-    // A server that isn't listed returns once two of its entries were seen.
-    return isChanged || m_roster.find(id) == nullptr;
+    // Which of two starts counts depends on whether two entries in a row are seen.
+    return isChanged || wasUnsettled || m_roster.isUnsettled(id);
 }
 
 void ControlPlane::backendRemoved(const EngineId &id, StorePosition position)
--- a/src/vanilladyke/policy/backend_roster.cpp
+++ b/src/vanilladyke/policy/backend_roster.cpp
@@ -12,9 +12,12 @@
     if (!isFirst && entry.position <= last.position) {
         return false;
     }
-    // After a removal or in another era, the record may repeat what was written before.
+    // After a removal or in another era, the record may repeat what was written before; that of a
+    // lower start may have been carried out late.
     const bool mayRepeat =
-            !isFirst && (!m_entries.contains(entry.id) || entry.position.era != last.position.era);
+            !isFirst
+            && (!m_entries.contains(entry.id) || entry.position.era != last.position.era
+                || (entry.start < last.start && !entry.isDraining));
     const bool isNewer =
             std::tie(entry.start, entry.heartbeat) > std::tie(last.start, last.heartbeat);
     last.position = entry.position;
@@ -126,6 +129,13 @@
     return result;
 }
 
+bool BackendRoster::isUnsettled(const EngineId &id) const
+{
+    const auto last = m_last.find(id);
+    const BackendEntry *entry = find(id);
+    return last != m_last.end() && (entry == nullptr || entry->start != last->second.start);
+}
+
 const BackendEntry *BackendRoster::find(const EngineId &id) const
 {
     const auto found = m_entries.find(id);
--- a/src/vanilladyke/policy/backend_roster_test.cpp
+++ b/src/vanilladyke/policy/backend_roster_test.cpp
@@ -130,6 +130,50 @@
     EXPECT_TRUE(roster.serving().empty());
 }
 
+/// An entry of another start of the server.
+BackendEntry entryOfStart(std::uint64_t start, std::uint64_t heartbeat, bool isDraining = false)
+{
+    BackendEntry result = entry("a", heartbeat, isDraining);
+    result.start = start;
+    return result;
+}
+
+// The store carries out late what a server wrote before it started again. Guards against requests
+// to a server that has drained since.
+TEST(BackendRoster, ALateEntryOfAnEarlierStartDoesNotBringADrainingServerBack)
+{
+    BackendRoster roster;
+    roster.put(entryOfStart(1, 3000));
+    roster.put(entryOfStart(2, 1));
+    EXPECT_TRUE(roster.put(entryOfStart(2, 2, true)));
+    EXPECT_FALSE(roster.put(entryOfStart(1, 3001)));
+    EXPECT_TRUE(roster.serving().empty());
+    EXPECT_FALSE(roster.put(entryOfStart(2, 3, true)));
+}
+
+// A server starts again after its host's clock was set back, so that its start seems the earlier
+// one. Guards against ignoring it for good.
+TEST(BackendRoster, AServerWhoseClockWasSetBackReturnsWithItsSecondEntry)
+{
+    BackendRoster roster;
+    roster.put(entryOfStart(5, 3000));
+    EXPECT_FALSE(roster.put(entryOfStart(3, 1)));
+    EXPECT_TRUE(roster.put(entryOfStart(3, 2)));
+    EXPECT_EQ(roster.find(EngineId("a"))->start, 3U);
+}
+
+// The same server drains with its first entry. Guards against sending it requests until it writes
+// again.
+TEST(BackendRoster, AnEntryOfALowerStartThatDrainsTakesEffectAtOnce)
+{
+    BackendRoster roster;
+    roster.put(entryOfStart(5, 3000));
+    EXPECT_TRUE(roster.put(entryOfStart(3, 1, true)));
+    EXPECT_TRUE(roster.serving().empty());
+    EXPECT_TRUE(roster.put(entryOfStart(5, 3001))); // it was a late one, and the server writes on
+    EXPECT_EQ(roster.serving().size(), 1U);
+}
+
 // Another writer's entry under a server's id holds a huge count. Guards against ignoring all that
 // the server writes from then on, also once that entry was removed.
 TEST(BackendRoster, AHugeCountOfAnotherWriterHidesNoServer)
--- a/tests/integration/platform_entries.py
+++ b/tests/integration/platform_entries.py
@@ -79,19 +79,38 @@
         end = time.monotonic() + seconds
         harness.wait_until(lambda: time.monotonic() > end, "observed")
 
-    def test_an_engine_that_started_again_under_its_id_leaves(self):
-        """Its count of entries begins anew, so that its draining looks like an old entry, and requests go on to it."""
-        self.begin()
+    def let_leave_after_a_start(self):
+        """An engine that has started again drains. @return the engine, and when the store has accepted that"""
         leaver = self.engines[0]
         leaver.start_again()
         self.observe(1.0)
         leaver.state = "draining"
         self.fleet.store.put("keyed.servers", leaver.name, leaver.entry())
-        acknowledged = time.monotonic()
-        self.observe(DRAIN_SECONDS + OBSERVED_SECONDS)
+        return leaver, time.monotonic()
+
+    def check_left(self, leaver, acknowledged):
         self.assertGreater(len(leaver.requests), 10)
         self.assertEqual([at for at, _ in list(leaver.requests) if at > acknowledged + DRAIN_SECONDS], [])
 
+    def test_an_engine_that_started_again_under_its_id_leaves(self):
+        """Its count of entries begins anew, so that its draining looks like an old entry, and requests go on to it."""
+        self.begin()
+        leaver, acknowledged = self.let_leave_after_a_start()
+        self.observe(DRAIN_SECONDS + OBSERVED_SECONDS)
+        self.check_left(leaver, acknowledged)
+
+    def test_a_late_entry_of_the_start_before_does_not_bring_a_leaving_engine_back(self):
+        """The store carries it out after the new start has reported that it drains. Requests would go to the engine until
+        it writes again."""
+        self.begin()
+        late = {**self.engines[0].entry(), "sequence": HOUR_OF_BEATS + 1000}
+        leaver, acknowledged = self.let_leave_after_a_start()
+        leaver.is_silent = True
+        self.observe(DRAIN_SECONDS / 2)
+        self.fleet.store.put("keyed.servers", leaver.name, late)
+        self.observe(DRAIN_SECONDS / 2 + OBSERVED_SECONDS)
+        self.check_left(leaver, acknowledged)
+
     def test_an_entry_of_another_writer_with_a_huge_sequence_hides_no_engine(self):
         """It lies under an engine's id, and the engine goes on writing its own with lower numbers."""
         self.begin()
