What a server said before it left doesn't hold for its next start

Seen (unit test, no real processes): an engine that said in an answer that it leaves, was taken off the list and started again under its id got no requests; a leaving is remembered for ten minutes.

Cause: what a server said was forgotten only where an entry of another start replaced a listed one. A server that drains isn't listed, so its next start found no start before. An absence was read as knowledge.

Change: the start in a server's last entry is kept while it isn't listed, for up to 4,096 servers that aren't.

Conclusion: fixed for servers that name their start.

--- a/include/vanilladyke/policy/backend_tracker.hpp
+++ b/include/vanilladyke/policy/backend_tracker.hpp
@@ -99,6 +99,8 @@
     /// All servers of a service are evaluated up to this number.
     static constexpr std::size_t EvaluateAllUpTo = 24;
     static constexpr std::size_t MaxPendingPlacements = 400;
+    /// Servers that aren't listed and whose last start is known.
+    static constexpr std::size_t MaxUnlistedStarts = 4096;
     /// How long a node reports weights that it loaded; repeated because datagrams may be lost.
     static constexpr Duration ReportWeightsFor = std::chrono::seconds(3);
 
@@ -337,6 +339,9 @@
     [[nodiscard]] const State *fetchSource(const State &engine, const PartHolders::Lookup &lookup,
                                            const BackendQuery &query, TimePoint now) const;
     void apply(const PlacementUpdate &update, TimePoint now);
+    /// Forgets what the server said if its last entry was of another start.
+    /// @return whether it was
+    bool recordStart(const BackendEntry &entry, TimePoint now);
     [[nodiscard]] State *find(const EngineId &id);
     static void recordWeights(State &state, const ModelId &model, std::uint64_t version);
     [[nodiscard]] static std::uint64_t weightsOf(const State &state, const ModelId &model);
@@ -349,6 +354,8 @@
     BackendCostParameters m_costs;
     std::uint64_t m_self;
     EngineStatements m_statements;
+    /// By server: the start in its last entry, kept while the server isn't listed.
+    std::unordered_map<std::uint64_t, std::uint64_t> m_starts;
     /// Services of which a server is brittle, with the rejections that the last one bears.
     std::unordered_map<ServiceId, double> m_brittleServices;
     std::unordered_map<ServiceId, PrefillThroughput> m_throughputs;
--- a/src/vanilladyke/policy/backend_tracker.cpp
+++ b/src/vanilladyke/policy/backend_tracker.cpp
@@ -22,12 +22,10 @@
     for (const BackendEntry &entry : serving) {
         State state;
         const auto known = m_states.find(entry.id);
-        const bool isListed = known != m_states.end();
-        const bool isSameStart = isListed && known->second.entry.start == entry.start;
+        const bool hasStarted = recordStart(entry, now);
+        const bool isSameStart = known != m_states.end() && !hasStarted;
         if (isSameStart) {
             state = std::move(known->second);
-        } else if (isListed) {
-            m_statements.startedAgain(hashOf(entry.id), now);
         }
         const std::map<ModelId, std::uint64_t> seen = std::move(state.entry.weights);
         state.entry = entry;
@@ -52,6 +50,10 @@
         state.slotTimes = &m_slotTimes[state.entry.service];
         m_byService[state.entry.service].push_back(&state);
     }
+    if (m_starts.size() > MaxUnlistedStarts + m_states.size()) {
+        std::erase_if(m_starts,
+                      [this](const auto &item) { return !m_byHash.contains(item.first); });
+    }
     for (auto &[service, states] : m_byService) {
         std::sort(states.begin(), states.end(), [this](const State *a, const State *b) {
             return mixBits(m_self ^ a->hash) > mixBits(m_self ^ b->hash);
@@ -59,6 +61,18 @@
     }
 }
 
+bool BackendTracker::recordStart(const BackendEntry &entry, TimePoint now)
+{
+    const std::uint64_t hash = hashOf(entry.id);
+    const auto [last, isFirst] = m_starts.try_emplace(hash, entry.start);
+    if (isFirst || last->second == entry.start) {
+        return false;
+    }
+    last->second = entry.start;
+    m_statements.startedAgain(hash, now);
+    return true;
+}
+
 const PrefillThroughput &BackendTracker::throughputOf(const ServiceId &service) const
 {
     static const PrefillThroughput unknown;
--- a/src/vanilladyke/policy/engine_statements_test.cpp
+++ b/src/vanilladyke/policy/engine_statements_test.cpp
@@ -66,6 +66,18 @@
     EXPECT_EQ(chosen(m_tracker, Start + seconds(4)), "e1");
 }
 
+// The engine leaves, so that it isn't listed for a while, and starts again under its id. Guards
+// against keeping it without requests for ten minutes.
+TEST_F(EngineStatementsTest, AnEngineThatStartsAgainAfterItLeftHasSaidNothing)
+{
+    static_cast<void>(m_tracker.leavingObserved(EngineId("e1"), Start));
+    m_tracker.setBackends({entry("e2")}, Start + seconds(1));
+    BackendEntry reborn = entry("e1");
+    reborn.start = 1;
+    m_tracker.setBackends({reborn}, Start + seconds(9));
+    EXPECT_EQ(chosen(m_tracker, Start + seconds(9)), "e1");
+}
+
 // The store comes back with a listing from before, at first without the engine.
 TEST_F(EngineStatementsTest, AnOlderListingDoesNotTakeALeavingBack)
 {
