An engine's reported weights hold for the start that reported them

Seen (unit test, no real processes): of nine engines on the named version one started again under its id with older weights, and nobody ordered it (it would break VERSION once the time for old weights is over).

Cause: WeightsController kept the version that an engine reported by its id and took the higher of it and the listed one. What the start before reported hid what the new one listed.

Change: a reported version counts only with the start that reported it.

Conclusion: fixed.

--- a/include/vanilladyke/node/weights_controller.hpp
+++ b/include/vanilladyke/node/weights_controller.hpp
@@ -92,6 +92,13 @@
         TimePoint announcedUntil{}; ///< other nodes were sent this end of the load
     };
 
+    /// What an engine's last report said.
+    struct ReportedVersion
+    {
+        std::uint64_t start = 0; ///< of the engine
+        std::uint64_t version = 0;
+    };
+
     [[nodiscard]] std::vector<RolloutEngine> enginesOf(const ModelId &model) const;
     [[nodiscard]] std::uint64_t versionOf(const BackendEntry &entry, const ModelId &model) const;
     /// Whether this node has to hold the lease or wait for it.
@@ -130,7 +137,7 @@
     Duration m_claimDelay;
     std::map<ModelId, WeightsRollout> m_rollouts;
     std::map<EngineId, Load> m_loads;
-    std::map<std::pair<EngineId, ModelId>, std::uint64_t> m_observed;
+    std::map<std::pair<EngineId, ModelId>, ReportedVersion> m_reported;
     int m_pendingOrders = 0; ///< without an answer yet
     bool m_stopping = false;
     std::optional<std::size_t> m_rank = 0;  ///< among the standby nodes
--- a/src/vanilladyke/node/weights_controller.cpp
+++ b/src/vanilladyke/node/weights_controller.cpp
@@ -65,9 +65,10 @@
 std::uint64_t WeightsController::versionOf(const BackendEntry &entry, const ModelId &model) const
 {
     const auto listed = entry.weights.find(model);
-    const auto observed = m_observed.find({entry.id, model});
+    const auto reported = m_reported.find({entry.id, model});
+    const bool holds = reported != m_reported.end() && reported->second.start == entry.start;
     return std::max(listed == entry.weights.end() ? 0 : listed->second,
-                    observed == m_observed.end() ? 0 : observed->second);
+                    holds ? reported->second.version : 0);
 }
 
 std::vector<RolloutEngine> WeightsController::enginesOf(const ModelId &model) const
@@ -344,7 +345,7 @@
     load.unansweredReports = 0;
     const auto version = report->weights.find(load.model);
     const std::uint64_t has = version == report->weights.end() ? 0 : version->second;
-    m_observed[{id, load.model}] = has;
+    m_reported[{id, load.model}] = {engine->start, has};
     if (has >= load.version) {
         m_callbacks.loaded(id, load.model, has);
         endLoad(id, true);
--- a/src/vanilladyke/node/weights_controller_test.cpp
+++ b/src/vanilladyke/node/weights_controller_test.cpp
@@ -89,6 +89,8 @@
     }
 
     [[nodiscard]] std::uint64_t versionOf(const EngineId &id) { return stateOf(id).version; }
+    /// @brief The engine starts again with the first weights.
+    void startAgain(const EngineId &id) { m_engines[id] = {}; }
 
     std::set<EngineId> losesOrders; ///< engines that lose every order
     std::vector<std::uint64_t> ordered;
@@ -377,6 +379,23 @@
     EXPECT_EQ(onVersion(2), Engines);
 }
 
+// An engine starts again under its id with older weights. Guards against taking what the start
+// before reported for its own, so that nobody orders it.
+TEST_F(WeightsControllerTest, AnEngineThatStartsAgainUnderItsIdIsOrderedAgain)
+{
+    m_controller->weightsAnnounced(llmModel, 2, m_now);
+    stepFor(WholeRollout);
+    ASSERT_EQ(onVersion(2), Engines);
+    m_engines.startAgain(idOf(0));
+    BackendEntry entry = *m_roster.find(idOf(0));
+    entry.start = 1;
+    entry.position = {0, 1};
+    m_roster.put(entry);
+    EXPECT_EQ(onVersion(2), Engines - 1);
+    stepFor(WholeRollout);
+    EXPECT_EQ(onVersion(2), Engines);
+}
+
 // Guards against a flood of reads: if each of nine standby nodes read each renewal, they would make
 // more store calls than all other work of the fleet.
 TEST_F(WeightsControllerTest, LowerRankedStandbysPollRarely)
