Calls of the own interface reset their connection when they are given up

Seen (unit test): a call of serve that was given up was closed in order, so that the kernel went on to deliver it; a server that read only afterwards got the end of an orderly call. An order of a bundle that is on its way could reach its engine after a newer one. No caller has reported it.

Change: makeBackendClient, from which all clients of serve come (log, host list, orders, polls, exchanges with engines and services), sets its sockets to be reset when they are closed.

No bound in the kernel there: a process of serve that stands still resets nothing until it goes on.

--- a/include/vanilladyke/platform/backend_client.hpp
+++ b/include/vanilladyke/platform/backend_client.hpp
@@ -23,7 +23,9 @@
 };
 
 /// @brief Creates a client for one backend server. With TLS, the server's certificate must be
-/// signed by one of the trusted authorities and contain the endpoint's IP address.
+/// signed by one of the trusted authorities and contain the endpoint's IP address. The client's
+/// connections are reset when they are closed, so that a call that was given up isn't delivered
+/// later.
 [[nodiscard]] std::unique_ptr<httplib::Client> makeBackendClient(const Endpoint &backend,
                                                                  const BackendTls &tls);
 
--- a/src/vanilladyke/platform/backend_client.cpp
+++ b/src/vanilladyke/platform/backend_client.cpp
@@ -2,9 +2,22 @@
 
 #include <httplib.h>
 
+#include <sys/socket.h>
+
 namespace vanilladyke {
 
-std::unique_ptr<httplib::Client> makeBackendClient(const Endpoint &backend, const BackendTls &tls)
+namespace {
+
+/// What a call has sent is lost when it ends before its answer. In an orderly close the kernel
+/// would deliver what a link holds back, however late: an order after a newer one.
+void resetOnClose(socket_t socket)
+{
+    httplib::default_socket_options(socket);
+    const linger reset{1, 0};
+    ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+}
+
+std::unique_ptr<httplib::Client> makeClient(const Endpoint &backend, const BackendTls &tls)
 {
     if (!tls.enabled()) {
         return std::make_unique<httplib::Client>(backend.host, backend.port);
@@ -18,6 +31,15 @@
     return client;
 }
 
+} // namespace
+
+std::unique_ptr<httplib::Client> makeBackendClient(const Endpoint &backend, const BackendTls &tls)
+{
+    auto client = makeClient(backend, tls);
+    client->set_socket_options(resetOnClose);
+    return client;
+}
+
 bool failedBeforeSending(httplib::Error error)
 {
     return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout
