--- a/src/vanilladyke/gateway/service_exchange_test.cpp
+++ b/src/vanilladyke/gateway/service_exchange_test.cpp
@@ -44,6 +44,7 @@
         if (ending == Ending::Reset) {
             socket.set_option(asio::socket_base::linger(true, 0));
         }
+        socket.close(); // the destructor would close in order whatever the option
     }
 
     asio::io_context m_context;
