Tests: the proxy leaves closed connections alone; a stand-in without a flag

The proxy filters only when it is told to, and open connections only; the flag is gone, the test takes the engine off the list of those that write; the harness waits for the second port.

No check changed.

--- a/tests/integration/harness.py
+++ b/tests/integration/harness.py
@@ -252,6 +252,7 @@
         self.platform_process = process
         process.state = lambda: json.loads(http_call(control, "GET", "/control/state")[1])
         wait_until(lambda: http_call(port, "GET", "/v1/hosts")[0] == 200, "platform up")
+        wait_until(lambda: process.state() is not None, "platform takes orders")
         return process
 
     def sign(self, bundle):
--- a/tests/integration/platform_engine.py
+++ b/tests/integration/platform_engine.py
@@ -22,7 +22,6 @@
         self.ends_on = ends_on  # parts of prompts, never the last, on which it ends
         self.version, self.busy, self.sequence, self.beats = 1, False, 0, 0
         self.state = "ready"
-        self.is_silent = False  # it writes no entries
         self.software = None  # version of its software, as its entry and the events of its streams name it
         self.cuts, self.cut_after = 0, 2  # streams that it breaks off, and after how many of its events
         self.pace = 0.01  # seconds between two events
--- a/tests/integration/platform_entries.py
+++ b/tests/integration/platform_entries.py
@@ -105,7 +105,8 @@
         self.begin()
         late = {**self.engines[0].entry(), "sequence": HOUR_OF_BEATS + 1000}
         leaver, acknowledged = self.let_leave_after_a_start()
-        leaver.is_silent = True
+        self.fleet.engines.remove(leaver)  # it writes no more entries
+        self.addCleanup(leaver.close)
         self.observe(DRAIN_SECONDS / 2)
         self.fleet.store.put("keyed.servers", leaver.name, late)
         self.observe(DRAIN_SECONDS / 2 + OBSERVED_SECONDS)
--- a/tests/integration/platform_fleet.py
+++ b/tests/integration/platform_fleet.py
@@ -111,7 +111,7 @@
     def beat(self):
         while self.beating:
             for engine in list(self.engines):
-                if not self.store.down and engine.state != "gone" and not engine.is_silent:
+                if not self.store.down and engine.state != "gone":
                     self.store.put("keyed.servers", engine.name, engine.entry())
             time.sleep(0.3)
 
--- a/tests/standins/fault_proxy.py
+++ b/tests/standins/fault_proxy.py
@@ -178,11 +178,8 @@
             for connection in list(self.open):
                 connection.break_off()
         (self.flowing.clear if self.faults["hold"] else self.flowing.set)()
-        for receiver in self.receivers():
-            if self.faults["drop_on"]:
-                segment_filter.drop_from(receiver, self.faults["drop_on"])
-            else:
-                segment_filter.drop_nothing(receiver)
+        if "drop_on" in changes:
+            self.filter_segments()
         async with self.changing:
             listens = not (self.faults["refuse"] or self.faults["hang_new"])
             self.unplug()
@@ -194,10 +191,16 @@
             elif listens and not self.server:
                 await self.listen()
 
-    def receivers(self):
-        """What takes bytes of callers. A connection that comes later takes the filter of its listener."""
+    def filter_segments(self):
+        """On all that takes bytes of callers. A connection that comes later takes the filter of its listener."""
         listeners = list(self.server.sockets) if self.server else []
-        return listeners + [each.writer.get_extra_info("socket") for each in self.open]
+        for receiver in listeners + [each.writer.get_extra_info("socket") for each in self.open]:
+            if receiver.fileno() < 0:
+                continue  # closed
+            if self.faults["drop_on"]:
+                segment_filter.drop_from(receiver, self.faults["drop_on"])
+            else:
+                segment_filter.drop_nothing(receiver)
 
     def state(self):
         return {"connections": self.connections, "open": len(self.open), **self.bytes}
