Tests: who ordered is read from the orders; a refusal's reason is printed

platform_orders took the node that ordered for the one that the lease's last record names; where a slow test looks after the release there is none. It takes the holder that the orders name. platform_odd_entries prints the answer with a status that it doesn't expect: it got a 503 once in a whole run of all tests (listed). No check changed.

--- a/tests/integration/platform_odd_entries.py
+++ b/tests/integration/platform_odd_entries.py
@@ -88,8 +88,8 @@
         for node in nodes:
             harness.wait_for_node(node, lambda node=node: self.fleet.knows_all(node), "follows the list")
         for number in range(10):
-            status = self.fleet.ask(nodes[number % 2], f"/{path}/x", f"r{number}", method="GET", body=None)[0]
-            self.assertEqual(status, 200)
+            status, body, _ = self.fleet.ask(nodes[number % 2], f"/{path}/x", f"r{number}", method="GET", body=None)
+            self.assertEqual(status, 200, body)
         for node in nodes:
             self.assertIsNone(node.popen.poll(), "the process has ended")
 
--- a/tests/integration/platform_orders.py
+++ b/tests/integration/platform_orders.py
@@ -98,10 +98,11 @@
         return next((node for node in self.fleet.nodes if node.name == name), None)
 
     def let_one_node_order_all(self):
-        """@return the node that has ordered all engines and holds the lease"""
+        """@return the node that has ordered all engines"""
         self.fleet.name_weights(2)
         harness.wait_until(lambda: all(each.orders for each in self.engines), "all engines were ordered")
-        return self.holder()
+        name = self.engines[0].orders[-1][1]["holder"].split("@")[0]
+        return next(node for node in self.fleet.nodes if node.name == name)
 
     def play(self, end_second):
         """One node orders all engines and stops, newer weights are named, and the next holder ends in the given way."""
