--- a/review/common-2/trial.py
+++ b/review/common-2/trial.py
@@ -16,6 +16,7 @@
 import threading
 import time
 import tomllib
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "tests" / "integration"))
@@ -182,8 +183,8 @@
 class Trial:
     """One run of a case."""
 
-    def __init__(self, folder, nodes, routes):
-        self.record = Record(folder)
+    def __init__(self, record, nodes, routes):
+        self.record = record
         self.scratch = tempfile.TemporaryDirectory()
         self.folder = pathlib.Path(self.scratch.name)
         self.role = tomllib.loads((ROOT / "deploy" / "system.toml").read_text(encoding="utf-8"))["roles"]["node"]
@@ -263,16 +264,18 @@
 def conduct(folder, nodes, routes, case):
     """Runs the case on a trial and ends the program: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
     @param case takes the trial, and returns the breaks that it found, a line each"""
-    trial = Trial(folder, nodes, routes)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
+    record, trial, status = Record(folder), None, NOT_RUN
     try:
+        trial = Trial(record, nodes, routes)
         breaks = case(trial)
         for each in breaks:
-            trial.record.line(f"BROKEN: {each}")
-        trial.record.line(f"{len(breaks)} breaks of the rule" if breaks else "the rule held")
+            record.line(f"BROKEN: {each}")
+        record.line(f"{len(breaks)} breaks of the rule" if breaks else "the rule held")
         status = BROKEN if breaks else HELD
-    except (CannotRun, OSError) as error:
-        trial.record.line(f"the case could not run: {error}")
-        status = NOT_RUN
+    except Exception:  # noqa: BLE001: whatever goes wrong here says nothing of the rule
+        record.line(f"the case could not run: {traceback.format_exc()}")
     finally:
-        trial.close()
+        if trial is not None:
+            trial.close()
     sys.exit(status)
