--- a/review/common-2/trial.py
+++ b/review/common-2/trial.py
@@ -223,7 +223,7 @@
         while self.beating:
             for engine in list(self.engines):
                 self.write_entry(engine)
-            time.sleep(HEARTBEAT_SECONDS / 2)
+            time.sleep(HEARTBEAT_SECONDS)
 
     def write_entry(self, engine):
         if not self.store.silent and engine.name not in self.gone and engine.state != "gone":
