An answer that a reset ends is not complete, whoever was told of the reset

What callers saw: a server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was being written. The caller got that part as a complete answer (MIXED).

Cause: the kernel reports a reset once, to the call that comes first. A node writes the request while it reads the answer; the write got ECONNRESET, which only kept the connection out of the pool, and the next read returned 0, the orderly end that completes an answer without a length. Where the server ends its half in order before its host rejects the rest of the upload, no read hears of the reset at all.

Change: what the end of the connection completes is whole only if no write failed and the kernel knows of no reset (poll, which takes no report away); while bytes of the request are on their way, their rejection is waited for, 250 ms at most.

A server that ends in order within an answer without a length can't be told from one that is done.

--- a/include/vanilladyke/traffic/backend_pool.hpp
+++ b/include/vanilladyke/traffic/backend_pool.hpp
@@ -45,7 +45,8 @@
     std::optional<TimePoint> usableUntil;
     bool isOpen = false;
     bool isIdle = false;
-    bool isWriting = false; ///< a request is being written, or writing it failed
+    bool isWriting = false; ///< a request is being written
+    bool hasWriteFailed = false;
     bool isReused = false;
     std::uint64_t useCount = 0; ///< number of times the connection was taken from the pool
     std::shared_ptr<int> openCount;
--- a/include/vanilladyke/traffic/backend_try.hpp
+++ b/include/vanilladyke/traffic/backend_try.hpp
@@ -80,7 +80,7 @@
     /// @return false if the connection ended
     [[nodiscard]] asio::awaitable<bool> readSome(std::string *out);
     /// @brief Whether the answer has been read to its end.
-    [[nodiscard]] bool isWhole() const { return m_parser && m_parser->is_done(); }
+    [[nodiscard]] bool isWhole() const { return m_parser && m_parser->is_done() && !m_isCut; }
     /// @brief Whether only the end of the connection marks the end of the answer.
     [[nodiscard]] bool endsWithConnection() const { return m_parser->get().need_eof(); }
     /// @brief Returns the connection to the pool if it can be reused; closes it otherwise.
@@ -156,6 +156,8 @@
     bool m_wasLoading = false; ///< the engine loaded weights when it answered
     /// Bytes that were buffered after the last read, such as the line end of a chunk.
     std::size_t m_buffered = 0;
+    /// The connection marks the end of the answer, and did not end in order.
+    bool m_isCut = false;
     bool m_sawStray = false; ///< an answer to another request arrived on the connection
 };
 
--- a/src/vanilladyke/gateway/service_connection.cpp
+++ b/src/vanilladyke/gateway/service_connection.cpp
@@ -1,5 +1,6 @@
 #include "vanilladyke/gateway/service_connection.hpp"
 
+#include "vanilladyke/traffic/peer_close.hpp"
 #include "vanilladyke/traffic/reset_on_close.hpp"
 
 #include <boost/asio/ssl.hpp>
@@ -172,6 +173,10 @@
         parser->skip(request.method() == http::verb::head);
         co_await http::async_read(stream, buffer, *parser, redirectError(error));
     }
+    if (!error && parser->get().need_eof()) {
+        const bool isInOrder = co_await endedInOrder(m_socket, false, false);
+        error = isInOrder ? error : ErrorCode(asio::error::connection_reset);
+    }
     ended(error, *parser);
 }
 
--- a/src/vanilladyke/gateway/service_exchange_test.cpp
+++ b/src/vanilladyke/gateway/service_exchange_test.cpp
@@ -15,7 +15,11 @@
 namespace asio = boost::asio;
 using Tcp = asio::ip::tcp;
 
-enum class Ending { Close, Reset };
+enum class Ending {
+    Close,
+    Reset,
+    EndThenReset ///< ends its half in order and closes while bytes of the call lie unread
+};
 
 /// Accepts one connection, reads a request, sends these bytes and ends the connection.
 class CutServer
@@ -44,6 +48,9 @@
         if (ending == Ending::Reset) {
             socket.set_option(asio::socket_base::linger(true, 0));
         }
+        if (ending == Ending::EndThenReset) {
+            socket.shutdown(Tcp::socket::shutdown_send);
+        }
         socket.close(); // the destructor would close in order whatever the option
     }
 
@@ -52,12 +59,14 @@
     std::thread m_thread;
 };
 
-Outcome<ServiceAnswer, ExchangeFailure> askCut(const std::string &bytes, Ending ending)
+Outcome<ServiceAnswer, ExchangeFailure> askCut(const std::string &bytes, Ending ending,
+                                               const std::string &body = "")
 {
     const CutServer server(bytes, ending);
     ServiceCall call;
-    call.method = "GET";
+    call.method = body.empty() ? "GET" : "POST";
     call.target = "/x";
+    call.body = body;
     return sendOnce(call, server.endpoint(), {}, MonotonicClock::now() + std::chrono::seconds(5));
 }
 
@@ -107,5 +116,20 @@
     }
 }
 
+// A service answers before it has read a long call, and closes its connection: the rest of the call
+// is rejected. Guards against a part of an answer that is passed on as the whole.
+TEST(ServiceExchange, NoAnswerIsMadeOfOneThatAResetEnds)
+{
+    for (const std::size_t length : {std::size_t{300'000}, std::size_t{8'000'000}}) {
+        const std::string body(length, 'b');
+        for (std::size_t at = 0; at <= byEnd.body.size(); ++at) {
+            for (const Ending ending : {Ending::Close, Ending::Reset, Ending::EndThenReset}) {
+                const auto cut = askCut(byEnd.head + byEnd.body.substr(0, at), ending, body);
+                EXPECT_FALSE(cut) << length << " " << at << " " << static_cast<int>(ending);
+            }
+        }
+    }
+}
+
 } // namespace
 } // namespace vanilladyke
--- a/src/vanilladyke/traffic/backend_try.cpp
+++ b/src/vanilladyke/traffic/backend_try.cpp
@@ -193,7 +193,8 @@
     asio::async_write(m_connection->socket, buffers,
                       [connection = m_connection, self = shared_from_this()](const ErrorCode &error,
                                                                              std::size_t) {
-                          connection->isWriting = error.failed();
+                          connection->isWriting = false;
+                          connection->hasWriteFailed = error.failed();
                       });
 }
 
@@ -397,6 +398,9 @@
 
 asio::awaitable<bool> BackendTry::readSome(std::string *out)
 {
+    if (m_isCut) {
+        co_return false;
+    }
     std::array<char, ReadBufferBytes> piece; // NOLINT: filled by the parser
     auto &body = m_parser->get().body();
     body.data = piece.data();
@@ -410,7 +414,14 @@
     }
     out->append(piece.data(), piece.size() - body.size);
     m_buffered = m_connection->buffer.size();
-    co_return !error;
+    if (!error && m_parser->is_done() && endsWithConnection()) {
+        // The kernel reports a reset once. Where the write of the request took the report, a read
+        // ends as if the server had closed in order, and a part of an answer would pass for it.
+        const BackendConnectionPtr connection = m_connection;
+        m_isCut = !co_await endedInOrder(connection->socket, connection->isWriting,
+                                         connection->hasWriteFailed);
+    }
+    co_return !error && !m_isCut;
 }
 
 asio::awaitable<bool> BackendTry::readCompleteBody(std::string *out)
@@ -440,7 +451,8 @@
 
 void BackendTry::release()
 {
-    const bool isClean = !m_sawStray && !m_connection->isWriting && m_connection->buffer.size() == 0
+    const bool isWritten = !m_connection->isWriting && !m_connection->hasWriteFailed;
+    const bool isClean = !m_sawStray && isWritten && m_connection->buffer.size() == 0
                          && m_parser->get().keep_alive() && !m_head.closesConnection
                          && !m_parser->get().need_eof();
     if (isClean && m_connection->isOpen) {
