A status that HTTP doesn't define makes no answer

What callers saw: a server in trouble sent the status 000. Where its body read like an answer with the request's id, the caller got that as a 200; where it read like a refusal, the caller got 503, "not run", which was not true. Statuses from 600 on were passed on as the engine's (MIXED, REFUSED).

Cause: the parser takes any three digits, and whatever was below 200 counted as informational: the next bytes, the body among them, were read as the head of the answer that follows. The same for 101, and for informational answers with a body.

Change: one check of heads, asked by all readers on Boost.Beast. A status below 100, above 599 or 101 is no answer, nor is an informational one that names a body.

Conclusion: mended there. The readers on cpp-httplib (serve's streams, polls, orders, log) are looked at next.

--- a/include/vanilladyke/traffic/backend_try.hpp
+++ b/include/vanilladyke/traffic/backend_try.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "vanilladyke/policy/exchange_state.hpp"
+#include "vanilladyke/traffic/answer_head.hpp"
 #include "vanilladyke/traffic/traffic_state.hpp"
 
 #include <boost/beast/http/buffer_body.hpp>
@@ -128,6 +129,8 @@
     /// Counts the buffered body among those of all tries. @return false if it has to be given up
     [[nodiscard]] bool fitsIntoMemory();
     [[nodiscard]] asio::awaitable<std::optional<TryResult>> receiveBodyStart();
+    /// Logs an answer that is given up because of its head.
+    void logMalformed(int status, HeadFault fault) const;
     /// Records the load, rate limit and weights that an answer reports.
     void recordHead();
     /// Whether the answer turned the request away because the engine was full.
--- a/src/vanilladyke/gateway/service_connection.cpp
+++ b/src/vanilladyke/gateway/service_connection.cpp
@@ -1,5 +1,6 @@
 #include "vanilladyke/gateway/service_connection.hpp"
 
+#include "vanilladyke/traffic/answer_head.hpp"
 #include "vanilladyke/traffic/peer_close.hpp"
 #include "vanilladyke/traffic/reset_on_close.hpp"
 
@@ -24,7 +25,6 @@
 /// Each call in progress buffers its complete answer in memory.
 constexpr std::uint64_t MaxAnswerBytes = 64U << 20U;
 constexpr std::uint32_t MaxHeadBytes = 64U << 10U;
-constexpr unsigned Informational = 1; ///< first digit of the status
 
 using Request = http::request<http::string_body>;
 using AnswerParser = http::response_parser<http::string_body>;
@@ -54,9 +54,12 @@
     return request;
 }
 
-bool isInformational(const AnswerParser &parser)
+/// Whether a further answer follows. One with a body is none, and ends the reading.
+bool isFollowed(const AnswerParser &parser)
 {
-    return parser.get().result_int() / 100 == Informational;
+    const auto &message = parser.get();
+    const int status = static_cast<int>(message.result_int());
+    return isInformational(status) && !faultOf(status, message.base());
 }
 
 } // namespace
@@ -91,6 +94,10 @@
         return;
     }
     auto &message = parser.get();
+    if (const auto fault = faultOf(static_cast<int>(message.result_int()), message.base())) {
+        fail(ExchangeError::Reset, "the answer is malformed: " + std::string(toString(*fault)));
+        return;
+    }
     const auto encoding = message.find(http::field::content_encoding);
     if (encoding != message.end() && encoding->value() != "identity") {
         // Callers are told nothing of an encoding, and would take the encoded body for the body.
@@ -166,7 +173,7 @@
     co_await http::async_write(stream, request, redirectError(error));
     boost::beast::flat_buffer buffer;
     std::optional<AnswerParser> parser(std::in_place);
-    while (!error && (!parser->is_done() || isInformational(*parser))) {
+    while (!error && (!parser->is_done() || isFollowed(*parser))) {
         parser.emplace();
         parser->header_limit(MaxHeadBytes);
         parser->body_limit(MaxAnswerBytes);
--- a/src/vanilladyke/gateway/service_exchange_test.cpp
+++ b/src/vanilladyke/gateway/service_exchange_test.cpp
@@ -131,5 +131,26 @@
     }
 }
 
+// A service in trouble sends a status that HTTP doesn't define, or an informational one with a
+// body. Guards against such an answer, or the body, being passed on.
+TEST(ServiceExchange, NoAnswerIsMadeOfAStatusThatIsNone)
+{
+    const std::string inner = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\ninner";
+    const std::string length = "Content-Length: " + std::to_string(inner.size()) + "\r\n";
+    for (const std::string status : {"000", "001", "099", "100", "101", "103", "600", "999"}) {
+        for (const std::string &fields : {length, std::string("Transfer-Encoding: chunked\r\n")}) {
+            const std::string head = "HTTP/1.1 " + status + " X\r\n" + fields + "\r\n";
+            for (const std::string &body : {std::string(), inner}) {
+                EXPECT_FALSE(askCut(head + body, Ending::Close)) << head;
+            }
+        }
+    }
+    for (const std::string status : {"100", "103", "199"}) {
+        const auto last = askCut("HTTP/1.1 " + status + " X\r\n\r\n" + inner, Ending::Close);
+        ASSERT_TRUE(last);
+        EXPECT_EQ(last->body, "inner");
+    }
+}
+
 } // namespace
 } // namespace vanilladyke
--- a/src/vanilladyke/traffic/backend_try.cpp
+++ b/src/vanilladyke/traffic/backend_try.cpp
@@ -210,9 +210,13 @@
         if (error) {
             co_return TryResult::Lost;
         }
-        m_head = m_state.dialect.parseAnswer(static_cast<int>(m_parser->get().result_int()),
-                                             m_parser->get().base());
-        if (m_head.status < 200) {
+        const int status = static_cast<int>(m_parser->get().result_int());
+        if (const auto fault = faultOf(status, m_parser->get().base())) {
+            logMalformed(status, *fault);
+            co_return TryResult::Lost;
+        }
+        m_head = m_state.dialect.parseAnswer(status, m_parser->get().base());
+        if (isInformational(status)) {
             continue;
         }
         if (m_head.requestId != m_request->id && !m_head.requestId.empty()) {
@@ -233,6 +237,17 @@
     co_return TryResult::Lost;
 }
 
+void BackendTry::logMalformed(int status, HeadFault fault) const
+{
+    m_state.metrics.count("answers_malformed_total");
+    LogEvent("answer_malformed", Severity::Warning)
+            .field("id", m_request->id)
+            .field("backend", m_choice.backend.id.str())
+            .field("status", status)
+            .field("fault", toString(fault))
+            .field("relayed", isRelay());
+}
+
 asio::awaitable<std::optional<TryResult>> BackendTry::receiveBodyStart()
 {
     if (m_head.isNotExecuted || m_head.status == 421) {
--- a/tests/integration/platform_broken_answers.py
+++ b/tests/integration/platform_broken_answers.py
@@ -109,6 +109,14 @@
                     self.play(path, service, HEAD.replace("{status}", str(status)) + "\r\n" + part, ending,
                               body="u" * BODY_BYTES)
 
+    def test_a_status_that_is_none(self):
+        """A server in trouble sends the status 000. Read as one that promises a further answer, its body is taken for
+        that answer."""
+        for path, service in ROUTES:
+            for status in ("000", "999"):
+                head = HEAD.replace("{status}", status) + f"Content-Length: {len(INNER) + 12}\r\n\r\n"
+                self.play(path, service, head + INNER)
+
 
 if __name__ == "__main__":
     harness.main()
