A head with a line that begins with a blank makes no answer

Cause: the parser joins such a line with the value before it (an obsolete form of HTTP), so that a length in it is not seen and the body ends with the connection. Names with a blank or a control byte elsewhere were refused already; they stay as tests.

--- a/include/vanilladyke/traffic/backend_try.hpp
+++ b/include/vanilladyke/traffic/backend_try.hpp
@@ -129,6 +129,8 @@
     /// Counts the buffered body among those of all tries. @return false if it has to be given up
     [[nodiscard]] bool fitsIntoMemory();
     [[nodiscard]] asio::awaitable<std::optional<TryResult>> receiveBodyStart();
+    /// Logs a head that can't be read.
+    void logHeadError(const ErrorCode &error) const;
     /// Logs an answer that is given up because of its head.
     void logMalformed(int status, HeadFault fault) const;
     /// Records the load, rate limit and weights that an answer reports.
--- a/src/vanilladyke/gateway/service_connection.cpp
+++ b/src/vanilladyke/gateway/service_connection.cpp
@@ -1,6 +1,7 @@
 #include "vanilladyke/gateway/service_connection.hpp"
 
 #include "vanilladyke/traffic/answer_head.hpp"
+#include "vanilladyke/traffic/answer_reader.hpp"
 #include "vanilladyke/traffic/peer_close.hpp"
 #include "vanilladyke/traffic/reset_on_close.hpp"
 
@@ -178,7 +179,10 @@
         parser->header_limit(MaxHeadBytes);
         parser->body_limit(MaxAnswerBytes);
         parser->skip(request.method() == http::verb::head);
-        co_await http::async_read(stream, buffer, *parser, redirectError(error));
+        co_await readAnswerHead(stream, buffer, *parser, error);
+        if (!error) {
+            co_await http::async_read(stream, buffer, *parser, redirectError(error));
+        }
     }
     if (!error && parser->get().need_eof()) {
         const bool isInOrder = co_await endedInOrder(m_socket, false, false);
--- a/src/vanilladyke/gateway/service_exchange_test.cpp
+++ b/src/vanilladyke/gateway/service_exchange_test.cpp
@@ -152,5 +152,18 @@
     }
 }
 
+// A line of a service's head has no name that HTTP allows, or begins with a blank. Guards against a
+// body with another end than the service's.
+TEST(ServiceExchange, NoAnswerIsMadeOfANameThatIsNone)
+{
+    for (const std::string line : {" Content-Length: 4", "\tContent-Length: 4", "  A: v",
+                                   "Content-Length : 4", "A B: v", "A\x01: v", "\x01: v"}) {
+        for (const std::string &before : {std::string(), std::string("B: v\r\n")}) {
+            const std::string head = "HTTP/1.1 200 OK\r\n" + before + line + "\r\n\r\n";
+            EXPECT_FALSE(askCut(head + "body", Ending::Close)) << head;
+        }
+    }
+}
+
 } // namespace
 } // namespace vanilladyke
--- a/src/vanilladyke/traffic/backend_try.cpp
+++ b/src/vanilladyke/traffic/backend_try.cpp
@@ -1,6 +1,7 @@
 #include "vanilladyke/traffic/backend_try.hpp"
 
 #include "vanilladyke/base/log.hpp"
+#include "vanilladyke/traffic/answer_reader.hpp"
 #include "vanilladyke/traffic/event_splitter.hpp"
 #include "vanilladyke/traffic/peer_close.hpp"
 #include "vanilladyke/traffic/reset_on_close.hpp"
@@ -205,9 +206,11 @@
         m_parser->body_limit(MaxAnswerBytes);
         m_parser->skip(m_request->method == "HEAD");
         ErrorCode error;
-        co_await http::async_read_header(m_connection->socket, m_connection->buffer, *m_parser,
-                                         redirectError(error));
+        // A connection that is closed meanwhile is kept until the read has ended.
+        const BackendConnectionPtr connection = m_connection;
+        co_await readAnswerHead(connection->socket, connection->buffer, *m_parser, error);
         if (error) {
+            logHeadError(error);
             co_return TryResult::Lost;
         }
         const int status = static_cast<int>(m_parser->get().result_int());
@@ -237,6 +240,21 @@
     co_return TryResult::Lost;
 }
 
+void BackendTry::logHeadError(const ErrorCode &error) const
+{
+    const bool isSyntax =
+            error.category() == http::make_error_code(http::error::bad_field).category();
+    if (!isSyntax) {
+        return; // the connection ended, which the end of the try tells
+    }
+    m_state.metrics.count("answers_malformed_total");
+    LogEvent("answer_malformed", Severity::Warning)
+            .field("id", m_request->id)
+            .field("backend", m_choice.backend.id.str())
+            .field("fault", error.message())
+            .field("relayed", isRelay());
+}
+
 void BackendTry::logMalformed(int status, HeadFault fault) const
 {
     m_state.metrics.count("answers_malformed_total");
--- a/tests/integration/platform_broken_answers.py
+++ b/tests/integration/platform_broken_answers.py
@@ -117,6 +117,13 @@
                 head = HEAD.replace("{status}", status) + f"Content-Length: {len(INNER) + 12}\r\n\r\n"
                 self.play(path, service, head + INNER)
 
+    def test_a_name_that_is_none(self):
+        """The name of a field begins with a blank or holds one, or a control byte. A line that begins with a blank would
+        continue the one before, and a length in it would be lost."""
+        for path, service in ROUTES:
+            for line in (" Content-Length: 6", "\tA: b", "A B: c", "A\x01: b"):
+                self.play(path, service, HEAD.replace("{status}", "200") + line + "\r\n\r\nbroken")
+
 
 if __name__ == "__main__":
     harness.main()
