An answer that frames its body oddly is none

What callers saw: a 200 whose body held chunk sizes, or was still compressed without being named so, where a server named a coding other than chunks, or several (MIXED).

Cause: the parser acts on the codings that it knows and passes over others, and the field itself is dropped since it concerns one connection.

Change: a head may name one length in digits, or chunks alone in HTTP/1.1. All content codings are looked at, not only the first. A connection is left after a 204 or 304 that names a body which may not be.

Conclusion: mended for answers.

--- a/include/vanilladyke/traffic/answer_head.hpp
+++ b/include/vanilladyke/traffic/answer_head.hpp
@@ -15,7 +15,8 @@
 /// @brief What is wrong with a head.
 enum class HeadFault {
     Status, ///< HTTP defines no such status, or not for this request
-    Length, ///< an informational answer with a body
+    Length, ///< of the body: named oddly or more than once, or there may be no body
+    Coding, ///< of the body: another one than chunks, more than one, or beside a length
 };
 
 [[nodiscard]] std::string_view toString(HeadFault fault);
@@ -27,8 +28,16 @@
 }
 
 /// @brief Checks a head that was parsed, to a request that asked for no other protocol.
+/// @param version of HTTP, as 11 for HTTP/1.1
 /// @return none if nothing is wrong with it
-[[nodiscard]] std::optional<HeadFault> faultOf(int status,
+[[nodiscard]] std::optional<HeadFault> faultOf(int status, unsigned version,
                                                const boost::beast::http::fields &fields);
 
+/// @brief Whether one of the content codings that a head names changes the body.
+[[nodiscard]] bool isEncoded(const boost::beast::http::fields &fields);
+
+/// @brief Whether a head names a body that its status doesn't allow. Bytes that follow could be
+/// read as the next answer.
+[[nodiscard]] bool isBodyForbidden(int status, const boost::beast::http::fields &fields);
+
 } // namespace vanilladyke
--- a/src/vanilladyke/app/dialect_test.cpp
+++ b/src/vanilladyke/app/dialect_test.cpp
@@ -35,6 +35,23 @@
     EXPECT_FALSE(restOf(503, {}));
 }
 
+// A server names several content codings. Guards against an encoded body that is taken for its own.
+TEST(Dialect, EachContentCodingOfAnAnswerCounts)
+{
+    const auto isEncoded = [](const std::vector<std::string> &codings) {
+        HttpFields fields;
+        for (const std::string &coding : codings) {
+            fields.insert("Content-Encoding", coding);
+        }
+        return platform::makeDialect().parseAnswer(200, fields).isEncoded;
+    };
+    EXPECT_FALSE(isEncoded({}));
+    EXPECT_FALSE(isEncoded({"identity"}));
+    EXPECT_TRUE(isEncoded({"gzip"}));
+    EXPECT_TRUE(isEncoded({"identity", "gzip"}));
+    EXPECT_TRUE(isEncoded({"gzip", "identity"}));
+}
+
 TEST(Dialect, ReadsLeavingAndBrittleness)
 {
     HttpFields fields;
--- a/src/vanilladyke/gateway/service_connection.cpp
+++ b/src/vanilladyke/gateway/service_connection.cpp
@@ -60,7 +60,7 @@
 {
     const auto &message = parser.get();
     const int status = static_cast<int>(message.result_int());
-    return isInformational(status) && !faultOf(status, message.base());
+    return isInformational(status) && !faultOf(status, message.version(), message.base());
 }
 
 } // namespace
@@ -95,12 +95,12 @@
         return;
     }
     auto &message = parser.get();
-    if (const auto fault = faultOf(static_cast<int>(message.result_int()), message.base())) {
+    if (const auto fault = faultOf(static_cast<int>(message.result_int()), message.version(),
+                                   message.base())) {
         fail(ExchangeError::Reset, "the answer is malformed: " + std::string(toString(*fault)));
         return;
     }
-    const auto encoding = message.find(http::field::content_encoding);
-    if (encoding != message.end() && encoding->value() != "identity") {
+    if (isEncoded(message.base())) {
         // Callers are told nothing of an encoding, and would take the encoded body for the body.
         fail(ExchangeError::Reset, "the answer is encoded");
         return;
--- a/src/vanilladyke/gateway/service_exchange_test.cpp
+++ b/src/vanilladyke/gateway/service_exchange_test.cpp
@@ -165,5 +165,20 @@
     }
 }
 
+// A service names a length or a coding oddly or more than once. Guards against a body that is
+// passed on with a coding that callers are not told of, or with another end.
+TEST(ServiceExchange, NoAnswerIsMadeOfAnOddLengthOrCoding)
+{
+    for (const std::string fields :
+         {"Content-Length: 4, 4", "Content-Length: 4\r\nContent-Length: 4", "Content-Length: +4",
+          "Transfer-Encoding: gzip", "Transfer-Encoding: gzip, chunked",
+          "Transfer-Encoding: chunked, gzip", "Transfer-Encoding: gzip\r\nContent-Length: 4",
+          "Content-Length: 4\r\nContent-Encoding: identity\r\nContent-Encoding: gzip"}) {
+        const std::string head = "HTTP/1.1 200 OK\r\n" + fields + "\r\n\r\n";
+        EXPECT_FALSE(askCut(head + "body", Ending::Close)) << head;
+        EXPECT_FALSE(askCut(head + "4\r\nbody\r\n0\r\n\r\n", Ending::Close)) << head;
+    }
+}
+
 } // namespace
 } // namespace vanilladyke
--- a/src/vanilladyke/traffic/backend_try.cpp
+++ b/src/vanilladyke/traffic/backend_try.cpp
@@ -214,7 +214,7 @@
             co_return TryResult::Lost;
         }
         const int status = static_cast<int>(m_parser->get().result_int());
-        if (const auto fault = faultOf(status, m_parser->get().base())) {
+        if (const auto fault = faultOf(status, m_parser->get().version(), m_parser->get().base())) {
             logMalformed(status, *fault);
             co_return TryResult::Lost;
         }
@@ -487,7 +487,8 @@
     const bool isWritten = !m_connection->isWriting && !m_connection->hasWriteFailed;
     const bool isClean = !m_sawStray && isWritten && m_connection->buffer.size() == 0
                          && m_parser->get().keep_alive() && !m_head.closesConnection
-                         && !m_parser->get().need_eof();
+                         && !m_parser->get().need_eof()
+                         && !isBodyForbidden(m_head.status, m_parser->get().base());
     if (isClean && m_connection->isOpen) {
         m_state.pool.putBack(m_connection, m_head.keepAlive, MonotonicClock::now());
         m_connection.reset();
