What a node keeps of answers is bounded over all connections

What callers saw: faulty servers sent answers without end on many connections; the node that had called them kept the bytes and outgrew its memory, and all its requests would have ended with it (LOST).

Cause: limits were per connection, and the common account held whole answers only. Answers to other requests, which are read to get to the next one, were kept and not counted, nor were incomplete events, kept failures and bodies being written to callers. Answers of up to 256 KB were kept whatever the account said.

Change: what is thrown away isn't kept; everything else counts by its memory; an answer may have as much as is left of the answers' part of the budget (pure, BufferBudget::largestAnswer), 16 KB at least. The search for the end of an event no longer begins anew with each piece.

Conclusion: mended in the traffic core. serve's other readers are open.

--- a/include/vanilladyke/policy/buffer_budget.hpp
+++ b/include/vanilladyke/policy/buffer_budget.hpp
@@ -17,6 +17,10 @@
 /// the order of arrival; its bytes stay with its sender meanwhile. One that would not get its share
 /// in time is refused.
 ///
+/// Load pattern: faulty servers send answers that don't end, on many connections at once. Each may
+/// have what is left of the answers' part, so that the more there are, the sooner they are given
+/// up, and ordinary answers still fit.
+///
 /// Large and small bodies wait apart. Small ones may use what is free while no large one waits, so
 /// that neither kind waits for a queue of the other.
 namespace vanilladyke {
@@ -48,6 +52,11 @@
     static constexpr double SmallPart = 0.25;   ///< that large bodies and answers don't take away
     static constexpr double WaitingPart = 0.25; ///< for the bodies that wait
 
+    /// What any answer may have, however much is kept.
+    static constexpr std::size_t SmallAnswer = 16U << 10U;
+    /// What an answer may have at most while bodies and answers exceed the budget.
+    static constexpr std::size_t OrdinaryAnswer = 256U << 10U;
+
     struct Admission
     {
         BodyEntry entry = BodyEntry::Refused;
@@ -74,6 +83,8 @@
     void keepAnswer(std::size_t bytes) { m_answers += bytes; }
     /// @brief Bytes of answers are kept no longer. @return the bodies that got a share by that
     [[nodiscard]] std::vector<Ticket> dropAnswer(std::size_t bytes);
+    /// @brief Most bytes that one answer may have, given what is kept.
+    [[nodiscard]] std::size_t largestAnswer() const;
     /// @brief Whether the answers that are kept fit into the budget.
     [[nodiscard]] bool hasRoomForAnswers() const;
 
--- a/include/vanilladyke/traffic/backend_try.hpp
+++ b/include/vanilladyke/traffic/backend_try.hpp
@@ -42,6 +42,13 @@
 /// @brief Whether the server had not answered when the node left it.
 [[nodiscard]] bool isLeftAsSilent(AbortReason reason);
 
+/// @brief The body of an answer, which counts as kept while the object lives.
+struct KeptBody
+{
+    std::string text;
+    AnswerShare share;
+};
+
 /// @brief What a try has to bring.
 struct TryTerms
 {
@@ -61,7 +68,6 @@
 
     BackendTry(TrafficState &state, std::shared_ptr<const CallerRequest> request, TryTerms terms,
                BackendChoice choice);
-    ~BackendTry();
     BackendTry(const BackendTry &) = delete;
     BackendTry &operator=(const BackendTry &) = delete;
 
@@ -110,7 +116,7 @@
     [[nodiscard]] Ran ran() const { return m_progress.ran(); }
     void apply(ExchangeEvent event) { m_progress.apply(event); }
     /// @brief The body that receiveStart() read, to be processed first; then empty.
-    [[nodiscard]] std::string takeBody();
+    [[nodiscard]] KeptBody takeBody();
 
     /// @brief Keeps the place at a brittle engine that the request is sent with.
     void holdPlace(const PlaceTicket &place) { m_place = place; }
@@ -122,7 +128,9 @@
 private:
     void beginHead();
     void write();
-    [[nodiscard]] asio::awaitable<bool> readCompleteBody(std::string *out);
+    [[nodiscard]] asio::awaitable<bool> readCompleteBody();
+    /// Reads the rest of an answer without keeping it. @return whether that ended in time
+    [[nodiscard]] asio::awaitable<bool> discardBody();
     /// Reads up to the end of the stream's first event.
     /// @return false if there is none and nothing but the connection's end marks the stream's end
     [[nodiscard]] asio::awaitable<bool> readFirstEvent();
@@ -149,8 +157,7 @@
     std::optional<AnswerParser> m_parser; ///< of the answer being read
     AnswerHead m_head;
     std::string m_body;
-    std::shared_ptr<BufferGate> m_buffers;
-    std::size_t m_counted = 0; ///< bytes of the body that are counted there
+    AnswerShare m_share; ///< of m_body
     ExchangeState m_progress;
     std::optional<PlaceTicket> m_place;
     std::optional<TimePoint> m_sentAt;
--- a/include/vanilladyke/traffic/buffer_gate.hpp
+++ b/include/vanilladyke/traffic/buffer_gate.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 
 /// Makes sessions wait for the memory that the bodies of their requests need.
 namespace vanilladyke {
@@ -41,6 +42,36 @@
 
 using BodySharePtr = std::shared_ptr<BodyShare>;
 
+/// @brief The bytes of one answer that are kept; counted until the end of the object.
+class AnswerShare
+{
+public:
+    explicit AnswerShare(std::shared_ptr<BufferGate> gate)
+        : m_gate(std::move(gate))
+    {}
+    ~AnswerShare() { resize(0); }
+    AnswerShare(AnswerShare &&other) noexcept
+        : m_gate(other.m_gate)
+        , m_bytes(std::exchange(other.m_bytes, 0))
+    {}
+    AnswerShare &operator=(AnswerShare &&other) noexcept
+    {
+        std::swap(m_gate, other.m_gate);
+        std::swap(m_bytes, other.m_bytes);
+        return *this;
+    }
+
+    /// @param bytes of memory, which may exceed the length of the answer
+    void resize(std::size_t bytes);
+    [[nodiscard]] std::size_t bytes() const { return m_bytes; }
+    /// @brief Whether an answer of this length may be kept further.
+    [[nodiscard]] bool fits(std::size_t length) const;
+
+private:
+    std::shared_ptr<BufferGate> m_gate;
+    std::size_t m_bytes = 0;
+};
+
 /// @brief The account of a traffic thread. For use on that thread only. Shares keep it alive.
 class BufferGate : public std::enable_shared_from_this<BufferGate>
 {
--- a/include/vanilladyke/traffic/event_splitter.hpp
+++ b/include/vanilladyke/traffic/event_splitter.hpp
@@ -17,9 +17,16 @@
     [[nodiscard]] std::string feed(std::string_view bytes);
     /// @brief Id of the last complete event that had one; empty if none had.
     [[nodiscard]] const std::string &lastId() const { return m_lastId; }
-    /// @brief Whether an incomplete event is buffered.
+    /// @brief Whether the text holds a complete event.
+    /// @param from where to begin: none ends before
+    [[nodiscard]] static bool hasEvent(std::string_view text, std::size_t from);
+    /// @brief Bytes of the incomplete event.
+    [[nodiscard]] std::size_t pending() const { return m_pending.size(); }
+    /// @brief Bytes of memory for it.
+    [[nodiscard]] std::size_t capacity() const { return m_pending.capacity(); }
     /// @brief Whether the incomplete event is longer than any event may be.
     [[nodiscard]] bool isTooLarge() const { return m_pending.size() > MaxEventBytes; }
+    /// @brief Whether an incomplete event is buffered.
     [[nodiscard]] bool hasPending() const { return !m_pending.empty(); }
     /// @brief Returns the bytes of the incomplete event and clears the buffer.
     [[nodiscard]] std::string takePending();
--- a/include/vanilladyke/traffic/exchange.hpp
+++ b/include/vanilladyke/traffic/exchange.hpp
@@ -67,7 +67,7 @@
     struct ErrorAnswer
     {
         AnswerHead head;
-        std::string body;
+        KeptBody body;
     };
 
     // Admission and the sequence of tries.
--- a/src/vanilladyke/policy/buffer_budget.cpp
+++ b/src/vanilladyke/policy/buffer_budget.cpp
@@ -112,6 +112,13 @@
     return m_answers <= part(m_total, AnswersPart) && held() <= m_total;
 }
 
+std::size_t BufferBudget::largestAnswer() const
+{
+    const std::size_t limit = part(m_total, AnswersPart);
+    const std::size_t left = std::max(limit - std::min(m_answers, limit), SmallAnswer);
+    return hasRoomForAnswers() ? left : std::min(left, OrdinaryAnswer);
+}
+
 std::size_t BufferBudget::held() const
 {
     std::size_t bytes = m_answers;
--- a/src/vanilladyke/policy/buffer_budget_test.cpp
+++ b/src/vanilladyke/policy/buffer_budget_test.cpp
@@ -135,6 +135,31 @@
     EXPECT_EQ(budget.dropAnswer(Total / 4), std::vector{next.ticket});
 }
 
+// Faulty servers send answers that don't end, on many connections at once. Guards against a process
+// that is ended because each answer is within a limit of its own, and against ordinary answers that
+// are given up because of them.
+TEST(BufferBudget, AnswersThatDoNotEndLeaveRoomForOrdinaryOnes)
+{
+    constexpr std::size_t Budget = 40U << 20U;
+    constexpr std::size_t Piece = 16U << 10U;
+    for (const std::size_t count : {1U, 10U, 100U, 1000U}) {
+        BufferBudget budget(Budget);
+        std::vector<std::size_t> answers(count, 0);
+        for (bool grows = true; grows;) {
+            grows = false;
+            for (std::size_t &answer : answers) {
+                if (answer + Piece <= budget.largestAnswer()) {
+                    answer += Piece;
+                    budget.keepAnswer(Piece);
+                    grows = true;
+                }
+            }
+        }
+        EXPECT_LE(budget.held(), Budget / 2 + count * BufferBudget::SmallAnswer) << count;
+        EXPECT_GE(budget.largestAnswer(), BufferBudget::SmallAnswer) << count;
+    }
+}
+
 // A caller that leaves while its body waits at the front must not hold up the next one.
 TEST(BufferBudget, ABodyThatWaitsNoLongerLetsTheNextOnePass)
 {
--- a/src/vanilladyke/traffic/backend_try.cpp
+++ b/src/vanilladyke/traffic/backend_try.cpp
@@ -19,8 +19,8 @@
 /// Upper bound of an answer's body, in bytes.
 constexpr std::uint64_t MaxAnswerBytes = 256ULL << 20U;
 constexpr std::size_t MaxBufferedAnswerBytes = 8U << 20U;
-/// Without room for answers those that are larger are given up.
-constexpr std::size_t OrdinaryAnswerBytes = 256U << 10U;
+/// Of an answer to another request, which are read to get to the next one.
+constexpr std::size_t MaxDiscardedBytes = 256U << 10U;
 constexpr std::size_t ReadBufferBytes = 16384;
 /// Number of answers to other requests that are skipped on a connection before it is given up.
 constexpr int MaxStrayAnswers = 3;
@@ -30,12 +30,6 @@
     return status >= 200 && status < 300;
 }
 
-bool hasWholeEvent(const std::string &events)
-{
-    EventSplitter splitter;
-    return !splitter.feed(events).empty();
-}
-
 } // namespace
 
 std::string_view toString(TryResult result)
@@ -110,33 +104,24 @@
     , m_request(std::move(request))
     , m_terms(terms)
     , m_choice(std::move(choice))
-    , m_buffers(state.buffers)
+    , m_share(state.buffers)
 {}
 
-BackendTry::~BackendTry()
-{
-    m_buffers->dropAnswer(m_counted);
-}
-
-std::string BackendTry::takeBody()
+KeptBody BackendTry::takeBody()
 {
-    m_buffers->dropAnswer(std::exchange(m_counted, 0));
-    return std::exchange(m_body, {});
+    return {std::exchange(m_body, {}), std::exchange(m_share, AnswerShare(m_state.buffers))};
 }
 
 bool BackendTry::fitsIntoMemory()
 {
-    m_buffers->keepAnswer(m_body.size() - m_counted);
-    m_counted = m_body.size();
-    const bool fits =
-            m_counted <= OrdinaryAnswerBytes
-            || (m_counted <= MaxBufferedAnswerBytes && m_buffers->budget().hasRoomForAnswers());
+    m_share.resize(m_body.capacity());
+    const bool fits = m_body.size() <= MaxBufferedAnswerBytes && m_share.fits(m_body.size());
     if (!fits) {
         LogEvent("answer_too_large", Severity::Warning)
                 .field("id", m_request->id)
                 .field("backend", m_choice.backend.id.str())
-                .field("bytes", m_counted)
-                .field("bytes_of_all", m_buffers->budget().held());
+                .field("bytes", m_body.size())
+                .field("bytes_of_all", m_state.buffers->budget().held());
     }
     return fits;
 }
@@ -226,8 +211,7 @@
             // A duplicate or late answer to another request; the answer to this one may still
             // follow.
             m_sawStray = true;
-            std::string ignored;
-            const bool isWhole = co_await readCompleteBody(&ignored);
+            const bool isWhole = co_await discardBody();
             if (!isWhole || endsWithConnection()) {
                 co_return TryResult::Lost;
             }
@@ -288,7 +272,7 @@
     if (m_terms.isResume) {
         co_return TryResult::Lost; // a started stream can only be continued by a stream
     }
-    const bool isComplete = co_await readCompleteBody(&m_body);
+    const bool isComplete = co_await readCompleteBody();
     if (!isComplete) {
         co_return TryResult::Lost;
     }
@@ -457,11 +441,26 @@
     co_return !error && !m_isCut;
 }
 
-asio::awaitable<bool> BackendTry::readCompleteBody(std::string *out)
+asio::awaitable<bool> BackendTry::readCompleteBody()
+{
+    while (!m_parser->is_done()) {
+        const bool hasRead = co_await readSome(&m_body);
+        if (!hasRead || !fitsIntoMemory()) {
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
+asio::awaitable<bool> BackendTry::discardBody()
 {
+    std::size_t discarded = 0;
+    std::string piece;
     while (!m_parser->is_done()) {
-        const bool hasRead = co_await readSome(out);
-        if (!hasRead || out->size() > MaxBufferedAnswerBytes || !fitsIntoMemory()) {
+        piece.clear();
+        const bool hasRead = co_await readSome(&piece);
+        discarded += piece.size();
+        if (!hasRead || discarded > MaxDiscardedBytes) {
             co_return false;
         }
     }
@@ -471,15 +470,19 @@
 asio::awaitable<bool> BackendTry::readFirstEvent()
 {
     // Bytes that are no event yet prove little: the server may break off before its end.
-    while (!hasWholeEvent(m_body) && !isWhole()) {
+    bool hasEvent = false;
+    while (!hasEvent && !isWhole()) {
+        const std::size_t searched = m_body.size();
         const bool hasRead = co_await readSome(&m_body);
-        const bool mayGoOn = hasRead && m_body.size() <= EventSplitter::MaxEventBytes;
-        if (!mayGoOn && !hasWholeEvent(m_body)) {
+        hasEvent = EventSplitter::hasEvent(m_body, searched);
+        const bool mayGoOn =
+                hasRead && m_body.size() <= EventSplitter::MaxEventBytes && fitsIntoMemory();
+        if (!mayGoOn && !hasEvent) {
             co_return false;
         }
     }
     // A server that ends after its head closes the connection in order, too.
-    co_return hasWholeEvent(m_body) || !endsWithConnection();
+    co_return hasEvent || !endsWithConnection();
 }
 
 void BackendTry::release()
--- a/src/vanilladyke/traffic/buffer_gate.cpp
+++ b/src/vanilladyke/traffic/buffer_gate.cpp
@@ -22,6 +22,21 @@
     }
 }
 
+void AnswerShare::resize(std::size_t bytes)
+{
+    if (bytes > m_bytes) {
+        m_gate->keepAnswer(bytes - m_bytes);
+    } else if (bytes < m_bytes) {
+        m_gate->dropAnswer(m_bytes - bytes);
+    }
+    m_bytes = bytes;
+}
+
+bool AnswerShare::fits(std::size_t length) const
+{
+    return length <= m_gate->budget().largestAnswer();
+}
+
 asio::awaitable<BodySharePtr> BufferGate::enter(std::size_t bytes, TimePoint until)
 {
     const TimePoint now = MonotonicClock::now();
--- a/src/vanilladyke/traffic/exchange_answers.cpp
+++ b/src/vanilladyke/traffic/exchange_answers.cpp
@@ -58,9 +58,9 @@
         }
         co_return end;
     }
-    const std::string body = attempt->takeBody();
+    const KeptBody body = attempt->takeBody();
     attempt->release();
-    const bool delivered = co_await deliver(head, body);
+    const bool delivered = co_await deliver(head, body.text);
     co_return delivered ? TryResult::Delivered : TryResult::Interrupted;
 }
 
@@ -69,7 +69,8 @@
     static_cast<void>(m_events.takePending()); // the incomplete event of a server before
     const Duration streamTimeout =
             std::max<Duration>(m_route->longestPause * StreamTimeoutPauses, MinStreamTimeout);
-    std::string bytes = attempt->takeBody();
+    std::string bytes = attempt->takeBody().text;
+    AnswerShare share(m_state.buffers); // of the incomplete event
     bool hasRead = true;
     for (;;) {
         const bool isLast = hasRead && attempt->isWhole();
@@ -105,8 +106,9 @@
             co_return m_headWritten ? TryResult::Interrupted : TryResult::Lost;
         }
         bytes.clear();
+        share.resize(m_events.capacity());
         hasRead = co_await attempt->readSome(&bytes);
-        if (isDiscarded(*attempt) || m_events.isTooLarge()) {
+        if (isDiscarded(*attempt) || m_events.isTooLarge() || !share.fits(m_events.pending())) {
             co_return m_headWritten ? TryResult::Interrupted : TryResult::Lost;
         }
     }
@@ -180,7 +182,7 @@
         co_return ExchangeResult::Broken;
     }
     if (m_error) {
-        const bool delivered = co_await deliver(m_error->head, m_error->body);
+        const bool delivered = co_await deliver(m_error->head, m_error->body.text);
         log(m_status, isAnswered() ? "answered" : "backend_failed");
         co_return delivered ? ExchangeResult::Answered : ExchangeResult::Broken;
     }
--- a/tests/integration/platform_fleet.py
+++ b/tests/integration/platform_fleet.py
@@ -115,7 +115,7 @@
                     self.store.put("keyed.servers", engine.name, engine.entry())
             time.sleep(0.3)
 
-    def node(self, name, store_port=None, keys_valid_ms=2500):
+    def node(self, name, store_port=None, keys_valid_ms=2500, memory_mb=None):
         callers, ready, metrics = (harness.free_port() for _ in range(3))
         settings = {"node": name, "address": "127.0.0.1", "data_centre": "z", "callers": f"127.0.0.1:{callers}",
                     "ready": f"127.0.0.1:{ready}", "metrics": f"127.0.0.1:{metrics}",
@@ -124,7 +124,8 @@
                     "store": f"127.0.0.1:{store_port or self.store.port}", "keys_valid_ms": keys_valid_ms,
                     "fails_closed": True, "weights_time_ms": 15000, "order_gap_ms": self.order_gap_ms, "grace_ms": 8000,
                     "second_sends": self.second_sends, "first_start": self.first_start,
-                    **({"quota": self.quota} if self.quota else {})}
+                    **({"quota": self.quota} if self.quota else {}),
+                    **({"memory_mb": memory_mb} if memory_mb else {})}
         path = self.cluster.write(name + ".jsonc", settings)
         program = next(self.cluster.programs)
         node = self.cluster.start(name, [program, "node", "--settings", path])
