Requests that outlast a planned stop get a final answer

What callers saw: a node that was asked to stop took requests for 2.6 s and passed them on; those that lasted beyond 7.3 s of a grace of 8 s lost their connection without a byte, calls that may not be repeated among them (LOST).

Cause: only the loop that ends the process knew the end of the grace. Requests kept their callers' deadlines, and engines were told those.

Change: from SIGTERM on the end of the grace, less 0.7 s, is a deadline of all requests, open or still to come: 504 if they may have run, 503 if not. Connections are closed 0.3 s later. A request that could last beyond is refused at once.

Streams that have begun are broken off at that time as before.

--- a/include/vanilladyke/traffic/backend_try.hpp
+++ b/include/vanilladyke/traffic/backend_try.hpp
@@ -29,6 +29,7 @@
     CallerLeft,     ///< the caller closed its connection
     CallerDeadline, ///< the time that the caller waits is over
     RouteTimeout,   ///< the route's timeout, which was earlier than the caller's deadline
+    NodeStops,      ///< this node's process ends, which was earlier than both
     WeightsExpire,  ///< the request would begin on weights that may not be used any more
     Quarantined,    ///< engines ended under the request
     Replaced,       ///< another server began to answer
--- a/include/vanilladyke/traffic/exchange.hpp
+++ b/include/vanilladyke/traffic/exchange.hpp
@@ -56,6 +56,9 @@
     /// @brief Hedges requests at once that wait for servers which this node does not reach any
     /// more.
     static void hedgeCutOff(TrafficState &state, TimePoint now);
+    /// @brief Limits all open requests to the time until this node stops. Cut without an answer, a
+    /// caller could not tell that its request may have run.
+    static void endBeforeStop(TrafficState &state);
     /// @brief Has servers checked at which requests have waited for long without any answer.
     static void suspectSilentServers(TrafficState &state, TimePoint now);
 
@@ -75,6 +78,8 @@
     /// Finds the route and customer and sets the deadlines. @return why the request is refused, if
     /// it is
     [[nodiscard]] std::optional<Refusal> admit();
+    /// Brings the deadline forward to the time when this node stops.
+    void limitToStop();
     /// Chooses the server of the next try, waiting for one if necessary. @return null if the
     /// request has to end without another try
     [[nodiscard]] asio::awaitable<BackendTryPtr> nextTry();
--- a/include/vanilladyke/traffic/traffic_state.hpp
+++ b/include/vanilladyke/traffic/traffic_state.hpp
@@ -176,6 +176,9 @@
     std::shared_ptr<const RouteTable> table; ///< null until a configuration is received
     std::size_t nodes = 1;                   ///< set by setNodes()
     bool isDraining = false;                 ///< reports not ready; requests are still served
+    /// When requests that are still open get their final answer, because the process ends soon
+    /// after; none until a stop was asked for.
+    std::optional<TimePoint> stopsAt;
     /// Refuses new requests, because they might not complete before the process exits.
     bool isShuttingDown = false;
     /// Age of the latest freshness proof of the configuration, on a clock that includes time in
--- a/src/vanilladyke/app/node_command.cpp
+++ b/src/vanilladyke/app/node_command.cpp
@@ -31,9 +31,11 @@
 /// The balancer probes once a second and removes a node after two failed probes; until then new
 /// connections arrive.
 constexpr Duration BalancerLag = std::chrono::milliseconds(2600);
-/// Requests that outlast the grace period have their connections closed this long before the
-/// process is killed.
+/// Requests that outlast the grace period get their final answer this long before the process is
+/// killed.
 constexpr Duration KillMargin = std::chrono::milliseconds(700);
+/// For writing those answers; then connections that are still open are closed.
+constexpr Duration FinalAnswerTime = std::chrono::milliseconds(300);
 constexpr Duration StopPollInterval = std::chrono::milliseconds(50);
 /// Number of nodes assumed until the node list has been read. The node may be one of hundreds that
 /// were started together; if each used the whole retry budget of the fleet, the budget would be
@@ -217,7 +219,9 @@
     {
         LogEvent("stopping").field("signal", signal).field("open", m_traffic.openExchanges->size());
         m_stopRequestedAt = MonotonicClock::now();
+        m_traffic.stopsAt = m_stopRequestedAt + m_settings.grace - KillMargin;
         m_server.beginDrain();
+        Exchange::endBeforeStop(m_traffic);
         asio::post(m_controlContext, [this] { m_control.releaseLease(); });
         pollStop();
     }
@@ -265,7 +269,8 @@
             m_server.stopAccepting();
         }
         const bool isDone = now - m_stopRequestedAt >= BalancerLag && m_server.isIdle();
-        if (isDone || now - m_stopRequestedAt >= m_settings.grace - KillMargin) {
+        if (isDone || now >= *m_traffic.stopsAt + FinalAnswerTime) {
+            LogEvent("stopped_traffic").field("open", m_traffic.openExchanges->size());
             m_trafficContext.stop();
             return;
         }
--- a/src/vanilladyke/traffic/backend_try.cpp
+++ b/src/vanilladyke/traffic/backend_try.cpp
@@ -64,6 +64,8 @@
         return "caller_deadline";
     case AbortReason::RouteTimeout:
         return "route_timeout";
+    case AbortReason::NodeStops:
+        return "node_stops";
     case AbortReason::WeightsExpire:
         return "weights_expire";
     case AbortReason::Quarantined:
@@ -88,6 +90,7 @@
     case AbortReason::CallerLeft:
     case AbortReason::CallerDeadline:
     case AbortReason::RouteTimeout:
+    case AbortReason::NodeStops:
         break;
     }
     return false;
--- a/src/vanilladyke/traffic/exchange.cpp
+++ b/src/vanilladyke/traffic/exchange.cpp
@@ -9,6 +9,8 @@
 
 /// Open requests that a node takes from other nodes, so that its own callers still get its time.
 constexpr int MaxOpenRelayed = 200;
+/// A node that stops takes no request that could last so many target latencies and be cut then.
+constexpr int TargetsBeforeStop = 3;
 
 } // namespace
 
@@ -104,6 +106,11 @@
         }
         return Refusal{RefusalReason::UnknownService, "no such route", Ran::No, std::nullopt};
     }
+    const Duration expected =
+            std::min<Duration>(m_route->timeout, m_route->targetLatency * TargetsBeforeStop);
+    if (m_state.stopsAt && *m_state.stopsAt - now < expected) {
+        return Refusal{RefusalReason::ShuttingDown, "node is stopping", Ran::No, now};
+    }
     if (m_table->needsKeys() && !m_route->isPublic) {
         if (!isFresh && m_state.settings.failsClosed) {
             return Refusal{RefusalReason::NotReady, "keys may be old", Ran::No, nextProof};
@@ -132,9 +139,18 @@
         m_deadline = *m_request->deadline;
         m_deadlineReason = AbortReason::CallerDeadline;
     }
+    limitToStop();
     return std::nullopt;
 }
 
+void Exchange::limitToStop()
+{
+    if (m_state.stopsAt && *m_state.stopsAt < m_deadline) {
+        m_deadline = *m_state.stopsAt;
+        m_deadlineReason = AbortReason::NodeStops;
+    }
+}
+
 asio::awaitable<void> Exchange::endOpenTries()
 {
     m_isOver = true;
--- a/src/vanilladyke/traffic/exchange_hedging.cpp
+++ b/src/vanilladyke/traffic/exchange_hedging.cpp
@@ -67,6 +67,17 @@
     return *end - m_state.settings.withdrawMargin;
 }
 
+void Exchange::endBeforeStop(TrafficState &state)
+{
+    const TimePoint now = MonotonicClock::now();
+    for (Exchange *each : *state.openExchanges) {
+        if (each->m_route != nullptr && !each->m_isOver) {
+            each->limitToStop();
+            each->scheduleTimer(now);
+        }
+    }
+}
+
 void Exchange::onDeadline()
 {
     const TimePoint now = MonotonicClock::now();
--- a/src/vanilladyke/traffic/exchange_tries.cpp
+++ b/src/vanilladyke/traffic/exchange_tries.cpp
@@ -74,6 +74,7 @@
     case AbortReason::CallerLeft:
     case AbortReason::CallerDeadline:
     case AbortReason::RouteTimeout:
+    case AbortReason::NodeStops:
         break;
     }
     return false;
