--- a/include/vanilladyke/platform/http_call.hpp
+++ b/include/vanilladyke/platform/http_call.hpp
@@ -26,6 +26,7 @@
 {
     bool sent = false; ///< bytes may have been sent; if false, the call cannot have taken effect
     std::string detail;
+    bool isTooLarge = false; ///< the response has more bytes than the caller takes
 };
 
 /// @brief Longest time that a server may delay its response (long polling) so that it still
@@ -37,7 +38,12 @@
 class HttpCaller
 {
 public:
-    explicit HttpCaller(const Endpoint &endpoint, const BackendTls &tls = {});
+    /// Of a page of the log, of which a process reads one at a time.
+    static constexpr std::uint64_t DefaultAnswerBytes = 16U << 20U;
+
+    /// @param maxAnswerBytes a longer body is a failure
+    explicit HttpCaller(const Endpoint &endpoint, const BackendTls &tls = {},
+                        std::uint64_t maxAnswerBytes = DefaultAnswerBytes);
     HttpCaller(HttpCaller &&) noexcept;
     HttpCaller &operator=(HttpCaller &&) noexcept;
     ~HttpCaller();
--- a/src/vanilladyke/control/engine_poller.cpp
+++ b/src/vanilladyke/control/engine_poller.cpp
@@ -2,8 +2,8 @@
 
 #include "vanilladyke/base/log.hpp"
 #include "vanilladyke/model/foreign_json.hpp"
+#include "vanilladyke/platform/http_call.hpp"
 
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 namespace vanilladyke {
@@ -13,6 +13,8 @@
 /// Placement by older load reports costs more than the 10 small requests a second for each engine.
 constexpr Duration PollInterval = std::chrono::milliseconds(100);
 constexpr Duration AnswerTimeout = std::chrono::milliseconds(700);
+/// Of a report or a page of the cache feed; all engines are read at the same time.
+constexpr std::uint64_t MaxAnswerBytes = 1U << 20U;
 
 std::vector<HeldModel> parseModels(const nlohmann::json &list)
 {
@@ -71,13 +73,13 @@
 };
 
 /// Reads the next page of the cache feed. A malformed answer is skipped: the gap shows in the next.
-std::optional<CacheEventsRead> readCacheEvents(httplib::Client &client, const EngineId &engine,
+std::optional<CacheEventsRead> readCacheEvents(HttpCaller &client, const EngineId &engine,
                                                FeedPosition &position)
 {
     const std::string path =
             "/v1/cache_events?after=" + std::to_string(position.after)
             + "&incarnation=" + std::to_string(static_cast<std::uint64_t>(position.incarnation));
-    const httplib::Result answer = client.Get(path);
+    const auto answer = client.get(path, MonotonicClock::now() + AnswerTimeout);
     if (!answer || answer->status != 200) {
         return std::nullopt;
     }
@@ -93,11 +95,11 @@
     }
 }
 
-Event requestState(httplib::Client &client, const EngineId &engine)
+Event requestState(HttpCaller &client, const EngineId &engine)
 {
-    const httplib::Result answer = client.Get("/v1/state");
+    const auto answer = client.get("/v1/state", MonotonicClock::now() + AnswerTimeout);
     if (!answer) {
-        return EngineUnreachable{engine, httplib::to_string(answer.error())};
+        return EngineUnreachable{engine, answer.error().detail};
     }
     if (answer->status != 200) {
         return EngineUnreachable{engine, "status " + std::to_string(answer->status)};
@@ -147,11 +149,7 @@
 
 void EnginePoller::poll(const std::stop_token &stop, const EngineEntry &entry)
 {
-    const auto owned = makeBackendClient(entry.endpoint, m_tls);
-    httplib::Client &client = *owned;
-    client.set_keep_alive(true);
-    client.set_connection_timeout(AnswerTimeout);
-    client.set_read_timeout(AnswerTimeout);
+    HttpCaller client(entry.endpoint, m_tls, MaxAnswerBytes);
     FeedPosition position;
     while (!stop.stop_requested()) {
         Event state = requestState(client, entry.id);
--- a/src/vanilladyke/platform/log_client.cpp
+++ b/src/vanilladyke/platform/log_client.cpp
@@ -6,6 +6,8 @@
 #include <nlohmann/json.hpp>
 #include <sodium.h>
 
+#include <algorithm>
+
 namespace vanilladyke {
 
 namespace {
@@ -93,6 +95,7 @@
 {
     HttpCaller http;
     std::string records; ///< URL path of the stream's records
+    std::uint32_t pageRecords = MaxRecordsPerPage;
 };
 
 LogClient::LogClient(const Endpoint &endpoint, std::string stream)
@@ -127,9 +130,13 @@
     const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(
             longestWait(deadline, MonotonicClock::now()));
     const std::string path = m_private->records + "?from=" + std::to_string(from)
-                             + "&limit=" + std::to_string(MaxRecordsPerPage)
+                             + "&limit=" + std::to_string(m_private->pageRecords)
                              + "&wait_ms=" + std::to_string(wait.count());
     const auto answer = m_private->http.get(path, deadline);
+    if (!answer && answer.error().isTooLarge) {
+        constexpr std::uint32_t Fraction = 8; // the records of the next try are that much fewer
+        m_private->pageRecords = std::max(m_private->pageRecords / Fraction, 1U);
+    }
     if (!answer) {
         return failure(failureOf(answer.error()));
     }
