--- a/include/vanilladyke/traffic/buffer_gate.hpp
+++ b/include/vanilladyke/traffic/buffer_gate.hpp
@@ -51,7 +51,7 @@
     {}
     ~AnswerShare() { resize(0); }
     AnswerShare(AnswerShare &&other) noexcept
-        : m_gate(other.m_gate)
+        : m_gate(std::move(other.m_gate))
         , m_bytes(std::exchange(other.m_bytes, 0))
     {}
     AnswerShare &operator=(AnswerShare &&other) noexcept
