Tests: a proxy keeps its port while it refuses; a stand-in counts requests only

Cause: nobody held the port while the proxy refused connections, and it lies among those that the kernel gives to outgoing connections. Now a socket that doesn't listen keeps it. Cause: the stand-in counted connections that end without a request, by which a node asks whether a server still listens. No product code changed.

--- a/src/vanilladyke/traffic/early_answer_test.cpp
+++ b/src/vanilladyke/traffic/early_answer_test.cpp
@@ -63,6 +63,9 @@
         std::string head;
         co_await asio::async_read_until(socket, asio::dynamic_buffer(head), "\r\n\r\n",
                                         redirectError(error));
+        if (error) {
+            co_return; // a connection without a request, which asks whether the server is there
+        }
         ++requests;
         co_await asio::async_write(socket, asio::buffer(m_answer), redirectError(error));
         if (m_ending != Ending::Reset && m_ending != Ending::CloseUnread) {
--- a/tests/standins/fault_proxy.py
+++ b/tests/standins/fault_proxy.py
@@ -125,6 +125,7 @@
         self.name, self.target = name, (host, int(port))
         self.faults = clean_faults()
         self.open, self.connections, self.port, self.server = set(), 0, 0, None
+        self.keeper = None  # keeps the port from others while nobody listens
         self.plug = []  # a listener whose queue is full, and what fills it
         self.flowing = asyncio.Event()  # set unless bytes are held
         self.flowing.set()
@@ -132,8 +133,12 @@
         self.changing = asyncio.Lock()  # two orders at once must not both open the port
 
     async def listen(self):
+        if self.keeper is None:
+            self.keeper = socket.socket()
+            self.keeper.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self.keeper.bind(("127.0.0.1", 0))
+            self.port = self.keeper.getsockname()[1]
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port, backlog=512)
-        self.port = self.server.sockets[0].getsockname()[1]
 
     def unplug(self):
         for each in self.plug:
